Lay the skeleton: toolchain, import rules, contracts between the parts

The folders' import lists stand in import_rules.js and the linter enforces them. Nothing is served yet.

--- /dev/null
+++ b/.prettierrc.cjs
@@ -0,0 +1,3 @@
+module.exports = {
+  ...require('gts/.prettierrc.json'),
+};
--- /dev/null
+++ b/ava.config.js
@@ -0,0 +1,6 @@
+export default {
+  files: ['build/tests/**/*.test.js'],
+  workerThreads: false,
+  timeout: '120s',
+  verbose: true,
+};
--- /dev/null
+++ b/import_rules.js
@@ -0,0 +1,69 @@
+/**
+ * What each folder of `src/` may import: the folders besides its own, and the
+ * packages and Node modules. The linter enforces this list.
+ */
+export const importRules = {
+  utilities: {
+    folders: [],
+    packages: ['most', 'pure-rand', 'hdr-histogram-js', 'modern-errors'],
+  },
+  observability: {
+    folders: ['utilities'],
+    packages: ['consola', 'hdr-histogram-js', 'modern-errors'],
+  },
+  settings: {
+    folders: ['utilities', 'observability'],
+    packages: ['ini', 'valibot', 'node:fs', 'node:path'],
+  },
+  protocol: {
+    folders: ['utilities', 'observability'],
+    packages: ['@grpc/grpc-js', '@bufbuild/protobuf', 'node:fs'],
+  },
+  decisions: {
+    folders: ['utilities', 'observability', 'settings'],
+    packages: ['pure-rand', 'hdr-histogram-js'],
+  },
+  platform: {
+    folders: ['utilities', 'observability', 'settings'],
+    packages: ['undici', 'node:crypto', 'node:fs', 'most'],
+  },
+  agent: {
+    folders: [
+      'utilities',
+      'observability',
+      'settings',
+      'protocol',
+      'decisions',
+      'platform',
+    ],
+    packages: ['most', 'node:crypto', 'node:http'],
+  },
+  entry: {
+    folders: [
+      'utilities',
+      'observability',
+      'settings',
+      'protocol',
+      'decisions',
+      'platform',
+    ],
+    packages: ['most', 'node:crypto', 'node:http', 'node:https', 'node:fs'],
+  },
+  daemon: {
+    folders: [
+      'utilities',
+      'observability',
+      'settings',
+      'protocol',
+      'decisions',
+      'platform',
+      'agent',
+      'entry',
+    ],
+    packages: ['citty', 'node:process', 'node:fs', 'node:crypto', 'node:http'],
+  },
+  cli: {
+    folders: ['utilities', 'observability', 'settings'],
+    packages: ['citty', 'consola', 'undici', 'node:process', 'node:fs'],
+  },
+};
