Add the scheduler of a shard as a pure state machine

A shard's decisions need one way in, so that each is applied at once, its record queued, and nothing told to agents before the log holds it. Rolling decisions back after a lost append was ruled out: the object is dropped.

PLACED records now name the agent's incarnation: a new owner can tell an attempt that never began from one whose agent has forgotten it.

--- a/src/decisions/job_types.ts
+++ b/src/decisions/job_types.ts
@@ -64,6 +64,11 @@
   return `${name.team}/${name.job}/${name.task}/${name.attempt}`;
 }
 
+/** The job's name as one string, unique in the fleet. */
+export function jobKey(team: string, job: string): string {
+  return `${team}/${job}`;
+}
+
 export const LogRecordType = {
   TAKEN_OVER: 'takenOver',
   SUBMITTED: 'submitted',
@@ -91,6 +96,10 @@
       readonly type: typeof LogRecordType.PLACED;
       readonly name: AttemptName;
       readonly vm: string;
+      /** The run of the VM's agent that may start the attempt. */
+      readonly incarnation: string;
+      /** Reserved on the VM; absent when it is the declared size. */
+      readonly size?: Resources;
       /** Why this VM. */
       readonly reason: string;
       readonly wallTime: number;
--- /dev/null
+++ b/src/decisions/jobs/agent_answers.ts
@@ -0,0 +1,124 @@
+import {ResultCodes} from '../../observability/result_codes.js';
+import {AttemptOutcome, attemptKey} from '../job_types.js';
+import type {AttemptName} from '../job_types.js';
+import type {VmView} from '../placement/vm_table.js';
+import type {AttemptLifecycle} from './attempt_lifecycle.js';
+import type {OpenAttempt} from './open_attempts.js';
+import type {QueriedState, StartOutcome} from './scheduler_types.js';
+import type {ShardState} from './shard_state.js';
+
+/** Takes in what agents say of their VMs and attempts. */
+export class AgentAnswers {
+  constructor(
+    private readonly state: ShardState,
+    private readonly lifecycle: AttemptLifecycle,
+  ) {}
+
+  noteVm(view: VmView, now: number, wallTime: number): void {
+    const {interference, vms} = this.state;
+    const before = vms.get(view.vm)?.view.incarnation;
+    vms.note(view, now);
+    interference.note(view, now);
+    if (before === view.incarnation) return;
+    for (const attempt of [...this.state.attempts.onVm(view.vm)]) {
+      if (attempt.task.incarnation === view.incarnation) continue;
+      this.askAnew(attempt, now, wallTime);
+    }
+  }
+
+  noteStartResults(
+    vm: string,
+    results: readonly StartOutcome[],
+    now: number,
+    wallTime: number,
+  ): void {
+    for (const result of results) {
+      const attempt = this.state.attempts.get(attemptKey(result.name));
+      if (!attempt || attempt.vm !== vm) continue;
+      if (result.accepted) this.confirm(attempt);
+      else this.refuse(attempt, result, now, wallTime);
+    }
+  }
+
+  /** The starts surely did not leave this process. */
+  noteStartsNotSent(names: readonly AttemptName[], now: number): void {
+    for (const name of names) {
+      this.state.attempts.get(attemptKey(name))?.starts.notSent(now);
+    }
+  }
+
+  noteQueryStates(
+    vm: string,
+    incarnation: string,
+    states: readonly QueriedState[],
+    now: number,
+    wallTime: number,
+  ): void {
+    for (const queried of states) {
+      const attempt = this.state.attempts.get(attemptKey(queried.name));
+      if (!attempt || attempt.vm !== vm) continue;
+      if (queried.running) this.confirm(attempt);
+      else this.settle(attempt, incarnation, queried, now, wallTime);
+    }
+  }
+
+  private confirm(attempt: OpenAttempt): void {
+    const {attempts, backoff, vms} = this.state;
+    attempts.confirm(attempt);
+    vms.get(attempt.vm)?.confirm(attempt.key);
+    backoff.began(`${attempt.job.key}/${attempt.name.task}`);
+  }
+
+  /**
+   * Only the refusal of the one start that was ever sent proves that nothing
+   * began; otherwise an earlier one may have, and the agent has to be asked.
+   */
+  private refuse(
+    attempt: OpenAttempt,
+    result: StartOutcome,
+    now: number,
+    wallTime: number,
+  ): void {
+    const {resultCode, reason} = result;
+    if (attempt.confirmed || attempt.queried) return;
+    if (resultCode === ResultCodes.OLD_EPOCH.number) return;
+    const ended = resultCode === ResultCodes.ATTEMPT_CLOSED.number;
+    if (ended || attempt.starts.sends !== 1) {
+      this.state.attempts.query(attempt);
+      return;
+    }
+    const outcome = AttemptOutcome.REFUSED;
+    this.lifecycle.closeAs(attempt, outcome, reason, now, wallTime, resultCode);
+  }
+
+  /** The VM's agent is another run than the one that was to start it. */
+  private askAnew(attempt: OpenAttempt, now: number, wallTime: number): void {
+    if (!attempt.neverSent) {
+      this.state.attempts.query(attempt);
+      return;
+    }
+    const outcome = AttemptOutcome.REFUSED;
+    const reason = 'the agent restarted before the start was sent';
+    this.lifecycle.closeAs(attempt, outcome, reason, now, wallTime);
+  }
+
+  private settle(
+    attempt: OpenAttempt,
+    incarnation: string,
+    queried: QueriedState,
+    now: number,
+    wallTime: number,
+  ): void {
+    const {report} = queried;
+    if (report && report.outcome !== AttemptOutcome.REFUSED) {
+      this.lifecycle.report(attempt.vm, report, now, wallTime);
+      return;
+    }
+    const sameRun = incarnation === attempt.task.incarnation;
+    const outcome = sameRun ? AttemptOutcome.REFUSED : AttemptOutcome.LOST;
+    const reason = sameRun
+      ? 'the agent never started it'
+      : 'the agent has restarted and knows nothing of it';
+    this.lifecycle.closeAs(attempt, outcome, reason, now, wallTime);
+  }
+}
--- /dev/null
+++ b/src/decisions/jobs/attempt_lifecycle.ts
@@ -0,0 +1,196 @@
+import {ResultCodes} from '../../observability/result_codes.js';
+import {NO_RESOURCES} from '../../utilities/resources.js';
+import type {Resources} from '../../utilities/resources.js';
+import {AttemptOutcome, LogRecordType, attemptKey} from '../job_types.js';
+import type {AttemptName, AttemptReport} from '../job_types.js';
+import type {PlacementChoice} from '../placement/placer.js';
+import {TaskPhase} from './job_state.js';
+import type {JobState} from './job_state.js';
+import {OpenAttempt} from './open_attempts.js';
+import {taskKey} from './shard_state.js';
+import type {ShardState} from './shard_state.js';
+
+const WORKER_FAULTS: ReadonlySet<number> = new Set([
+  ResultCodes.WORKER_REFUSED.number,
+  ResultCodes.WORKER_UNAVAILABLE.number,
+]);
+
+/** Opens and closes attempts, and draws all that follows from either. */
+export class AttemptLifecycle {
+  constructor(private readonly state: ShardState) {}
+
+  place(
+    job: JobState,
+    taskIndex: number,
+    size: Resources,
+    choice: PlacementChoice,
+    now: number,
+    wallTime: number,
+  ): void {
+    const task = job.tasks[taskIndex];
+    const {team, name: jobName, size: declared} = job.specification;
+    const attempt = task.attempts + 1;
+    const name: AttemptName = {team, job: jobName, task: taskIndex, attempt};
+    const {vm, incarnation} = choice.vm.view;
+    this.state.records.append({
+      type: LogRecordType.PLACED,
+      name,
+      vm,
+      incarnation,
+      ...(size === declared ? {} : {size}),
+      reason: choice.reason,
+      wallTime,
+    });
+    this.track(new OpenAttempt(name, job, task, size, now, false));
+    choice.vm.place(attemptKey(name), size);
+  }
+
+  /** Counts an attempt that this owner placed or inherited. */
+  track(attempt: OpenAttempt): void {
+    const {attempts, ledger, spread, vms} = this.state;
+    attempts.add(attempt);
+    ledger.add(attempt.name.team, attempt.size);
+    const view = vms.get(attempt.vm)?.view;
+    if (attempt.job.watcher && view) spread.add(attempt.name.team, view);
+  }
+
+  /** Takes in what became of an attempt; a repetition changes nothing. */
+  report(
+    vm: string,
+    report: AttemptReport,
+    now: number,
+    wallTime: number,
+  ): void {
+    const attempt = this.state.attempts.get(attemptKey(report.name));
+    if (!attempt) return this.resolveHeld(report, wallTime);
+    if (attempt.vm === vm) this.close(attempt, report, now, wallTime);
+  }
+
+  /** A report that comes late tells how a held task really ended. */
+  private resolveHeld(report: AttemptReport, wallTime: number): void {
+    const {outcome} = report;
+    const certain =
+      outcome === AttemptOutcome.FINISHED || outcome === AttemptOutcome.FAILED;
+    if (!certain || !this.state.book.unresolvedTask(report.name)) return;
+    this.appendClosed(report, wallTime);
+  }
+
+  /** Closes an attempt of which the agent knows nothing more to say. */
+  closeAs(
+    attempt: OpenAttempt,
+    outcome: AttemptOutcome,
+    reason: string,
+    now: number,
+    wallTime: number,
+    resultCode = 0,
+  ): void {
+    const report: AttemptReport = {
+      name: attempt.name,
+      outcome,
+      checkpoint: '',
+      result: '',
+      reason,
+      resultCode,
+      ranMillis: 0,
+      used: NO_RESOURCES,
+    };
+    this.close(attempt, report, now, wallTime);
+  }
+
+  private close(
+    attempt: OpenAttempt,
+    report: AttemptReport,
+    now: number,
+    wallTime: number,
+  ): void {
+    this.appendClosed(report, wallTime);
+    this.untrack(attempt);
+    this.learn(attempt, report, now);
+    this.continueTask(attempt, report, now);
+  }
+
+  private appendClosed(report: AttemptReport, wallTime: number): void {
+    const {name, outcome, checkpoint, result, reason, resultCode} = report;
+    this.state.records.append({
+      type: LogRecordType.CLOSED,
+      name,
+      outcome,
+      checkpoint,
+      result,
+      reason,
+      resultCode,
+      wallTime,
+    });
+  }
+
+  private untrack(attempt: OpenAttempt): void {
+    const {attempts, ledger, spread, vms} = this.state;
+    attempts.remove(attempt);
+    ledger.remove(attempt.name.team, attempt.size);
+    const vm = vms.get(attempt.vm);
+    vm?.release(attempt.key, attempt.size);
+    if (attempt.job.watcher && vm) spread.remove(attempt.name.team, vm.view);
+  }
+
+  private learn(
+    attempt: OpenAttempt,
+    report: AttemptReport,
+    now: number,
+  ): void {
+    const {judge, learner, vms} = this.state;
+    const {taskKind, team} = attempt.job.specification;
+    const {outcome, resultCode} = report;
+    const finished = outcome === AttemptOutcome.FINISHED;
+    if (outcome === AttemptOutcome.REFUSED) {
+      const vm = vms.get(attempt.vm);
+      if (vm && resultCode !== 0) vm.refused = true;
+      if (WORKER_FAULTS.has(resultCode)) {
+        judge.noteFailure(attempt.vm, taskKind, now);
+      }
+      return;
+    }
+    if (outcome === AttemptOutcome.LOST) return;
+    learner.note(team, taskKind, report.used, report.ranMillis, finished);
+    if (finished) judge.noteSuccess(attempt.vm, taskKind);
+    if (outcome === AttemptOutcome.FAILED) {
+      judge.noteFailure(attempt.vm, taskKind, now);
+    }
+  }
+
+  private continueTask(
+    attempt: OpenAttempt,
+    report: AttemptReport,
+    now: number,
+  ): void {
+    const {backoff, delayed, ready} = this.state;
+    const {job, task} = attempt;
+    const key = taskKey(job, attempt.name.task);
+    if (task.phase !== TaskPhase.WAITING) {
+      backoff.forget(key);
+      return;
+    }
+    const wait = this.backoffMillis(attempt, report, key, now);
+    if (wait === 0) ready.add(job, attempt.name.task);
+    else delayed.add(now + wait, {job, task: attempt.name.task});
+  }
+
+  private backoffMillis(
+    attempt: OpenAttempt,
+    report: AttemptReport,
+    key: string,
+    now: number,
+  ): number {
+    const {backoff} = this.state;
+    switch (report.outcome) {
+      case AttemptOutcome.REFUSED:
+        return attempt.neverSent ? 0 : backoff.afterRefusal(key);
+      case AttemptOutcome.FAILED:
+        return backoff.afterFailure(key, attempt.vm, now);
+      case AttemptOutcome.FINISHED:
+        return backoff.afterRefusal(key);
+      default:
+        backoff.began(key);
+        return 0;
+    }
+  }
+}
--- /dev/null
+++ b/src/decisions/jobs/shard_scheduler.ts
@@ -0,0 +1,313 @@
+import type {
+  FleetSettings,
+  TeamSettings,
+} from '../../settings/settings_types.js';
+import {NO_RESOURCES, addResources} from '../../utilities/resources.js';
+import {LogRecordType, attemptKey} from '../job_types.js';
+import type {
+  AttemptName,
+  AttemptReport,
+  JobKind,
+  JobSpecification,
+  LogRecord,
+} from '../job_types.js';
+import {PlacementRound} from '../placement/placement_round.js';
+import type {VmView} from '../placement/vm_table.js';
+import {Evacuation} from '../recovery/evacuation.js';
+import {LossDetector} from '../recovery/loss_detector.js';
+import {AgentAnswers} from './agent_answers.js';
+import {AttemptLifecycle} from './attempt_lifecycle.js';
+import {JobBook} from './job_book.js';
+import {JobCommands} from './job_commands.js';
+import {JobQueries} from './job_queries.js';
+import {TaskPhase} from './job_state.js';
+import type {JobState} from './job_state.js';
+import {MessagePlanner} from './message_planner.js';
+import {OpenAttempt} from './open_attempts.js';
+import type {
+  ChangeResult,
+  JobExplanation,
+  JobView,
+  QueriedState,
+  QueriesForVm,
+  SchedulerCounts,
+  StartOutcome,
+  StartsForVm,
+  StopsForVm,
+  SubmitResult,
+} from './scheduler_types.js';
+import {ShardState} from './shard_state.js';
+import type {ShardSchedulerOptions} from './shard_state.js';
+import {readSnapshot, writeSnapshot} from './snapshot.js';
+
+/**
+ * All decisions about the jobs of one shard. A decision is in force at once and
+ * its record is queued; what agents are told and queries show follows only from
+ * records that the log holds. When an append loses its race, the whole object
+ * is dropped: nothing is ever rolled back.
+ *
+ * Times named `now` are monotonic milliseconds of this process; wall times are
+ * calendar milliseconds, for people.
+ */
+export class ShardScheduler {
+  private readonly state: ShardState;
+  private readonly lifecycle: AttemptLifecycle;
+  private readonly answers: AgentAnswers;
+  private readonly commands: JobCommands;
+  private readonly messages: MessagePlanner;
+  private readonly queries: JobQueries;
+  private readonly losses: LossDetector;
+  private readonly evacuation: Evacuation;
+  private readonly placement: PlacementRound;
+
+  constructor(
+    options: ShardSchedulerOptions,
+    books = {live: new JobBook(), durable: new JobBook()},
+  ) {
+    this.state = new ShardState(books.live, books.durable, options);
+    this.lifecycle = new AttemptLifecycle(this.state);
+    this.answers = new AgentAnswers(this.state, this.lifecycle);
+    this.commands = new JobCommands(this.state, this.lifecycle);
+    this.messages = new MessagePlanner(this.state);
+    this.queries = new JobQueries(this.state);
+    this.losses = new LossDetector(this.state, this.lifecycle);
+    this.evacuation = new Evacuation(this.state, this.lifecycle);
+    this.placement = new PlacementRound(this.state, this.lifecycle);
+  }
+
+  /** Throws a SyntaxError when the text is not a snapshot. */
+  static restore(text: string, options: ShardSchedulerOptions): ShardScheduler {
+    const books = {live: readSnapshot(text), durable: readSnapshot(text)};
+    return new ShardScheduler(options, books);
+  }
+
+  /** The fold of the records that the log holds, none of those queued. */
+  snapshot(): string {
+    return writeSnapshot(this.state.durableBook);
+  }
+
+  /** Folds a record of the log. Ends with `tookOver`. */
+  replay(record: LogRecord): void {
+    this.state.book.fold(record);
+    this.state.durableBook.fold(record);
+  }
+
+  /**
+   * Begins the ownership after the replay and queues its record. Agents are
+   * asked about all open attempts, and no loss is counted from before `now`.
+   */
+  tookOver(
+    entryId: string,
+    epoch: number,
+    now: number,
+    wallTime: number,
+  ): void {
+    const type = LogRecordType.TAKEN_OVER;
+    this.state.records.append({type, entryId, epoch, wallTime});
+    for (const job of this.state.book.jobs.values()) this.resume(job, now);
+  }
+
+  get epoch(): number {
+    return this.state.book.epoch;
+  }
+
+  submit(
+    specification: JobSpecification,
+    now: number,
+    wallTime: number,
+  ): SubmitResult {
+    return this.commands.submit(specification, wallTime);
+  }
+
+  cancel(
+    team: string,
+    name: string,
+    reason: string,
+    now: number,
+    wallTime: number,
+  ): ChangeResult {
+    return this.commands.cancel(team, name, reason, now, wallTime);
+  }
+
+  confirm(
+    team: string,
+    name: string,
+    by: string,
+    wallTime: number,
+  ): ChangeResult {
+    return this.commands.confirm(team, name, by, wallTime);
+  }
+
+  setFleet(settings: FleetSettings): void {
+    this.state.fleet = settings;
+  }
+
+  setTeam(settings: TeamSettings): void {
+    this.state.ledger.setTeam(settings);
+  }
+
+  /** A heartbeat of the VM's agent that was answered with a lease at `now`. */
+  noteVm(view: VmView, now: number, wallTime: number): void {
+    this.answers.noteVm(view, now, wallTime);
+  }
+
+  noteStartResults(
+    vm: string,
+    results: readonly StartOutcome[],
+    now: number,
+    wallTime: number,
+  ): void {
+    this.answers.noteStartResults(vm, results, now, wallTime);
+  }
+
+  /** The last starts of the attempts surely did not leave this process. */
+  noteStartsNotSent(names: readonly AttemptName[], now: number): void {
+    this.answers.noteStartsNotSent(names, now);
+  }
+
+  /** Takes in ends of attempts; those known already change nothing. */
+  noteReports(
+    vm: string,
+    reports: readonly AttemptReport[],
+    now: number,
+    wallTime: number,
+  ): void {
+    for (const report of reports) {
+      this.lifecycle.report(vm, report, now, wallTime);
+    }
+  }
+
+  noteQueryStates(
+    vm: string,
+    incarnation: string,
+    states: readonly QueriedState[],
+    now: number,
+    wallTime: number,
+  ): void {
+    this.answers.noteQueryStates(vm, incarnation, states, now, wallTime);
+  }
+
+  /** Decides all that time and news allow; call it several times a second. */
+  decide(now: number, wallTime: number): void {
+    this.refreshFleet(now);
+    this.losses.run(now, wallTime);
+    this.evacuation.run(now, wallTime);
+    this.wakeDelayed(now);
+    this.commands.removeOld(now, wallTime);
+    if (this.state.records.size > this.state.limits.queuedRecords) return;
+    this.placement.run(now, wallTime);
+  }
+
+  get hasRecords(): boolean {
+    return this.state.records.size > 0;
+  }
+
+  /** Number of the last record decided: what a reply has to wait for. */
+  get lastDecided(): number {
+    return this.state.records.lastDecided;
+  }
+
+  /** Number of the last record that the log holds. */
+  get lastDurable(): number {
+    return this.state.records.lastDurable;
+  }
+
+  /** The records of the next append; none before `acknowledge`. */
+  takeRecords(): readonly LogRecord[] {
+    return this.state.records.take();
+  }
+
+  /** The log holds the records last taken. */
+  acknowledge(): void {
+    for (const record of this.state.records.acknowledge()) {
+      if (record.type !== LogRecordType.PLACED) continue;
+      const attempt = this.state.attempts.get(attemptKey(record.name));
+      if (attempt) attempt.durable = true;
+    }
+  }
+
+  startsDue(now: number): StartsForVm[] {
+    return this.messages.startsDue(now);
+  }
+
+  stopsDue(now: number): StopsForVm[] {
+    return this.messages.stopsDue(now);
+  }
+
+  queriesDue(now: number): QueriesForVm[] {
+    return this.messages.queriesDue(now);
+  }
+
+  /** Those of the attempts whose end the log holds. */
+  recordedReports(names: readonly AttemptName[]): AttemptName[] {
+    const {book, durableBook} = this.state;
+    return names.filter(
+      name => !durableBook.openTask(name) && !book.openTask(name),
+    );
+  }
+
+  job(team: string, name: string): JobView | undefined {
+    return this.queries.job(team, name);
+  }
+
+  list(
+    team: string,
+    kind: JobKind,
+    options?: {after?: string; limit?: number},
+  ): JobView[] {
+    return this.queries.list(team, kind, options);
+  }
+
+  explain(team: string, name: string): JobExplanation | undefined {
+    return this.queries.explain(team, name);
+  }
+
+  counts(): SchedulerCounts {
+    return this.queries.counts();
+  }
+
+  dump(now: number): object {
+    return this.queries.dump(now);
+  }
+
+  private resume(job: JobState, now: number): void {
+    const {team, name: jobName} = job.specification;
+    for (const [index, task] of job.tasks.entries()) {
+      if (task.phase === TaskPhase.WAITING) this.state.ready.add(job, index);
+      if (task.phase !== TaskPhase.OPEN) continue;
+      const {attempts} = task;
+      const name = {team, job: jobName, task: index, attempt: attempts};
+      const size = job.reservedSize(task);
+      const attempt = new OpenAttempt(name, job, task, size, now, true);
+      attempt.durable = true;
+      attempt.queried = true;
+      this.lifecycle.track(attempt);
+      if (job.cancelReason === undefined) continue;
+      this.state.attempts.stop(attempt, job.cancelReason, false);
+    }
+  }
+
+  private refreshFleet(now: number): void {
+    const {attempts, ledger, limits, vms} = this.state;
+    let capacity = NO_RESOURCES;
+    for (const vm of [...vms.vms]) {
+      const silent = now - vm.answeredAt;
+      if (silent > limits.vmForgottenMillis && !attempts.isOn(vm.view.vm)) {
+        vms.remove(vm.view.vm);
+        continue;
+      }
+      capacity = addResources(capacity, vm.view.capacity);
+    }
+    ledger.setCapacity(capacity);
+  }
+
+  private wakeDelayed(now: number): void {
+    const {delayed, ready} = this.state;
+    for (;;) {
+      const item = delayed.takeDue(now);
+      if (!item) return;
+      const {job, task} = item;
+      if (job.tasks[task].phase === TaskPhase.WAITING) ready.add(job, task);
+    }
+  }
+}
--- /dev/null
+++ b/src/decisions/jobs/shard_state.ts
@@ -0,0 +1,136 @@
+import type {FleetSettings} from '../../settings/settings_types.js';
+import type {Random} from '../../utilities/random.js';
+import {BestFitPlacer} from '../placement/best_fit_placer.js';
+import {InterferenceTable} from '../placement/interference_table.js';
+import type {Placer} from '../placement/placer.js';
+import {ReadyQueue} from '../placement/ready_queue.js';
+import {PeakSizeLearner} from '../placement/size_learner.js';
+import type {SizeLearner} from '../placement/size_learner.js';
+import {Spread} from '../placement/spread.js';
+import {TeamLedger} from '../placement/team_ledger.js';
+import {VmTable} from '../placement/vm_table.js';
+import {StartPacer} from '../recovery/start_pacer.js';
+import {TaskBackoff} from '../recovery/task_backoff.js';
+import {WorkerQuarantine} from '../recovery/worker_quarantine.js';
+import type {WorkerJudge} from '../recovery/worker_quarantine.js';
+import {DelayQueue} from './delay_queue.js';
+import type {JobBook} from './job_book.js';
+import type {JobState} from './job_state.js';
+import {OpenAttempts} from './open_attempts.js';
+import {RecordQueue} from './record_queue.js';
+
+export interface ShardLimits {
+  /** Added to the lease before an attempt on a silent VM counts as lost. */
+  readonly lossMarginMillis: number;
+  /** Nothing is placed on a VM that was not heard for so long. */
+  readonly vmFreshMillis: number;
+  /** A silent VM without attempts is forgotten after this time. */
+  readonly vmForgottenMillis: number;
+  /** Jobs that have ended are removed after this time. */
+  readonly retentionMillis: number;
+  /** Nothing more is placed while so many records wait for the log. */
+  readonly queuedRecords: number;
+  /** Tasks placed in one decision. */
+  readonly placementsPerDecision: number;
+  /** Attempts that are moved off drained VMs in a second. */
+  readonly evacuationsPerSecond: number;
+  /** How long an urgent task waits before others make room for it. */
+  readonly urgentPatienceMillis: number;
+}
+
+export const DEFAULT_SHARD_LIMITS: ShardLimits = {
+  lossMarginMillis: 2000,
+  vmFreshMillis: 3500,
+  vmForgottenMillis: 10 * 60 * 1000,
+  retentionMillis: 24 * 60 * 60 * 1000,
+  queuedRecords: 8000,
+  placementsPerDecision: 256,
+  evacuationsPerSecond: 50,
+  urgentPatienceMillis: 150,
+};
+
+/** The policies that can be exchanged. */
+export interface ShardPolicies {
+  readonly placer: Placer;
+  readonly learner: SizeLearner;
+  readonly judge: WorkerJudge;
+  readonly pacer: StartPacer;
+}
+
+export interface ShardSchedulerOptions {
+  readonly shard: number;
+  readonly random: Random;
+  readonly limits?: Partial<ShardLimits>;
+  readonly policies?: Partial<ShardPolicies>;
+}
+
+export interface DelayedTask {
+  readonly job: JobState;
+  readonly task: number;
+}
+
+const DEFAULT_FLEET: FleetSettings = {
+  failureDomainsOut: new Set(),
+  drainedVms: new Set(),
+  taskLeaseMillis: 10_000,
+  settingsFreshMillis: 4000,
+  heartbeatMillis: 1000,
+  retryBudgetShare: 0.1,
+  maximumEjectedShare: 0.3,
+};
+
+/** What the parts of one shard's scheduler share. */
+export class ShardState {
+  readonly limits: ShardLimits;
+  readonly records: RecordQueue;
+  readonly attempts = new OpenAttempts();
+  readonly vms = new VmTable();
+  readonly ready = new ReadyQueue();
+  readonly delayed = new DelayQueue<DelayedTask>();
+  readonly ledger = new TeamLedger();
+  readonly spread = new Spread();
+  readonly interference = new InterferenceTable();
+  readonly backoff: TaskBackoff;
+  readonly placer: Placer;
+  readonly learner: SizeLearner;
+  readonly judge: WorkerJudge;
+  readonly pacer: StartPacer;
+  /** Why the job's next task is not placed, from the last decision. */
+  readonly waitReasons = new Map<string, string>();
+  fleet: FleetSettings = DEFAULT_FLEET;
+
+  constructor(
+    /** All that was decided. */
+    readonly book: JobBook,
+    /** What the log holds of it. */
+    readonly durableBook: JobBook,
+    options: ShardSchedulerOptions,
+  ) {
+    const {shard, policies = {}} = options;
+    this.limits = {...DEFAULT_SHARD_LIMITS, ...options.limits};
+    this.records = new RecordQueue(book, durableBook);
+    this.backoff = new TaskBackoff(options.random);
+    this.learner = policies.learner ?? new PeakSizeLearner();
+    this.judge = policies.judge ?? new WorkerQuarantine();
+    this.pacer = policies.pacer ?? new StartPacer();
+    this.placer =
+      policies.placer ??
+      new BestFitPlacer({
+        shard,
+        interference: this.interference,
+        spread: this.spread,
+      });
+  }
+
+  /** Whether operators took the VM or its failure domain out. */
+  isOut(vm: string): boolean {
+    const view = this.vms.get(vm)?.view;
+    if (this.fleet.drainedVms.has(vm)) return true;
+    return view ? this.fleet.failureDomainsOut.has(view.failureDomain) : false;
+  }
+}
+
+/** Names a task in the back-off; attempts of it share the name. */
+export function taskKey(job: JobState, task: number): string {
+  return `${job.key}/${task}`;
+}
--- /dev/null
+++ b/src/decisions/placement/best_fit_placer.ts
@@ -0,0 +1,102 @@
+import type {InterferenceTable} from './interference_table.js';
+import type {PlacementChoice, PlacementTask, Placer} from './placer.js';
+import {mayStartOn} from './placer.js';
+import type {Spread} from './spread.js';
+import type {VmState} from './vm_table.js';
+
+const ACCELERATOR_PENALTY = 4;
+const SPREAD_PENALTY = 1;
+
+export interface BestFitPlacerOptions {
+  readonly interference: InterferenceTable;
+  readonly spread: Spread;
+  /** Distinguishes shards, which else would all race for the same VM. */
+  readonly shard: number;
+  /** How far a shard's own preference among VMs outweighs a better fit. */
+  readonly preferenceWeight?: number;
+}
+
+const PREFERENCE_WEIGHT = 0.1;
+
+/**
+ * Prefers the VM that the task leaves fullest, away from services that suffer
+ * from its kind, from accelerators that it can't use, and, for watchers, from
+ * others of its team.
+ */
+export class BestFitPlacer implements Placer {
+  private readonly interference: InterferenceTable;
+  private readonly spread: Spread;
+  private readonly shard: number;
+  private readonly preferenceWeight: number;
+  private readonly preferences = new Map<string, number>();
+
+  constructor(options: BestFitPlacerOptions) {
+    this.interference = options.interference;
+    this.spread = options.spread;
+    this.shard = options.shard;
+    this.preferenceWeight = options.preferenceWeight ?? PREFERENCE_WEIGHT;
+  }
+
+  choose(
+    task: PlacementTask,
+    vms: readonly VmState[],
+    now: number,
+  ): PlacementChoice | undefined {
+    let best: VmState | undefined;
+    let bestCost = Infinity;
+    for (const vm of vms) {
+      if (!mayStartOn(task, vm, now)) continue;
+      const cost = this.cost(task, vm);
+      if (cost >= bestCost) continue;
+      best = vm;
+      bestCost = cost;
+    }
+    if (!best) return undefined;
+    return {vm: best, reason: `best fit, cost ${bestCost.toFixed(2)}`};
+  }
+
+  private cost(task: PlacementTask, vm: VmState): number {
+    let cost = leftoverShare(task, vm);
+    cost += this.interference.penalty(task.taskKind, vm);
+    if (task.size.accelerators === 0 && vm.freeAccelerators > 0) {
+      cost += ACCELERATOR_PENALTY;
+    }
+    if (task.watcher) {
+      cost += SPREAD_PENALTY * this.spread.crowding(task.team, vm.view);
+    }
+    return cost + this.preferenceWeight * this.preference(vm.view.vm);
+  }
+
+  private preference(vm: string): number {
+    let preference = this.preferences.get(vm);
+    if (preference === undefined) {
+      preference = hashShare(`${this.shard}/${vm}`);
+      this.preferences.set(vm, preference);
+    }
+    return preference;
+  }
+}
+
+/** Share of the VM that stays free, averaged over processors and memory. */
+function leftoverShare(task: PlacementTask, vm: VmState): number {
+  const {capacity} = vm.view;
+  const processors =
+    (vm.freeMilliprocessors - task.size.milliprocessors) /
+    capacity.milliprocessors;
+  const memory =
+    (vm.freeMemoryMegabytes - task.size.memoryMegabytes) /
+    capacity.memoryMegabytes;
+  return (processors + memory) / 2;
+}
+
+const FNV_OFFSET = 0x811c9dc5;
+const FNV_PRIME = 0x01000193;
+
+/** A number from 0 to 1 that depends on nothing but the text (FNV-1a). */
+function hashShare(text: string): number {
+  let hash = FNV_OFFSET;
+  for (let index = 0; index < text.length; index++) {
+    hash = Math.imul(hash ^ text.charCodeAt(index), FNV_PRIME);
+  }
+  return (hash >>> 0) / 2 ** 32;
+}
--- /dev/null
+++ b/src/decisions/placement/interference_table.ts
@@ -0,0 +1,74 @@
+import type {VmState, VmView} from './vm_table.js';
+
+const SMOOTHING = 0.2;
+const HALF_LIFE_MILLIS = 5 * 60 * 1000;
+const MAXIMUM_PAIRS = 4096;
+/** A service at its target counts in full, far below it hardly. */
+const UNKNOWN_PRESSURE = 0.5;
+
+interface LearnedPair {
+  slowdown: number;
+  notedAt: number;
+}
+
+/** Slowdown of services beside kinds of tasks, learned and forgotten again. */
+export class InterferenceTable {
+  private readonly pairs = new Map<string, LearnedPair>();
+
+  note(view: VmView, now: number): void {
+    for (const {service, taskKind, slowdown} of view.interference) {
+      this.learn(`${service}/${taskKind}`, slowdown, now);
+    }
+  }
+
+  /** Expected slowdown; 1 is none. */
+  slowdown(service: string, taskKind: string, now: number): number {
+    const pair = this.pairs.get(`${service}/${taskKind}`);
+    if (!pair) return 1;
+    const age = Math.max(0, now - pair.notedAt);
+    return 1 + (pair.slowdown - 1) * 0.5 ** (age / HALF_LIFE_MILLIS);
+  }
+
+  /** What the VM's services would suffer from one more task of the kind. */
+  penalty(taskKind: string, vm: VmState): number {
+    if (this.pairs.size === 0 || vm.view.services.length === 0) return 0;
+    const known = vm.penalties.get(taskKind);
+    if (known !== undefined) return known;
+    const penalty = this.computePenalty(taskKind, vm);
+    vm.penalties.set(taskKind, penalty);
+    return penalty;
+  }
+
+  private computePenalty(taskKind: string, vm: VmState): number {
+    let penalty = 0;
+    for (const {service, tailMillis, targetMillis} of vm.view.services) {
+      const slowdown = this.slowdown(service, taskKind, vm.answeredAt);
+      const known = tailMillis > 0 && targetMillis > 0;
+      const pressure = known ? tailMillis / targetMillis : UNKNOWN_PRESSURE;
+      penalty += Math.max(0, slowdown - 1) * Math.min(2, pressure);
+    }
+    return penalty;
+  }
+
+  private learn(key: string, slowdown: number, now: number): void {
+    const pair = this.pairs.get(key);
+    if (pair) {
+      pair.slowdown += SMOOTHING * (slowdown - pair.slowdown);
+      pair.notedAt = now;
+      return;
+    }
+    if (this.pairs.size >= MAXIMUM_PAIRS) this.forgetOldest();
+    this.pairs.set(key, {slowdown, notedAt: now});
+  }
+
+  private forgetOldest(): void {
+    let oldestKey = '';
+    let oldestAt = Infinity;
+    for (const [key, pair] of this.pairs) {
+      if (pair.notedAt >= oldestAt) continue;
+      oldestKey = key;
+      oldestAt = pair.notedAt;
+    }
+    this.pairs.delete(oldestKey);
+  }
+}
--- /dev/null
+++ b/src/decisions/placement/placer.ts
@@ -0,0 +1,44 @@
+import type {Resources} from '../../utilities/resources.js';
+import type {VmState} from './vm_table.js';
+
+/** A task that looks for a VM. */
+export interface PlacementTask {
+  readonly job: string;
+  readonly team: string;
+  readonly taskKind: string;
+  /** What to reserve: the declared size, raised by what was learned. */
+  readonly size: Resources;
+  readonly urgent: boolean;
+  readonly watcher: boolean;
+  /** VMs on which it failed before. */
+  readonly avoid: readonly string[];
+}
+
+export interface PlacementChoice {
+  readonly vm: VmState;
+  readonly reason: string;
+}
+
+/** Picks the VM for a task. */
+export interface Placer {
+  choose(
+    task: PlacementTask,
+    vms: readonly VmState[],
+    now: number,
+  ): PlacementChoice | undefined;
+}
+
+/** Whether the task may start on the VM right now. */
+export function mayStartOn(
+  task: PlacementTask,
+  vm: VmState,
+  now: number,
+): boolean {
+  const {size} = task;
+  if (!vm.usable || vm.refused) return false;
+  if (size.milliprocessors > vm.freeMilliprocessors) return false;
+  if (size.memoryMegabytes > vm.freeMemoryMegabytes) return false;
+  if (size.accelerators > vm.freeAccelerators) return false;
+  if (vm.heldUntil > now && vm.heldFor !== task.job) return false;
+  return !task.avoid.includes(vm.view.vm);
+}
--- /dev/null
+++ b/src/decisions/placement/team_ledger.ts
@@ -0,0 +1,85 @@
+import type {TeamSettings} from '../../settings/settings_types.js';
+import {
+  NO_RESOURCES,
+  addResources,
+  fitsInto,
+  subtractResources,
+} from '../../utilities/resources.js';
+import type {Resources} from '../../utilities/resources.js';
+
+interface TeamUse {
+  settings: TeamSettings | undefined;
+  used: Resources;
+  runningTasks: number;
+}
+
+/** What each team's open attempts reserve, against its quota and its weight. */
+export class TeamLedger {
+  private readonly teams = new Map<string, TeamUse>();
+  private capacity: Resources = NO_RESOURCES;
+
+  setTeam(settings: TeamSettings): void {
+    this.use(settings.team).settings = settings;
+  }
+
+  /** The size against which shares are counted. */
+  setCapacity(capacity: Resources): void {
+    this.capacity = capacity;
+  }
+
+  add(team: string, size: Resources): void {
+    const use = this.use(team);
+    use.used = addResources(use.used, size);
+    use.runningTasks++;
+  }
+
+  remove(team: string, size: Resources): void {
+    const use = this.use(team);
+    use.used = subtractResources(use.used, size);
+    use.runningTasks--;
+  }
+
+  /** Whether one more task of the size stays within the team's quota. */
+  allows(team: string, size: Resources): boolean {
+    const {settings, used, runningTasks} = this.use(team);
+    if (!settings) return true;
+    if (runningTasks >= settings.quotaRunningTasks) return false;
+    return fitsInto(addResources(used, size), settings.quota);
+  }
+
+  /** Whether the size alone is over the team's quota. */
+  couldEverAllow(team: string, size: Resources): boolean {
+    const {settings} = this.use(team);
+    if (!settings) return true;
+    return settings.quotaRunningTasks > 0 && fitsInto(size, settings.quota);
+  }
+
+  /** The largest of the team's shares of the fleet, divided by its weight. */
+  share(team: string): number {
+    const {settings, used} = this.use(team);
+    const {milliprocessors, memoryMegabytes, accelerators} = this.capacity;
+    const dominant = Math.max(
+      used.milliprocessors / Math.max(1, milliprocessors),
+      used.memoryMegabytes / Math.max(1, memoryMegabytes),
+      used.accelerators / Math.max(1, accelerators),
+    );
+    return dominant / Math.max(settings?.weight ?? 1, Number.EPSILON);
+  }
+
+  dump(): object {
+    const teams: Record<string, object> = {};
+    for (const [team, {used, runningTasks}] of this.teams) {
+      teams[team] = {used, runningTasks, share: this.share(team)};
+    }
+    return teams;
+  }
+
+  private use(team: string): TeamUse {
+    let use = this.teams.get(team);
+    if (!use) {
+      use = {settings: undefined, used: NO_RESOURCES, runningTasks: 0};
+      this.teams.set(team, use);
+    }
+    return use;
+  }
+}
--- /dev/null
+++ b/src/decisions/placement/vm_table.ts
@@ -0,0 +1,158 @@
+import {
+  NO_RESOURCES,
+  addResources,
+  fitsInto,
+  subtractResources,
+} from '../../utilities/resources.js';
+import type {Resources} from '../../utilities/resources.js';
+
+/** The VMs as the last heartbeats showed them, and what was decided since. */
+
+export interface ServiceOnVm {
+  readonly service: string;
+  /** 99th percentile of answer times; 0 while unknown. */
+  readonly tailMillis: number;
+  /** 0 while unknown. */
+  readonly targetMillis: number;
+}
+
+/** Slowdown of a service's answers beside a kind of task: 1 is none. */
+export interface InterferenceObservation {
+  readonly service: string;
+  readonly taskKind: string;
+  readonly slowdown: number;
+}
+
+export interface VmView {
+  readonly vm: string;
+  readonly incarnation: string;
+  readonly failureDomain: string;
+  readonly region: string;
+  readonly rack: string;
+  readonly capacity: Resources;
+  readonly committed: Resources;
+  readonly used: Resources;
+  readonly draining: boolean;
+  readonly stopping: boolean;
+  readonly recovering: boolean;
+  readonly runningAttempts: number;
+  readonly services: readonly ServiceOnVm[];
+  readonly interference: readonly InterferenceObservation[];
+}
+
+/** One VM. Sizes are numbers of their own, so that scans stay cheap. */
+export class VmState {
+  view: VmView;
+  answeredAt: number;
+  /** Settings, health and freshness let tasks be placed here. */
+  usable = false;
+  freeMilliprocessors = 0;
+  freeMemoryMegabytes = 0;
+  freeAccelerators = 0;
+  /** Its agent refused a start since the last heartbeat. */
+  refused = false;
+  /** Starts that the agent has not confirmed yet. */
+  unconfirmed = 0;
+  /** A job for which the room is kept. */
+  heldFor = '';
+  heldUntil = 0;
+  /** How much its services suffer beside each kind of task. */
+  readonly penalties = new Map<string, number>();
+  /** Placed, but not in the committed size of the last heartbeat. */
+  private readonly unseen = new Map<string, Resources>();
+  /** Confirmed attempts among the unseen: the next heartbeat shows them. */
+  private readonly confirmed = new Set<string>();
+  /** Ended since the last heartbeat. */
+  private released: Resources = NO_RESOURCES;
+
+  constructor(view: VmView, now: number) {
+    this.view = view;
+    this.answeredAt = now;
+    this.refreshFree();
+  }
+
+  note(view: VmView, now: number): void {
+    this.view = view;
+    this.answeredAt = now;
+    this.refused = false;
+    this.released = NO_RESOURCES;
+    this.penalties.clear();
+    for (const key of this.confirmed) this.unseen.delete(key);
+    this.confirmed.clear();
+    this.refreshFree();
+  }
+
+  place(key: string, size: Resources): void {
+    this.unseen.set(key, size);
+    this.unconfirmed++;
+    this.refreshFree();
+  }
+
+  /** The agent runs the attempt. */
+  confirm(key: string): void {
+    if (!this.unseen.has(key) || this.confirmed.has(key)) return;
+    this.confirmed.add(key);
+    this.unconfirmed--;
+  }
+
+  release(key: string, size: Resources): void {
+    if (this.unseen.delete(key)) {
+      if (!this.confirmed.delete(key)) this.unconfirmed--;
+    } else {
+      this.released = addResources(this.released, size);
+    }
+    this.refreshFree();
+  }
+
+  private refreshFree(): void {
+    const {capacity, committed, used} = this.view;
+    let taken = subtractResources(committed, this.released);
+    for (const size of this.unseen.values()) taken = addResources(taken, size);
+    const free = subtractResources(capacity, taken);
+    this.freeMilliprocessors = Math.min(
+      free.milliprocessors,
+      capacity.milliprocessors - used.milliprocessors,
+    );
+    this.freeMemoryMegabytes = Math.min(
+      free.memoryMegabytes,
+      capacity.memoryMegabytes - used.memoryMegabytes,
+    );
+    this.freeAccelerators = free.accelerators;
+  }
+}
+
+export class VmTable {
+  readonly vms: VmState[] = [];
+  private readonly byName = new Map<string, VmState>();
+
+  get(vm: string): VmState | undefined {
+    return this.byName.get(vm);
+  }
+
+  note(view: VmView, now: number): VmState {
+    const known = this.byName.get(view.vm);
+    if (known) {
+      known.note(view, now);
+      return known;
+    }
+    const added = new VmState(view, now);
+    this.byName.set(view.vm, added);
+    this.vms.push(added);
+    return added;
+  }
+
+  remove(vm: string): void {
+    const state = this.byName.get(vm);
+    if (!state) return;
+    this.byName.delete(vm);
+    this.vms.splice(this.vms.indexOf(state), 1);
+  }
+
+  /** Whether any VM, were it empty, would hold the size. */
+  couldEverFit(size: Resources): boolean {
+    for (const vm of this.vms) {
+      if (fitsInto(size, vm.view.capacity)) return true;
+    }
+    return false;
+  }
+}
--- /dev/null
+++ b/src/decisions/recovery/task_backoff.ts
@@ -0,0 +1,73 @@
+import type {Random} from '../../utilities/random.js';
+
+const FAILURE_BACKOFF_MILLIS = 1000;
+const LONGEST_FAILURE_BACKOFF_MILLIS = 5 * 60 * 1000;
+const REFUSAL_BACKOFF_MILLIS = 50;
+const LONGEST_REFUSAL_BACKOFF_MILLIS = 2000;
+const JITTER_SHARE = 0.3;
+
+interface Setbacks {
+  failures: number;
+  refusals: number;
+  avoid: string[];
+  avoidUntil: number;
+}
+
+const MAXIMUM_AVOIDED = 3;
+const AVOID_MILLIS = 30_000;
+const NOTHING_AVOIDED: readonly string[] = [];
+
+/** How long a task waits after a setback, and which VMs it stays away from. */
+export class TaskBackoff {
+  private readonly setbacks = new Map<string, Setbacks>();
+
+  constructor(private readonly random: Random) {}
+
+  /** The time to wait after the task itself failed. */
+  afterFailure(task: string, vm: string, now: number): number {
+    const setback = this.setback(task);
+    setback.avoid = [vm, ...setback.avoid].slice(0, MAXIMUM_AVOIDED);
+    setback.avoidUntil = now + AVOID_MILLIS;
+    const delay = FAILURE_BACKOFF_MILLIS * 2 ** setback.failures++;
+    return this.jittered(delay, LONGEST_FAILURE_BACKOFF_MILLIS);
+  }
+
+  /** The time to wait after an agent refused the start. */
+  afterRefusal(task: string): number {
+    const setback = this.setback(task);
+    const delay = REFUSAL_BACKOFF_MILLIS * 2 ** setback.refusals++;
+    return this.jittered(delay, LONGEST_REFUSAL_BACKOFF_MILLIS);
+  }
+
+  avoided(task: string, now: number): readonly string[] {
+    const setback = this.setbacks.get(task);
+    if (!setback || now >= setback.avoidUntil) return NOTHING_AVOIDED;
+    return setback.avoid;
+  }
+
+  /** The task began: refusals before that don't count any longer. */
+  began(task: string): void {
+    const setback = this.setbacks.get(task);
+    if (setback) setback.refusals = 0;
+  }
+
+  forget(task: string): void {
+    this.setbacks.delete(task);
+  }
+
+  private jittered(delayMillis: number, longestMillis: number): number {
+    return this.random.jitter(
+      Math.min(delayMillis, longestMillis),
+      JITTER_SHARE,
+    );
+  }
+
+  private setback(task: string): Setbacks {
+    let setback = this.setbacks.get(task);
+    if (!setback) {
+      setback = {failures: 0, refusals: 0, avoid: [], avoidUntil: 0};
+      this.setbacks.set(task, setback);
+    }
+    return setback;
+  }
+}
--- /dev/null
+++ b/src/decisions/recovery/worker_quarantine.ts
@@ -0,0 +1,138 @@
+const FIRST_QUARANTINE_MILLIS = 10_000;
+const LONGEST_QUARANTINE_MILLIS = 10 * 60 * 1000;
+const QUARANTINE_SCORE = 2.5;
+const SUCCESS_FACTOR = 0.3;
+/** Weight of a failure while no other VM has run the kind. */
+const UNKNOWN_WEIGHT = 0.25;
+const MAXIMUM_KINDS = 512;
+const PROBE_SPACING_MILLIS = 5000;
+
+/** Judges VMs by what fails on them and succeeds elsewhere. */
+export interface WorkerJudge {
+  noteSuccess(vm: string, taskKind: string): void;
+  noteFailure(vm: string, taskKind: string, now: number): void;
+  notePlaced(vm: string, now: number): void;
+  /** Whether a task may start on the VM now. */
+  admits(vm: string, now: number): boolean;
+  /** Since when and until when a VM is out, for people. */
+  quarantined(now: number): ReadonlyMap<string, number>;
+}
+
+/** Trusts every VM. */
+export class TrustingJudge implements WorkerJudge {
+  noteSuccess(): void {}
+
+  noteFailure(): void {}
+
+  notePlaced(): void {}
+
+  admits(): boolean {
+    return true;
+  }
+
+  quarantined(): ReadonlyMap<string, number> {
+    return new Map();
+  }
+}
+
+interface Suspect {
+  score: number;
+  quarantines: number;
+  until: number;
+  /** Out of quarantine, but nothing has succeeded yet. */
+  probing: boolean;
+  nextProbeAt: number;
+}
+
+/**
+ * A failure counts against the VM by the share of other VMs on which the same
+ * kind of task last succeeded, so that a kind that fails everywhere takes no VM
+ * out. A VM that comes back gets a probe now and then until one succeeds.
+ */
+export class WorkerQuarantine implements WorkerJudge {
+  private readonly suspects = new Map<string, Suspect>();
+  private readonly lastSucceeded = new Map<string, Map<string, boolean>>();
+
+  noteSuccess(vm: string, taskKind: string): void {
+    this.outcomes(taskKind).set(vm, true);
+    const suspect = this.suspects.get(vm);
+    if (!suspect) return;
+    suspect.score *= SUCCESS_FACTOR;
+    suspect.probing = false;
+    if (suspect.score < 0.1) this.suspects.delete(vm);
+  }
+
+  noteFailure(vm: string, taskKind: string, now: number): void {
+    const outcomes = this.outcomes(taskKind);
+    outcomes.set(vm, false);
+    const suspect = this.suspect(vm);
+    if (now < suspect.until) return;
+    suspect.score += weight(vm, outcomes);
+    const failedProbe = suspect.probing && weight(vm, outcomes) > 0.5;
+    if (suspect.score < QUARANTINE_SCORE && !failedProbe) return;
+    const length = FIRST_QUARANTINE_MILLIS * 2 ** suspect.quarantines;
+    suspect.until = now + Math.min(length, LONGEST_QUARANTINE_MILLIS);
+    suspect.quarantines++;
+    suspect.score = 0;
+    suspect.probing = true;
+  }
+
+  notePlaced(vm: string, now: number): void {
+    const suspect = this.suspects.get(vm);
+    if (suspect) suspect.nextProbeAt = now + PROBE_SPACING_MILLIS;
+  }
+
+  admits(vm: string, now: number): boolean {
+    const suspect = this.suspects.get(vm);
+    if (!suspect) return true;
+    if (now < suspect.until) return false;
+    return !suspect.probing || now >= suspect.nextProbeAt;
+  }
+
+  quarantined(now: number): ReadonlyMap<string, number> {
+    const quarantined = new Map<string, number>();
+    for (const [vm, suspect] of this.suspects) {
+      if (now < suspect.until) quarantined.set(vm, suspect.until);
+    }
+    return quarantined;
+  }
+
+  private suspect(vm: string): Suspect {
+    let suspect = this.suspects.get(vm);
+    if (!suspect) {
+      suspect = {
+        score: 0,
+        quarantines: 0,
+        until: 0,
+        probing: false,
+        nextProbeAt: 0,
+      };
+      this.suspects.set(vm, suspect);
+    }
+    return suspect;
+  }
+
+  private outcomes(taskKind: string): Map<string, boolean> {
+    let outcomes = this.lastSucceeded.get(taskKind);
+    if (outcomes) return outcomes;
+    if (this.lastSucceeded.size >= MAXIMUM_KINDS) {
+      const [first] = this.lastSucceeded.keys();
+      this.lastSucceeded.delete(first);
+    }
+    outcomes = new Map();
+    this.lastSucceeded.set(taskKind, outcomes);
+    return outcomes;
+  }
+}
+
+/** Share of the other VMs on which the kind last succeeded. */
+function weight(vm: string, outcomes: Map<string, boolean>): number {
+  let others = 0;
+  let succeeded = 0;
+  for (const [other, success] of outcomes) {
+    if (other === vm) continue;
+    others++;
+    if (success) succeeded++;
+  }
+  return others === 0 ? UNKNOWN_WEIGHT : succeeded / others;
+}
