Read settings strictly, keep the newest in force, log and measure

Cause: the processes need checked settings, numbered log events and metrics before their own loops can be written.

The ini package alone passes over lines without "=", unclosed sections and prototype names, and lets a later key win; those are faults here, each with its line, and all of them are reported at once. Only its decoding of names and values is used, because its own reader also splits section names at dots, which VM ids have. Values are texts that valibot turns into numbers and lists.

A branch never goes back: a text with faults raises the revision seen and is passed on to other processes, since a newer release may know more keys.

--- /dev/null
+++ b/src/settings/process_settings.ts
@@ -0,0 +1,272 @@
+import {accessSync, constants, readFileSync} from 'node:fs';
+import {messageOf} from '../utilities/base_error.js';
+import type {Resources} from '../utilities/resources.js';
+import {
+  AGENT_SCHEMA,
+  ENTRY_SCHEMA,
+  agentAdvertiseSection,
+  agentListenSection,
+  agentProcessSection,
+  entriesSection,
+  entryAdvertiseSection,
+  entryListenSection,
+  entryProcessSection,
+  executorSection,
+  limitsSection,
+  logsSection,
+  shardsSection,
+  storeSection,
+  tlsSection,
+  workerSection,
+} from './process_schemas.js';
+import type {LOG_FORMATS, LOG_LEVELS} from './process_schemas.js';
+import {settingsError} from './settings_fault.js';
+import type {SettingsFault} from './settings_fault.js';
+import {checkSettings} from './settings_schema.js';
+import type {CheckedSettings, DocumentSchema} from './settings_schema.js';
+
+/** Settings files with which processes start. */
+
+export interface NetworkAddress {
+  readonly host: string;
+  /** 0 takes any free port. */
+  readonly port: number;
+}
+
+export interface TlsSettings {
+  /** Paths of PEM files. */
+  readonly certificate: string;
+  readonly key: string;
+  readonly authority: string;
+}
+
+export interface LogSettings {
+  readonly level: (typeof LOG_LEVELS)[number];
+  readonly format: (typeof LOG_FORMATS)[number];
+}
+
+export interface EntryProcessSettings {
+  readonly process: {
+    readonly id: string;
+    readonly failureDomain: string;
+    readonly region: string;
+  };
+  readonly listen: {
+    readonly callers: NetworkAddress;
+    readonly processes: NetworkAddress;
+  };
+  /** `HOST:PORT`; undefined for the address it listens on. */
+  readonly advertise: {
+    readonly callers?: string;
+    readonly processes?: string;
+  };
+  readonly store: {
+    readonly endpoints: readonly string[];
+    readonly writesPerSecond: number;
+    readonly readsPerSecond: number;
+    readonly timeoutMillis: number;
+  };
+  readonly shards: {readonly count: number};
+  readonly limits: {readonly bodyBytes: number};
+  readonly tls?: TlsSettings;
+  readonly logs: LogSettings;
+}
+
+export interface ExecutorSettings {
+  /** `http://HOST:PORT`. */
+  readonly address: string;
+  readonly service: string;
+  readonly team: string;
+  readonly slots: number;
+  readonly connections: number;
+  /** What tasks leave to the executor. */
+  readonly reserved: Resources;
+}
+
+export interface AgentProcessSettings {
+  readonly process: {
+    readonly id: string;
+    readonly failureDomain: string;
+    readonly region: string;
+    readonly rack: string;
+  };
+  readonly listen: {
+    readonly processes: NetworkAddress;
+    /** Serves metrics and state over HTTP. */
+    readonly state?: NetworkAddress;
+  };
+  /** `HOST:PORT`; undefined for the address it listens on. */
+  readonly advertise: {readonly processes?: string};
+  /** `HOST:PORT` each. */
+  readonly entries: {readonly addresses: readonly string[]};
+  /** `http://HOST:PORT`. */
+  readonly worker: {readonly address: string};
+  readonly executor?: ExecutorSettings;
+  readonly tls?: TlsSettings;
+  readonly logs: LogSettings;
+}
+
+/** Reads an entry's settings file; throws a SettingsError with all faults. */
+export function readEntrySettings(file: string): EntryProcessSettings {
+  return parseEntrySettings(file, readText(file));
+}
+
+/** Reads an agent's settings file; throws a SettingsError with all faults. */
+export function readAgentSettings(file: string): AgentProcessSettings {
+  return parseAgentSettings(file, readText(file));
+}
+
+/** Reads an entry's settings text; the file's name is for the faults only. */
+export function parseEntrySettings(
+  file: string,
+  text: string,
+): EntryProcessSettings {
+  const checked = checkFile(file, text, ENTRY_SCHEMA);
+  const place = checked.section(entryProcessSection);
+  const listen = checked.section(entryListenSection);
+  const store = checked.section(storeSection);
+  return {
+    process: {
+      id: place.id,
+      failureDomain: place.failure_domain,
+      region: place.region,
+    },
+    listen: {
+      callers: parseAddress(listen.callers),
+      processes: parseAddress(listen.processes),
+    },
+    advertise: checked.section(entryAdvertiseSection),
+    store: {
+      endpoints: store.endpoints,
+      writesPerSecond: store.writes_per_second,
+      readsPerSecond: store.reads_per_second,
+      timeoutMillis: store.timeout_milliseconds,
+    },
+    shards: checked.section(shardsSection),
+    limits: {bodyBytes: checked.section(limitsSection).body_bytes},
+    tls: tlsOf(checked),
+    logs: checked.section(logsSection),
+  };
+}
+
+/** Reads an agent's settings text; the file's name is for the faults only. */
+export function parseAgentSettings(
+  file: string,
+  text: string,
+): AgentProcessSettings {
+  const checked = checkFile(file, text, AGENT_SCHEMA);
+  const place = checked.section(agentProcessSection);
+  const listen = checked.section(agentListenSection);
+  return {
+    process: {
+      id: place.id,
+      failureDomain: place.failure_domain,
+      region: place.region,
+      rack: place.rack,
+    },
+    listen: {
+      processes: parseAddress(listen.processes),
+      state:
+        listen.state === undefined ? undefined : parseAddress(listen.state),
+    },
+    advertise: checked.section(agentAdvertiseSection),
+    entries: checked.section(entriesSection),
+    worker: checked.section(workerSection),
+    executor: executorOf(checked),
+    tls: tlsOf(checked),
+    logs: checked.section(logsSection),
+  };
+}
+
+/** Splits `HOST:PORT`; a host in square brackets loses them. */
+export function parseAddress(address: string): NetworkAddress {
+  const colon = address.lastIndexOf(':');
+  const host = address.slice(0, colon).replace(/^\[|\]$/g, '');
+  return {host, port: Number(address.slice(colon + 1))};
+}
+
+/** `HOST:PORT`, with square brackets around a host that has colons. */
+export function formatAddress(address: NetworkAddress): string {
+  const {host, port} = address;
+  return host.includes(':') ? `[${host}]:${port}` : `${host}:${port}`;
+}
+
+function readText(file: string): string {
+  try {
+    return readFileSync(file, 'utf8');
+  } catch (error) {
+    const message = `The file can't be read: ${messageOf(error)}.`;
+    throw settingsError(file, [fileFault(file, '', '', message)]);
+  }
+}
+
+function checkFile(
+  file: string,
+  text: string,
+  schema: DocumentSchema,
+): CheckedSettings {
+  const result = checkSettings(file, text, schema);
+  if (result.faults) throw settingsError(file, result.faults);
+  const faults = tlsFaults(file, result.settings);
+  if (faults.length > 0) throw settingsError(file, faults);
+  return result.settings;
+}
+
+function tlsOf(checked: CheckedSettings): TlsSettings | undefined {
+  const {certificate, key, authority} = checked.section(tlsSection);
+  if (!certificate || !key || !authority) return undefined;
+  return {certificate, key, authority};
+}
+
+/** Paths that are missing beside the others, or that can't be read. */
+function tlsFaults(file: string, checked: CheckedSettings): SettingsFault[] {
+  const paths = Object.entries(checked.section(tlsSection));
+  if (paths.every(([, path]) => path === undefined)) return [];
+  const faults: SettingsFault[] = [];
+  for (const [key, path] of paths) {
+    if (path === undefined) {
+      const message = 'The key is missing beside the others of the section.';
+      faults.push(fileFault(file, tlsSection.name, key, message));
+      continue;
+    }
+    if (isReadable(path)) continue;
+    const message = `The file ${path} can't be read.`;
+    faults.push(fileFault(file, tlsSection.name, key, message));
+  }
+  return faults;
+}
+
+function isReadable(path: string): boolean {
+  try {
+    accessSync(path, constants.R_OK);
+    return true;
+  } catch {
+    return false;
+  }
+}
+
+function executorOf(checked: CheckedSettings): ExecutorSettings | undefined {
+  if (!checked.has(executorSection)) return undefined;
+  const executor = checked.section(executorSection);
+  return {
+    address: executor.address,
+    service: executor.service,
+    team: executor.team,
+    slots: executor.slots,
+    connections: executor.connections,
+    reserved: {
+      milliprocessors: executor.reserved_milliprocessors,
+      memoryMegabytes: executor.reserved_memory_megabytes,
+      accelerators: 0,
+    },
+  };
+}
+
+function fileFault(
+  file: string,
+  section: string,
+  key: string,
+  message: string,
+): SettingsFault {
+  return {file, section, key, message, accepted: '', line: 0};
+}
--- /dev/null
+++ b/src/settings/settings_branches.ts
@@ -0,0 +1,195 @@
+import {
+  FLEET_SCHEMA,
+  TEAM_SCHEMA,
+  failureDomainSection,
+  freshSection,
+  heartbeatsSection,
+  jobsSection,
+  leasesSection,
+  quotaSection,
+  requestsSection,
+  serviceSection,
+  shareSection,
+  vmSection,
+} from './branch_schemas.js';
+import {withBooleanKey} from './ini_edit.js';
+import type {SettingsFault} from './settings_fault.js';
+import {NAME_ACCEPTED, isName} from './settings_keys.js';
+import {CheckedSettings, checkSettings} from './settings_schema.js';
+import {FLEET_BRANCH} from './settings_types.js';
+import type {
+  FleetSettings,
+  ServiceSettings,
+  TeamSettings,
+} from './settings_types.js';
+
+/** Reads and edits the texts of settings branches. */
+
+const MILLIS_PER_SECOND = 1000;
+const MILLIPROCESSORS_PER_PROCESSOR = 1000;
+const PERCENT = 100;
+
+export type BranchResult<Settings> =
+  | {readonly settings: Settings; readonly faults?: undefined}
+  | {
+      readonly settings?: undefined;
+      readonly faults: readonly SettingsFault[];
+    };
+
+/** The name by which faults refer to a branch. */
+export function branchFile(branch: string): string {
+  return `settings/${branch}`;
+}
+
+/** Reads the operators' branch. */
+export function parseFleetSettings(text: string): BranchResult<FleetSettings> {
+  const result = checkSettings(branchFile(FLEET_BRANCH), text, FLEET_SCHEMA);
+  if (result.faults) return result;
+  return {settings: fleetOf(result.settings)};
+}
+
+/** Reads a team's branch; its name is the team's. */
+export function parseTeamSettings(
+  branch: string,
+  text: string,
+): BranchResult<TeamSettings> {
+  const result = checkSettings(branchFile(branch), text, TEAM_SCHEMA);
+  if (!isTeamName(branch)) {
+    return {faults: [branchNameFault(branch), ...(result.faults ?? [])]};
+  }
+  if (result.faults) return result;
+  return {settings: teamOf(branch, result.settings)};
+}
+
+/** Reads any branch only to find its faults. */
+export function branchFaults(
+  branch: string,
+  text: string,
+): readonly SettingsFault[] {
+  const result =
+    branch === FLEET_BRANCH
+      ? parseFleetSettings(text)
+      : parseTeamSettings(branch, text);
+  return result.faults ?? [];
+}
+
+/** Whether a team may have the name. */
+export function isTeamName(name: string): boolean {
+  return name !== FLEET_BRANCH && isName(name);
+}
+
+/** The text with the failure domain taken out or brought back. */
+export function withFailureDomain(
+  text: string,
+  name: string,
+  out: boolean,
+): string {
+  const header = `${failureDomainSection.name} ${name}`;
+  return withBooleanKey(text, header, 'out', out);
+}
+
+/** The text with the VM drained or not. */
+export function withVmDrain(
+  text: string,
+  vm: string,
+  drained: boolean,
+): string {
+  return withBooleanKey(text, `${vmSection.name} ${vm}`, 'drain', drained);
+}
+
+/** What holds for a team without a branch. */
+export function defaultTeamSettings(team: string): TeamSettings {
+  return teamOf(team, new CheckedSettings(new Map()));
+}
+
+/** What holds for a service that its team's branch doesn't mention. */
+export function defaultServiceSettings(
+  name: string,
+  team: string,
+): ServiceSettings {
+  const defaults = new CheckedSettings(new Map());
+  return serviceOf(name, team, defaults.section(serviceSection));
+}
+
+function fleetOf(checked: CheckedSettings): FleetSettings {
+  const domains = checked.namedSections(failureDomainSection);
+  const vms = checked.namedSections(vmSection);
+  const leases = checked.section(leasesSection);
+  const fresh = checked.section(freshSection);
+  const heartbeats = checked.section(heartbeatsSection);
+  const requests = checked.section(requestsSection);
+  return {
+    failureDomainsOut: namesWhere(domains, domain => domain.out),
+    drainedVms: namesWhere(vms, vm => vm.drain),
+    taskLeaseMillis: leases.task_lease_seconds * MILLIS_PER_SECOND,
+    settingsFreshMillis: fresh.fresh_seconds * MILLIS_PER_SECOND,
+    heartbeatMillis: heartbeats.period_milliseconds,
+    retryBudgetShare: requests.retry_budget_percent / PERCENT,
+    maximumEjectedShare: requests.maximum_ejected_percent / PERCENT,
+  };
+}
+
+function teamOf(team: string, checked: CheckedSettings): TeamSettings {
+  const quota = checked.section(quotaSection);
+  const services = new Map<string, ServiceSettings>();
+  for (const [name, values] of checked.namedSections(serviceSection)) {
+    services.set(name, serviceOf(name, team, values));
+  }
+  return {
+    team,
+    quota: {
+      milliprocessors: Math.round(
+        quota.processors * MILLIPROCESSORS_PER_PROCESSOR,
+      ),
+      memoryMegabytes: quota.memory_megabytes,
+      accelerators: quota.accelerators,
+    },
+    quotaRunningTasks: quota.running_tasks,
+    weight: checked.section(shareSection).weight,
+    defaultUrgency: checked.section(jobsSection).default_urgency,
+    services,
+  };
+}
+
+type ServiceValues = ReturnType<
+  typeof CheckedSettings.prototype.section<typeof serviceSection.keys>
+>;
+
+function serviceOf(
+  name: string,
+  team: string,
+  values: ServiceValues,
+): ServiceSettings {
+  return {
+    name,
+    team,
+    targetTailMillis: values.target_tail_milliseconds,
+    defaultDeadlineMillis: values.default_deadline_milliseconds,
+    requestsPerSecond: values.requests_per_second,
+    idempotentMethods: new Set(values.idempotent_methods),
+  };
+}
+
+function namesWhere<Values>(
+  sections: ReadonlyMap<string, Values>,
+  holds: (values: Values) => boolean,
+): Set<string> {
+  const matching = [...sections].filter(([, values]) => holds(values));
+  return new Set(matching.map(([name]) => name));
+}
+
+function branchNameFault(branch: string): SettingsFault {
+  return {
+    file: branchFile(branch),
+    section: '',
+    key: '',
+    message: 'No team can have the name of this branch.',
+    accepted: `${FLEET_BRANCH}, or a team's name: ${NAME_ACCEPTED}`,
+    line: 0,
+  };
+}
+
+/** What holds while there is no operators' branch. */
+export const DEFAULT_FLEET_SETTINGS: FleetSettings = fleetOf(
+  new CheckedSettings(new Map()),
+);
--- /dev/null
+++ b/src/settings/settings_schema.ts
@@ -0,0 +1,243 @@
+import {safeParse} from 'valibot';
+import {parseIniDocument} from './ini_document.js';
+import type {IniSection} from './ini_document.js';
+import {nearestName} from './nearest_name.js';
+import type {SettingsFault} from './settings_fault.js';
+import {NAME_ACCEPTED, isName} from './settings_keys.js';
+import type {KeySchema} from './settings_keys.js';
+
+/** Schemas of settings texts, and the check of a text against one. */
+
+export type KeySchemas = Readonly<Record<string, KeySchema<unknown>>>;
+
+export interface SectionSchema<Keys extends KeySchemas = KeySchemas> {
+  readonly name: string;
+  /** The header carries a name of its own too: `[vm NAME]`, any number. */
+  readonly named: boolean;
+  readonly required: boolean;
+  readonly description: string;
+  readonly keys: Keys;
+}
+
+export interface DocumentSchema {
+  readonly title: string;
+  readonly sections: readonly SectionSchema[];
+}
+
+/** The values of a section, by key. */
+export type SectionValues<Keys extends KeySchemas> = {
+  readonly [Name in keyof Keys]: Keys[Name] extends KeySchema<infer Value>
+    ? Value
+    : never;
+};
+
+export function defineSection<const Keys extends KeySchemas>(
+  name: string,
+  description: string,
+  keys: Keys,
+  options: {named?: boolean; required?: boolean} = {},
+): SectionSchema<Keys> {
+  const {named = false, required = false} = options;
+  return {name, named, required, description, keys};
+}
+
+/** A text that its schema accepts. */
+export class CheckedSettings {
+  constructor(
+    private readonly values: ReadonlyMap<string, ReadonlyMap<string, unknown>>,
+  ) {}
+
+  /** The section's values; the defaults when the text doesn't have it. */
+  section<Keys extends KeySchemas>(
+    schema: SectionSchema<Keys>,
+  ): SectionValues<Keys> {
+    return this.valuesAt(schema, schema.name);
+  }
+
+  has(schema: SectionSchema): boolean {
+    return this.values.has(schema.name);
+  }
+
+  /** The values of each section of the kind, by the name in its header. */
+  namedSections<Keys extends KeySchemas>(
+    schema: SectionSchema<Keys>,
+  ): Map<string, SectionValues<Keys>> {
+    const named = new Map<string, SectionValues<Keys>>();
+    const prefix = `${schema.name} `;
+    for (const header of this.values.keys()) {
+      if (!header.startsWith(prefix)) continue;
+      named.set(ownName(header), this.valuesAt(schema, header));
+    }
+    return named;
+  }
+
+  private valuesAt<Keys extends KeySchemas>(
+    schema: SectionSchema<Keys>,
+    header: string,
+  ): SectionValues<Keys> {
+    const given = this.values.get(header);
+    const entries = Object.entries(schema.keys).map(([name, key]) => [
+      name,
+      given?.has(name) ? given.get(name) : key.fallback,
+    ]);
+    return Object.fromEntries(entries) as SectionValues<Keys>;
+  }
+}
+
+export type CheckResult =
+  | {readonly settings: CheckedSettings; readonly faults?: undefined}
+  | {
+      readonly settings?: undefined;
+      readonly faults: readonly SettingsFault[];
+    };
+
+/** Checks a text against the schema; all of its faults are reported. */
+export function checkSettings(
+  file: string,
+  text: string,
+  schema: DocumentSchema,
+): CheckResult {
+  return new SettingsChecker(file, schema).check(text);
+}
+
+/** The kind of a section: the first word of its header. */
+function kindOf(header: string): string {
+  return header.split(/\s/, 1)[0];
+}
+
+/** What follows the kind in a section's header. */
+function ownName(header: string): string {
+  return header.slice(kindOf(header).length).trim();
+}
+
+function headerText(schema: SectionSchema): string {
+  return schema.named ? `[${schema.name} NAME]` : `[${schema.name}]`;
+}
+
+class SettingsChecker {
+  private readonly faults: SettingsFault[] = [];
+  private readonly values = new Map<string, Map<string, unknown>>();
+
+  constructor(
+    private readonly file: string,
+    private readonly schema: DocumentSchema,
+  ) {}
+
+  check(text: string): CheckResult {
+    const document = parseIniDocument(this.file, text);
+    this.faults.push(...document.faults);
+    for (const section of document.sections.values()) {
+      this.checkSection(section);
+    }
+    for (const schema of this.schema.sections) {
+      if (!schema.required || document.sections.has(schema.name)) continue;
+      this.checkMissingSection(schema);
+    }
+    if (this.faults.length === 0) {
+      return {settings: new CheckedSettings(this.values)};
+    }
+    const faults = this.faults.sort((left, right) => left.line - right.line);
+    return {faults};
+  }
+
+  private checkSection(section: IniSection): void {
+    const kind = kindOf(section.name);
+    const schema = this.schema.sections.find(known => known.name === kind);
+    if (!schema) {
+      this.unknownSection(section, kind);
+      return;
+    }
+    if (!this.checkHeader(section, schema)) return;
+    const values = new Map<string, unknown>();
+    const header = schema.named
+      ? `${schema.name} ${ownName(section.name)}`
+      : schema.name;
+    this.values.set(header, values);
+    for (const key of section.values.keys()) {
+      this.checkKey(section, schema, key, values);
+    }
+    for (const [key, keySchema] of Object.entries(schema.keys)) {
+      if (!keySchema.required || section.values.has(key)) continue;
+      this.missingKey(section.name, key, keySchema, section.line);
+    }
+  }
+
+  private checkHeader(section: IniSection, schema: SectionSchema): boolean {
+    const name = ownName(section.name);
+    if (schema.named && isName(name)) return true;
+    if (!schema.named && name === '') return true;
+    this.faults.push({
+      file: this.file,
+      section: section.name,
+      key: '',
+      message: `The header must have the form ${headerText(schema)}.`,
+      accepted: schema.named ? `as NAME: ${NAME_ACCEPTED}` : '',
+      line: section.line,
+    });
+    return false;
+  }
+
+  private checkKey(
+    section: IniSection,
+    schema: SectionSchema,
+    key: string,
+    values: Map<string, unknown>,
+  ): void {
+    const value = section.values.get(key)!;
+    const place = {file: this.file, section: section.name, key};
+    if (!Object.hasOwn(schema.keys, key)) {
+      const known = Object.keys(schema.keys);
+      const message = `Unknown key; the nearest known one is ${nearestName(key, known)}.`;
+      const accepted = known.join(', ');
+      this.faults.push({...place, message, accepted, line: value.line});
+      return;
+    }
+    const keySchema = schema.keys[key];
+    const result = safeParse(keySchema.schema, value.text);
+    if (result.success) {
+      values.set(key, result.output);
+      return;
+    }
+    this.faults.push({
+      ...place,
+      message: `Not accepted: ${JSON.stringify(value.text)}.`,
+      accepted: keySchema.accepted,
+      line: value.line,
+    });
+  }
+
+  private unknownSection(section: IniSection, kind: string): void {
+    const known = this.schema.sections.map(schema => schema.name);
+    this.faults.push({
+      file: this.file,
+      section: section.name,
+      key: '',
+      message: `Unknown section; the nearest known one is ${nearestName(kind, known)}.`,
+      accepted: this.schema.sections.map(headerText).join(', '),
+      line: section.line,
+    });
+  }
+
+  private checkMissingSection(schema: SectionSchema): void {
+    for (const [key, keySchema] of Object.entries(schema.keys)) {
+      if (!keySchema.required) continue;
+      this.missingKey(schema.name, key, keySchema, 0);
+    }
+  }
+
+  private missingKey(
+    section: string,
+    key: string,
+    schema: KeySchema<unknown>,
+    line: number,
+  ): void {
+    this.faults.push({
+      file: this.file,
+      section,
+      key,
+      message: 'The key is missing.',
+      accepted: schema.accepted,
+      line,
+    });
+  }
+}
--- /dev/null
+++ b/tests/observability/catalogues.test.ts
@@ -0,0 +1,24 @@
+import test from 'ava';
+import {EventLevel, Events} from '../../src/observability/events.js';
+import {ResultCodes} from '../../src/observability/result_codes.js';
+
+test('should number every event once, in the range of its process', t => {
+  const events = Object.values(Events);
+  const numbers = events.map(event => event.number);
+  t.is(new Set(numbers).size, numbers.length);
+  t.true(numbers.every(number => number >= 1000 && number < 6000));
+  t.deepEqual(
+    numbers,
+    [...numbers].sort((left, right) => left - right),
+  );
+  const levels: ReadonlySet<string> = new Set(Object.values(EventLevel));
+  t.true(events.every(event => levels.has(event.level)));
+});
+
+test('should number every result code once and name it by its key', t => {
+  const codes = Object.entries(ResultCodes);
+  const numbers = codes.map(([, code]) => code.number);
+  t.is(new Set(numbers).size, numbers.length);
+  t.true(codes.every(([name, code]) => name === code.name));
+  t.true(codes.every(([, code]) => code.httpStatus >= 400));
+});
--- /dev/null
+++ b/tests/settings/process_settings.test.ts
@@ -0,0 +1,102 @@
+import test from 'ava';
+import {
+  formatAddress,
+  parseAddress,
+  parseAgentSettings,
+  parseEntrySettings,
+  readEntrySettings,
+} from '../../src/settings/process_settings.js';
+import {SettingsError} from '../../src/settings/settings_fault.js';
+
+const ENTRY_TEXT = `
+[process]
+id = entry-1
+failure_domain = kaneshie
+region = accra
+[listen]
+callers = 127.0.0.1:0
+processes = [::1]:7070
+[store]
+endpoints = http://127.0.0.1:2379, http://127.0.0.1:2380
+`;
+
+const AGENT_TEXT = `
+[process]
+id = vm-1
+failure_domain = tema
+region = accra
+rack = rack-2
+[listen]
+processes = 127.0.0.1:0
+[entries]
+addresses = 127.0.0.1:7070
+[worker]
+address = http://127.0.0.1:9100
+`;
+
+test('should read an entry file with its defaults', t => {
+  const settings = parseEntrySettings('entry.ini', ENTRY_TEXT);
+  t.deepEqual(settings.listen.processes, {host: '::1', port: 7070});
+  t.is(settings.store.endpoints.length, 2);
+  t.is(settings.store.writesPerSecond, 200);
+  t.is(settings.shards.count, 12);
+  t.is(settings.advertise.callers, undefined);
+  t.is(settings.tls, undefined);
+  t.is(settings.logs.format, 'auto');
+});
+
+test('should read an agent file with and without an executor', t => {
+  t.is(parseAgentSettings('agent.ini', AGENT_TEXT).executor, undefined);
+  const executor = `[executor]
+address = http://127.0.0.1:9200
+service = rounds
+team = asantewaa
+reserved_milliprocessors = 1500
+`;
+  const settings = parseAgentSettings('agent.ini', AGENT_TEXT + executor);
+  t.is(settings.executor?.slots, 8);
+  t.is(settings.executor?.reserved.milliprocessors, 1500);
+});
+
+test('should report every missing and wrong key of a file at once', t => {
+  const text = '[process]\nid = -\n[store]\nendpoints = 127.0.0.1:2379\n';
+  const error = t.throws(() => parseEntrySettings('entry.ini', text), {
+    instanceOf: SettingsError,
+  });
+  const places = error.faults.map(fault => `${fault.section} ${fault.key}`);
+  t.deepEqual(places.sort(), [
+    'listen callers',
+    'listen processes',
+    'process failure_domain',
+    'process id',
+    'process region',
+    'store endpoints',
+  ]);
+  t.is(error.resultCode.number, 400);
+  t.regex(
+    error.message,
+    /entry\.ini:4 \[store\] endpoints: .*http:\/\/HOST:PORT/,
+  );
+});
+
+test('should ask for all TLS paths and check that they can be read', t => {
+  const text = `${ENTRY_TEXT}[tls]\ncertificate = /nowhere/entry.crt\n`;
+  const error = t.throws(() => parseEntrySettings('entry.ini', text), {
+    instanceOf: SettingsError,
+  });
+  const keys = error.faults.map(fault => fault.key);
+  t.deepEqual(keys, ['certificate', 'key', 'authority']);
+});
+
+test('should report a file that is not there as a fault', t => {
+  const error = t.throws(() => readEntrySettings('/nowhere/entry.ini'), {
+    instanceOf: SettingsError,
+  });
+  t.is(error.faults.length, 1);
+});
+
+test('should split and join addresses', t => {
+  for (const address of ['10.0.0.1:80', '[::1]:7070']) {
+    t.is(formatAddress(parseAddress(address)), address);
+  }
+});
--- /dev/null
+++ b/tests/settings/settings_branches.test.ts
@@ -0,0 +1,106 @@
+import test from 'ava';
+import {
+  DEFAULT_FLEET_SETTINGS,
+  parseFleetSettings,
+  parseTeamSettings,
+  withFailureDomain,
+  withVmDrain,
+} from '../../src/settings/settings_branches.js';
+import {formatFault} from '../../src/settings/settings_fault.js';
+
+test('should read the operators branch in its units', t => {
+  const text = [
+    '; the night of the flood',
+    '[failure_domain kaneshie]',
+    'out = true # until dawn',
+    '[failure_domain tema]',
+    'out = false',
+    '[vm vm-3.accra]',
+    'drain = true',
+    '[leases]',
+    'task_lease_seconds = 20',
+    '[requests]',
+    'retry_budget_percent = 5',
+  ].join('\n');
+  t.deepEqual(parseFleetSettings(text), {
+    settings: {
+      ...DEFAULT_FLEET_SETTINGS,
+      failureDomainsOut: new Set(['kaneshie']),
+      drainedVms: new Set(['vm-3.accra']),
+      taskLeaseMillis: 20_000,
+      retryBudgetShare: 0.05,
+    },
+  });
+});
+
+test('should read a team branch in its units', t => {
+  const text = [
+    '[quota]',
+    'processors = 12.5',
+    '[jobs]',
+    'default_urgency = urgent',
+    '[service rounds]',
+    'idempotent_methods = GET, PUT',
+  ].join('\r\n');
+  const settings = parseTeamSettings('asantewaa', text).settings!;
+  t.is(settings.quota.milliprocessors, 12_500);
+  t.is(settings.defaultUrgency, 'urgent');
+  const service = settings.services.get('rounds')!;
+  t.is(service.team, 'asantewaa');
+  t.is(service.defaultDeadlineMillis, 2000);
+  t.deepEqual([...service.idempotentMethods], ['GET', 'PUT']);
+});
+
+test('should report all faults at once, each with its place', t => {
+  const text = [
+    'early = 1',
+    '[leases]',
+    'task_lease_second = 20',
+    'task_lease_seconds = 2',
+    'task_lease_seconds = 9',
+    '[requests',
+    '[vms vm-1]',
+    '[vm]',
+    '[failure_domain tema]',
+    'out = yes',
+    'nothing',
+    '[leases]',
+    '__proto__ = 1',
+  ].join('\n');
+  const faults = parseFleetSettings(text).faults!;
+  t.deepEqual(faults.map(formatFault), [
+    'settings/fleet:1 early: The key stands before the first section.',
+    'settings/fleet:3 [leases] task_lease_second: Unknown key; the nearest known one is task_lease_seconds. Accepted: task_lease_seconds.',
+    'settings/fleet:4 [leases] task_lease_seconds: Not accepted: "2". Accepted: a whole number from 3 to 120.',
+    'settings/fleet:5 [leases] task_lease_seconds: The key stands at line 4 too.',
+    'settings/fleet:6 [leases]: The section is not closed by a bracket.',
+    'settings/fleet:7 [vms vm-1]: Unknown section; the nearest known one is vm. Accepted: [failure_domain NAME], [vm NAME], [leases], [settings], [heartbeats], [requests].',
+    'settings/fleet:8 [vm]: The header must have the form [vm NAME]. Accepted: as NAME: 1 to 63 letters, digits, dots, hyphens or underscores; the first a letter or digit.',
+    'settings/fleet:10 [failure_domain tema] out: Not accepted: "yes". Accepted: true, false.',
+    'settings/fleet:11 [failure_domain tema]: The line is not of the form key = value.',
+    'settings/fleet:12 [leases]: The section stands at line 2 too.',
+    'settings/fleet:13 [leases] __proto__: No key may have this name.',
+  ]);
+});
+
+test('should not accept the operators branch as a team', t => {
+  t.is(parseTeamSettings('fleet', '').faults?.length, 1);
+  t.is(parseTeamSettings('a/b', '').faults?.length, 1);
+});
+
+test('should change one key and keep the rest of the text', t => {
+  const text =
+    '; by hand\n[failure_domain  tema]\n  out=true ; flood\n\n[vm a]\n; drain = true\n';
+  t.is(
+    withFailureDomain(text, 'tema', false),
+    '; by hand\n[failure_domain  tema]\n  out=false ; flood\n\n[vm a]\n; drain = true\n',
+  );
+  t.is(
+    withVmDrain(text, 'a', true),
+    '; by hand\n[failure_domain  tema]\n  out=true ; flood\n\n[vm a]\ndrain = true\n; drain = true\n',
+  );
+  t.is(withVmDrain(text, 'b', false), text);
+  const added = withVmDrain(text, 'b', true);
+  t.is(added, `${text}\n[vm b]\ndrain = true\n`);
+  t.deepEqual(parseFleetSettings(added).settings?.drainedVms, new Set(['b']));
+});
--- /dev/null
+++ b/tests/settings/settings_view.test.ts
@@ -0,0 +1,73 @@
+import test from 'ava';
+import fc from 'fast-check';
+import {SettingsView} from '../../src/settings/settings_view.js';
+import type {SettingsDocument} from '../../src/settings/settings_types.js';
+
+function fleetText(revision: number, leaseSeconds: number): SettingsDocument {
+  const text = `[leases]\ntask_lease_seconds = ${leaseSeconds}\n`;
+  return {branch: 'fleet', revision, version: revision, text};
+}
+
+test('should put a newer text in force and refuse an older one', t => {
+  const view = new SettingsView();
+  t.is(view.apply(fleetText(7, 30)), 'applied');
+  t.is(view.apply(fleetText(7, 40)), 'older');
+  t.is(view.apply(fleetText(5, 50)), 'older');
+  t.is(view.fleet.taskLeaseMillis, 30_000);
+});
+
+test('should keep the last text while a newer one has faults', t => {
+  const view = new SettingsView();
+  view.apply(fleetText(3, 30));
+  const rejected = view.apply(fleetText(9, 1000));
+  t.true(typeof rejected === 'object' && rejected.faults.length === 1);
+  t.is(view.fleet.taskLeaseMillis, 30_000);
+  t.is(view.apply(fleetText(8, 20)), 'older');
+  t.deepEqual(
+    view.documentsNewerThan(0).map(document => document.revision),
+    [3, 9],
+  );
+  t.is(view.apply(fleetText(10, 20)), 'applied');
+  t.deepEqual(
+    view.documentsNewerThan(0).map(document => document.revision),
+    [10],
+  );
+});
+
+test('should count the age of the newest confirmation', t => {
+  const view = new SettingsView();
+  t.is(view.confirmedAgeMillis(100), Infinity);
+  view.confirm(4, 1000, 300);
+  view.confirm(3, 1000, 900);
+  t.is(view.revision, 4);
+  t.is(view.confirmedAgeMillis(1100), 400);
+});
+
+test('should answer with defaults for a team without a branch', t => {
+  const view = new SettingsView();
+  t.is(view.team('sfax').weight, 1);
+  t.is(view.service('orders'), undefined);
+  const text = '[service orders]\ntarget_tail_milliseconds = 80\n';
+  view.apply({branch: 'sfax', revision: 2, version: 1, text});
+  t.is(view.service('orders')?.targetTailMillis, 80);
+  t.deepEqual(view.documentsNewerThan(0, ['fleet']), []);
+  t.deepEqual(view.branches(), ['sfax']);
+});
+
+test('should end with the newest text whatever the order of arrival', t => {
+  const arrivals = fc.array(fc.integer({min: 1, max: 20}), {minLength: 1});
+  fc.assert(
+    fc.property(arrivals, revisions => {
+      const view = new SettingsView();
+      let highest = 0;
+      for (const revision of revisions) {
+        view.apply(fleetText(revision, 3 + revision));
+        highest = Math.max(highest, revision);
+        if (view.fleet.taskLeaseMillis !== (3 + highest) * 1000) return false;
+      }
+      return true;
+    }),
+    {seed: 11},
+  );
+  t.pass();
+});
