--- /dev/null
+++ b/src/platform/http_connections.ts
@@ -0,0 +1,155 @@
+import type {Dispatcher} from 'undici';
+import Pool from 'undici/lib/dispatcher/pool.js';
+import {BaseError, messageOf} from '../utilities/base_error.js';
+import {SystemClock} from '../utilities/clock.js';
+import type {Clock} from '../utilities/clock.js';
+import {HttpExchange} from './http_exchange.js';
+import type {HttpAnswer} from './http_exchange.js';
+
+const DEFAULT_CONNECTIONS = 16;
+const DEFAULT_SILENCE_MILLIS = 1_000;
+const DEFAULT_CONNECT_TIMEOUT_MILLIS = 1_000;
+const DEFAULT_IDLE_MILLIS = 4_000;
+const DEFAULT_MAXIMUM_ANSWER_BYTES = 16 * 1024 * 1024;
+
+export interface HttpCall {
+  readonly method: string;
+  readonly path: string;
+  readonly headers: ReadonlyArray<readonly [name: string, value: string]>;
+  readonly body: Uint8Array | string;
+  readonly timeoutMillis: number;
+  /** Says why the head of an answer can't belong to this call, if so. */
+  readonly findFault?: (headers: HttpAnswer['headers']) => string | undefined;
+}
+
+export interface HttpConnectionsOptions {
+  /** HOST:PORT */
+  readonly address: string;
+  readonly clock?: Clock;
+  readonly connections?: number;
+  /** No byte of an answer for this long makes later calls connect anew. */
+  readonly silenceMillis?: number;
+  readonly connectTimeoutMillis?: number;
+  readonly maximumAnswerBytes?: number;
+}
+
+export interface HttpStreamListener {
+  onData(chunk: Buffer): void;
+  onEnd(reason: string): void;
+}
+
+/** No whole answer came. `sent` is false if surely no byte of the call left. */
+export const HttpCallError = BaseError.subclass('HttpCallError', {
+  props: {sent: true},
+});
+
+/**
+ * A bounded set of HTTP/1.1 connections to one address. Each connection carries
+ * one call at a time; one whose call timed out or was answered with something
+ * else is destroyed. A call is sent at most once.
+ */
+export class HttpConnections {
+  private readonly clock: Clock;
+  private readonly silenceMillis: number;
+  private pool: Pool;
+  private closedReason?: string;
+
+  constructor(private readonly options: HttpConnectionsOptions) {
+    this.clock = options.clock ?? new SystemClock();
+    this.silenceMillis = options.silenceMillis ?? DEFAULT_SILENCE_MILLIS;
+    this.pool = this.openPool();
+  }
+
+  /** Resolves to the whole answer or rejects with an HttpCallError. */
+  call(call: HttpCall): Promise<HttpAnswer> {
+    const pool = this.pool;
+    return new Promise((resolve, reject) => {
+      const exchange = new HttpExchange({
+        maximumAnswerBytes:
+          this.options.maximumAnswerBytes ?? DEFAULT_MAXIMUM_ANSWER_BYTES,
+        findFault: call.findFault,
+        onEnd: result => {
+          silence.cancel();
+          timeout.cancel();
+          if (result.answer) return resolve(result.answer);
+          const message = `${call.method} ${this.options.address}${call.path}: ${result.reason}`;
+          reject(new HttpCallError(message, {props: {sent: exchange.sent}}));
+        },
+      });
+      const silence = this.clock.schedule(this.silenceMillis, () => {
+        if (exchange.sent && !exchange.answerBegun) this.replace(pool);
+      });
+      const timeout = this.clock.schedule(call.timeoutMillis, () => {
+        if (exchange.sent && !exchange.answerBegun) this.replace(pool);
+        exchange.giveUp(`no whole answer within ${call.timeoutMillis} ms`);
+      });
+      this.dispatch(pool, call, exchange);
+    });
+  }
+
+  /** Sends a call whose answer goes on; the result ends it. */
+  stream(
+    call: HttpCall,
+    listener: HttpStreamListener,
+  ): (reason: string) => void {
+    const exchange = new HttpExchange({
+      maximumAnswerBytes: Infinity,
+      onData: chunk => listener.onData(chunk),
+      onEnd: result => listener.onEnd(result.reason),
+    });
+    this.dispatch(this.pool, call, exchange);
+    return reason => exchange.giveUp(reason);
+  }
+
+  /** Later calls use new connections; calls under way may still end. */
+  replaceConnections(): void {
+    this.replace(this.pool);
+  }
+
+  /** Destroys all connections; calls under way reject. */
+  close(reason: string): void {
+    if (this.closedReason) return;
+    this.closedReason = reason;
+    void this.pool.destroy(new HttpCallError(reason)).catch(() => {});
+  }
+
+  private replace(pool: Pool): void {
+    if (pool !== this.pool || this.closedReason) return;
+    this.pool = this.openPool();
+    void pool.close().catch(() => {});
+  }
+
+  private openPool(): Pool {
+    return new Pool(`http://${this.options.address}`, {
+      connections: this.options.connections ?? DEFAULT_CONNECTIONS,
+      pipelining: 1,
+      headersTimeout: 0,
+      bodyTimeout: 0,
+      keepAliveTimeout: DEFAULT_IDLE_MILLIS,
+      connect: {
+        timeout:
+          this.options.connectTimeoutMillis ?? DEFAULT_CONNECT_TIMEOUT_MILLIS,
+      },
+    });
+  }
+
+  private dispatch(pool: Pool, call: HttpCall, exchange: HttpExchange): void {
+    if (this.closedReason) {
+      exchange.giveUp(this.closedReason);
+      return;
+    }
+    try {
+      pool.dispatch(
+        {
+          method: call.method as Dispatcher.HttpMethod,
+          path: call.path,
+          headers: call.headers.flat(),
+          body: call.body.length === 0 ? null : call.body,
+        },
+        exchange,
+      );
+    } catch (thrown) {
+      exchange.giveUp(messageOf(thrown));
+    }
+  }
+}
--- /dev/null
+++ b/src/platform/http_exchange.ts
@@ -0,0 +1,135 @@
+import type {Dispatcher} from 'undici';
+
+const NO_BODY_STATUSES = new Set([204, 304]);
+const FIRST_FINAL_STATUS = 200;
+
+export interface HttpAnswer {
+  readonly status: number;
+  readonly headers: ReadonlyArray<readonly [name: string, value: string]>;
+  readonly body: Buffer;
+}
+
+export interface HttpExchangeEnd {
+  /** Undefined when no whole answer came. */
+  readonly answer?: HttpAnswer;
+  readonly reason: string;
+}
+
+export interface HttpExchangeOptions {
+  readonly maximumAnswerBytes: number;
+  readonly findFault?: (headers: HttpAnswer['headers']) => string | undefined;
+  /** Takes the body piece by piece; it is then not kept. */
+  readonly onData?: (chunk: Buffer) => void;
+  /** Called once. */
+  readonly onEnd: (end: HttpExchangeEnd) => void;
+}
+
+type ResponseHeaders = Readonly<Record<string, string | string[] | undefined>>;
+
+/** One call on a connection, from its dispatch to the end of its answer. */
+export class HttpExchange implements Dispatcher.DispatchHandler {
+  private controller?: Dispatcher.DispatchController;
+  private ended = false;
+  private status = 0;
+  private headers: HttpAnswer['headers'] = [];
+  private readonly chunks: Buffer[] = [];
+  private bytes = 0;
+  private started = false;
+
+  constructor(private readonly options: HttpExchangeOptions) {}
+
+  /** A byte of the call may have left. */
+  get sent(): boolean {
+    return this.started;
+  }
+
+  get answerBegun(): boolean {
+    return this.status !== 0;
+  }
+
+  /** Ends the exchange and destroys the connection that carries it. */
+  giveUp(reason: string): void {
+    if (this.ended) return;
+    this.end({reason});
+    this.controller?.abort(new Error(reason));
+  }
+
+  onRequestStart(controller: Dispatcher.DispatchController): void {
+    if (this.ended || this.started) {
+      controller.abort(new Error('the call was given up or sent before'));
+      return;
+    }
+    this.started = true;
+    this.controller = controller;
+  }
+
+  onResponseStart(
+    _controller: Dispatcher.DispatchController,
+    status: number,
+    headers: ResponseHeaders,
+  ): void {
+    if (status < FIRST_FINAL_STATUS) return;
+    this.status = status;
+    this.headers = flatten(headers);
+    const fault = this.options.findFault?.(this.headers);
+    if (fault) this.giveUp(fault);
+  }
+
+  onResponseData(
+    _controller: Dispatcher.DispatchController,
+    chunk: Buffer,
+  ): void {
+    if (this.ended) return;
+    if (this.options.onData) {
+      this.options.onData(chunk);
+      return;
+    }
+    this.bytes += chunk.length;
+    this.chunks.push(chunk);
+    if (this.bytes <= this.options.maximumAnswerBytes) return;
+    this.giveUp(`the answer is over ${this.options.maximumAnswerBytes} bytes`);
+  }
+
+  onResponseEnd(): void {
+    if (!this.isDelimited()) {
+      this.end({reason: 'the answer does not say where it ends'});
+      return;
+    }
+    const {status, headers} = this;
+    const body = Buffer.concat(this.chunks);
+    this.end({reason: 'the answer ended', answer: {status, headers, body}});
+  }
+
+  onResponseError(
+    _controller: Dispatcher.DispatchController,
+    error: Error,
+  ): void {
+    this.end({reason: error.message || error.name});
+  }
+
+  /** Whether a cut connection can't be taken for the end of the answer. */
+  private isDelimited(): boolean {
+    if (NO_BODY_STATUSES.has(this.status)) return true;
+    return this.headers.some(
+      ([name, value]) =>
+        name === 'content-length' ||
+        (name === 'transfer-encoding' && /\bchunked\b/i.test(value)),
+    );
+  }
+
+  private end(end: HttpExchangeEnd): void {
+    if (this.ended) return;
+    this.ended = true;
+    this.options.onEnd(end);
+  }
+}
+
+function flatten(headers: ResponseHeaders): HttpAnswer['headers'] {
+  const pairs: Array<readonly [string, string]> = [];
+  for (const [name, value] of Object.entries(headers)) {
+    if (value === undefined) continue;
+    const values = Array.isArray(value) ? value : [value];
+    for (const each of values) pairs.push([name.toLowerCase(), each]);
+  }
+  return pairs;
+}
--- /dev/null
+++ b/src/platform/http_executor.ts
@@ -0,0 +1,104 @@
+import {messageOf} from '../utilities/base_error.js';
+import type {Clock} from '../utilities/clock.js';
+import {ExecutorFailure} from './executor.js';
+import type {Executor, ExecutorAnswer, ExecutorRequest} from './executor.js';
+import {HttpCallError, HttpConnections} from './http_connections.js';
+import {ExecutorError} from './platform_errors.js';
+
+const DEFAULT_CONNECTIONS = 64;
+const DEFAULT_PROBE_TIMEOUT_MILLIS = 1_000;
+const PROBE_PATH = '/health';
+const REQUEST_ID_HEADER = 'x-request-id';
+/** Headers that concern one connection only, and those set here. */
+const OWN_HEADERS = new Set([
+  'connection',
+  'keep-alive',
+  'transfer-encoding',
+  'content-length',
+  'host',
+  'upgrade',
+  'expect',
+  'te',
+  'trailer',
+  REQUEST_ID_HEADER,
+]);
+
+export interface HttpExecutorOptions {
+  /** HOST:PORT */
+  readonly address: string;
+  readonly clock?: Clock;
+  /** Bound on open connections. */
+  readonly connections?: number;
+  /** Timeout of a probe. */
+  readonly timeoutMillis?: number;
+  readonly silenceMillis?: number;
+}
+
+/**
+ * Reaches an executor over HTTP/1.1. An answer counts only when it is whole and
+ * carries the request's own `x-request-id`.
+ */
+export class HttpExecutor implements Executor {
+  private readonly connections: HttpConnections;
+  private readonly probeTimeoutMillis: number;
+  private probes = 0;
+
+  constructor(options: HttpExecutorOptions) {
+    this.connections = new HttpConnections({
+      ...options,
+      connections: options.connections ?? DEFAULT_CONNECTIONS,
+    });
+    this.probeTimeoutMillis =
+      options.timeoutMillis ?? DEFAULT_PROBE_TIMEOUT_MILLIS;
+  }
+
+  async send(request: ExecutorRequest): Promise<ExecutorAnswer> {
+    const {requestId, method, path, body} = request;
+    const headers = request.headers.filter(
+      ([name]) => !OWN_HEADERS.has(name.toLowerCase()),
+    );
+    try {
+      return await this.connections.call({
+        method,
+        path,
+        headers: [...headers, [REQUEST_ID_HEADER, requestId]],
+        body,
+        timeoutMillis: request.deadlineMillis,
+        findFault: answered => describeCrossing(requestId, answered),
+      });
+    } catch (thrown) {
+      throw toExecutorError(thrown);
+    }
+  }
+
+  async probe(): Promise<void> {
+    const requestId = `probe-${++this.probes}`;
+    await this.send({
+      requestId,
+      method: 'GET',
+      path: PROBE_PATH,
+      headers: [],
+      body: Buffer.alloc(0),
+      deadlineMillis: this.probeTimeoutMillis,
+    });
+  }
+
+  close(reason: string): void {
+    this.connections.close(reason);
+  }
+}
+
+function describeCrossing(
+  requestId: string,
+  headers: ExecutorAnswer['headers'],
+): string | undefined {
+  const pair = headers.find(([name]) => name === REQUEST_ID_HEADER);
+  if (pair?.[1] === requestId) return undefined;
+  return `the answer is to ${pair?.[1] ?? 'an unnamed request'}, not to ${requestId}`;
+}
+
+function toExecutorError(thrown: unknown): InstanceType<typeof ExecutorError> {
+  const sent = !(thrown instanceof HttpCallError) || thrown.sent;
+  const failure = sent ? ExecutorFailure.UNKNOWN : ExecutorFailure.NOT_SENT;
+  return new ExecutorError(messageOf(thrown), {props: {failure}});
+}
--- /dev/null
+++ b/tests/platform/settling_store.test.ts
@@ -0,0 +1,74 @@
+import test from 'ava';
+import {
+  SettledOutcome,
+  SettlingStore,
+} from '../../src/platform/settling_store.js';
+import {Random} from '../../src/utilities/random.js';
+import {VirtualClock} from '../../src/utilities/virtual_clock.js';
+import {MemoryStore} from '../stand_ins/memory_store.js';
+
+function openFixture() {
+  const clock = new VirtualClock();
+  const store = new MemoryStore({clock, latencyMillis: 2});
+  const random = new Random(1);
+  const settling = new SettlingStore({store, clock, random});
+  return {clock, store, settling};
+}
+
+test('should report a write whose reply was lost as written', async t => {
+  const {clock, store, settling} = openFixture();
+  store.faults.loseReplies = 2;
+  const write = settling.swap('a', 0, 'mine');
+  await clock.settleUntil(20_000);
+  t.deepEqual(await write, {outcome: SettledOutcome.WRITTEN, revision: 2});
+  t.is(store.table.revision, 2);
+});
+
+test('should repeat a write that was lost on its way', async t => {
+  const {clock, store, settling} = openFixture();
+  store.faults.loseCalls = 1;
+  const write = settling.swap('a', 0, 'mine');
+  await clock.settleUntil(20_000);
+  t.is((await write).outcome, SettledOutcome.WRITTEN);
+  t.is(store.table.get('a')?.value, 'mine');
+});
+
+test('should report a conflict with what stands at the key', async t => {
+  const {clock, store, settling} = openFixture();
+  store.table.swap('a', 0, 'theirs');
+  const write = settling.swap('a', 0, 'mine');
+  await clock.settleUntil(20_000);
+  const {outcome, current} = await write;
+  t.is(outcome, SettledOutcome.CONFLICT);
+  t.is(current?.value, 'theirs');
+});
+
+test('should not call a write lost that another was made on top of', async t => {
+  const {clock, store, settling} = openFixture();
+  const base = store.table.swap('a', 0, 'base').revision;
+  store.faults.loseReplies = 1;
+  const plain = settling.swap('a', base, 'mine');
+  await clock.settleUntil(1_000);
+  const mine = store.table.get('a');
+  store.table.swap('a', mine!.revision, 'mine, theirs');
+  await clock.settleUntil(20_000);
+  t.is((await plain).outcome, SettledOutcome.UNKNOWN);
+
+  const now = store.table.get('a');
+  store.faults.loseReplies = 1;
+  const descends = settling.swap('a', now!.revision, 'second', {
+    descendsFrom: current => current.value.startsWith('second'),
+  });
+  await clock.settleUntil(21_000);
+  store.table.swap('a', store.table.get('a')!.revision, 'second, theirs');
+  await clock.settleUntil(40_000);
+  t.is((await descends).outcome, SettledOutcome.WRITTEN);
+});
+
+test('should say unknown when the store is down past the deadline', async t => {
+  const {clock, store, settling} = openFixture();
+  store.faults.down = true;
+  const write = settling.swap('a', 0, 'mine', {deadlineMillis: 3_000});
+  await clock.settleUntil(3_000);
+  t.is((await write).outcome, SettledOutcome.UNKNOWN);
+});
--- /dev/null
+++ b/tests/stand_ins/memory_store.ts
@@ -0,0 +1,228 @@
+import {StoreUnavailableError} from '../../src/platform/platform_errors.js';
+import type {
+  Store,
+  StoreChange,
+  StoredValue,
+  StoreLease,
+  StoreList,
+  StoreWatch,
+  StoreWatcher,
+  SwapResult,
+} from '../../src/platform/store.js';
+import type {Clock} from '../../src/utilities/clock.js';
+import {StoreTable} from './store_table.js';
+import type {TableWatcher} from './store_table.js';
+
+const DEFAULT_TIMEOUT_MILLIS = 2_000;
+
+/** What goes wrong with the calls from now on; all may be set at once. */
+export interface MemoryStoreFaults {
+  /** Every call fails and does nothing. */
+  down: boolean;
+  /** Calls take effect and are answered this much later. */
+  delayMillis: number;
+  /** Replies are lost after the call took effect; counts down. */
+  loseReplies: number;
+  /** Calls are lost before they take effect; counts down. */
+  loseCalls: number;
+  /** Watches hear nothing and are not ended. */
+  watchesSilent: boolean;
+}
+
+/** What several MemoryStores, each the view of one process, may share. */
+export interface MemoryStoreOptions {
+  readonly clock: Clock;
+  readonly table?: StoreTable;
+  readonly latencyMillis?: number;
+  readonly timeoutMillis?: number;
+}
+
+/** A store in memory with faults on request, for tests on any clock. */
+export class MemoryStore implements Store {
+  readonly table: StoreTable;
+  readonly faults: MemoryStoreFaults = {
+    down: false,
+    delayMillis: 0,
+    loseReplies: 0,
+    loseCalls: 0,
+    watchesSilent: false,
+  };
+  private readonly clock: Clock;
+  private readonly latencyMillis: number;
+  private readonly timeoutMillis: number;
+  private readonly watches = new Set<MemoryWatch>();
+  private calls = 0;
+
+  constructor(options: MemoryStoreOptions) {
+    this.clock = options.clock;
+    this.table = options.table ?? new StoreTable(options.clock);
+    this.latencyMillis = options.latencyMillis ?? 0;
+    this.timeoutMillis = options.timeoutMillis ?? DEFAULT_TIMEOUT_MILLIS;
+  }
+
+  /** Calls made so far, those that failed included. */
+  callCount(): number {
+    return this.calls;
+  }
+
+  get(key: string): Promise<StoredValue | undefined> {
+    return this.call(() => this.table.get(key));
+  }
+
+  list(
+    prefix: string,
+    options: {afterKey?: string; limit?: number} = {},
+  ): Promise<StoreList> {
+    const {afterKey, limit = Infinity} = options;
+    return this.call(() => {
+      const first = afterKey === undefined ? prefix : `${afterKey}\0`;
+      const all = this.table.range(first, `${prefix}\uffff`);
+      const values = all.slice(0, limit);
+      const more = values.length < all.length;
+      return {values, revision: this.table.revision, more};
+    });
+  }
+
+  compareAndSwap(
+    key: string,
+    expectedRevision: number,
+    value: string,
+    options: {leaseId?: string} = {},
+  ): Promise<SwapResult> {
+    return this.call(() =>
+      this.table.swap(key, expectedRevision, value, options.leaseId),
+    );
+  }
+
+  compareAndDelete(key: string, expectedRevision: number): Promise<SwapResult> {
+    return this.call(() => this.table.remove(key, expectedRevision));
+  }
+
+  async deleteRange(firstKey: string, endKey: string): Promise<void> {
+    await this.call(() => this.table.removeRange(firstKey, endKey));
+  }
+
+  grantLease(ttlMillis: number): Promise<StoreLease> {
+    return this.call(() => ({id: this.table.grantLease(ttlMillis), ttlMillis}));
+  }
+
+  keepLeaseAlive(leaseId: string): Promise<number> {
+    return this.call(() => this.table.keepLeaseAlive(leaseId));
+  }
+
+  async revokeLease(leaseId: string): Promise<void> {
+    await this.call(() => this.table.revokeLease(leaseId));
+  }
+
+  watch(
+    prefix: string,
+    fromRevision: number,
+    watcher: StoreWatcher,
+  ): StoreWatch {
+    this.calls++;
+    const watch = new MemoryWatch(prefix, watcher, this);
+    this.clock.schedule(this.latencyMillis, () => watch.open(fromRevision));
+    this.watches.add(watch);
+    return watch;
+  }
+
+  /** Ends all watches of this view. */
+  cutWatches(reason: string): void {
+    for (const watch of [...this.watches]) watch.end(reason);
+  }
+
+  /** Runs when the watch's delivery is due. */
+  deliver(action: () => void): void {
+    const delay = this.latencyMillis + this.faults.delayMillis;
+    this.clock.schedule(delay, action);
+  }
+
+  forgetWatch(watch: MemoryWatch): void {
+    this.watches.delete(watch);
+    this.table.removeWatcher(watch);
+  }
+
+  close(): void {
+    for (const watch of [...this.watches]) watch.close();
+  }
+
+  /** Half of the latency on the way there, half on the way back. */
+  private async call<Result>(effect: () => Result): Promise<Result> {
+    this.calls++;
+    const startedAt = this.clock.now();
+    const oneWay = (this.latencyMillis + this.faults.delayMillis) / 2;
+    await this.pause(oneWay);
+    if (this.faults.down) throw new StoreUnavailableError('The store is down');
+    if (this.take('loseCalls')) throw await this.timeOut(startedAt);
+    const loseReply = this.take('loseReplies');
+    const result = this.apply(effect);
+    if (loseReply) throw await this.timeOut(startedAt);
+    const late = this.clock.now() + oneWay - startedAt > this.timeoutMillis;
+    if (late) throw await this.timeOut(startedAt);
+    await this.pause(oneWay);
+    return result;
+  }
+
+  private apply<Result>(effect: () => Result): Result {
+    try {
+      return effect();
+    } catch (thrown) {
+      throw new StoreUnavailableError(String(thrown));
+    }
+  }
+
+  private take(fault: 'loseReplies' | 'loseCalls'): boolean {
+    if (this.faults[fault] <= 0) return false;
+    this.faults[fault]--;
+    return true;
+  }
+
+  private async timeOut(startedAt: number): Promise<Error> {
+    const left = startedAt + this.timeoutMillis - this.clock.now();
+    await this.pause(Math.max(0, left));
+    return new StoreUnavailableError(`no answer in ${this.timeoutMillis} ms`);
+  }
+
+  private pause(delayMillis: number): Promise<void> {
+    if (delayMillis <= 0) return Promise.resolve();
+    return new Promise(resolve => this.clock.schedule(delayMillis, resolve));
+  }
+}
+
+class MemoryWatch implements StoreWatch, TableWatcher {
+  private ended = false;
+
+  constructor(
+    readonly prefix: string,
+    private readonly watcher: StoreWatcher,
+    private readonly store: MemoryStore,
+  ) {}
+
+  open(fromRevision: number): void {
+    if (this.ended) return;
+    const {table, faults} = this.store;
+    if (faults.down) return this.end('the store is down');
+    if (fromRevision <= table.compactedRevision) return this.end('compacted');
+    table.addWatcher(this);
+    const missed = table.changesSince(this.prefix, fromRevision);
+    if (missed.length > 0) this.notify(missed, table.revision);
+  }
+
+  notify(changes: readonly StoreChange[], revision: number): void {
+    if (this.store.faults.watchesSilent) return;
+    this.store.deliver(() => {
+      if (!this.ended) this.watcher.onChanges(changes, revision);
+    });
+  }
+
+  end(reason: string): void {
+    if (this.ended) return;
+    this.close();
+    this.watcher.onEnd(reason);
+  }
+
+  close(): void {
+    this.ended = true;
+    this.store.forgetWatch(this);
+  }
+}
--- /dev/null
+++ b/tests/stand_ins/store_table.ts
@@ -0,0 +1,184 @@
+import type {
+  StoreChange,
+  StoredValue,
+  SwapResult,
+} from '../../src/platform/store.js';
+import type {Clock, Timer} from '../../src/utilities/clock.js';
+
+interface Row {
+  value: string;
+  revision: number;
+  leaseId?: string;
+}
+
+interface Lease {
+  readonly ttlMillis: number;
+  readonly keys: Set<string>;
+  expiry: Timer;
+  expiresAt: number;
+}
+
+export interface TableWatcher {
+  readonly prefix: string;
+  notify(changes: readonly StoreChange[], revision: number): void;
+}
+
+/** Keys, leases and changes of a store, without any transport or fault. */
+export class StoreTable {
+  revision = 1;
+  compactedRevision = 0;
+  private readonly rows = new Map<string, Row>();
+  private readonly leases = new Map<string, Lease>();
+  private readonly watchers = new Set<TableWatcher>();
+  private changes: StoreChange[] = [];
+  private leasesGranted = 0;
+
+  constructor(private readonly clock: Clock) {}
+
+  get(key: string): StoredValue | undefined {
+    const row = this.rows.get(key);
+    return row && {key, value: row.value, revision: row.revision};
+  }
+
+  /** Values of the keys from the first (included) to the last (excluded). */
+  range(firstKey: string, endKey: string | undefined): StoredValue[] {
+    const keys = [...this.rows.keys()].filter(
+      key => key >= firstKey && (endKey === undefined || key < endKey),
+    );
+    keys.sort(compareText);
+    return keys.map(key => this.get(key)!);
+  }
+
+  swap(
+    key: string,
+    expectedRevision: number,
+    value: string,
+    leaseId?: string,
+  ): SwapResult {
+    const refusal = this.refuse(key, expectedRevision);
+    if (refusal) return refusal;
+    const lease = leaseId === undefined ? undefined : this.leases.get(leaseId);
+    if (leaseId !== undefined && !lease) {
+      throw new Error('etcdserver: requested lease not found');
+    }
+    this.detach(key);
+    lease?.keys.add(key);
+    this.revision++;
+    this.rows.set(key, {value, revision: this.revision, leaseId});
+    this.publish([{key, value, revision: this.revision}]);
+    return {succeeded: true, revision: this.revision};
+  }
+
+  remove(key: string, expectedRevision: number): SwapResult {
+    const refusal = this.refuse(key, expectedRevision);
+    if (refusal) return refusal;
+    this.removeKeys([key]);
+    return {succeeded: true, revision: this.revision};
+  }
+
+  removeRange(firstKey: string, endKey: string | undefined): number {
+    const values = this.range(firstKey, endKey);
+    this.removeKeys(values.map(value => value.key));
+    return values.length;
+  }
+
+  grantLease(ttlMillis: number): string {
+    const id = String(7_587_000_000_000_000 + ++this.leasesGranted);
+    const expiry = this.scheduleExpiry(id, ttlMillis);
+    const expiresAt = this.clock.now() + ttlMillis;
+    this.leases.set(id, {ttlMillis, keys: new Set(), expiry, expiresAt});
+    return id;
+  }
+
+  /** The time to live that the lease has again; 0 when it has lapsed. */
+  keepLeaseAlive(id: string): number {
+    const lease = this.leases.get(id);
+    if (!lease) return 0;
+    lease.expiry.cancel();
+    lease.expiry = this.scheduleExpiry(id, lease.ttlMillis);
+    lease.expiresAt = this.clock.now() + lease.ttlMillis;
+    return lease.ttlMillis;
+  }
+
+  revokeLease(id: string): boolean {
+    const lease = this.leases.get(id);
+    if (!lease) return false;
+    lease.expiry.cancel();
+    this.leases.delete(id);
+    this.removeKeys([...lease.keys]);
+    return true;
+  }
+
+  lapseAllLeases(): void {
+    for (const id of [...this.leases.keys()]) this.revokeLease(id);
+  }
+
+  /** Forgets the changes so far; older watches can't be resumed. */
+  compact(): void {
+    this.compactedRevision = this.revision;
+    this.changes = [];
+  }
+
+  changesSince(prefix: string, fromRevision: number): StoreChange[] {
+    return this.changes.filter(
+      change =>
+        change.revision >= fromRevision && change.key.startsWith(prefix),
+    );
+  }
+
+  addWatcher(watcher: TableWatcher): void {
+    this.watchers.add(watcher);
+  }
+
+  removeWatcher(watcher: TableWatcher): void {
+    this.watchers.delete(watcher);
+  }
+
+  /** Cancels all timers. */
+  dispose(): void {
+    for (const lease of this.leases.values()) lease.expiry.cancel();
+    this.watchers.clear();
+  }
+
+  private refuse(key: string, expected: number): SwapResult | undefined {
+    const current = this.get(key);
+    if ((current?.revision ?? 0) === expected) return undefined;
+    return {succeeded: false, revision: this.revision, current};
+  }
+
+  private removeKeys(keys: readonly string[]): void {
+    const present = keys.filter(key => this.rows.has(key));
+    if (present.length === 0) return;
+    this.revision++;
+    const {revision} = this;
+    for (const key of present) {
+      this.detach(key);
+      this.rows.delete(key);
+    }
+    this.publish(present.map(key => ({key, revision})));
+  }
+
+  private detach(key: string): void {
+    const leaseId = this.rows.get(key)?.leaseId;
+    if (leaseId !== undefined) this.leases.get(leaseId)?.keys.delete(key);
+  }
+
+  private publish(changes: readonly StoreChange[]): void {
+    this.changes.push(...changes);
+    for (const watcher of [...this.watchers]) {
+      const seen = changes.filter(change =>
+        change.key.startsWith(watcher.prefix),
+      );
+      if (seen.length > 0) watcher.notify(seen, this.revision);
+    }
+  }
+
+  private scheduleExpiry(id: string, ttlMillis: number): Timer {
+    return this.clock.schedule(ttlMillis, () => this.revokeLease(id));
+  }
+}
+
+function compareText(left: string, right: string): number {
+  if (left === right) return 0;
+  return left < right ? -1 : 1;
+}
