--- /dev/null
+++ b/src/decisions/admission/holding_time.ts
@@ -0,0 +1,44 @@
+/** Weight of the newest holding time in the smoothed one. */
+const SMOOTHING = 0.02;
+/** The first requests count by their plain mean until this many were seen. */
+const WARM_UP_REQUESTS = 1 / SMOOTHING;
+/** Running requests this many times older than usual show a stall. */
+const STALL_FACTOR = 4;
+
+/**
+ * How long a request holds a slot. Requests that run on and on count before
+ * they end, so that a stalled executor shows as a slow one.
+ */
+export class HoldingTime {
+  private smoothedMillis = 0;
+  private endedRequests = 0;
+  private startTimeSum = 0;
+  private latestTime = 0;
+
+  /** Takes note of the time; it never goes back. */
+  observe(now: number): void {
+    this.latestTime = Math.max(this.latestTime, now);
+  }
+
+  started(now: number): void {
+    this.observe(now);
+    this.startTimeSum += now;
+  }
+
+  ended(startedAt: number, heldMillis: number): void {
+    this.startTimeSum -= startedAt;
+    this.endedRequests++;
+    const weight =
+      this.endedRequests < WARM_UP_REQUESTS
+        ? 1 / this.endedRequests
+        : SMOOTHING;
+    this.smoothedMillis += weight * (heldMillis - this.smoothedMillis);
+  }
+
+  /** Expected holding time with the number of requests running; 0: unknown. */
+  expectedMillis(running: number): number {
+    if (running === 0) return this.smoothedMillis;
+    const meanAgeMillis = this.latestTime - this.startTimeSum / running;
+    return Math.max(this.smoothedMillis, meanAgeMillis / STALL_FACTOR);
+  }
+}
--- /dev/null
+++ b/src/decisions/admission/slot_queue.ts
@@ -0,0 +1,196 @@
+import {ResultCodes} from '../../observability/result_codes.js';
+import type {ResultCode} from '../../observability/result_codes.js';
+import {DeadlineHeap} from './deadline_heap.js';
+import {HoldingTime} from './holding_time.js';
+
+/** The time after which a caller of a stopping upstream may come back. */
+const DRAINING_RETRY_AFTER_MILLIS = 100;
+const LEAST_RETRY_AFTER_MILLIS = 5;
+
+export interface SlotItem<T> {
+  readonly id: string;
+  /** Time on the caller's clock after which the answer is of no use. */
+  readonly deadlineAt: number;
+  readonly value: T;
+}
+
+export type SlotDecision =
+  | {readonly kind: 'run'}
+  | {readonly kind: 'queued'}
+  | {
+      readonly kind: 'refused';
+      readonly code: ResultCode;
+      readonly retryAfterMillis: number;
+    };
+
+export interface SlotCapacity {
+  /** Requests that the executor runs at a time. */
+  readonly slots: number;
+  /** Requests that may be running or queued at a time. */
+  readonly connections: number;
+}
+
+/** What follows from a slot that became free. */
+export interface SlotRelease<T> {
+  /** To be run now, in this order. */
+  readonly run: Array<SlotItem<T>>;
+  /** Their deadline passed in the queue: not run. */
+  readonly expired: Array<SlotItem<T>>;
+}
+
+/**
+ * The queue of one executor: first come, first served, with deadlines. It
+ * refuses at once what it doesn't expect to run in time.
+ */
+export class SlotQueue<T> {
+  private slots: number;
+  private connections: number;
+  private stopping = false;
+  /** Start time by request id. */
+  private readonly running = new Map<string, number>();
+  /** In order of arrival. */
+  private readonly waiting = new Map<string, SlotItem<T>>();
+  private readonly deadlines = new DeadlineHeap();
+  private readonly holdingTime = new HoldingTime();
+
+  constructor({slots, connections}: SlotCapacity) {
+    this.slots = slots;
+    this.connections = connections;
+  }
+
+  /** Decides on a new request; `run` and `queued` are counted at once. */
+  offer(item: SlotItem<T>, now: number): SlotDecision {
+    this.holdingTime.observe(now);
+    if (this.stopping) {
+      return refused(
+        ResultCodes.UPSTREAM_DRAINING,
+        DRAINING_RETRY_AFTER_MILLIS,
+      );
+    }
+    if (item.deadlineAt <= now) {
+      return refused(ResultCodes.DEADLINE_PASSED, LEAST_RETRY_AFTER_MILLIS);
+    }
+    if (this.hasFreeSlot()) {
+      this.start(item.id, now);
+      return {kind: 'run'};
+    }
+    if (!this.isInTime(item, now)) {
+      return refused(ResultCodes.QUEUE_FULL, this.retryAfterMillis());
+    }
+    this.waiting.set(item.id, item);
+    this.deadlines.add(item.id, item.deadlineAt);
+    return {kind: 'queued'};
+  }
+
+  /**
+   * Ends a running request that held its slot for the duration in
+   * milliseconds. An id that doesn't run frees no slot.
+   */
+  release(id: string, heldMillis: number, now: number): SlotRelease<T> {
+    const startedAt = this.running.get(id);
+    if (startedAt !== undefined) {
+      this.running.delete(id);
+      this.holdingTime.ended(startedAt, heldMillis);
+    }
+    this.holdingTime.observe(now);
+    const expired = this.expire(now);
+    return {run: this.startWaiting(now), expired};
+  }
+
+  /** Removes the queued requests whose deadline passed: not run. */
+  expire(now: number): Array<SlotItem<T>> {
+    const expired: Array<SlotItem<T>> = [];
+    for (;;) {
+      const due = this.deadlines.removeDue(now);
+      if (due === undefined) return expired;
+      const item = this.waiting.get(due);
+      if (!item) continue;
+      this.waiting.delete(due);
+      expired.push(item);
+    }
+  }
+
+  /** Forgets a queued request whose caller is gone; false when not queued. */
+  remove(id: string): boolean {
+    if (!this.waiting.delete(id)) return false;
+    this.deadlines.remove(id);
+    return true;
+  }
+
+  /** Requests above a smaller capacity run on; fewer are taken. */
+  setCapacity({slots, connections}: SlotCapacity): void {
+    this.slots = slots;
+    this.connections = connections;
+  }
+
+  /** Refuses new requests; those already taken still run. */
+  drain(): void {
+    this.stopping = true;
+  }
+
+  /** When `expire` next has something to remove. */
+  nextDeadline(): number | undefined {
+    return this.deadlines.nextDeadline();
+  }
+
+  get inFlight(): number {
+    return this.running.size;
+  }
+
+  get queued(): number {
+    return this.waiting.size;
+  }
+
+  get draining(): boolean {
+    return this.stopping;
+  }
+
+  /** Smoothed time that a request holds a slot; 0 while unknown. */
+  get serviceMillis(): number {
+    return this.holdingTime.expectedMillis(this.running.size);
+  }
+
+  /** Expected time until a request that arrives now gets a slot. */
+  expectedWaitMillis(): number {
+    if (this.hasFreeSlot()) return 0;
+    if (this.slots === 0) return Infinity;
+    const ahead = this.running.size + this.waiting.size - this.slots + 1;
+    return (ahead * this.serviceMillis) / this.slots;
+  }
+
+  private hasFreeSlot(): boolean {
+    return this.waiting.size === 0 && this.running.size < this.slots;
+  }
+
+  private isInTime(item: SlotItem<T>, now: number): boolean {
+    const taken = this.running.size + this.waiting.size;
+    if (taken >= this.connections) return false;
+    return now + this.expectedWaitMillis() <= item.deadlineAt;
+  }
+
+  private retryAfterMillis(): number {
+    const wait = this.expectedWaitMillis();
+    if (!Number.isFinite(wait)) return DRAINING_RETRY_AFTER_MILLIS;
+    return Math.max(LEAST_RETRY_AFTER_MILLIS, Math.ceil(wait / 2));
+  }
+
+  private start(id: string, now: number): void {
+    this.running.set(id, now);
+    this.holdingTime.started(now);
+  }
+
+  private startWaiting(now: number): Array<SlotItem<T>> {
+    const run: Array<SlotItem<T>> = [];
+    for (const item of this.waiting.values()) {
+      if (this.running.size >= this.slots) break;
+      this.remove(item.id);
+      this.start(item.id, now);
+      run.push(item);
+    }
+    return run;
+  }
+}
+
+function refused(code: ResultCode, retryAfterMillis: number): SlotDecision {
+  return {kind: 'refused', code, retryAfterMillis};
+}
--- /dev/null
+++ b/src/decisions/routing/service_router.ts
@@ -0,0 +1,266 @@
+import {ResultCodes} from '../../observability/result_codes.js';
+import type {ResultCode} from '../../observability/result_codes.js';
+import type {Random} from '../../utilities/random.js';
+import {LeastExpectedTimePolicy} from './least_expected_time_policy.js';
+import {expectedWaitMillis} from './routing_policy.js';
+import type {RoutingPolicy} from './routing_policy.js';
+import {ServiceUpstreams} from './service_upstreams.js';
+import type {UpstreamReport} from './upstream_report.js';
+import {UpstreamState} from './upstream_state.js';
+
+const DEFAULT_RETRY_BUDGET_SHARE = 0.1;
+const DEFAULT_MAXIMUM_EJECTED_SHARE = 0.3;
+const DEFAULT_CROSSING_MILLIS = 3;
+/** Round trip within a failure domain. */
+const LOCAL_ROUND_TRIP_MILLIS = 0.5;
+const NO_UPSTREAM_RETRY_AFTER_MILLIS = 500;
+const LEAST_RETRY_AFTER_MILLIS = 5;
+const REMOVALS_KEPT = 20;
+/** Hedges start no sooner than this. */
+const LEAST_HEDGE_DELAY_MILLIS = 2;
+
+export interface ServiceRouterOptions {
+  readonly ownFailureDomain: string;
+  readonly random: Random;
+  readonly policy?: RoutingPolicy;
+  /** Extra requests as a share of first ones. */
+  readonly retryBudgetShare?: number;
+  /** Share of a service's upstreams that may be out for their health. */
+  readonly maximumEjectedShare?: number;
+  /** Round trip to another failure domain, in milliseconds. */
+  readonly crossingMillis?: number;
+}
+
+export interface RouterLimits {
+  readonly retryBudgetShare: number;
+  readonly maximumEjectedShare: number;
+}
+
+export interface RouteRequest {
+  readonly service: string;
+  /** Time left until the caller's deadline. */
+  readonly deadlineMillis: number;
+  /** Agents that this request was already sent to. */
+  readonly excluded?: ReadonlySet<string>;
+}
+
+export const RouteReason = {
+  /** It should answer first. */
+  LEAST_EXPECTED_TIME: 'leastExpectedTime',
+  /** It was out and is tried again. */
+  PROBE: 'probe',
+} as const;
+export type RouteReason = (typeof RouteReason)[keyof typeof RouteReason];
+
+export type RouteChoice =
+  | {
+      readonly kind: 'chosen';
+      readonly agentId: string;
+      readonly reason: RouteReason;
+    }
+  | {
+      readonly kind: 'none';
+      readonly code: ResultCode;
+      readonly retryAfterMillis: number;
+    };
+
+export interface RouteEnd {
+  readonly outcome: 'answered' | 'notRun' | 'unknown';
+  /** Time from the choice to the answer. */
+  readonly answerMillis: number;
+}
+
+/** An upstream that is no longer known, for the dump. */
+interface Removal {
+  readonly agentId: string;
+  readonly service: string;
+  readonly reason: string;
+  readonly removedAt: number;
+}
+
+/** Chooses upstreams for the service requests of one entry. */
+export class ServiceRouter {
+  private readonly ownFailureDomain: string;
+  private readonly random: Random;
+  private readonly policy: RoutingPolicy;
+  private readonly crossingMillis: number;
+  private retryBudgetShare: number;
+  private maximumEjectedShare: number;
+  private avoidedDomains: ReadonlySet<string> = new Set();
+  private readonly byService = new Map<string, ServiceUpstreams>();
+  private readonly removals: Removal[] = [];
+
+  constructor({
+    ownFailureDomain,
+    random,
+    crossingMillis = DEFAULT_CROSSING_MILLIS,
+    policy = new LeastExpectedTimePolicy({crossingMillis}),
+    retryBudgetShare = DEFAULT_RETRY_BUDGET_SHARE,
+    maximumEjectedShare = DEFAULT_MAXIMUM_EJECTED_SHARE,
+  }: ServiceRouterOptions) {
+    this.ownFailureDomain = ownFailureDomain;
+    this.random = random;
+    this.policy = policy;
+    this.crossingMillis = crossingMillis;
+    this.retryBudgetShare = retryBudgetShare;
+    this.maximumEjectedShare = maximumEjectedShare;
+  }
+
+  /** Takes in a report; the first one makes the upstream known. */
+  applyReport(report: UpstreamReport, now: number): void {
+    const service = this.serviceFor(report.service, now);
+    const known = service.upstreams.get(report.agentId);
+    if (known && known.failureDomain === report.failureDomain) {
+      known.applyReport(report, now);
+      return;
+    }
+    const isLocal = report.failureDomain === this.ownFailureDomain;
+    const roundTripMillis = isLocal
+      ? LOCAL_ROUND_TRIP_MILLIS
+      : this.crossingMillis;
+    const upstream = new UpstreamState(report, isLocal, roundTripMillis);
+    upstream.isAvoided = this.avoidedDomains.has(report.failureDomain);
+    service.add(upstream, now);
+  }
+
+  /** Forgets an agent in all services; the dump shows the reason. */
+  removeUpstream(agentId: string, reason: string, now: number): void {
+    for (const [name, service] of this.byService) {
+      if (!service.upstreams.delete(agentId)) continue;
+      if (service.upstreams.size === 0) this.byService.delete(name);
+      this.removals.push({agentId, service: name, reason, removedAt: now});
+    }
+    this.removals.splice(0, this.removals.length - REMOVALS_KEPT);
+  }
+
+  /** Upstreams in these domains are used only when others are worse off. */
+  setAvoidedDomains(domains: ReadonlySet<string>): void {
+    this.avoidedDomains = new Set(domains);
+    for (const service of this.byService.values()) {
+      for (const upstream of service.upstreams.values()) {
+        upstream.isAvoided = domains.has(upstream.failureDomain);
+      }
+    }
+  }
+
+  setLimits({retryBudgetShare, maximumEjectedShare}: RouterLimits): void {
+    this.retryBudgetShare = retryBudgetShare;
+    this.maximumEjectedShare = maximumEjectedShare;
+    for (const service of this.byService.values()) {
+      service.retryBudget.setShare(retryBudgetShare);
+    }
+  }
+
+  /** Chooses an upstream and counts the request as in flight there. */
+  choose(request: RouteRequest, now: number): RouteChoice {
+    const service = this.byService.get(request.service);
+    if (!service) return noUpstream();
+    if (!request.excluded?.size) service.retryBudget.earn(now);
+    const {usable, probe} = service.candidates(
+      request.excluded,
+      this.maximumEjectedShare,
+      this.random,
+      now,
+    );
+    if (probe) {
+      probe.sent(now);
+      return chosen(probe, RouteReason.PROBE);
+    }
+    if (usable.length === 0) return noUpstream();
+    const best = this.policy.choose(usable, this.random, now) as UpstreamState;
+    const waitMillis = expectedWaitMillis(best);
+    if (waitMillis > request.deadlineMillis) return queueFull(waitMillis);
+    best.sent(now);
+    return chosen(best, RouteReason.LEAST_EXPECTED_TIME);
+  }
+
+  /** Takes in how a chosen request ended; once for each choice. */
+  ended(
+    agentId: string,
+    serviceName: string,
+    {outcome, answerMillis}: RouteEnd,
+    now: number,
+  ): void {
+    const service = this.byService.get(serviceName);
+    const upstream = service?.upstreams.get(agentId);
+    if (!service || !upstream) return;
+    if (outcome === 'unknown') {
+      upstream.failed(now);
+      return;
+    }
+    const succeeded = outcome === 'answered';
+    upstream.answered(answerMillis, succeeded, now);
+    if (succeeded) service.answerTimes.add(answerMillis);
+  }
+
+  /** Spends the service's budget of extra requests on a retry. */
+  mayRetry(serviceName: string, now: number): boolean {
+    return this.byService.get(serviceName)?.retryBudget.spend(now) ?? false;
+  }
+
+  /** How long to wait for an answer before a hedge; undefined: not at all. */
+  hedgeDelayMillis(serviceName: string, now: number): number | undefined {
+    const service = this.byService.get(serviceName);
+    if (!service || service.upstreams.size < 2) return undefined;
+    if (!service.hasSpareSlot(now)) return undefined;
+    const quantile = service.answerTimes.value();
+    if (quantile === undefined) return undefined;
+    return Math.max(LEAST_HEDGE_DELAY_MILLIS, quantile);
+  }
+
+  /** Spends the budget on a hedge, only while slots are free. */
+  mayHedge(serviceName: string, now: number): boolean {
+    const service = this.byService.get(serviceName);
+    if (!service?.hasSpareSlot(now)) return false;
+    return service.retryBudget.spend(now);
+  }
+
+  services(): string[] {
+    return [...this.byService.keys()];
+  }
+
+  /** What is known of each upstream, by service, for people to read. */
+  dump(now: number): Record<string, unknown> {
+    const services: Record<string, unknown> = {};
+    for (const [name, service] of this.byService) {
+      const upstreams = [...service.upstreams.values()];
+      services[name] = upstreams.map(upstream => upstream.dump(now));
+    }
+    return {
+      policy: this.policy.name,
+      services,
+      removals: [...this.removals],
+      avoidedDomains: [...this.avoidedDomains],
+    };
+  }
+
+  private serviceFor(name: string, now: number): ServiceUpstreams {
+    let service = this.byService.get(name);
+    if (!service) {
+      service = new ServiceUpstreams(this.retryBudgetShare, now);
+      this.byService.set(name, service);
+    }
+    return service;
+  }
+}
+
+function chosen(upstream: UpstreamState, reason: RouteReason): RouteChoice {
+  return {kind: 'chosen', agentId: upstream.agentId, reason};
+}
+
+function noUpstream(): RouteChoice {
+  return {
+    kind: 'none',
+    code: ResultCodes.NO_UPSTREAM,
+    retryAfterMillis: NO_UPSTREAM_RETRY_AFTER_MILLIS,
+  };
+}
+
+function queueFull(waitMillis: number): RouteChoice {
+  const half = Math.ceil(waitMillis / 2);
+  return {
+    kind: 'none',
+    code: ResultCodes.QUEUE_FULL,
+    retryAfterMillis: Math.max(LEAST_RETRY_AFTER_MILLIS, half),
+  };
+}
--- /dev/null
+++ b/tests/routing/service_router.test.ts
@@ -0,0 +1,174 @@
+import test from 'ava';
+import {ServiceRouter} from '../../src/decisions/routing/service_router.js';
+import type {ServiceRouterOptions} from '../../src/decisions/routing/service_router.js';
+import type {UpstreamReport} from '../../src/decisions/routing/upstream_report.js';
+import {Random} from '../../src/utilities/random.js';
+
+const DEADLINE_MILLIS = 1000;
+
+function report(
+  agentId: string,
+  change: Partial<UpstreamReport> = {},
+): UpstreamReport {
+  return {
+    agentId,
+    service: 'orders',
+    failureDomain: 'Gabes',
+    slots: 8,
+    inFlight: 0,
+    queued: 0,
+    serviceMillis: 20,
+    tailMillis: 0,
+    draining: false,
+    unavailable: false,
+    ...change,
+  };
+}
+
+function routerOf(
+  reports: UpstreamReport[],
+  options: Partial<ServiceRouterOptions> = {},
+): ServiceRouter {
+  const router = new ServiceRouter({
+    ownFailureDomain: 'Gabes',
+    random: new Random(1),
+    ...options,
+  });
+  for (const each of reports) router.applyReport(each, 0);
+  return router;
+}
+
+function choose(router: ServiceRouter, now = 0, excluded?: Set<string>) {
+  const request = {
+    service: 'orders',
+    deadlineMillis: DEADLINE_MILLIS,
+    excluded,
+  };
+  const choice = router.choose(request, now);
+  return choice.kind === 'chosen' ? choice.agentId : choice.code.name;
+}
+
+/** How often each upstream is chosen, with every request answered. */
+function countChoices(router: ServiceRouter, requests: number, now: number) {
+  const counts = new Map<string, number>();
+  for (let request = 0; request < requests; request++) {
+    const agentId = choose(router, now);
+    counts.set(agentId, (counts.get(agentId) ?? 0) + 1);
+    const end = {outcome: 'answered', answerMillis: 20} as const;
+    router.ended(agentId, 'orders', end, now);
+  }
+  return counts;
+}
+
+function failTimes(
+  router: ServiceRouter,
+  agentId: string,
+  times: number,
+  now: number,
+): void {
+  for (let time = 0; time < times; time++) {
+    const end = {outcome: 'unknown', answerMillis: 1000} as const;
+    router.ended(agentId, 'orders', end, now);
+  }
+}
+
+test('should prefer the own failure domain until crossing is faster', t => {
+  const router = routerOf([
+    report('near'),
+    report('far', {failureDomain: 'Mahres'}),
+  ]);
+  t.is(choose(router), 'near');
+  router.applyReport(report('near', {inFlight: 8, queued: 8}), 0);
+  t.is(choose(router), 'far');
+});
+
+test('should choose a busy fast upstream over an idle slow one', t => {
+  const router = routerOf([
+    report('slow', {serviceMillis: 80}),
+    report('fast', {inFlight: 8, queued: 2}),
+  ]);
+  t.is(choose(router), 'fast');
+});
+
+test('should give no new work to a draining upstream at once', t => {
+  const router = routerOf([report('a'), report('b', {inFlight: 8, queued: 9})]);
+  router.applyReport(report('a', {draining: true}), 10);
+  t.is(choose(router, 10), 'b');
+  router.applyReport(report('b', {draining: true}), 10);
+  t.is(choose(router, 10), 'NO_UPSTREAM');
+});
+
+test('should send a retry to an agent that was not tried', t => {
+  const router = routerOf([report('a'), report('b', {inFlight: 8, queued: 9})]);
+  t.is(choose(router, 0, new Set(['a'])), 'b');
+  t.is(choose(router, 0, new Set(['a', 'b'])), 'NO_UPSTREAM');
+});
+
+test('should eject a failing upstream and bring it back by a probe', t => {
+  const router = routerOf(['a', 'b', 'c', 'd'].map(id => report(id)));
+  failTimes(router, 'a', 3, 10);
+  t.is(countChoices(router, 100, 20).get('a'), undefined);
+  t.is(choose(router, 1500), 'a');
+  t.not(choose(router, 1500), 'a');
+  const end = {outcome: 'answered', answerMillis: 20} as const;
+  router.ended('a', 'orders', end, 1520);
+  const early = countChoices(router, 400, 1550).get('a') ?? 0;
+  const late = countChoices(router, 400, 9000).get('a') ?? 0;
+  t.true(early < late, `${early} early, ${late} late`);
+  t.true(late > 50);
+});
+
+test('should keep the floor of upstreams in use when all of them fail', t => {
+  const router = routerOf(['a', 'b', 'c', 'd'].map(id => report(id)));
+  for (const id of ['a', 'b', 'c']) failTimes(router, id, 3, 10);
+  const chosen = [1, 2, 3, 4].map(() => choose(router, 20));
+  t.deepEqual(chosen.sort(), ['a', 'b', 'c', 'd']);
+});
+
+test('should leave out an upstream that stays silent on open requests', t => {
+  const router = routerOf(['a', 'b', 'c', 'd'].map(id => report(id)));
+  t.is(new Set([1, 2, 3, 4].map(() => choose(router))).size, 4);
+  for (const id of ['b', 'c', 'd']) router.applyReport(report(id), 500);
+  t.is(countChoices(router, 100, 600).get('a'), undefined);
+  router.applyReport(report('a'), 700);
+  t.true((countChoices(router, 100, 700).get('a') ?? 0) > 0);
+});
+
+test('should use an avoided domain only when nothing else is left', t => {
+  const router = routerOf([
+    report('near'),
+    report('far', {failureDomain: 'Mahres'}),
+  ]);
+  router.setAvoidedDomains(new Set(['Gabes']));
+  t.is(choose(router), 'far');
+  router.removeUpstream('far', 'VM lost', 0);
+  t.is(choose(router), 'near');
+});
+
+test('should refuse at once when every queue is past the deadline', t => {
+  const router = routerOf([report('a', {inFlight: 8, queued: 500})]);
+  t.is(choose(router), 'QUEUE_FULL');
+});
+
+test('should hold retries and hedges together to a share of requests', t => {
+  const router = routerOf([report('a'), report('b')], {retryBudgetShare: 0.1});
+  let extra = 0;
+  for (let request = 0; request < 1000; request++) {
+    choose(router);
+    if (router.mayRetry('orders', 0)) extra++;
+    if (router.mayHedge('orders', 0)) extra++;
+  }
+  t.true(extra >= 100 && extra <= 111, `${extra} extra requests`);
+});
+
+test('should hedge past the usual answer time while slots are free', t => {
+  const router = routerOf([report('a'), report('b')]);
+  t.is(router.hedgeDelayMillis('orders', 0), undefined);
+  countChoices(router, 50, 0);
+  t.is(router.hedgeDelayMillis('orders', 0)! > 1, true);
+  for (const id of ['a', 'b']) {
+    router.applyReport(report(id, {inFlight: 8, queued: 1}), 0);
+  }
+  t.is(router.hedgeDelayMillis('orders', 0), undefined);
+  t.false(router.mayHedge('orders', 0));
+});
