--- a/src/platform/budgeted_store.ts
+++ b/src/platform/budgeted_store.ts
@@ -107,6 +107,10 @@
     return this.admit(StoreCallKind.READ, () => this.store.get(key));
   }
 
+  newest(prefix: string): Promise<StoredValue | undefined> {
+    return this.admit(StoreCallKind.READ, () => this.store.newest(prefix));
+  }
+
   list(
     prefix: string,
     options?: {afterKey?: string; limit?: number},
--- a/src/platform/http_store.ts
+++ b/src/platform/http_store.ts
@@ -66,6 +66,18 @@
     return first && toStoredValue(first);
   }
 
+  async newest(prefix: string): Promise<StoredValue | undefined> {
+    const reply = await this.read({
+      key: encodeText(prefix),
+      range_end: encodeText(endOfPrefix(prefix)),
+      limit: '1',
+      sort_order: 'DESCEND',
+      sort_target: 'MOD',
+    });
+    const first = reply.kvs?.[0];
+    return first && toStoredValue(first);
+  }
+
   async list(
     prefix: string,
     options: {afterKey?: string; limit?: number} = {},
--- a/src/platform/store.ts
+++ b/src/platform/store.ts
@@ -60,6 +60,8 @@
     prefix: string,
     options?: {afterKey?: string; limit?: number},
   ): Promise<StoreList>;
+  /** The value under the prefix that was written last, if there is any. */
+  newest(prefix: string): Promise<StoredValue | undefined>;
   /** Writes if the key's revision is the expected one. */
   compareAndSwap(
     key: string,
--- /dev/null
+++ b/src/protocol/message_checks.ts
@@ -0,0 +1,105 @@
+/**
+ * Checks of received messages at the edge, so that handlers can rely on them.
+ * Each throws an InvalidMessageError that names the field.
+ */
+import type {
+  AttemptName,
+  ExchangePeersRequest,
+  ForwardCallRequest,
+  HeartbeatRequest,
+  QueryAttemptsRequest,
+  ReportAttemptsRequest,
+  ServeRequest,
+  StartAttemptsRequest,
+  StopAttemptsRequest,
+} from './generated/burdockmoor.js';
+import {InvalidMessageError} from './invalid_message_error.js';
+
+const MAXIMUM_NAME_LENGTH = 200;
+const MAXIMUM_ITEMS = 10_000;
+const CONTROL_CHARACTERS = /\p{Cc}/u;
+
+export function checkHeartbeat(request: HeartbeatRequest): void {
+  requireName('agent_id', request.agentId);
+  requireName('incarnation', request.incarnation);
+  requireName('failure_domain', request.failureDomain);
+  requireName('address', request.address);
+  requirePresent('capacity', request.capacity);
+  requirePresent('committed', request.committed);
+  requireCount('executors', request.executors);
+  requireCount('interference', request.interference);
+  for (const executor of request.executors) {
+    requireName('executors.service', executor.service);
+  }
+}
+
+export function checkReportAttempts(request: ReportAttemptsRequest): void {
+  requireName('agent_id', request.agentId);
+  requireName('incarnation', request.incarnation);
+  requireCount('reports', request.reports);
+  for (const report of request.reports) requireAttempt(report.name);
+}
+
+export function checkForwardCall(request: ForwardCallRequest): void {
+  requireName('method', request.method);
+  if (!request.path.startsWith('/')) reject('path', 'does not begin with /');
+}
+
+export function checkExchangePeers(request: ExchangePeersRequest): void {
+  requireName('entry_id', request.entryId);
+}
+
+export function checkServe(request: ServeRequest): void {
+  requireName('request_id', request.requestId);
+  requireName('service', request.service);
+  requireName('method', request.method);
+  if (!request.path.startsWith('/')) reject('path', 'does not begin with /');
+}
+
+export function checkStartAttempts(request: StartAttemptsRequest): void {
+  requireName('incarnation', request.incarnation);
+  requireCount('starts', request.starts);
+  for (const start of request.starts) {
+    requireAttempt(start.name);
+    requirePresent('starts.size', start.size);
+  }
+}
+
+export function checkStopAttempts(request: StopAttemptsRequest): void {
+  requireCount('stops', request.stops);
+  for (const stop of request.stops) requireAttempt(stop.name);
+}
+
+export function checkQueryAttempts(request: QueryAttemptsRequest): void {
+  requireCount('names', request.names);
+  for (const name of request.names) requireAttempt(name);
+}
+
+function requireAttempt(name: AttemptName | undefined): void {
+  if (!name) return reject('name', 'is missing');
+  requireName('name.team', name.team);
+  requireName('name.job', name.job);
+  if (name.attempt < 1) reject('name.attempt', 'is below 1');
+}
+
+function requireName(field: string, value: string): void {
+  if (value === '') reject(field, 'is empty');
+  if (value.length > MAXIMUM_NAME_LENGTH) {
+    reject(field, `is longer than ${MAXIMUM_NAME_LENGTH}`);
+  }
+  if (CONTROL_CHARACTERS.test(value)) reject(field, 'has control characters');
+}
+
+function requirePresent(field: string, value: unknown): void {
+  if (value === undefined) reject(field, 'is missing');
+}
+
+function requireCount(field: string, items: readonly unknown[]): void {
+  if (items.length > MAXIMUM_ITEMS) {
+    reject(field, `has more than ${MAXIMUM_ITEMS} items`);
+  }
+}
+
+function reject(field: string, fault: string): void {
+  throw new InvalidMessageError(`Field ${field} ${fault}.`);
+}
