--- a/import_rules.js
+++ b/import_rules.js
@@ -47,7 +47,7 @@
       'decisions',
       'platform',
     ],
-    packages: ['most', 'node:crypto', 'node:http', 'node:https', 'node:fs'],
+    packages: ['most', 'node:crypto', 'node:http', 'node:https', 'node:net', 'node:fs'],
   },
   daemon: {
     folders: [
--- /dev/null
+++ b/src/daemon/agent_role.ts
@@ -0,0 +1,109 @@
+import {randomInt, randomUUID} from 'node:crypto';
+import {createServer} from 'node:http';
+import type {Server} from 'node:http';
+import {AgentProcess} from '../agent/agent_process.js';
+import {ConsoleLogger} from '../observability/console_logger.js';
+import {Events} from '../observability/events.js';
+import type {Logger} from '../observability/logger.js';
+import {HttpExecutor} from '../platform/http_executor.js';
+import {HttpWorker} from '../platform/http_worker.js';
+import type {Executor} from '../platform/executor.js';
+import type {Worker} from '../platform/worker.js';
+import {GrpcLinkFactory} from '../protocol/grpc_links.js';
+import {GrpcServer} from '../protocol/grpc_server.js';
+import {readAgentSettings} from '../settings/process_settings.js';
+import type {AgentProcessSettings} from '../settings/process_settings.js';
+import {SettingsView} from '../settings/settings_view.js';
+import {SystemClock} from '../utilities/clock.js';
+import {Random} from '../utilities/random.js';
+import {logUncaught, stopOnSignals} from './process_runner.js';
+import type {RunningRole} from './process_runner.js';
+import {hostOf} from './host_of.js';
+import {readOrExit} from './settings_exit.js';
+
+const RANDOM_SEED_BOUND = 2 ** 31;
+
+/** An agent with its servers, wired from its settings. */
+class AgentRole implements RunningRole {
+  private readonly agent: AgentProcess;
+  private readonly worker: Worker;
+  private readonly executor: Executor | undefined;
+  private readonly processServer: GrpcServer;
+  private readonly stateServer: Server;
+
+  constructor(
+    private readonly settings: AgentProcessSettings,
+    private readonly logger: Logger,
+  ) {
+    const {process: identity, listen, advertise, executor, tls} = settings;
+    this.worker = new HttpWorker({
+      address: hostOf(settings.worker.address),
+    });
+    this.executor =
+      executor &&
+      new HttpExecutor({
+        address: hostOf(executor.address),
+        connections: executor.connections,
+      });
+    this.agent = new AgentProcess({
+      agentId: identity.id,
+      incarnation: randomUUID(),
+      failureDomain: identity.failureDomain,
+      region: identity.region,
+      rack: identity.rack,
+      address:
+        advertise.processes ??
+        `${listen.processes.host}:${listen.processes.port}`,
+      entryAddresses: settings.entries.addresses,
+      executorConfiguration: executor,
+      executor: this.executor,
+      worker: this.worker,
+      links: new GrpcLinkFactory({security: tls}),
+      settings: new SettingsView(),
+      clock: new SystemClock(),
+      random: new Random(randomInt(RANDOM_SEED_BOUND)),
+      logger,
+    });
+    this.processServer = new GrpcServer(
+      {
+        onFault: reason => logger.event(Events.UNEXPECTED_FAULT, {reason}),
+      },
+      {security: tls},
+    );
+    this.stateServer = createServer((_request, response) => {
+      void this.agent.dumpState().then(reply => {
+        response.setHeader('content-type', 'application/json');
+        response.end(reply.json);
+      });
+    });
+  }
+
+  async start(): Promise<void> {
+    const {processes, state} = this.settings.listen;
+    this.processServer.serveAgent(this.agent);
+    await this.processServer.listen(`${processes.host}:${processes.port}`);
+    if (state) this.stateServer.listen(state.port, state.host);
+    this.agent.start();
+  }
+
+  async stop(reason: string): Promise<void> {
+    await this.agent.stop(reason);
+    await this.processServer.close();
+    this.stateServer.close();
+    this.executor?.close(reason);
+    this.worker.close(reason);
+  }
+}
+
+/** Runs an agent until a signal stops it. */
+export async function runAgent(file: string): Promise<void> {
+  const settings = readOrExit(() => readAgentSettings(file));
+  const logger = new ConsoleLogger({
+    processId: settings.process.id,
+    ...settings.logs,
+  });
+  logUncaught(logger);
+  const role = new AgentRole(settings, logger);
+  stopOnSignals(role, logger);
+  await role.start();
+}
--- /dev/null
+++ b/src/daemon/burdockmoord.ts
@@ -0,0 +1,59 @@
+#!/usr/bin/env node
+/** The daemon: runs one role from one settings file until it is told to stop. */
+import {defineCommand, runMain} from 'citty';
+import {runAgent} from './agent_role.js';
+import {checkSettingsFile} from './check_settings.js';
+import {runEntry} from './entry_role.js';
+
+const settingsArgument = {
+  type: 'string',
+  description: 'The INI file of this process, such as entry.ini',
+  required: true,
+} as const;
+
+const entry = defineCommand({
+  meta: {
+    name: 'entry',
+    description: 'Serve callers and operators, and own shards of jobs',
+  },
+  args: {settings: settingsArgument},
+  run: ({args}) => runEntry(args.settings),
+});
+
+const agent = defineCommand({
+  meta: {
+    name: 'agent',
+    description: 'Run what entries start on the VM beside which this runs',
+  },
+  args: {settings: settingsArgument},
+  run: ({args}) => runAgent(args.settings),
+});
+
+const check = defineCommand({
+  meta: {
+    name: 'check-settings',
+    description: 'Check a settings file of an entry or an agent, and end',
+  },
+  args: {
+    file: {type: 'positional', description: 'The INI file', required: true},
+  },
+  run: ({args}) => checkSettingsFile(args.file),
+});
+
+/** `--check-settings FILE` is the same as the command `check-settings FILE`. */
+function withoutFlagSpelling(words: readonly string[]): string[] {
+  return words.map(word =>
+    word === '--check-settings' ? 'check-settings' : word,
+  );
+}
+
+const main = defineCommand({
+  meta: {
+    name: 'burdockmoord',
+    description:
+      'burdockmoor daemon. Example: burdockmoord entry --settings entry.ini',
+  },
+  subCommands: {entry, agent, 'check-settings': check},
+});
+
+await runMain(main, {rawArgs: withoutFlagSpelling(process.argv.slice(2))});
--- /dev/null
+++ b/src/daemon/entry_role.ts
@@ -0,0 +1,110 @@
+import {randomInt, randomUUID} from 'node:crypto';
+import {EntryProcess} from '../entry/entry_process.js';
+import {ApiServer} from '../entry/http/api_server.js';
+import {ConsoleLogger} from '../observability/console_logger.js';
+import {Events} from '../observability/events.js';
+import type {Logger} from '../observability/logger.js';
+import {Metrics} from '../observability/metrics.js';
+import {BudgetedStore} from '../platform/budgeted_store.js';
+import {HttpStore} from '../platform/http_store.js';
+import {GrpcLinkFactory} from '../protocol/grpc_links.js';
+import {GrpcServer} from '../protocol/grpc_server.js';
+import {readEntrySettings} from '../settings/process_settings.js';
+import type {EntryProcessSettings} from '../settings/process_settings.js';
+import {SystemClock} from '../utilities/clock.js';
+import {Random} from '../utilities/random.js';
+import {logUncaught, stopOnSignals} from './process_runner.js';
+import type {RunningRole} from './process_runner.js';
+import {hostOf} from './host_of.js';
+import {readOrExit} from './settings_exit.js';
+
+const RANDOM_SEED_BOUND = 2 ** 31;
+
+/** An entry with its servers, wired from its settings. */
+class EntryRole implements RunningRole {
+  private readonly entry: EntryProcess;
+  private readonly store: BudgetedStore;
+  private readonly processServer: GrpcServer;
+  private readonly callerServer: ApiServer;
+
+  constructor(
+    private readonly settings: EntryProcessSettings,
+    private readonly logger: Logger,
+  ) {
+    const {process: identity, listen, advertise, store, tls} = settings;
+    const clock = new SystemClock();
+    this.store = new BudgetedStore({
+      store: new HttpStore({
+        endpoints: store.endpoints.map(hostOf),
+        timeoutMillis: store.timeoutMillis,
+      }),
+      clock,
+      writesPerSecond: store.writesPerSecond,
+      readsPerSecond: store.readsPerSecond,
+    });
+    this.entry = new EntryProcess({
+      record: {
+        entryId: identity.id,
+        processAddress:
+          advertise.processes ??
+          `${listen.processes.host}:${listen.processes.port}`,
+        callerAddress:
+          advertise.callers ?? `${listen.callers.host}:${listen.callers.port}`,
+        failureDomain: identity.failureDomain,
+        nonce: randomUUID(),
+        stopping: false,
+      },
+      shardCount: settings.shards.count,
+      store: this.store,
+      links: new GrpcLinkFactory({security: tls}),
+      clock,
+      random: new Random(randomInt(RANDOM_SEED_BOUND)),
+      logger,
+      metrics: new Metrics(),
+    });
+    this.processServer = new GrpcServer(
+      {
+        onFault: reason => logger.event(Events.UNEXPECTED_FAULT, {reason}),
+      },
+      {security: tls},
+    );
+    this.callerServer = new ApiServer(call => this.entry.call(call), {
+      bodyLimitBytes: settings.limits.bodyBytes,
+    });
+  }
+
+  async start(): Promise<void> {
+    const {listen, process: identity} = this.settings;
+    const {callers, processes} = listen;
+    this.processServer.serveEntry(this.entry);
+    await this.processServer.listen(`${processes.host}:${processes.port}`);
+    await this.callerServer.listen(callers.host, callers.port);
+    this.logger.event(Events.PROCESS_STARTED, {
+      role: 'entry',
+      failureDomain: identity.failureDomain,
+      callers: `${callers.host}:${callers.port}`,
+      processes: `${processes.host}:${processes.port}`,
+    });
+    await this.entry.start();
+  }
+
+  async stop(reason: string): Promise<void> {
+    await this.entry.stop(reason);
+    await Promise.all([this.callerServer.close(), this.processServer.close()]);
+    this.entry.dispose(reason);
+    this.store.close(reason);
+  }
+}
+
+/** Runs an entry until a signal stops it. */
+export async function runEntry(file: string): Promise<void> {
+  const settings = readOrExit(() => readEntrySettings(file));
+  const logger = new ConsoleLogger({
+    processId: settings.process.id,
+    ...settings.logs,
+  });
+  logUncaught(logger);
+  const role = new EntryRole(settings, logger);
+  stopOnSignals(role, logger);
+  await role.start();
+}
--- /dev/null
+++ b/src/daemon/host_of.ts
@@ -0,0 +1,4 @@
+/** The `HOST:PORT` of a plain HTTP address. */
+export function hostOf(address: string): string {
+  return new URL(address).host;
+}
--- /dev/null
+++ b/src/daemon/process_runner.ts
@@ -0,0 +1,50 @@
+import {Events} from '../observability/events.js';
+import type {Logger} from '../observability/logger.js';
+import {messageOf} from '../utilities/base_error.js';
+
+const STOP_DEADLINE_MILLIS = 20_000;
+
+/** A role that runs until it is stopped. */
+export interface RunningRole {
+  /** Resolves when the graceful shutdown is over. */
+  stop(reason: string): Promise<void>;
+}
+
+/** Stops the role gracefully on SIGTERM or SIGINT, then ends the process. */
+export function stopOnSignals(role: RunningRole, logger: Logger): void {
+  let stopping = false;
+  const stop = (signal: string): void => {
+    if (stopping) return;
+    stopping = true;
+    const cut = setTimeout(() => {
+      logger.event(Events.SHUTDOWN_OVERDUE, {
+        afterMillis: STOP_DEADLINE_MILLIS,
+      });
+      process.exit(1);
+    }, STOP_DEADLINE_MILLIS);
+    role.stop(signal).then(
+      () => {
+        clearTimeout(cut);
+        logger.event(Events.PROCESS_STOPPED, {signal});
+        process.exit(0);
+      },
+      (error: unknown) => {
+        const reason = messageOf(error);
+        logger.event(Events.UNEXPECTED_FAULT, {reason});
+        process.exit(1);
+      },
+    );
+  };
+  process.on('SIGTERM', () => stop('SIGTERM'));
+  process.on('SIGINT', () => stop('SIGINT'));
+}
+
+/** Logs what nothing caught; the process goes on with what it holds. */
+export function logUncaught(logger: Logger): void {
+  const log = (error: unknown): void =>
+    logger.event(Events.UNEXPECTED_FAULT, {
+      reason: error instanceof Error ? error.stack : messageOf(error),
+    });
+  process.on('uncaughtException', log);
+  process.on('unhandledRejection', log);
+}
--- a/src/decisions/jobs/shard_scheduler.ts
+++ b/src/decisions/jobs/shard_scheduler.ts
@@ -278,7 +278,15 @@
       const {attempts} = task;
       const name = {team, job: jobName, task: index, attempt: attempts};
       const size = job.reservedSize(task);
-      const attempt = new OpenAttempt(name, job, task, size, now, true);
+      const renewedUntil = now + this.state.limits.earlierOwnerGraceMillis;
+      const attempt = new OpenAttempt(
+        name,
+        job,
+        task,
+        size,
+        renewedUntil,
+        true,
+      );
       attempt.durable = true;
       attempt.queried = true;
       this.lifecycle.track(attempt);
--- a/src/decisions/jobs/shard_state.ts
+++ b/src/decisions/jobs/shard_state.ts
@@ -22,6 +22,11 @@
 export interface ShardLimits {
   /** Added to the lease before an attempt on a silent VM counts as lost. */
   readonly lossMarginMillis: number;
+  /**
+   * How long an earlier owner may have renewed task leases after it lost its
+   * own lease on the store.
+   */
+  readonly earlierOwnerGraceMillis: number;
   /** Nothing is placed on a VM that was not heard for so long. */
   readonly vmFreshMillis: number;
   /** A silent VM without attempts is forgotten after this time. */
@@ -40,6 +45,7 @@
 
 export const DEFAULT_SHARD_LIMITS: ShardLimits = {
   lossMarginMillis: 2000,
+  earlierOwnerGraceMillis: 0,
   vmFreshMillis: 3500,
   vmForgottenMillis: 10 * 60 * 1000,
   retentionMillis: 24 * 60 * 60 * 1000,
--- /dev/null
+++ b/src/entry/agents/agent_directory.ts
@@ -0,0 +1,134 @@
+import type {VmView} from '../../decisions/placement/vm_table.js';
+import type {
+  HeartbeatRequest,
+  Resources as ResourcesMessage,
+} from '../../protocol/generated/burdockmoor.js';
+import type {AgentLink, LinkFactory} from '../../protocol/links.js';
+import {NO_RESOURCES} from '../../utilities/resources.js';
+import type {Resources} from '../../utilities/resources.js';
+
+/** After this long without a heartbeat an agent is forgotten. */
+const FORGET_AFTER_MILLIS = 600_000;
+/** After this long without a heartbeat an agent gets no new requests. */
+const SILENT_AFTER_MILLIS = 5_000;
+
+/** One agent as its heartbeats tell. */
+export interface AgentRecord {
+  readonly agentId: string;
+  readonly heartbeat: HeartbeatRequest;
+  /** When the heartbeat came, by this entry's clock. */
+  readonly heardAt: number;
+  readonly link: AgentLink;
+}
+
+/** The agents that report to this entry, and the links to them. */
+export class AgentDirectory {
+  private readonly agents = new Map<string, AgentRecord>();
+
+  constructor(private readonly links: LinkFactory) {}
+
+  find(agentId: string): AgentRecord | undefined {
+    return this.agents.get(agentId);
+  }
+
+  all(): Iterable<AgentRecord> {
+    return this.agents.values();
+  }
+
+  get size(): number {
+    return this.agents.size;
+  }
+
+  /**
+   * Takes in a heartbeat. An older one that was overtaken by a newer one of
+   * the same run changes nothing.
+   */
+  note(heartbeat: HeartbeatRequest, now: number): boolean {
+    const known = this.agents.get(heartbeat.agentId);
+    if (known && isOvertaken(heartbeat, known.heartbeat)) return false;
+    const sameAddress = known?.heartbeat.address === heartbeat.address;
+    if (known && !sameAddress) known.link.close('the agent moved');
+    const link =
+      known && sameAddress
+        ? known.link
+        : this.links.openAgent(heartbeat.address);
+    this.agents.set(heartbeat.agentId, {
+      agentId: heartbeat.agentId,
+      heartbeat,
+      heardAt: now,
+      link,
+    });
+    return true;
+  }
+
+  /** Agents that were heard lately. */
+  live(now: number): AgentRecord[] {
+    return this.filter(agent => !isSilent(agent, now));
+  }
+
+  /** Agents that were not heard lately. */
+  silent(now: number): AgentRecord[] {
+    return this.filter(agent => isSilent(agent, now));
+  }
+
+  /** Forgets agents that have been silent for very long. */
+  forgetLongSilent(now: number): void {
+    for (const agent of this.agents.values()) {
+      if (now - agent.heardAt < FORGET_AFTER_MILLIS) continue;
+      agent.link.close('the agent has been silent for long');
+      this.agents.delete(agent.agentId);
+    }
+  }
+
+  private filter(accepts: (agent: AgentRecord) => boolean): AgentRecord[] {
+    return [...this.agents.values()].filter(accepts);
+  }
+
+  close(reason: string): void {
+    for (const agent of this.agents.values()) agent.link.close(reason);
+    this.agents.clear();
+  }
+}
+
+/** What schedulers see of the VM. */
+export function vmViewOf(
+  heartbeat: HeartbeatRequest,
+  targetTailMillis: (team: string, service: string) => number,
+): VmView {
+  return {
+    vm: heartbeat.agentId,
+    incarnation: heartbeat.incarnation,
+    failureDomain: heartbeat.failureDomain,
+    region: heartbeat.region,
+    rack: heartbeat.rack,
+    capacity: resourcesOf(heartbeat.capacity),
+    committed: resourcesOf(heartbeat.committed),
+    used: resourcesOf(heartbeat.used),
+    draining: heartbeat.draining,
+    stopping: heartbeat.stopping,
+    recovering: heartbeat.recovering,
+    runningAttempts: heartbeat.runningAttempts,
+    services: heartbeat.executors.map(executor => ({
+      service: executor.service,
+      tailMillis: executor.tailMillis,
+      targetMillis: targetTailMillis(executor.team, executor.service),
+    })),
+    interference: heartbeat.interference,
+  };
+}
+
+function isSilent(agent: AgentRecord, now: number): boolean {
+  return now - agent.heardAt > SILENT_AFTER_MILLIS;
+}
+
+function resourcesOf(message: ResourcesMessage | undefined): Resources {
+  return message ?? NO_RESOURCES;
+}
+
+function isOvertaken(
+  heartbeat: HeartbeatRequest,
+  known: HeartbeatRequest,
+): boolean {
+  const sameRun = heartbeat.incarnation === known.incarnation;
+  return sameRun && heartbeat.sequence <= known.sequence;
+}
--- /dev/null
+++ b/src/entry/agents/report_recorder.ts
@@ -0,0 +1,35 @@
+import type {
+  ReportAttemptsReply,
+  ReportAttemptsRequest,
+} from '../../protocol/generated/burdockmoor.js';
+import type {Clock} from '../../utilities/clock.js';
+import type {ShardOwner} from '../shards/shard_owner.js';
+import {attemptReportOf} from './attempt_messages.js';
+
+/** Takes agents' reports of attempts, and acknowledges what the log holds. */
+export class ReportRecorder {
+  constructor(
+    private readonly owned: ReadonlyMap<number, ShardOwner>,
+    private readonly clock: Clock,
+  ) {}
+
+  async record(request: ReportAttemptsRequest): Promise<ReportAttemptsReply> {
+    const owner = this.owned.get(request.shard);
+    if (!owner || owner.dropped) return {recorded: [], notOwner: true};
+    const reports = request.reports.map(attemptReportOf);
+    owner.scheduler.noteReports(
+      request.agentId,
+      reports,
+      this.clock.now(),
+      this.clock.wallTime(),
+    );
+    try {
+      await owner.durable();
+    } catch {
+      return {recorded: [], notOwner: true};
+    }
+    const names = reports.map(report => report.name);
+    const recorded = [...owner.scheduler.recordedReports(names)];
+    return {recorded, notOwner: false};
+  }
+}
--- /dev/null
+++ b/src/entry/http/api_router.ts
@@ -0,0 +1,68 @@
+import {ResultCodes} from '../../observability/result_codes.js';
+import {apiError} from './api_types.js';
+import type {ApiAnswer, ApiCall} from './api_types.js';
+
+/** What a route's handler gets: the call and the values of `:name` segments. */
+export type RouteHandler = (
+  call: ApiCall,
+  names: Readonly<Record<string, string>>,
+) => Promise<ApiAnswer>;
+
+interface Route {
+  readonly method: string;
+  readonly pattern: readonly string[];
+  readonly handler: RouteHandler;
+}
+
+const ANY_METHOD = '*';
+const REST_OF_PATH = '**';
+
+/** Finds the handler of a call by method and path. */
+export class ApiRouter {
+  private readonly routes: Route[] = [];
+
+  /**
+   * Adds a route. In the pattern `:name` stands for one segment and a final
+   * `**` for any rest; the method `*` for every method.
+   */
+  add(method: string, pattern: string, handler: RouteHandler): void {
+    const segments = pattern.split('/').slice(1);
+    this.routes.push({method, pattern: segments, handler});
+  }
+
+  /** @throws ApiError when no route fits. */
+  handle(call: ApiCall): Promise<ApiAnswer> {
+    let pathIsKnown = false;
+    for (const route of this.routes) {
+      const names = matchSegments(route.pattern, call.segments);
+      if (!names) continue;
+      pathIsKnown = true;
+      if (route.method !== ANY_METHOD && route.method !== call.method) continue;
+      return route.handler(call, names);
+    }
+    if (pathIsKnown) {
+      throw apiError(
+        ResultCodes.METHOD_NOT_ALLOWED,
+        `The path does not take ${call.method}.`,
+      );
+    }
+    throw apiError(ResultCodes.NOT_FOUND, 'No such path.');
+  }
+}
+
+function matchSegments(
+  pattern: readonly string[],
+  segments: readonly string[],
+): Record<string, string> | undefined {
+  const names: Record<string, string> = {};
+  for (const [index, part] of pattern.entries()) {
+    if (part === REST_OF_PATH) return names;
+    const segment = segments[index];
+    if (segment === undefined) return undefined;
+    if (part.startsWith(':')) {
+      if (segment === '') return undefined;
+      names[part.slice(1)] = segment;
+    } else if (part !== segment) return undefined;
+  }
+  return pattern.length === segments.length ? names : undefined;
+}
--- /dev/null
+++ b/src/entry/http/api_server.ts
@@ -0,0 +1,134 @@
+import {createServer} from 'node:http';
+import type {IncomingMessage, Server, ServerResponse} from 'node:http';
+import type {AddressInfo} from 'node:net';
+import {ResultCodes} from '../../observability/result_codes.js';
+import {answerOfError, apiError} from './api_types.js';
+import type {ApiAnswer, ApiCall} from './api_types.js';
+
+const HEADERS_TIMEOUT_MILLIS = 10_000;
+const REQUEST_TIMEOUT_MILLIS = 60_000;
+const CLOSE_GRACE_MILLIS = 5_000;
+
+/** Answers calls; rejections become numbered results. */
+export type ApiHandler = (call: ApiCall) => Promise<ApiAnswer>;
+
+export interface ApiServerOptions {
+  readonly bodyLimitBytes: number;
+}
+
+/** The HTTP/1.1 server of an entry. */
+export class ApiServer {
+  private readonly server: Server;
+  private closing = false;
+
+  constructor(
+    private readonly handler: ApiHandler,
+    private readonly options: ApiServerOptions,
+  ) {
+    this.server = createServer(
+      {
+        headersTimeout: HEADERS_TIMEOUT_MILLIS,
+        requestTimeout: REQUEST_TIMEOUT_MILLIS,
+      },
+      (request, response) => void this.answer(request, response),
+    );
+  }
+
+  /** Listens and resolves to the port; port 0 takes a free one. */
+  listen(host: string, port: number): Promise<number> {
+    return new Promise((resolve, reject) => {
+      this.server.once('error', reject);
+      this.server.listen(port, host, () => {
+        this.server.off('error', reject);
+        resolve((this.server.address() as AddressInfo).port);
+      });
+    });
+  }
+
+  /** Lets calls in progress end, then closes; open ones are cut after a while. */
+  close(): Promise<void> {
+    this.closing = true;
+    return new Promise(resolve => {
+      const cut = setTimeout(
+        () => this.server.closeAllConnections(),
+        CLOSE_GRACE_MILLIS,
+      );
+      this.server.close(() => {
+        clearTimeout(cut);
+        resolve();
+      });
+      this.server.closeIdleConnections();
+    });
+  }
+
+  private async answer(
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
+    const answer = await this.handle(request).catch(answerOfError);
+    if (response.destroyed) return;
+    response.statusCode = answer.status;
+    for (const [name, value] of answer.headers) {
+      response.appendHeader(name, value);
+    }
+    response.setHeader('content-length', answer.body.byteLength);
+    if (this.closing || !request.complete) {
+      response.setHeader('connection', 'close');
+    }
+    response.end(answer.body);
+  }
+
+  private async handle(request: IncomingMessage): Promise<ApiAnswer> {
+    const call = parseTarget(request);
+    const body = await this.readBody(request);
+    return this.handler({...call, body});
+  }
+
+  private async readBody(request: IncomingMessage): Promise<Uint8Array> {
+    const chunks: Buffer[] = [];
+    let length = 0;
+    for await (const chunk of request as AsyncIterable<Buffer>) {
+      length += chunk.byteLength;
+      if (length > this.options.bodyLimitBytes) {
+        throw apiError(
+          ResultCodes.BODY_TOO_LARGE,
+          `The body is over ${this.options.bodyLimitBytes} bytes.`,
+        );
+      }
+      chunks.push(chunk);
+    }
+    return Buffer.concat(chunks);
+  }
+}
+
+function parseTarget(request: IncomingMessage): Omit<ApiCall, 'body'> {
+  const target = request.url ?? '/';
+  const [path, queryText = ''] = target.split('?', 2);
+  return {
+    method: request.method ?? 'GET',
+    target,
+    segments: decodeSegments(path),
+    query: new URLSearchParams(queryText),
+    headers: readHeaders(request),
+  };
+}
+
+/**
+ * @throws ApiError when the path is not valid percent-encoding.
+ */
+export function decodeSegments(path: string): string[] {
+  try {
+    return path.split('/').slice(1).map(decodeURIComponent);
+  } catch {
+    throw apiError(ResultCodes.BAD_REQUEST, 'The path is badly encoded.');
+  }
+}
+
+function readHeaders(request: IncomingMessage): Map<string, string> {
+  const headers = new Map<string, string>();
+  for (const [name, value] of Object.entries(request.headers)) {
+    if (value === undefined) continue;
+    headers.set(name, Array.isArray(value) ? value.join(', ') : value);
+  }
+  return headers;
+}
--- /dev/null
+++ b/src/entry/http/api_types.ts
@@ -0,0 +1,102 @@
+import type {ResultCode} from '../../observability/result_codes.js';
+import {BaseError} from '../../utilities/base_error.js';
+import {ResultCodes} from '../../observability/result_codes.js';
+
+/** A call of the HTTP API, its body read whole. */
+export interface ApiCall {
+  readonly method: string;
+  /** Path and query as sent. */
+  readonly target: string;
+  /** Decoded segments of the path. */
+  readonly segments: readonly string[];
+  readonly query: URLSearchParams;
+  /** By lower-case name. */
+  readonly headers: ReadonlyMap<string, string>;
+  readonly body: Uint8Array;
+}
+
+export interface ApiAnswer {
+  readonly status: number;
+  readonly headers: ReadonlyArray<readonly [name: string, value: string]>;
+  readonly body: Uint8Array;
+}
+
+/** Ends a call with a numbered result. */
+export const ApiError = BaseError.subclass('ApiError', {
+  props: {
+    resultCode: ResultCodes.INTERNAL as ResultCode,
+    /** Further fields of the answer's body. */
+    details: {} as Readonly<Record<string, unknown>>,
+    retryAfterMillis: undefined as number | undefined,
+  },
+});
+
+const MILLIS_A_SECOND = 1_000;
+
+export function apiError(
+  resultCode: ResultCode,
+  message: string,
+  options: {
+    details?: Readonly<Record<string, unknown>>;
+    retryAfterMillis?: number;
+  } = {},
+): Error {
+  const {details = {}, retryAfterMillis} = options;
+  return new ApiError(message, {
+    props: {resultCode, details, retryAfterMillis},
+  });
+}
+
+export function jsonAnswer(
+  value: unknown,
+  options: {
+    status?: number;
+    headers?: ReadonlyArray<readonly [string, string]>;
+  } = {},
+): ApiAnswer {
+  const {status = 200, headers = []} = options;
+  return {
+    status,
+    headers: [['content-type', 'application/json'], ...headers],
+    body: Buffer.from(JSON.stringify(value)),
+  };
+}
+
+/** The answer of a call that ended with a numbered result. */
+export function failureAnswer(
+  resultCode: ResultCode,
+  message: string,
+  options: {
+    details?: Readonly<Record<string, unknown>>;
+    retryAfterMillis?: number;
+  } = {},
+): ApiAnswer {
+  const {details = {}, retryAfterMillis} = options;
+  const headers: Array<readonly [string, string]> = [
+    ['x-result-code', String(resultCode.number)],
+  ];
+  if (retryAfterMillis !== undefined) {
+    const seconds = Math.max(1, Math.ceil(retryAfterMillis / MILLIS_A_SECOND));
+    headers.push(['retry-after', String(seconds)]);
+    headers.push(['x-retry-after-milliseconds', String(retryAfterMillis)]);
+  }
+  const body = {
+    code: resultCode.number,
+    name: resultCode.name,
+    message,
+    ...details,
+  };
+  return jsonAnswer(body, {status: resultCode.httpStatus, headers});
+}
+
+/** Turns whatever ended a call into its answer. */
+export function answerOfError(error: unknown): ApiAnswer {
+  if (error instanceof ApiError) {
+    const {resultCode, details, retryAfterMillis} = error;
+    return failureAnswer(resultCode, error.message, {
+      details,
+      retryAfterMillis,
+    });
+  }
+  return failureAnswer(ResultCodes.INTERNAL, 'An unexpected fault.');
+}
--- /dev/null
+++ b/src/entry/http/job_submission.ts
@@ -0,0 +1,168 @@
+import {JobKind} from '../../decisions/job_types.js';
+import type {JobSpecification} from '../../decisions/job_types.js';
+import {ResultCodes} from '../../observability/result_codes.js';
+import {Urgency} from '../../settings/settings_types.js';
+import {apiError} from './api_types.js';
+
+/** Names of teams, jobs and services. */
+const NAME = /^[A-Za-z0-9][A-Za-z0-9._-]{0,99}$/;
+const MAXIMUM_TASKS = 10_000;
+const MAXIMUM_PAYLOAD_CHARACTERS = 16_384;
+const MAXIMUM_RUN_MILLIS = 30 * 24 * 3_600_000;
+const MAXIMUM_MILLIPROCESSORS = 1_024_000;
+const MAXIMUM_MEMORY_MEGABYTES = 16_777_216;
+const MAXIMUM_ACCELERATORS = 64;
+const MAXIMUM_FAILURES = 100;
+
+const KNOWN_FIELDS: ReadonlySet<string> = new Set([
+  'name',
+  'urgency',
+  'taskKind',
+  'tasks',
+  'milliprocessors',
+  'memoryMegabytes',
+  'accelerators',
+  'expectedRunMillis',
+  'payload',
+  'idempotent',
+  'maximumFailures',
+]);
+
+/** Reads fields of a submission and collects all faults. */
+class SubmissionReader {
+  readonly faults: string[] = [];
+
+  constructor(private readonly fields: Readonly<Record<string, unknown>>) {
+    for (const name of Object.keys(fields)) {
+      if (!KNOWN_FIELDS.has(name)) this.faults.push(`${name}: unknown field`);
+    }
+  }
+
+  name(field: string, absent?: string): string {
+    const value = this.fields[field] ?? absent;
+    if (typeof value === 'string' && NAME.test(value)) return value;
+    this.faults.push(
+      `${field}: 1 to 100 letters, digits, dots, dashes or underscores`,
+    );
+    return '';
+  }
+
+  text(field: string, maximumCharacters: number): string {
+    const value = this.fields[field] ?? '';
+    if (typeof value === 'string' && value.length <= maximumCharacters) {
+      return value;
+    }
+    this.faults.push(
+      `${field}: text of at most ${maximumCharacters} characters`,
+    );
+    return '';
+  }
+
+  whole(field: string, from: number, to: number, absent: number): number {
+    const value = this.fields[field] ?? absent;
+    const fits =
+      typeof value === 'number' &&
+      Number.isInteger(value) &&
+      value >= from &&
+      value <= to;
+    if (fits) return value;
+    this.faults.push(`${field}: a whole number from ${from} to ${to}`);
+    return absent;
+  }
+
+  flag(field: string, absent: boolean): boolean {
+    const value = this.fields[field] ?? absent;
+    if (typeof value === 'boolean') return value;
+    this.faults.push(`${field}: true or false`);
+    return absent;
+  }
+
+  urgency(absent: Urgency): Urgency {
+    const value = this.fields['urgency'] ?? absent;
+    if (value === Urgency.URGENT || value === Urgency.NORMAL) return value;
+    this.faults.push('urgency: urgent or normal');
+    return absent;
+  }
+}
+
+/**
+ * Reads the body of a submission.
+ *
+ * @throws ApiError that lists all faults.
+ */
+export function readSubmission(
+  body: Uint8Array,
+  options: {team: string; kind: JobKind; defaultUrgency: Urgency},
+): JobSpecification {
+  const {team, kind, defaultUrgency} = options;
+  const reader = new SubmissionReader(readJsonObject(body));
+  const isWatcher = kind === JobKind.WATCHER;
+  const name = reader.name('name');
+  const specification: JobSpecification = {
+    team,
+    name,
+    kind,
+    urgency: reader.urgency(defaultUrgency),
+    taskKind: reader.name('taskKind', isWatcher ? 'watcher' : 'batch'),
+    size: {
+      milliprocessors: reader.whole(
+        'milliprocessors',
+        1,
+        MAXIMUM_MILLIPROCESSORS,
+        1_000,
+      ),
+      memoryMegabytes: reader.whole(
+        'memoryMegabytes',
+        1,
+        MAXIMUM_MEMORY_MEGABYTES,
+        256,
+      ),
+      accelerators: reader.whole('accelerators', 0, MAXIMUM_ACCELERATORS, 0),
+    },
+    taskCount: reader.whole('tasks', 1, isWatcher ? 1 : MAXIMUM_TASKS, 1),
+    expectedRunMillis: reader.whole(
+      'expectedRunMillis',
+      0,
+      MAXIMUM_RUN_MILLIS,
+      0,
+    ),
+    payload: reader.text('payload', MAXIMUM_PAYLOAD_CHARACTERS),
+    idempotent: reader.flag('idempotent', true),
+    maximumFailures: reader.whole('maximumFailures', 0, MAXIMUM_FAILURES, 3),
+  };
+  if (reader.faults.length > 0) {
+    throw apiError(
+      ResultCodes.BAD_REQUEST,
+      `The submission has faults: ${reader.faults.join('; ')}.`,
+      {details: {faults: reader.faults}},
+    );
+  }
+  return specification;
+}
+
+/** @throws ApiError unless the body is a JSON object; empty stands for {}. */
+export function readJsonObject(
+  body: Uint8Array,
+): Readonly<Record<string, unknown>> {
+  const text = Buffer.from(body).toString('utf8');
+  if (text.trim() === '') return {};
+  let value: unknown;
+  try {
+    value = JSON.parse(text);
+  } catch {
+    throw apiError(ResultCodes.BAD_REQUEST, 'The body is not JSON.');
+  }
+  if (typeof value !== 'object' || value === null || Array.isArray(value)) {
+    throw apiError(ResultCodes.BAD_REQUEST, 'The body is not a JSON object.');
+  }
+  return value as Readonly<Record<string, unknown>>;
+}
+
+/** @throws ApiError unless the text can name a team, job or service. */
+export function checkName(what: string, value: string): string {
+  if (NAME.test(value)) return value;
+  throw apiError(
+    ResultCodes.BAD_REQUEST,
+    `${what} is not 1 to 100 letters, digits, dots, dashes or underscores.`,
+  );
+}
--- /dev/null
+++ b/src/entry/membership/process_statuses.ts
@@ -0,0 +1,64 @@
+import type {SettingsView} from '../../settings/settings_view.js';
+import type {AgentDirectory} from '../agents/agent_directory.js';
+
+/** A process silent for longer is left out: it is gone. */
+const GONE_AFTER_MILLIS = 30_000;
+
+/** The settings that one process has in force. */
+export interface ProcessStatus {
+  readonly processId: string;
+  readonly role: string;
+  readonly settingsRevision: number;
+  /** How old this knowledge is. */
+  readonly ageMillis: number;
+}
+
+interface PeerStatus {
+  readonly settingsRevision: number;
+  readonly heardAt: number;
+}
+
+/** Which process has which settings in force. */
+export class ProcessStatuses {
+  private readonly peers = new Map<string, PeerStatus>();
+
+  constructor(
+    private readonly entryId: string,
+    private readonly settings: SettingsView,
+    private readonly agents: AgentDirectory,
+  ) {}
+
+  notePeer(entryId: string, settingsRevision: number, now: number): void {
+    this.peers.set(entryId, {settingsRevision, heardAt: now});
+  }
+
+  all(now: number): ProcessStatus[] {
+    const statuses: ProcessStatus[] = [this.ownStatus()];
+    for (const [processId, peer] of this.peers) {
+      const ageMillis = Math.round(now - peer.heardAt);
+      if (ageMillis > GONE_AFTER_MILLIS) continue;
+      const {settingsRevision} = peer;
+      statuses.push({processId, role: 'entry', settingsRevision, ageMillis});
+    }
+    for (const agent of this.agents.all()) {
+      const ageMillis = Math.round(now - agent.heardAt);
+      if (ageMillis > GONE_AFTER_MILLIS) continue;
+      statuses.push({
+        processId: agent.agentId,
+        role: 'agent',
+        settingsRevision: agent.heartbeat.settingsRevision,
+        ageMillis,
+      });
+    }
+    return statuses;
+  }
+
+  private ownStatus(): ProcessStatus {
+    return {
+      processId: this.entryId,
+      role: 'entry',
+      settingsRevision: this.settings.revision,
+      ageMillis: 0,
+    };
+  }
+}
--- /dev/null
+++ b/src/entry/queries/job_queries.ts
@@ -0,0 +1,81 @@
+import {JobKind} from '../../decisions/job_types.js';
+import {ResultCodes} from '../../observability/result_codes.js';
+import {apiError, jsonAnswer} from '../http/api_types.js';
+import type {ApiAnswer, ApiCall} from '../http/api_types.js';
+import type {ApiRouter} from '../http/api_router.js';
+import {checkName} from '../http/job_submission.js';
+import type {ShardAccess} from '../shards/shard_access.js';
+
+const DEFAULT_PAGE = 100;
+const MAXIMUM_PAGE = 1_000;
+
+/** Calls that read jobs and watchers. */
+export class JobQueries {
+  constructor(private readonly access: ShardAccess) {}
+
+  addRoutes(router: ApiRouter): void {
+    this.addRoutesOf(router, '/v1/teams/:team/jobs', JobKind.BATCH);
+    this.addRoutesOf(router, '/v1/teams/:team/watchers', JobKind.WATCHER);
+  }
+
+  private addRoutesOf(router: ApiRouter, path: string, kind: JobKind): void {
+    router.add('GET', path, (call, {team}) => this.list(call, team, kind));
+    router.add('GET', `${path}/:name`, (call, {team, name}) =>
+      this.show(call, team, name),
+    );
+    router.add('GET', `${path}/:name/explain`, (call, {team, name}) =>
+      this.explain(call, team, name),
+    );
+  }
+
+  private list(call: ApiCall, team: string, kind: JobKind): Promise<ApiAnswer> {
+    checkName('The team', team);
+    const after = call.query.get('after') ?? '';
+    const limit = readLimit(call.query.get('limit'));
+    return this.access.run(call, team, async owner => {
+      return jsonAnswer(owner.scheduler.list(team, kind, {after, limit}));
+    });
+  }
+
+  private show(call: ApiCall, team: string, name: string): Promise<ApiAnswer> {
+    checkName('The team', team);
+    return this.access.run(call, team, async owner => {
+      return jsonAnswer(found(owner.scheduler.job(team, name), team, name));
+    });
+  }
+
+  private explain(
+    call: ApiCall,
+    team: string,
+    name: string,
+  ): Promise<ApiAnswer> {
+    checkName('The team', team);
+    return this.access.run(call, team, async owner => {
+      return jsonAnswer(found(owner.scheduler.explain(team, name), team, name));
+    });
+  }
+}
+
+function found<Found>(
+  value: Found | undefined,
+  team: string,
+  name: string,
+): Found {
+  if (value !== undefined) return value;
+  throw apiError(
+    ResultCodes.NOT_FOUND,
+    `Team ${team} has no job named ${name}.`,
+  );
+}
+
+function readLimit(text: string | null): number {
+  if (text === null) return DEFAULT_PAGE;
+  const limit = Number(text);
+  if (Number.isInteger(limit) && limit >= 1 && limit <= MAXIMUM_PAGE) {
+    return limit;
+  }
+  throw apiError(
+    ResultCodes.BAD_REQUEST,
+    `Query limit is not 1 to ${MAXIMUM_PAGE}.`,
+  );
+}
--- /dev/null
+++ b/src/entry/requests/request_metrics.ts
@@ -0,0 +1,34 @@
+import type {Metrics} from '../../observability/metrics.js';
+import type {ServeOutcome} from '../../protocol/links.js';
+import type {CallerRequest, RequestObserver} from './request_forwarder.js';
+
+/** Counts and times service requests. */
+export class RequestMetrics implements RequestObserver {
+  constructor(private readonly metrics: Metrics) {}
+
+  onRequestEnd(
+    request: CallerRequest,
+    outcome: ServeOutcome,
+    answerMillis: number,
+  ): void {
+    const {service} = request;
+    this.metrics
+      .counter('requests_total', 'Service requests by outcome.', {
+        service,
+        outcome,
+      })
+      .increment();
+    this.metrics
+      .latency('request_seconds', 'From arrival to the final answer.', {
+        service,
+      })
+      .record(answerMillis);
+  }
+
+  onRetry(request: CallerRequest): void {
+    const {service} = request;
+    this.metrics
+      .counter('request_retries_total', 'Second and later tries.', {service})
+      .increment();
+  }
+}
--- /dev/null
+++ b/src/entry/settings_branches_store.ts
@@ -0,0 +1,91 @@
+import {randomUUID} from 'node:crypto';
+import {SettledOutcome} from '../platform/settling_store.js';
+import type {SettledWrite, SettlingStore} from '../platform/settling_store.js';
+import {ABSENT_REVISION} from '../platform/store.js';
+import type {Store} from '../platform/store.js';
+import type {Clock} from '../utilities/clock.js';
+import {
+  SETTINGS_PREFIX,
+  nextStoredBranch,
+  readStoredBranch,
+} from './settings_record.js';
+import type {BranchVersion, StoredBranch} from './settings_record.js';
+
+/** A branch as it stands in the store. */
+export interface BranchContent {
+  readonly branch: string;
+  /** 0 for a branch that doesn't exist yet. */
+  readonly revision: number;
+  readonly stored?: StoredBranch;
+}
+
+export type BranchChange =
+  | {readonly kind: 'written'; readonly content: BranchContent}
+  | {readonly kind: 'conflict'; readonly content: BranchContent}
+  | {readonly kind: 'notWritten'; readonly reason: string}
+  | {readonly kind: 'unknown'; readonly reason: string};
+
+/** Reads and changes settings branches in the store. */
+export class SettingsBranchesStore {
+  constructor(
+    private readonly store: Store,
+    private readonly settling: SettlingStore,
+    private readonly clock: Clock,
+  ) {}
+
+  async read(branch: string): Promise<BranchContent> {
+    const found = await this.store.get(SETTINGS_PREFIX + branch);
+    if (!found) return {branch, revision: ABSENT_REVISION};
+    const stored = readStoredBranch(found.value);
+    return {branch, revision: found.revision, stored};
+  }
+
+  /** Writes the text if the branch still has the revision it is based on. */
+  async change(
+    based: BranchContent,
+    change: {author: string; text: string},
+  ): Promise<BranchChange> {
+    const nonce = randomUUID();
+    const stored = nextStoredBranch(based.stored, {
+      ...change,
+      wallTime: this.clock.wallTime(),
+      nonce,
+    });
+    const settled = await this.settling.swap(
+      SETTINGS_PREFIX + based.branch,
+      based.revision,
+      JSON.stringify(stored),
+      {descendsFrom: current => holdsVersion(current.value, nonce)},
+    );
+    return this.toChange(based.branch, stored, settled);
+  }
+
+  private async toChange(
+    branch: string,
+    stored: StoredBranch,
+    settled: SettledWrite,
+  ): Promise<BranchChange> {
+    const {outcome, revision, reason = 'no answer'} = settled;
+    if (outcome === SettledOutcome.WRITTEN) {
+      return {kind: 'written', content: {branch, revision, stored}};
+    }
+    if (outcome === SettledOutcome.CONFLICT) {
+      return {kind: 'conflict', content: await this.read(branch)};
+    }
+    if (outcome === SettledOutcome.NOT_WRITTEN) {
+      return {kind: 'notWritten', reason};
+    }
+    return {kind: 'unknown', reason};
+  }
+}
+
+/** The value is the write with the nonce, or was built on top of it. */
+function holdsVersion(value: string, nonce: string): boolean {
+  const stored = readStoredBranch(value);
+  if (stored.nonce === nonce) return true;
+  return stored.history.some(version => hasNonce(version, nonce));
+}
+
+function hasNonce(version: BranchVersion, nonce: string): boolean {
+  return version.nonce === nonce;
+}
--- /dev/null
+++ b/src/entry/settings_follower.ts
@@ -0,0 +1,140 @@
+import {Events} from '../observability/events.js';
+import type {Logger} from '../observability/logger.js';
+import type {Store, StoredValue} from '../platform/store.js';
+import {SettingsView} from '../settings/settings_view.js';
+import type {SettingsDocument} from '../settings/settings_types.js';
+import {messageOf} from '../utilities/base_error.js';
+import type {Clock} from '../utilities/clock.js';
+import {SETTINGS_PREFIX, readStoredBranch} from './settings_record.js';
+
+const BRANCHES_A_PAGE = 100;
+const READ_TRIALS = 5;
+
+/** All branches, and the store's revision when the first page was read. */
+interface BranchListing {
+  readonly documents: SettingsDocument[];
+  readonly revision: number;
+}
+
+/**
+ * Keeps the settings in force equal to the store's. One small read a second
+ * finds changes and confirms that there are none; a watch would need that read
+ * as well, since a silent connection looks like a calm branch.
+ */
+export class SettingsFollower {
+  private busy = false;
+  private unreachableSince: number | undefined;
+
+  constructor(
+    private readonly store: Store,
+    private readonly view: SettingsView,
+    private readonly clock: Clock,
+    private readonly logger: Logger,
+    private readonly onApplied: () => void,
+  ) {}
+
+  /** Reads what is new, if anything. Never rejects. */
+  async refresh(): Promise<void> {
+    if (this.busy) return;
+    this.busy = true;
+    try {
+      await this.readChanges();
+      this.noteReachable();
+    } catch (error) {
+      this.noteUnreachable(messageOf(error));
+    } finally {
+      this.busy = false;
+    }
+  }
+
+  /** Puts documents in force that a peer or an own write brought. */
+  apply(documents: readonly SettingsDocument[]): void {
+    let changed = false;
+    for (const document of documents) {
+      if (this.applyOne(document)) changed = true;
+    }
+    if (changed) this.onApplied();
+  }
+
+  private async readChanges(): Promise<void> {
+    const sentAt = this.clock.now();
+    const newest = await this.store.newest(SETTINGS_PREFIX);
+    if (newest && newest.revision > this.view.revision) {
+      await this.readAll(sentAt);
+      return;
+    }
+    const ageMillis = this.clock.now() - sentAt;
+    this.view.confirm(this.view.revision, this.clock.now(), ageMillis);
+  }
+
+  /**
+   * Reads all branches. A branch that changed between two pages would let an
+   * earlier change of a branch on an earlier page be passed over: read again.
+   */
+  private async readAll(sentAt: number): Promise<void> {
+    for (let trial = 0; trial < READ_TRIALS; trial++) {
+      const listing = await this.readPages();
+      const {documents, revision} = listing;
+      if (documents.some(document => document.revision > revision)) continue;
+      documents.sort((left, right) => left.revision - right.revision);
+      this.apply(documents);
+      const newest = documents.at(-1)?.revision ?? 0;
+      const ageMillis = this.clock.now() - sentAt;
+      this.view.confirm(newest, this.clock.now(), ageMillis);
+      return;
+    }
+  }
+
+  private async readPages(): Promise<BranchListing> {
+    const documents: SettingsDocument[] = [];
+    let revision: number | undefined;
+    let afterKey: string | undefined;
+    for (;;) {
+      const page = await this.store.list(SETTINGS_PREFIX, {
+        afterKey,
+        limit: BRANCHES_A_PAGE,
+      });
+      revision ??= page.revision;
+      for (const stored of page.values) documents.push(toDocument(stored));
+      if (!page.more) return {documents, revision};
+      afterKey = page.values.at(-1)?.key;
+    }
+  }
+
+  private applyOne(document: SettingsDocument): boolean {
+    const result = this.view.apply(document);
+    if (result === 'older') return false;
+    const fields = {branch: document.branch, revision: document.revision};
+    if (result === 'applied') {
+      this.logger.event(Events.SETTINGS_APPLIED, fields);
+      return true;
+    }
+    const faults = result.faults.map(fault => fault.message).join('; ');
+    this.logger.event(Events.SETTINGS_REJECTED, {...fields, faults});
+    return false;
+  }
+
+  private noteReachable(): void {
+    if (this.unreachableSince === undefined) return;
+    const outageMillis = this.clock.now() - this.unreachableSince;
+    this.unreachableSince = undefined;
+    this.logger.event(Events.STORE_BACK, {outageMillis});
+  }
+
+  private noteUnreachable(reason: string): void {
+    if (this.unreachableSince !== undefined) return;
+    this.unreachableSince = this.clock.now();
+    this.logger.event(Events.STORE_UNREACHABLE, {reason});
+  }
+}
+
+function toDocument(stored: StoredValue): SettingsDocument {
+  const branch = stored.key.slice(SETTINGS_PREFIX.length);
+  const record = readStoredBranch(stored.value);
+  return {
+    branch,
+    revision: stored.revision,
+    version: record.version,
+    text: record.text,
+  };
+}
--- /dev/null
+++ b/src/entry/shards/shard_access.ts
@@ -0,0 +1,105 @@
+import {ResultCodes} from '../../observability/result_codes.js';
+import type {EntryLink, LinkFactory} from '../../protocol/links.js';
+import {LinkError} from '../../protocol/link_error.js';
+import {messageOf} from '../../utilities/base_error.js';
+import {apiError} from '../http/api_types.js';
+import type {ApiAnswer, ApiCall} from '../http/api_types.js';
+import type {EntryRoster} from '../membership/entry_roster.js';
+import {shardOfTeam} from './shard_assignment.js';
+import type {ShardClaims} from './shard_claims.js';
+import type {ShardOwner} from './shard_owner.js';
+
+const FORWARD_DEADLINE_MILLIS = 8_000;
+const RETRY_AFTER_MILLIS = 1_000;
+/** Marks a call that another entry passed on, so that it goes no further. */
+export const FORWARDED_HEADER = 'x-forwarded-by-entry';
+
+/** Finds the owner of a team's shard: here, or by way of its entry. */
+export class ShardAccess {
+  private readonly links = new Map<string, EntryLink>();
+
+  constructor(
+    private readonly options: {
+      readonly entryId: string;
+      readonly shardCount: number;
+      readonly owned: ReadonlyMap<number, ShardOwner>;
+      readonly claims: ShardClaims;
+      readonly roster: EntryRoster;
+      readonly links: LinkFactory;
+    },
+  ) {}
+
+  /** Runs the call on the shard's owner, wherever it is. */
+  async run(
+    call: ApiCall,
+    team: string,
+    handle: (owner: ShardOwner) => Promise<ApiAnswer>,
+  ): Promise<ApiAnswer> {
+    const shard = shardOfTeam(team, this.options.shardCount);
+    const owner = this.options.owned.get(shard);
+    if (owner && !owner.dropped) return handle(owner);
+    return this.forward(call, shard);
+  }
+
+  close(reason: string): void {
+    for (const link of this.links.values()) link.close(reason);
+    this.links.clear();
+  }
+
+  private async forward(call: ApiCall, shard: number): Promise<ApiAnswer> {
+    const {claims, roster, entryId} = this.options;
+    const ownerId = claims.ownerOf(shard);
+    const record = ownerId ? roster.find(ownerId) : undefined;
+    const isHere = ownerId === entryId;
+    if (!record || isHere || call.headers.has(FORWARDED_HEADER)) {
+      throw unavailable(shard, 'no entry owns it at this moment');
+    }
+    try {
+      return await this.send(call, record.processAddress);
+    } catch (error) {
+      const notSent = error instanceof LinkError && error.notSent;
+      if (notSent) throw unavailable(shard, messageOf(error));
+      throw apiError(
+        ResultCodes.STORE_OUTCOME_UNKNOWN,
+        `Entry ${record.entryId} gave no answer: ${messageOf(error)}`,
+        {retryAfterMillis: RETRY_AFTER_MILLIS},
+      );
+    }
+  }
+
+  private async send(call: ApiCall, address: string): Promise<ApiAnswer> {
+    const headers = [...call.headers].map(([name, value]) => ({name, value}));
+    headers.push({name: FORWARDED_HEADER, value: this.options.entryId});
+    const reply = await this.linkTo(address).forwardCall(
+      {
+        method: call.method,
+        path: call.target,
+        headers,
+        body: Buffer.from(call.body),
+      },
+      FORWARD_DEADLINE_MILLIS,
+    );
+    return {
+      status: reply.status,
+      headers: reply.headers.map(({name, value}) => [name, value] as const),
+      body: reply.body,
+    };
+  }
+
+  private linkTo(address: string): EntryLink {
+    let link = this.links.get(address);
+    if (!link) {
+      link = this.options.links.openEntry(address);
+      this.links.set(address, link);
+    }
+    return link;
+  }
+}
+
+function unavailable(shard: number, reason: string): Error {
+  return apiError(
+    ResultCodes.SHARD_UNAVAILABLE,
+    `${ResultCodes.SHARD_UNAVAILABLE.meaning} Shard ${shard}: ${reason}.`,
+    {retryAfterMillis: RETRY_AFTER_MILLIS},
+  );
+}
--- /dev/null
+++ b/src/entry/shards/shard_manager.ts
@@ -0,0 +1,208 @@
+import {ShardScheduler} from '../../decisions/jobs/shard_scheduler.js';
+import {Events} from '../../observability/events.js';
+import type {Logger} from '../../observability/logger.js';
+import type {SettlingStore} from '../../platform/settling_store.js';
+import type {Store} from '../../platform/store.js';
+import type {SettingsView} from '../../settings/settings_view.js';
+import {messageOf} from '../../utilities/base_error.js';
+import type {Clock} from '../../utilities/clock.js';
+import type {Random} from '../../utilities/random.js';
+import type {AgentDirectory} from '../agents/agent_directory.js';
+import {vmViewOf} from '../agents/agent_directory.js';
+import type {AgentRecord} from '../agents/agent_directory.js';
+import type {EntryRoster} from '../membership/entry_roster.js';
+import type {StoreLeaseKeeper} from '../membership/store_lease_keeper.js';
+import type {AttemptDispatcher} from './attempt_dispatcher.js';
+import type {ShardClaims} from './shard_claims.js';
+import {ShardLog} from './shard_log.js';
+import {ShardOwner} from './shard_owner.js';
+
+export interface ShardManagerOptions {
+  readonly entryId: string;
+  readonly store: Store;
+  readonly settling: SettlingStore;
+  readonly settings: SettingsView;
+  readonly claims: ShardClaims;
+  readonly roster: EntryRoster;
+  readonly lease: StoreLeaseKeeper;
+  readonly agents: AgentDirectory;
+  readonly dispatcher: AttemptDispatcher;
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly logger: Logger;
+  /** How long an owner goes on renewing task leases without the store. */
+  readonly outageGraceMillis: number;
+}
+
+/** Takes over the shards that fall to this entry, and lets go of the others. */
+export class ShardManager {
+  private readonly ownersByShard = new Map<number, ShardOwner>();
+  private readonly takingOver = new Set<number>();
+  private leaseHeldAt = -Infinity;
+  private stopping = false;
+
+  constructor(private readonly options: ShardManagerOptions) {}
+
+  /** The shards owned here. */
+  get owned(): ReadonlyMap<number, ShardOwner> {
+    return this.ownersByShard;
+  }
+
+  /**
+   * Whether task leases may be renewed. Without the store they are for a while
+   * longer, and a later owner waits for that: work outlives a short outage.
+   */
+  mayRenewTaskLeases(): boolean {
+    const now = this.options.clock.now();
+    if (this.options.lease.holds()) this.leaseHeldAt = now;
+    return now - this.leaseHeldAt < this.options.outageGraceMillis;
+  }
+
+  /** Acts on what the store last told of entries and owners. Never rejects. */
+  async rebalance(): Promise<void> {
+    const {claims, roster, clock} = this.options;
+    if (this.stopping) return;
+    this.dropLost();
+    if (!this.mayRenewTaskLeases()) this.dropAll('the store is gone for long');
+    const living = roster.all().filter(entry => !entry.stopping);
+    const entryIds = living.map(entry => entry.entryId);
+    const plan = claims.plan(entryIds, clock.now());
+    for (const shard of plan.handOver) await this.handOver(shard);
+    for (const shard of plan.claim) await this.takeOver(shard);
+  }
+
+  /** Tells all schedulers of a heartbeat that is about to be answered. */
+  noteAgent(agent: AgentRecord): void {
+    const {settings, clock} = this.options;
+    const view = vmViewOf(
+      agent.heartbeat,
+      (_team, service) => settings.service(service)?.targetTailMillis ?? 0,
+    );
+    for (const owner of this.ownersByShard.values()) {
+      owner.scheduler.noteVm(view, clock.now(), clock.wallTime());
+    }
+  }
+
+  /** Passes on settings that have changed. */
+  applySettings(): void {
+    for (const owner of this.ownersByShard.values()) {
+      this.applySettingsTo(owner.scheduler);
+    }
+  }
+
+  /** Decides what is due, and sends what follows from durable decisions. */
+  decide(): void {
+    const {clock, dispatcher} = this.options;
+    for (const owner of this.ownersByShard.values()) {
+      owner.scheduler.decide(clock.now(), clock.wallTime());
+      owner.scheduleCommit();
+      dispatcher.dispatch(owner);
+    }
+  }
+
+  /** Hands all shards over; part of a graceful shutdown. */
+  async stop(): Promise<void> {
+    this.stopping = true;
+    for (const shard of [...this.ownersByShard.keys()]) {
+      await this.handOver(shard);
+    }
+  }
+
+  private dropLost(): void {
+    const {claims, lease} = this.options;
+    if (!lease.holds()) return;
+    for (const [shard, owner] of this.ownersByShard) {
+      const ownerId = claims.ownerOf(shard);
+      const foreign = ownerId !== undefined && !claims.isOwn(shard);
+      if (foreign && ownerId !== this.options.entryId) {
+        owner.drop(`entry ${ownerId} owns it`);
+      }
+    }
+  }
+
+  private dropAll(reason: string): void {
+    for (const owner of [...this.ownersByShard.values()]) owner.drop(reason);
+  }
+
+  private async takeOver(shard: number): Promise<void> {
+    const {claims, lease, logger} = this.options;
+    const leaseId = lease.currentLeaseId;
+    if (leaseId === undefined || this.takingOver.has(shard)) return;
+    this.takingOver.add(shard);
+    try {
+      const claimed = await claims.claim(shard, leaseId);
+      // After an outage the log of a shard still owned is intact: go on.
+      if (claimed && !this.ownersByShard.has(shard)) await this.open(shard);
+    } catch (error) {
+      logger.event(Events.SHARD_REPLAY_FAILED, {
+        shard,
+        reason: messageOf(error),
+      });
+    } finally {
+      this.takingOver.delete(shard);
+    }
+  }
+
+  private async open(shard: number): Promise<void> {
+    const {store, settling, entryId, clock, logger, dispatcher} = this.options;
+    try {
+      const owner = await ShardOwner.takeOver({
+        log: new ShardLog(shard, store, settling),
+        entryId,
+        createScheduler: snapshot => this.createScheduler(shard, snapshot),
+        clock,
+        logger,
+        observer: {
+          onCommitted: committed => dispatcher.dispatch(committed),
+          onDropped: dropped => this.forget(dropped),
+        },
+      });
+      this.ownersByShard.set(shard, owner);
+    } catch (error) {
+      await this.options.claims.release(shard);
+      throw error;
+    }
+    for (const agent of this.options.agents.live(clock.now())) {
+      this.noteAgent(agent);
+    }
+  }
+
+  private createScheduler(shard: number, snapshot: string): ShardScheduler {
+    const {random, outageGraceMillis} = this.options;
+    const limits = {earlierOwnerGraceMillis: outageGraceMillis};
+    const options = {shard, random, limits};
+    const scheduler =
+      snapshot === ''
+        ? new ShardScheduler(options)
+        : ShardScheduler.restore(snapshot, options);
+    this.applySettingsTo(scheduler);
+    return scheduler;
+  }
+
+  private applySettingsTo(scheduler: ShardScheduler): void {
+    const {settings} = this.options;
+    scheduler.setFleet(settings.fleet);
+    for (const branch of settings.branches()) {
+      scheduler.setTeam(settings.team(branch));
+    }
+  }
+
+  private async handOver(shard: number): Promise<void> {
+    const owner = this.ownersByShard.get(shard);
+    await owner?.durable().catch(() => undefined);
+    owner?.drop('it is handed over');
+    try {
+      await this.options.claims.release(shard);
+    } catch (error) {
+      this.options.logger.event(Events.HAND_OVER_FAILED, {
+        shard,
+        reason: messageOf(error),
+      });
+    }
+  }
+
+  private forget(owner: ShardOwner): void {
+    if (this.ownersByShard.get(owner.shard) !== owner) return;
+    this.ownersByShard.delete(owner.shard);
+  }
+}
--- /dev/null
+++ b/src/entry/shards/snapshot_file.ts
@@ -0,0 +1,114 @@
+import {randomUUID} from 'node:crypto';
+import {SettledOutcome} from '../../platform/settling_store.js';
+import type {SettlingStore} from '../../platform/settling_store.js';
+import {ABSENT_REVISION} from '../../platform/store.js';
+import type {Store} from '../../platform/store.js';
+import {BaseError} from '../../utilities/base_error.js';
+
+/** Below the megabyte that the store takes in one value. */
+const PART_CHARACTERS = 400_000;
+const WRITE_DEADLINE_MILLIS = 5_000;
+const SEQUENCE_DIGITS = 12;
+const PART_DIGITS = 3;
+
+/** A snapshot could not be written; the one before it stands. */
+export const SnapshotError = BaseError.subclass('SnapshotError');
+
+/** A folded log and the sequence number of the last record in it. */
+export interface Snapshot {
+  readonly sequence: number;
+  readonly text: string;
+}
+
+interface SnapshotHead {
+  readonly sequence: number;
+  /** Prefix of the keys that hold the parts. */
+  readonly partsPrefix: string;
+  readonly parts: number;
+  readonly nonce: string;
+}
+
+/**
+ * The snapshot of one shard: parts under keys that are used once, and a head
+ * that names them and is written last. A snapshot is there as a whole or not
+ * at all, without a transaction over several keys, and a former owner that
+ * writes late leaves unused parts at worst. They go with the next snapshot.
+ */
+export class SnapshotFile {
+  private readonly prefix: string;
+  private headRevision = ABSENT_REVISION;
+
+  constructor(
+    private readonly shard: number,
+    private readonly store: Store,
+    private readonly writer: SettlingStore,
+  ) {
+    this.prefix = `jobs/${shard}/snapshot/`;
+  }
+
+  /** The snapshot that stands; sequence 0 and no text when there is none. */
+  async read(): Promise<Snapshot> {
+    const stored = await this.store.get(`${this.prefix}head`);
+    this.headRevision = stored?.revision ?? ABSENT_REVISION;
+    if (!stored) return {sequence: 0, text: ''};
+    const head = JSON.parse(stored.value) as SnapshotHead;
+    let text = '';
+    for (let part = 0; part < head.parts; part++) {
+      text += await this.readPart(head.partsPrefix, part);
+    }
+    return {sequence: head.sequence, text};
+  }
+
+  /**
+   * Replaces the snapshot.
+   *
+   * @throws SnapshotError when it could not be written; the one before stands.
+   */
+  async write(sequence: number, text: string): Promise<void> {
+    const partsStart = `${this.prefix}parts/`;
+    const digits = String(sequence).padStart(SEQUENCE_DIGITS, '0');
+    const partsPrefix = `${partsStart}${digits}-${randomUUID()}/`;
+    const parts = Math.max(1, Math.ceil(text.length / PART_CHARACTERS));
+    for (let part = 0; part < parts; part++) {
+      const from = part * PART_CHARACTERS;
+      const value = text.slice(from, from + PART_CHARACTERS);
+      await this.put(partKey(partsPrefix, part), ABSENT_REVISION, value);
+    }
+    const head: SnapshotHead = {
+      sequence,
+      partsPrefix,
+      parts,
+      nonce: randomUUID(),
+    };
+    this.headRevision = await this.put(
+      `${this.prefix}head`,
+      this.headRevision,
+      JSON.stringify(head),
+    );
+    await this.store.deleteRange(partsStart, partsPrefix);
+  }
+
+  private async readPart(partsPrefix: string, part: number): Promise<string> {
+    const stored = await this.store.get(partKey(partsPrefix, part));
+    if (stored) return stored.value;
+    throw new SnapshotError(
+      `Part ${part} of a snapshot of shard ${this.shard} was replaced.`,
+    );
+  }
+
+  private async put(
+    key: string,
+    expectedRevision: number,
+    value: string,
+  ): Promise<number> {
+    const result = await this.writer.swap(key, expectedRevision, value, {
+      deadlineMillis: WRITE_DEADLINE_MILLIS,
+    });
+    if (result.outcome === SettledOutcome.WRITTEN) return result.revision;
+    throw new SnapshotError(`Key ${key} was not written: ${result.outcome}.`);
+  }
+}
+
+function partKey(partsPrefix: string, part: number): string {
+  return partsPrefix + String(part).padStart(PART_DIGITS, '0');
+}
--- a/src/observability/events.ts
+++ b/src/observability/events.ts
@@ -173,6 +173,11 @@
   ),
   VM_DRAINED: event(2023, 'info', 'Operators drain a VM.'),
   VM_UNDRAINED: event(2024, 'info', 'Operators have ended the drain of a VM.'),
+  REGISTRATION_FAILED: event(
+    2050,
+    'warn',
+    'The entry could not register in the store; it tries again.',
+  ),
   // 3xxx: shards and jobs.
   SHARD_TAKEN_OVER: event(
     3000,
@@ -287,6 +292,21 @@
     'warn',
     'An urgent task has waited longer than its target.',
   ),
+  AGENT_CALL_FAILED: event(
+    3050,
+    'debug',
+    'A call about task attempts brought no reply; it is made again.',
+  ),
+  SNAPSHOT_FAILED: event(
+    3051,
+    'warn',
+    "A shard's snapshot was not written; the next commit tries again.",
+  ),
+  HAND_OVER_FAILED: event(
+    3052,
+    'warn',
+    'A shard could not be released in the store; its lease has to lapse.',
+  ),
   // 4xxx: agents.
   ENTRIES_FOUND: event(4000, 'info', 'The agent hears from an entry.'),
   ENTRIES_LOST: event(4001, 'error', 'No entry answers the agent.'),
--- a/src/observability/result_codes.ts
+++ b/src/observability/result_codes.ts
@@ -159,6 +159,7 @@
     409,
     'Refused: the agent holds no lease from the owner of the shard.',
   ),
+  JOB_OPEN: code(316, 'JOB_OPEN', 409, 'The job has not ended yet.'),
   // 4xx: settings.
   SETTINGS_INVALID: code(
     400,
--- a/tests/stand_ins/memory_store.ts
+++ b/tests/stand_ins/memory_store.ts
@@ -69,6 +69,14 @@
     return this.call(() => this.table.get(key));
   }
 
+  newest(prefix: string): Promise<StoredValue | undefined> {
+    return this.call(() => {
+      const all = this.table.range(prefix, `${prefix}\uffff`);
+      const newestFirst = all.sort((a, b) => b.revision - a.revision);
+      return newestFirst[0];
+    });
+  }
+
   list(
     prefix: string,
     options: {afterKey?: string; limit?: number} = {},
