--- /dev/null
+++ b/src/agent/agent_process.ts
@@ -0,0 +1,253 @@
+import {CapacityLedger} from '../decisions/capacity/capacity_ledger.js';
+import {Events} from '../observability/events.js';
+import type {Logger} from '../observability/logger.js';
+import type {Executor} from '../platform/executor.js';
+import type {Worker} from '../platform/worker.js';
+import type {
+  DumpStateReply,
+  ExecutorReport,
+  HeartbeatReply,
+  QueryAttemptsReply,
+  QueryAttemptsRequest,
+  ServeReply,
+  ServeRequest,
+  StartAttemptsReply,
+  StartAttemptsRequest,
+  StopAttemptsReply,
+  StopAttemptsRequest,
+} from '../protocol/generated/burdockmoor.js';
+import type {AgentHandlers, LinkFactory} from '../protocol/links.js';
+import type {Clock} from '../utilities/clock.js';
+import type {Random} from '../utilities/random.js';
+import {EXECUTOR_HOLDER} from './agent_context.js';
+import type {
+  AgentContext,
+  AgentIdentity,
+  AgentSettings,
+  ExecutorConfiguration,
+} from './agent_context.js';
+import {AgentLoop} from './agent_loop.js';
+import type {AgentEvent} from './agent_loop.js';
+import {AttemptTable} from './attempt_table.js';
+import {ClosedAttempts} from './closed_attempts.js';
+import {AttemptCloser} from './commands/attempt_closer.js';
+import {AttemptStarter} from './commands/attempt_starter.js';
+import {AttemptStopper} from './commands/attempt_stopper.js';
+import {GracefulShutdown} from './commands/graceful_shutdown.js';
+import {QueryAttempts} from './commands/query_attempts.js';
+import {RoomMaker} from './commands/room_maker.js';
+import {ServeRequests} from './commands/serve_requests.js';
+import {StartAttempts} from './commands/start_attempts.js';
+import {StopAttempts} from './commands/stop_attempts.js';
+import {EntryDirectory} from './entry_directory.js';
+import {HeartbeatSender} from './heartbeat_sender.js';
+import {LeaseKeeper} from './lease_keeper.js';
+import {notRunHere} from './queries/not_run_here.js';
+import {heartbeatRequest} from './queries/heartbeat_request.js';
+import {stateDump} from './queries/state_dump.js';
+import {ReportSender} from './report_sender.js';
+import {ShardLeases} from './shard_leases.js';
+import {KEEP_CLOSED_MILLIS} from './start_checks.js';
+import {WorkerClock} from './worker_clock.js';
+import {WorkerMonitor} from './worker_monitor.js';
+
+const SHUTDOWN_DEADLINE_MILLIS = 10_000;
+
+/** What an agent is made of; the caller closes what it passes in. */
+export interface AgentOptions extends AgentIdentity {
+  /** Where to find entries before any is known. */
+  readonly entryAddresses: readonly string[];
+  /** Left out on a VM without an executor. */
+  readonly executorConfiguration?: ExecutorConfiguration;
+  readonly executor?: Executor;
+  readonly worker: Worker;
+  readonly links: LinkFactory;
+  readonly settings: AgentSettings;
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly logger: Logger;
+  readonly shutdownDeadlineMillis?: number;
+}
+
+/** The agent of one VM: wires its parts and feeds them with events. */
+export class AgentProcess implements AgentHandlers {
+  private readonly context: AgentContext;
+  private readonly loop: AgentLoop;
+  private readonly directory: EntryDirectory;
+  private readonly heartbeats: HeartbeatSender;
+  private readonly closer: AttemptCloser;
+  private readonly stopper: AttemptStopper;
+  private readonly monitor: WorkerMonitor;
+  private readonly leaseKeeper: LeaseKeeper;
+  private readonly reports: ReportSender;
+  private readonly roomMaker: RoomMaker;
+  private readonly starter: AttemptStarter;
+  private readonly starts: StartAttempts;
+  private readonly service: ServeRequests | undefined;
+  private sequence = 0;
+
+  constructor(private readonly options: AgentOptions) {
+    const context = newContext(options);
+    this.context = context;
+    this.loop = new AgentLoop(options.clock);
+    this.directory = new EntryDirectory(options.entryAddresses, {
+      ...options,
+      onReply: (_, reply, sentAt) => this.loop.takeReply(reply, sentAt),
+    });
+    this.heartbeats = new HeartbeatSender(context, this.directory, () =>
+      this.buildHeartbeat(),
+    );
+    this.closer = new AttemptCloser(context);
+    this.stopper = new AttemptStopper(context, this.closer);
+    this.monitor = new WorkerMonitor(context, this.closer);
+    this.leaseKeeper = new LeaseKeeper(context, this.stopper);
+    this.reports = new ReportSender(context, this.directory, this.closer);
+    this.roomMaker = new RoomMaker(context, this.stopper);
+    this.starter = new AttemptStarter(
+      context,
+      this.closer,
+      this.monitor,
+      this.roomMaker,
+    );
+    this.starts = new StartAttempts(context, this.heartbeats, this.starter);
+    this.service = newService(options, context);
+  }
+
+  /** Begins to talk to the worker and the entries. */
+  start(): void {
+    const {agentId, incarnation, logger} = this.options;
+    logger.event(Events.PROCESS_STARTED, {role: 'agent', agentId, incarnation});
+    void this.loop.start(event => this.react(event));
+  }
+
+  /** Shuts down gracefully; resolves within the deadline. */
+  async stop(reason: string): Promise<void> {
+    const {logger, shutdownDeadlineMillis = SHUTDOWN_DEADLINE_MILLIS} =
+      this.options;
+    if (this.context.stopping) return;
+    logger.event(Events.PROCESS_STOPPING, {reason});
+    const shutdown = new GracefulShutdown(
+      this.context,
+      this.heartbeats,
+      this.stopper,
+      this.reports,
+      this.service,
+    );
+    await shutdown.execute(reason, shutdownDeadlineMillis);
+    this.loop.stop();
+    this.directory.close(reason);
+    logger.event(Events.PROCESS_STOPPED, {reason});
+  }
+
+  /** Ends the process at once, without any announcement. */
+  kill(): void {
+    this.loop.stop();
+    this.directory.close('killed');
+  }
+
+  async serve(request: ServeRequest): Promise<ServeReply> {
+    if (!this.service) return notRunHere(request);
+    return this.service.execute(request);
+  }
+
+  async startAttempts(
+    request: StartAttemptsRequest,
+  ): Promise<StartAttemptsReply> {
+    return this.starts.execute(request);
+  }
+
+  async stopAttempts(request: StopAttemptsRequest): Promise<StopAttemptsReply> {
+    return new StopAttempts(this.context, this.stopper).execute(request);
+  }
+
+  async queryAttempts(
+    request: QueryAttemptsRequest,
+  ): Promise<QueryAttemptsReply> {
+    return new QueryAttempts(this.context).execute(request);
+  }
+
+  async dumpState(): Promise<DumpStateReply> {
+    const entries = this.directory.addresses();
+    return {json: stateDump(this.context, this.executorReports(), entries)};
+  }
+
+  private react(event: AgentEvent): void {
+    if (event.type === 'tick') this.tick(event.now);
+    else this.takeInReply(event.reply, event.sentAt);
+  }
+
+  private tick(now: number): void {
+    this.monitor.tick(now);
+    this.leaseKeeper.tick(now);
+    this.stopper.tick();
+    this.roomMaker.tick(now);
+    this.starter.tick(now);
+    this.service?.tick(now);
+    this.reports.tick(now);
+    this.heartbeats.tick(now);
+  }
+
+  private takeInReply(reply: HeartbeatReply, sentAt: number): void {
+    const {clock, settings} = this.options;
+    const now = clock.now();
+    this.directory.takeIn(reply.entries, now);
+    for (const document of reply.settings) settings.apply(document);
+    // Counted from the sending, since the reply took an unknown time.
+    settings.confirm(reply.settingsRevision, sentAt, reply.settingsAgeMillis);
+    const {entryId} = reply;
+    const endsAt = sentAt + reply.leaseMillis;
+    const leases = reply.leases.map(lease => ({...lease, entryId, endsAt}));
+    this.leaseKeeper.takeIn(leases, now);
+    this.heartbeats.noteConfirmation();
+  }
+
+  private buildHeartbeat() {
+    const {executorConfiguration} = this.options;
+    const teams = executorConfiguration ? [executorConfiguration.team] : [];
+    const executors = this.executorReports();
+    const service = {executors, interference: [], teams};
+    return heartbeatRequest(this.context, service, this.sequence++);
+  }
+
+  private executorReports(): ExecutorReport[] {
+    return this.service ? [this.service.report()] : [];
+  }
+}
+
+function newContext(options: AgentOptions): AgentContext {
+  const {agentId, incarnation, failureDomain, region, rack, address} = options;
+  const {clock, random, logger, worker, settings} = options;
+  const ledger = new CapacityLedger();
+  const {executorConfiguration} = options;
+  if (executorConfiguration) {
+    ledger.adopt(EXECUTOR_HOLDER, executorConfiguration.reserved);
+  }
+  return {
+    identity: {agentId, incarnation, failureDomain, region, rack, address},
+    clock,
+    random,
+    logger,
+    worker,
+    settings,
+    ledger,
+    attempts: new AttemptTable(),
+    closed: new ClosedAttempts(KEEP_CLOSED_MILLIS),
+    leases: new ShardLeases(),
+    workerClock: new WorkerClock(),
+    workerStatus: undefined,
+    workerStatusAt: -Infinity,
+    stopping: false,
+  };
+}
+
+function newService(
+  options: AgentOptions,
+  context: AgentContext,
+): ServeRequests | undefined {
+  const {executorConfiguration, executor} = options;
+  if (!executorConfiguration || !executor) return undefined;
+  return new ServeRequests(context, executorConfiguration, executor, {
+    observe: () => undefined,
+    tailMillis: () => 0,
+  });
+}
--- a/src/agent/attempt_table.ts
+++ b/src/agent/attempt_table.ts
@@ -43,6 +43,10 @@
   startValidUntil: number;
   /** When the worker was first known to have the task. */
   seenAt: number | undefined;
+  /** The worker's last answer did not list the task. */
+  missing: boolean;
+  /** Its lease ended; a later lease must not bring it back. */
+  lapsed: boolean;
   stopIntent: StopIntent | undefined;
   throttledShare: number;
   /** Progress that the last checkpoint kept, and when it was taken. */
@@ -62,6 +66,10 @@
     return this.attempts.get(attemptKey(name));
   }
 
+  getByKey(key: string): Attempt | undefined {
+    return this.attempts.get(key);
+  }
+
   getByTaskId(taskId: string): Attempt | undefined {
     const key = this.keysByTaskId.get(taskId);
     return key === undefined ? undefined : this.attempts.get(key);
--- /dev/null
+++ b/src/agent/commands/attempt_starter.ts
@@ -0,0 +1,188 @@
+import {attemptKey} from '../../decisions/job_types.js';
+import {Events} from '../../observability/events.js';
+import {ResultCodes} from '../../observability/result_codes.js';
+import {WorkerRefusedError} from '../../platform/platform_errors.js';
+import type {StartAttemptsRequest} from '../../protocol/generated/burdockmoor.js';
+import {messageOf} from '../../utilities/base_error.js';
+import {NO_RESOURCES} from '../../utilities/resources.js';
+import type {AgentContext} from '../agent_context.js';
+import {refusedReport} from '../attempt_reports.js';
+import {AttemptPhase} from '../attempt_table.js';
+import type {Attempt} from '../attempt_table.js';
+import {withReplyDeadline} from '../reply_deadline.js';
+import {checkAge, checkLease, checkVm} from '../start_checks.js';
+import type {Refusal} from '../start_checks.js';
+import type {WorkerMonitor} from '../worker_monitor.js';
+import {formatWorkerTaskId} from '../worker_task_id.js';
+import type {AttemptCloser} from './attempt_closer.js';
+import type {RoomMaker} from './room_maker.js';
+import type {CheckedStart} from './start_attempts.js';
+
+const START_DEADLINE_MILLIS = 1_500;
+const REPEAT_PERIOD_MILLIS = 1_000;
+
+/** Reserves the size of an attempt and has the worker start it. */
+export class AttemptStarter {
+  /** Payloads of starts that the worker has not confirmed. */
+  private readonly unconfirmed = new Map<string, CheckedStart>();
+  private repeatAt = -Infinity;
+
+  constructor(
+    private readonly context: AgentContext,
+    private readonly closer: AttemptCloser,
+    private readonly monitor: WorkerMonitor,
+    private readonly roomMaker: RoomMaker,
+  ) {}
+
+  /** Resolves to why the attempt did not run, or undefined when it may. */
+  async start(
+    request: StartAttemptsRequest,
+    start: CheckedStart,
+  ): Promise<Refusal | undefined> {
+    const {attempts, ledger} = this.context;
+    const key = attemptKey(start.name);
+    if (!ledger.reserve(key, start.size)) {
+      const hasRoom =
+        start.urgent && (await this.roomMaker.makeRoom(key, start.size));
+      if (attempts.get(start.name)) return undefined;
+      if (!hasRoom) return this.noCapacity();
+      const late =
+        checkAge(this.context, request) ?? checkVm(this.context, request);
+      if (late) {
+        ledger.release(key);
+        return late;
+      }
+    }
+    const attempt = this.newAttempt(request.shard, start);
+    attempts.add(attempt);
+    return this.startAtWorker(attempt, start);
+  }
+
+  /** Asks again for starts that the worker did not answer. */
+  tick(now: number): void {
+    if (now < this.repeatAt) return;
+    this.repeatAt = now + REPEAT_PERIOD_MILLIS;
+    for (const [key, start] of this.unconfirmed) {
+      const attempt = this.context.attempts.get(start.name);
+      if (attempt?.phase !== AttemptPhase.STARTING) {
+        this.unconfirmed.delete(key);
+        continue;
+      }
+      if (!attempt.stopIntent) void this.repeat(attempt, start);
+    }
+  }
+
+  private noCapacity(): Refusal {
+    const {ledger} = this.context;
+    const {milliprocessors, memoryMegabytes, accelerators} = ledger.free;
+    const free = `${milliprocessors} milliprocessors, ${memoryMegabytes} MB, ${accelerators} accelerators`;
+    return {code: ResultCodes.NO_CAPACITY, reason: `free are ${free}`};
+  }
+
+  private newAttempt(shard: number, start: CheckedStart): Attempt {
+    const {clock} = this.context;
+    const {name, kind, size, urgent, watcher, evictable} = start;
+    return {
+      key: attemptKey(name),
+      taskId: formatWorkerTaskId({name, shard, urgent, evictable}),
+      name,
+      shard,
+      kind,
+      size,
+      urgent,
+      watcher,
+      evictable,
+      admittedAt: clock.now(),
+      phase: AttemptPhase.STARTING,
+      leaseEndsAt: -Infinity,
+      leaseConfirmedUntil: -Infinity,
+      startValidUntil: -Infinity,
+      seenAt: undefined,
+      missing: false,
+      lapsed: false,
+      stopIntent: undefined,
+      throttledShare: 1,
+      checkpoint: start.checkpoint,
+      checkpointedAt: clock.now(),
+      ranMillis: 0,
+      used: NO_RESOURCES,
+      report: undefined,
+    };
+  }
+
+  private async startAtWorker(
+    attempt: Attempt,
+    start: CheckedStart,
+  ): Promise<Refusal | undefined> {
+    const {leases, logger} = this.context;
+    const lapsed = checkLease(this.context, attempt.shard);
+    if (lapsed) return this.refuse(attempt, lapsed);
+    const endsAt = leases.endsAt(attempt.shard);
+    try {
+      await this.callStart(attempt, start, endsAt);
+    } catch (error) {
+      if (error instanceof WorkerRefusedError) {
+        const reason = messageOf(error);
+        return this.refuse(attempt, {code: ResultCodes.WORKER_REFUSED, reason});
+      }
+      this.unconfirmed.set(attempt.key, start);
+      this.monitor.pollSoon();
+      logger.event(Events.ATTEMPT_START_UNKNOWN, {attempt: attempt.key});
+      return undefined;
+    }
+    this.noteStarted(attempt, endsAt);
+    return undefined;
+  }
+
+  private callStart(
+    attempt: Attempt,
+    start: CheckedStart,
+    endsAt: number,
+  ): Promise<void> {
+    const {clock, worker, workerClock} = this.context;
+    const leaseExpiresAt = workerClock.toWorkerTime(endsAt);
+    attempt.leaseEndsAt = Math.max(attempt.leaseEndsAt, endsAt);
+    attempt.startValidUntil = Math.max(attempt.startValidUntil, leaseExpiresAt);
+    const answer = worker.start({
+      id: attempt.taskId,
+      kind: start.kind,
+      size: start.size,
+      payload: start.payload,
+      checkpoint: start.checkpoint,
+      watcher: start.watcher,
+      leaseExpiresAt,
+    });
+    const what = `start ${attempt.taskId}`;
+    return withReplyDeadline(clock, answer, START_DEADLINE_MILLIS, what);
+  }
+
+  /** The worker knows an id that it started before, so this is harmless. */
+  private async repeat(attempt: Attempt, start: CheckedStart): Promise<void> {
+    if (checkLease(this.context, attempt.shard)) return;
+    this.unconfirmed.delete(attempt.key);
+    const endsAt = attempt.leaseEndsAt;
+    try {
+      await this.callStart(attempt, start, endsAt);
+      this.noteStarted(attempt, endsAt);
+    } catch {
+      // A refusal says nothing of the first call, which may still arrive.
+      this.unconfirmed.set(attempt.key, start);
+    }
+  }
+
+  private noteStarted(attempt: Attempt, endsAt: number): void {
+    attempt.seenAt ??= this.context.clock.now();
+    attempt.leaseConfirmedUntil = Math.max(attempt.leaseConfirmedUntil, endsAt);
+    if (attempt.phase !== AttemptPhase.STARTING) return;
+    attempt.phase = AttemptPhase.RUNNING;
+    const {logger} = this.context;
+    logger.event(Events.ATTEMPT_STARTED, {attempt: attempt.key});
+  }
+
+  private refuse(attempt: Attempt, refusal: Refusal): Refusal {
+    const {code, reason} = refusal;
+    const {name} = attempt;
+    this.closer.close(attempt, refusedReport(name, code, reason));
+    return refusal;
+  }
+}
--- /dev/null
+++ b/src/agent/commands/graceful_shutdown.ts
@@ -0,0 +1,52 @@
+import type {AgentContext} from '../agent_context.js';
+import type {HeartbeatSender} from '../heartbeat_sender.js';
+import type {ReportSender} from '../report_sender.js';
+import type {AttemptStopper} from './attempt_stopper.js';
+import {evictionIntent} from './attempt_stopper.js';
+import type {ServeRequests} from './serve_requests.js';
+
+const CHECK_PERIOD_MILLIS = 50;
+
+/**
+ * Stops an agent's work: announces it, takes nothing new, finishes requests,
+ * checkpoints and stops evictable tasks, and has their ends recorded. Other
+ * tasks go on at the worker for as long as their leases last.
+ */
+export class GracefulShutdown {
+  constructor(
+    private readonly context: AgentContext,
+    private readonly heartbeats: HeartbeatSender,
+    private readonly stopper: AttemptStopper,
+    private readonly reports: ReportSender,
+    private readonly service: ServeRequests | undefined,
+  ) {}
+
+  /** Resolves when all is done, at the latest after the time. */
+  async execute(reason: string, deadlineMillis: number): Promise<void> {
+    const endsAt = this.context.clock.now() + deadlineMillis;
+    this.context.stopping = true;
+    this.service?.drain();
+    void this.heartbeats.beatAll();
+    for (const attempt of this.context.attempts.live()) {
+      if (!attempt.evictable) continue;
+      this.stopper.stop(attempt, evictionIntent(`the agent stops: ${reason}`));
+    }
+    while (!this.isDone() && this.context.clock.now() < endsAt) {
+      await this.pause();
+    }
+  }
+
+  private isDone(): boolean {
+    if (this.service && this.service.open > 0) return false;
+    for (const attempt of this.context.attempts.live()) {
+      if (attempt.evictable) return false;
+    }
+    return !this.reports.hasReports;
+  }
+
+  private pause(): Promise<void> {
+    return new Promise(resolve => {
+      this.context.clock.schedule(CHECK_PERIOD_MILLIS, resolve);
+    });
+  }
+}
--- /dev/null
+++ b/src/agent/commands/room_maker.ts
@@ -0,0 +1,84 @@
+import {chooseDisplaced} from '../../decisions/eviction/displacement.js';
+import type {DisplacementCandidate} from '../../decisions/eviction/displacement.js';
+import {Events} from '../../observability/events.js';
+import type {Resources} from '../../utilities/resources.js';
+import type {AgentContext} from '../agent_context.js';
+import {AttemptPhase} from '../attempt_table.js';
+import type {Attempt} from '../attempt_table.js';
+import {evictionIntent} from './attempt_stopper.js';
+import type {AttemptStopper} from './attempt_stopper.js';
+
+/** How long an urgent start waits for tasks to checkpoint and stop. */
+const ROOM_DEADLINE_MILLIS = 2_000;
+
+/** An urgent start that waits for room. */
+interface RoomRequest {
+  readonly holder: string;
+  readonly size: Resources;
+  readonly givenUpAt: number;
+  readonly settle: (reserved: boolean) => void;
+}
+
+/** Evicts normal tasks so that an urgent one fits. */
+export class RoomMaker {
+  private waiting: RoomRequest[] = [];
+
+  constructor(
+    private readonly context: AgentContext,
+    private readonly stopper: AttemptStopper,
+  ) {}
+
+  /** Resolves to whether the size is now reserved for the holder. */
+  makeRoom(holder: string, size: Resources): Promise<boolean> {
+    const {attempts, clock, ledger} = this.context;
+    const candidates = this.candidates();
+    const chosen = chooseDisplaced(size, ledger.freeFor(holder), candidates);
+    if (chosen.length === 0) return Promise.resolve(false);
+    ledger.claim(holder, size);
+    for (const {key} of chosen) {
+      const attempt = attempts.getByKey(key);
+      if (attempt) this.displace(attempt, holder);
+    }
+    const givenUpAt = clock.now() + ROOM_DEADLINE_MILLIS;
+    return new Promise(settle => {
+      this.waiting.push({holder, size, givenUpAt, settle});
+    });
+  }
+
+  /** Lets starts go on whose room has become free. */
+  tick(now: number): void {
+    const stillWaiting: RoomRequest[] = [];
+    for (const request of this.waiting) {
+      if (!this.settle(request, now)) stillWaiting.push(request);
+    }
+    this.waiting = stillWaiting;
+  }
+
+  private settle(request: RoomRequest, now: number): boolean {
+    const {ledger} = this.context;
+    const reserved = ledger.reserve(request.holder, request.size);
+    if (!reserved && now < request.givenUpAt) return false;
+    ledger.unclaim(request.holder);
+    request.settle(reserved);
+    return true;
+  }
+
+  private displace(attempt: Attempt, holder: string): void {
+    const reason = `made room for urgent ${holder}`;
+    const {logger} = this.context;
+    logger.event(Events.ATTEMPT_EVICTED, {attempt: attempt.key, reason});
+    this.stopper.stop(attempt, evictionIntent(reason));
+  }
+
+  private candidates(): DisplacementCandidate[] {
+    const now = this.context.clock.now();
+    const candidates: DisplacementCandidate[] = [];
+    for (const attempt of this.context.attempts.all()) {
+      if (attempt.phase !== AttemptPhase.RUNNING) continue;
+      if (attempt.urgent || !attempt.evictable) continue;
+      const lostMillis = now - attempt.checkpointedAt;
+      candidates.push({key: attempt.key, size: attempt.size, lostMillis});
+    }
+    return candidates;
+  }
+}
--- /dev/null
+++ b/src/agent/commands/serve_requests.ts
@@ -0,0 +1,244 @@
+import {SlotQueue} from '../../decisions/admission/slot_queue.js';
+import type {SlotItem} from '../../decisions/admission/slot_queue.js';
+import {ResultCodes} from '../../observability/result_codes.js';
+import type {ResultCode} from '../../observability/result_codes.js';
+import {ExecutorFailure} from '../../platform/executor.js';
+import type {Executor, ExecutorAnswer} from '../../platform/executor.js';
+import {ExecutorError} from '../../platform/platform_errors.js';
+import type {
+  ExecutorReport,
+  ServeReply,
+  ServeRequest,
+} from '../../protocol/generated/burdockmoor.js';
+import {ServeOutcome} from '../../protocol/links.js';
+import {messageOf} from '../../utilities/base_error.js';
+import type {Timer} from '../../utilities/clock.js';
+import {isDrained, isFailureDomainOut} from '../agent_context.js';
+import type {AgentContext, ExecutorConfiguration} from '../agent_context.js';
+import {ExecutorProbe} from '../executor_probe.js';
+import {executorReport} from '../queries/executor_report.js';
+import {RepeatedRequests} from '../repeated_requests.js';
+import {withReplyDeadline} from '../reply_deadline.js';
+
+/** When a caller refused for other reasons than a full queue may come back. */
+const RETRY_AFTER_MILLIS = 500;
+
+/** A request in the queue or on the executor. */
+interface Admitted {
+  readonly request: ServeRequest;
+  readonly arrivedAt: number;
+  readonly settle: (reply: ServeReply) => void;
+}
+
+/** What the agent does with the answer times of its executor. */
+export interface AnswerTimes {
+  observe(answerMillis: number, now: number): void;
+  tailMillis(now: number): number;
+}
+
+/** Runs service requests on the executor, as its slots become free. */
+export class ServeRequests {
+  private readonly queue: SlotQueue<Admitted>;
+  private readonly probe: ExecutorProbe;
+  private readonly repeated = new RepeatedRequests();
+  private arrivals = 0;
+  private expiryTimer: Timer | undefined;
+
+  constructor(
+    private readonly context: AgentContext,
+    private readonly configuration: ExecutorConfiguration,
+    private readonly executor: Executor,
+    private readonly answerTimes: AnswerTimes,
+  ) {
+    const {clock, logger} = context;
+    this.queue = new SlotQueue(configuration);
+    this.probe = new ExecutorProbe(executor, clock, logger);
+  }
+
+  /** Requests that are queued or run. */
+  get open(): number {
+    return this.queue.inFlight + this.queue.queued;
+  }
+
+  report(): ExecutorReport {
+    return executorReport(this.configuration, this.queue, {
+      draining: this.isDraining(),
+      unavailable: this.probe.isUnavailable,
+      tailMillis: this.answerTimes.tailMillis(this.context.clock.now()),
+    });
+  }
+
+  /** Refuses new requests from now on; those admitted still run. */
+  drain(): void {
+    this.queue.drain();
+  }
+
+  tick(now: number): void {
+    this.probe.tick(now);
+  }
+
+  execute(request: ServeRequest): Promise<ServeReply> {
+    const now = this.context.clock.now();
+    return this.repeated.runOnce(request, now, () => this.admit(request, now));
+  }
+
+  private isDraining(): boolean {
+    return isDrained(this.context) || isFailureDomainOut(this.context);
+  }
+
+  private admit(request: ServeRequest, now: number): Promise<ServeReply> {
+    const refusal = this.refusalFor(request);
+    if (refusal) {
+      return Promise.resolve(
+        this.notRun(request, refusal, refusal.meaning, RETRY_AFTER_MILLIS),
+      );
+    }
+    return new Promise(settle => {
+      const id = `${this.arrivals++}`;
+      const deadlineAt = now + request.deadlineMillis;
+      const value = {request, arrivedAt: now, settle};
+      this.offer({id, deadlineAt, value}, now);
+    });
+  }
+
+  private refusalFor(request: ServeRequest): ResultCode | undefined {
+    const {service} = this.configuration;
+    if (request.service !== service) return ResultCodes.NO_UPSTREAM;
+    if (this.isDraining()) return ResultCodes.UPSTREAM_DRAINING;
+    if (this.probe.isUnavailable) return ResultCodes.EXECUTOR_UNREACHABLE;
+    return undefined;
+  }
+
+  private offer(item: SlotItem<Admitted>, now: number): void {
+    const decision = this.queue.offer(item, now);
+    if (decision.kind === 'run') {
+      void this.run(item);
+      return;
+    }
+    if (decision.kind === 'queued') {
+      this.scheduleExpiry(now);
+      return;
+    }
+    const {code, retryAfterMillis} = decision;
+    const {request, settle} = item.value;
+    settle(this.notRun(request, code, code.meaning, retryAfterMillis));
+  }
+
+  private async run(item: SlotItem<Admitted>): Promise<void> {
+    const {clock} = this.context;
+    const startedAt = clock.now();
+    const {request, arrivedAt, settle} = item.value;
+    const reply = await this.send(request, item.deadlineAt - startedAt);
+    const now = clock.now();
+    const {run, expired} = this.queue.release(item.id, now - startedAt, now);
+    if (reply.outcome !== ServeOutcome.NOT_RUN) {
+      this.answerTimes.observe(now - arrivedAt, now);
+    }
+    settle({...reply, executor: this.report()});
+    this.settleExpired(expired);
+    for (const next of run) void this.run(next);
+  }
+
+  private async send(
+    request: ServeRequest,
+    deadlineMillis: number,
+  ): Promise<ServeReply> {
+    try {
+      const answer = await withReplyDeadline(
+        this.context.clock,
+        this.executor.send({
+          requestId: request.requestId,
+          method: request.method,
+          path: request.path,
+          headers: request.headers.map(({name, value}) => [name, value]),
+          body: request.body,
+          deadlineMillis,
+        }),
+        deadlineMillis,
+        `${request.method} ${request.path}`,
+      );
+      return this.answered(request, answer);
+    } catch (error) {
+      return this.failed(request, error);
+    }
+  }
+
+  private answered(request: ServeRequest, answer: ExecutorAnswer): ServeReply {
+    return {
+      requestId: request.requestId,
+      outcome: ServeOutcome.ANSWERED,
+      resultCode: 0,
+      status: answer.status,
+      headers: answer.headers.map(([name, value]) => ({name, value})),
+      body: Buffer.from(answer.body),
+      retryAfterMillis: 0,
+      reason: '',
+      executor: undefined,
+    };
+  }
+
+  private failed(request: ServeRequest, error: unknown): ServeReply {
+    this.probe.probeSoon();
+    const reason = messageOf(error);
+    if (
+      error instanceof ExecutorError &&
+      error.failure === ExecutorFailure.NOT_SENT
+    ) {
+      const code = ResultCodes.EXECUTOR_UNREACHABLE;
+      return this.notRun(request, code, reason, RETRY_AFTER_MILLIS);
+    }
+    const code = ResultCodes.OUTCOME_UNKNOWN;
+    return this.unanswered(request, ServeOutcome.UNKNOWN, code, reason, 0);
+  }
+
+  private notRun(
+    request: ServeRequest,
+    code: ResultCode,
+    reason: string,
+    retryAfterMillis: number,
+  ): ServeReply {
+    const outcome = ServeOutcome.NOT_RUN;
+    return this.unanswered(request, outcome, code, reason, retryAfterMillis);
+  }
+
+  private unanswered(
+    request: ServeRequest,
+    outcome: ServeOutcome,
+    code: ResultCode,
+    reason: string,
+    retryAfterMillis: number,
+  ): ServeReply {
+    return {
+      requestId: request.requestId,
+      outcome,
+      resultCode: code.number,
+      status: 0,
+      headers: [],
+      body: Buffer.alloc(0),
+      retryAfterMillis: Math.ceil(retryAfterMillis),
+      reason,
+      executor: this.report(),
+    };
+  }
+
+  /** Refuses queued requests at the moment at which their deadline passes. */
+  private scheduleExpiry(now: number): void {
+    this.expiryTimer?.cancel();
+    const next = this.queue.nextDeadline();
+    if (next === undefined) return;
+    const {clock} = this.context;
+    this.expiryTimer = clock.schedule(next - now, () => {
+      const then = clock.now();
+      this.settleExpired(this.queue.expire(then));
+      this.scheduleExpiry(then);
+    });
+  }
+
+  private settleExpired(expired: ReadonlyArray<SlotItem<Admitted>>): void {
+    const code = ResultCodes.DEADLINE_PASSED;
+    for (const {value} of expired) {
+      const {request, settle} = value;
+      settle(this.notRun(request, code, code.meaning, RETRY_AFTER_MILLIS));
+    }
+  }
+}
--- /dev/null
+++ b/src/agent/commands/start_attempts.ts
@@ -0,0 +1,98 @@
+import {attemptKey} from '../../decisions/job_types.js';
+import type {AttemptName} from '../../decisions/job_types.js';
+import {Events} from '../../observability/events.js';
+import {ResultCodes} from '../../observability/result_codes.js';
+import type {
+  StartAttempt,
+  StartAttemptsReply,
+  StartAttemptsRequest,
+  StartResult,
+} from '../../protocol/generated/burdockmoor.js';
+import {NO_RESOURCES} from '../../utilities/resources.js';
+import type {Resources} from '../../utilities/resources.js';
+import type {AgentContext} from '../agent_context.js';
+import type {AttemptStarter} from './attempt_starter.js';
+import type {HeartbeatSender} from '../heartbeat_sender.js';
+import {
+  areSettingsFresh,
+  checkClosed,
+  checkSender,
+  checkVm,
+} from '../start_checks.js';
+import type {Refusal} from '../start_checks.js';
+
+/** How long a start waits for the settings to be confirmed. */
+const CONFIRMATION_DEADLINE_MILLIS = 1_000;
+
+/** A start whose parts are all present. */
+export interface CheckedStart extends StartAttempt {
+  readonly name: AttemptName;
+  readonly size: Resources;
+}
+
+/** Starts task attempts for the owner of their shard, or says no. */
+export class StartAttempts {
+  constructor(
+    private readonly context: AgentContext,
+    private readonly heartbeats: HeartbeatSender,
+    private readonly starter: AttemptStarter,
+  ) {}
+
+  async execute(request: StartAttemptsRequest): Promise<StartAttemptsReply> {
+    const {settingsRevision} = request;
+    const starts = request.starts.filter(isWhole);
+    if (
+      !checkSender(this.context, request) &&
+      !areSettingsFresh(this.context, settingsRevision)
+    ) {
+      await this.heartbeats.awaitConfirmation(CONFIRMATION_DEADLINE_MILLIS);
+    }
+    const results = await Promise.all(
+      starts.map(start => this.startOne(request, start)),
+    );
+    return {results};
+  }
+
+  private async startOne(
+    request: StartAttemptsRequest,
+    start: CheckedStart,
+  ): Promise<StartResult> {
+    const {attempts} = this.context;
+    if (attempts.get(start.name)) return accepted(start.name);
+    const refusal =
+      checkSender(this.context, request) ??
+      checkClosed(this.context, start.name) ??
+      checkVm(this.context, request) ??
+      (await this.starter.start(request, start));
+    if (!refusal) return accepted(start.name);
+    this.noteRefusal(start, refusal);
+    return {
+      name: start.name,
+      accepted: false,
+      resultCode: refusal.code.number,
+      reason: refusal.reason,
+    };
+  }
+
+  /** A repeat of a refused start must not run: the owner believes the no. */
+  private noteRefusal(start: CheckedStart, {code, reason}: Refusal): void {
+    const {closed, clock, logger} = this.context;
+    const key = attemptKey(start.name);
+    if (code !== ResultCodes.OTHER_INCARNATION) closed.close(key, clock.now());
+    logger.event(Events.ATTEMPT_REFUSED, {
+      attempt: key,
+      resultCode: code.number,
+      reason,
+    });
+  }
+}
+
+function accepted(name: AttemptName): StartResult {
+  return {name, accepted: true, resultCode: 0, reason: ''};
+}
+
+function isWhole(start: StartAttempt): start is CheckedStart {
+  if (start.name === undefined) return false;
+  start.size ??= NO_RESOURCES;
+  return true;
+}
--- /dev/null
+++ b/src/agent/lease_keeper.ts
@@ -0,0 +1,106 @@
+import {ResultCodes} from '../observability/result_codes.js';
+import {Events} from '../observability/events.js';
+import {isWorkerSilent} from './agent_context.js';
+import type {AgentContext} from './agent_context.js';
+import type {Attempt} from './attempt_table.js';
+import type {ShardLeaseState} from './shard_leases.js';
+import type {AttemptStopper} from './commands/attempt_stopper.js';
+import {evictionIntent} from './commands/attempt_stopper.js';
+import {withReplyDeadline} from './reply_deadline.js';
+
+/** Share of a lease that may pass before the worker is told of a later end. */
+const RENEW_AFTER_SHARE = 0.3;
+
+/** Time before the end of a lease that is left for a last checkpoint. */
+const LAST_CHECKPOINT_MILLIS = 1_500;
+
+const RENEW_DEADLINE_MILLIS = 1_000;
+
+/**
+ * Passes the leases of shard owners on to the worker, and stops attempts whose
+ * lease is about to end. A lease that has ended is never brought back.
+ */
+export class LeaseKeeper {
+  private renewing = false;
+
+  constructor(
+    private readonly context: AgentContext,
+    private readonly stopper: AttemptStopper,
+  ) {}
+
+  /** Takes in leases that an owner gave; attempts that lapsed stay lapsed. */
+  takeIn(leases: readonly ShardLeaseState[], now: number): void {
+    if (leases.length === 0) return;
+    this.stopLapsed(now);
+    for (const lease of leases) this.context.leases.renew(lease);
+  }
+
+  tick(now: number): void {
+    this.stopLapsed(now);
+    // A renewal that hangs may still arrive: a silent worker is sent none.
+    if (this.renewing || isWorkerSilent(this.context)) return;
+    const batches = this.dueRenewals(now);
+    if (batches.size === 0) return;
+    this.renewing = true;
+    void this.renewAll(batches).finally(() => (this.renewing = false));
+  }
+
+  private stopLapsed(now: number): void {
+    for (const attempt of this.context.attempts.live()) {
+      if (now < this.lapsesAt(attempt) - LAST_CHECKPOINT_MILLIS) continue;
+      if (now >= this.lapsesAt(attempt)) attempt.lapsed = true;
+      if (attempt.stopIntent) continue;
+      this.context.logger.event(Events.ATTEMPT_LAPSED, {attempt: attempt.key});
+      const reason = 'the lease of the task lapsed';
+      const code = ResultCodes.LEASE_LAPSED.number;
+      this.stopper.stop(attempt, evictionIntent(reason, code));
+    }
+  }
+
+  private lapsesAt(attempt: Attempt): number {
+    const shardEnd = this.context.leases.endsAt(attempt.shard);
+    return attempt.lapsed ? -Infinity : Math.max(shardEnd, attempt.leaseEndsAt);
+  }
+
+  /** Attempts whose worker should hear of a later end, by that end. */
+  private dueRenewals(now: number): Map<number, Attempt[]> {
+    const {attempts, leases, settings} = this.context;
+    const batches = new Map<number, Attempt[]>();
+    const leaseMillis = settings.fleet.taskLeaseMillis;
+    const dueBefore = now + (1 - RENEW_AFTER_SHARE) * leaseMillis;
+    for (const attempt of attempts.live()) {
+      if (attempt.missing || attempt.lapsed) continue;
+      const endsAt = leases.endsAt(attempt.shard);
+      if (attempt.leaseConfirmedUntil >= Math.min(endsAt, dueBefore)) continue;
+      if (attempt.seenAt === undefined) continue;
+      const batch = batches.get(endsAt);
+      if (batch) batch.push(attempt);
+      else batches.set(endsAt, [attempt]);
+    }
+    return batches;
+  }
+
+  private async renewAll(batches: Map<number, Attempt[]>): Promise<void> {
+    for (const [endsAt, attempts] of batches) {
+      await this.renew(attempts, endsAt).catch(() => undefined);
+    }
+  }
+
+  private async renew(attempts: Attempt[], endsAt: number): Promise<void> {
+    const {clock, worker, workerClock} = this.context;
+    if (!workerClock.isKnown || endsAt <= clock.now()) return;
+    for (const attempt of attempts) {
+      attempt.leaseEndsAt = Math.max(attempt.leaseEndsAt, endsAt);
+    }
+    const ids = attempts.map(attempt => attempt.taskId);
+    const answer = worker.renew(ids, workerClock.toWorkerTime(endsAt));
+    const what = `renew ${ids.length} tasks`;
+    await withReplyDeadline(clock, answer, RENEW_DEADLINE_MILLIS, what);
+    for (const attempt of attempts) {
+      attempt.leaseConfirmedUntil = Math.max(
+        attempt.leaseConfirmedUntil,
+        endsAt,
+      );
+    }
+  }
+}
--- /dev/null
+++ b/src/agent/queries/heartbeat_request.ts
@@ -0,0 +1,51 @@
+import type {
+  ExecutorReport,
+  HeartbeatRequest,
+  InterferenceSample,
+} from '../../protocol/generated/burdockmoor.js';
+import {FLEET_BRANCH} from '../../settings/settings_types.js';
+import {addResources, NO_RESOURCES} from '../../utilities/resources.js';
+import type {Resources} from '../../utilities/resources.js';
+import {isDrained, isRecovering} from '../agent_context.js';
+import type {AgentContext} from '../agent_context.js';
+
+/** What a heartbeat says of the service beside the agent. */
+export interface ServiceState {
+  readonly executors: ExecutorReport[];
+  readonly interference: InterferenceSample[];
+  readonly teams: readonly string[];
+}
+
+/** The heartbeat that describes the VM at this moment. */
+export function heartbeatRequest(
+  context: AgentContext,
+  service: ServiceState,
+  sequence: number,
+): HeartbeatRequest {
+  const {identity, ledger, clock, settings, attempts} = context;
+  return {
+    ...identity,
+    sequence,
+    // Rounded down: a lease counted from it can only be shorter.
+    agentTime: Math.floor(clock.now()),
+    capacity: ledger.capacity,
+    committed: ledger.committed,
+    executors: service.executors,
+    settingsRevision: settings.revision,
+    branches: [FLEET_BRANCH, ...service.teams],
+    draining: isDrained(context),
+    runningAttempts: attempts.live().length,
+    interference: service.interference,
+    used: usedResources(context),
+    stopping: context.stopping,
+    recovering: isRecovering(context),
+  };
+}
+
+function usedResources(context: AgentContext): Resources {
+  let used = NO_RESOURCES;
+  for (const task of context.workerStatus?.tasks ?? []) {
+    used = addResources(used, task.used);
+  }
+  return used;
+}
--- /dev/null
+++ b/src/agent/queries/not_run_here.ts
@@ -0,0 +1,21 @@
+import {ResultCodes} from '../../observability/result_codes.js';
+import type {
+  ServeReply,
+  ServeRequest,
+} from '../../protocol/generated/burdockmoor.js';
+import {ServeOutcome} from '../../protocol/links.js';
+
+/** The answer of an agent that has no executor. */
+export function notRunHere(request: ServeRequest): ServeReply {
+  return {
+    requestId: request.requestId,
+    outcome: ServeOutcome.NOT_RUN,
+    resultCode: ResultCodes.NO_UPSTREAM.number,
+    status: 0,
+    headers: [],
+    body: Buffer.alloc(0),
+    retryAfterMillis: 0,
+    reason: 'there is no executor beside this agent',
+    executor: undefined,
+  };
+}
--- a/src/decisions/capacity/capacity_ledger.ts
+++ b/src/decisions/capacity/capacity_ledger.ts
@@ -13,6 +13,8 @@
 export class CapacityLedger {
   private readonly sizes = new Map<string, Resources>();
   private total: Resources = NO_RESOURCES;
+  /** Sizes that others must leave free, by the holder that waits for them. */
+  private readonly claims = new Map<string, Resources>();
 
   constructor(private currentCapacity: Resources = NO_RESOURCES) {}
 
@@ -36,11 +38,30 @@
   /** Reserves the size unless it doesn't fit; again for a holder is harmless. */
   reserve(holder: string, size: Resources): boolean {
     if (this.sizes.has(holder)) return true;
-    if (!this.hasRoomFor(size)) return false;
+    if (!this.hasRoomFor(holder, size)) return false;
+    this.claims.delete(holder);
     this.add(holder, size);
     return true;
   }
 
+  /** Keeps room that becomes free for the holder until it reserves. */
+  claim(holder: string, size: Resources): void {
+    this.claims.set(holder, size);
+  }
+
+  unclaim(holder: string): void {
+    this.claims.delete(holder);
+  }
+
+  /** What is left to the holder, besides what others wait for. */
+  freeFor(holder: string): Resources {
+    let free = this.free;
+    for (const [other, size] of this.claims) {
+      if (other !== holder) free = subtractResources(free, size);
+    }
+    return free;
+  }
+
   /** Counts what runs already, whether it fits or not. */
   adopt(holder: string, size: Resources): void {
     this.release(holder);
@@ -59,8 +80,9 @@
     this.currentCapacity = capacity;
   }
 
-  private hasRoomFor(size: Resources): boolean {
-    return fitsInto(NO_RESOURCES, this.free) && fitsInto(size, this.free);
+  private hasRoomFor(holder: string, size: Resources): boolean {
+    const free = this.freeFor(holder);
+    return fitsInto(NO_RESOURCES, this.free) && fitsInto(size, free);
   }
 
   private add(holder: string, size: Resources): void {
--- a/src/observability/events.ts
+++ b/src/observability/events.ts
@@ -44,5 +44,51 @@
   // 2xxx: entries.
   // 3xxx: shards and jobs.
   // 4xxx: agents.
+  WORKER_SILENT: event(
+    4000,
+    'error',
+    'The worker gives no answer; nothing starts on this VM until it does.',
+  ),
+  WORKER_BACK: event(4001, 'info', 'The worker answers again.'),
+  WORKER_RECOVERED: event(
+    4002,
+    'info',
+    'The agent has read what its worker runs, and admits work.',
+  ),
+  ATTEMPT_STARTED: event(4010, 'info', 'The worker runs a task attempt.'),
+  ATTEMPT_REFUSED: event(4011, 'info', 'A start was refused; it did not run.'),
+  ATTEMPT_START_UNKNOWN: event(
+    4012,
+    'warn',
+    'The worker did not answer a start; its size stays reserved.',
+  ),
+  ATTEMPT_ENDED: event(4013, 'info', 'A task attempt has ended here.'),
+  ATTEMPT_LAPSED: event(
+    4014,
+    'warn',
+    'The lease of a task attempt ended; the task is stopped.',
+  ),
+  ATTEMPT_EVICTED: event(
+    4015,
+    'info',
+    'A task is checkpointed and stopped to free the VM.',
+  ),
+  ATTEMPT_THROTTLED: event(
+    4016,
+    'info',
+    'The share of processors that a task may use was changed.',
+  ),
+  ENTRY_SILENT: event(
+    4020,
+    'warn',
+    'An entry left two heartbeats unanswered; the connection is replaced.',
+  ),
+  ENTRY_HEARD: event(4021, 'info', 'An entry answers again.'),
+  EXECUTOR_UNAVAILABLE: event(
+    4030,
+    'error',
+    'The executor fails its probes; its requests are refused.',
+  ),
+  EXECUTOR_AVAILABLE: event(4031, 'info', 'The executor answers again.'),
   // 5xxx: the store.
 } as const;
--- /dev/null
+++ b/tests/agent/leases.test.ts
@@ -0,0 +1,155 @@
+import test from 'ava';
+import {AttemptOutcome} from '../../src/decisions/job_types.js';
+import {ResultCodes} from '../../src/observability/result_codes.js';
+import {AgentFixture, nameOf, VM_SIZE} from './fixtures/agent_fixture.js';
+import {LEASE_MILLIS} from './fixtures/fake_entry.js';
+
+test('should keep a task alive for as long as its owner answers', async t => {
+  const fixture = new AgentFixture();
+  await fixture.begin();
+  await fixture.start(1);
+  await fixture.pass(6 * LEASE_MILLIS);
+  t.is(fixture.worker.running().length, 1);
+});
+
+test('should checkpoint and stop a task before its lease ends', async t => {
+  const fixture = new AgentFixture();
+  await fixture.begin();
+  await fixture.start(1);
+  const startedAt = fixture.clock.now();
+  fixture.entry.ownsShard = false;
+  await fixture.pass(LEASE_MILLIS);
+  t.deepEqual(fixture.worker.running(), []);
+  t.true(fixture.clock.now() <= startedAt + LEASE_MILLIS);
+  fixture.entry.ownsShard = true;
+  await fixture.pass(3_000);
+  const [report] = fixture.entry.reports;
+  t.is(report.outcome, AttemptOutcome.EVICTED);
+  t.is(report.resultCode, ResultCodes.LEASE_LAPSED.number);
+});
+
+test('should call a task lost that it could not checkpoint in time', async t => {
+  const fixture = new AgentFixture();
+  await fixture.begin();
+  await fixture.start(1, {evictable: false});
+  fixture.entry.ownsShard = false;
+  await fixture.pass(LEASE_MILLIS + 1_000);
+  fixture.entry.ownsShard = true;
+  await fixture.pass(3_000);
+  t.is(fixture.entry.reports[0].outcome, AttemptOutcome.LOST);
+});
+
+test('should count a lease from the sending, however late the reply', async t => {
+  const fixture = new AgentFixture();
+  await fixture.begin();
+  await fixture.start(1);
+  const startedAt = fixture.clock.now();
+  // Answered in time, but each reply takes nearly the whole lease.
+  fixture.entry.replyDelayMillis = LEASE_MILLIS - 500;
+  await fixture.pass(1_500);
+  fixture.entry.silent = true;
+  await fixture.pass(LEASE_MILLIS + 500);
+  t.deepEqual(fixture.worker.running(), []);
+  t.true(fixture.clock.now() <= startedAt + LEASE_MILLIS + 2_000);
+});
+
+test('should adopt what runs after a restart, under a new lease', async t => {
+  const fixture = new AgentFixture();
+  await fixture.begin();
+  await fixture.start(1, {size: VM_SIZE});
+  await fixture.restart();
+  const query = {shard: 1, epoch: 5, names: [nameOf(1)]};
+  t.true((await fixture.agent.queryAttempts(query)).states[0].running);
+  t.is((await fixture.start(2)).resultCode, ResultCodes.NO_CAPACITY.number);
+  await fixture.pass(3 * LEASE_MILLIS);
+  t.is(fixture.worker.running().length, 1);
+});
+
+test('should let an adopted task lapse when no owner is heard', async t => {
+  const fixture = new AgentFixture();
+  await fixture.begin();
+  await fixture.start(1);
+  fixture.entry.ownsShard = false;
+  await fixture.restart();
+  await fixture.pass(LEASE_MILLIS);
+  t.deepEqual(fixture.worker.running(), []);
+});
+
+test('should report after a restart what ended meanwhile', async t => {
+  const fixture = new AgentFixture();
+  await fixture.begin();
+  await fixture.start(1);
+  fixture.agent.kill();
+  fixture.worker.finish(fixture.worker.running()[0], 'the answer');
+  await fixture.restart();
+  await fixture.pass(1_000);
+  t.is(fixture.entry.reports[0].outcome, AttemptOutcome.FINISHED);
+  t.is(fixture.entry.reports[0].result, 'the answer');
+});
+
+test('should report an end until the log of the shard holds it', async t => {
+  const fixture = new AgentFixture();
+  await fixture.begin();
+  await fixture.start(1);
+  fixture.entry.recordsReports = false;
+  fixture.worker.finish(fixture.worker.running()[0]);
+  await fixture.pass(3_000);
+  t.is(fixture.worker.tasks.size, 1);
+  fixture.entry.recordsReports = true;
+  await fixture.pass(2_000);
+  t.is(fixture.entry.reports.length, 1);
+  t.is(fixture.worker.tasks.size, 0);
+});
+
+test('should call a task lost that a replaced worker does not know', async t => {
+  const fixture = new AgentFixture();
+  await fixture.begin();
+  await fixture.start(1);
+  fixture.worker.tasks.clear();
+  await fixture.pass(3_000);
+  t.deepEqual(fixture.entry.reports, []);
+  await fixture.pass(LEASE_MILLIS);
+  t.is(fixture.entry.reports[0].outcome, AttemptOutcome.LOST);
+});
+
+test('should give up the tasks of a worker that stays silent', async t => {
+  const fixture = new AgentFixture();
+  await fixture.begin();
+  await fixture.start(1);
+  fixture.worker.silent = true;
+  await fixture.pass(4 * LEASE_MILLIS);
+  t.is(fixture.entry.reports[0].outcome, AttemptOutcome.LOST);
+});
+
+test('should replace a connection that stays silent', async t => {
+  const fixture = new AgentFixture();
+  fixture.entry.silentLinks = 1;
+  await fixture.begin();
+  await fixture.pass(4_000);
+  t.is(fixture.links.opened, 2);
+  t.is(fixture.links.closed, 1);
+  t.true((await fixture.start(1)).accepted);
+});
+
+test('should checkpoint, report and announce when it stops', async t => {
+  const fixture = new AgentFixture();
+  await fixture.begin();
+  await fixture.start(1);
+  const stopped = fixture.agent.stop('replaced');
+  const refused = await fixture.start(2);
+  t.is(refused.resultCode, ResultCodes.VM_DRAINED.number);
+  await fixture.finish(stopped);
+  t.true(fixture.entry.heartbeats.at(-1)!.stopping);
+  t.is(fixture.entry.reports[0].outcome, AttemptOutcome.EVICTED);
+  t.deepEqual(fixture.worker.running(), []);
+});
+
+test('should report a cancelled task as cancelled', async t => {
+  const fixture = new AgentFixture();
+  await fixture.begin();
+  await fixture.start(1);
+  const stop = {name: nameOf(1), checkpoint: false, reason: 'cancelled'};
+  await fixture.agent.stopAttempts({shard: 1, epoch: 5, stops: [stop]});
+  await fixture.pass(2_000);
+  t.is(fixture.entry.reports[0].outcome, AttemptOutcome.CANCELLED);
+});
--- /dev/null
+++ b/tests/agent/serve_requests.test.ts
@@ -0,0 +1,150 @@
+import test from 'ava';
+import {ResultCodes} from '../../src/observability/result_codes.js';
+import type {ServeRequest} from '../../src/protocol/generated/burdockmoor.js';
+import {ServeOutcome} from '../../src/protocol/links.js';
+import {AgentFixture, TASK_SIZE} from './fixtures/agent_fixture.js';
+import {FakeExecutor} from './fixtures/fake_executor.js';
+
+class ServiceFixture extends AgentFixture {
+  readonly executor: FakeExecutor;
+
+  constructor() {
+    super(clock => ({
+      executor: new FakeExecutor(clock),
+      executorConfiguration: {
+        service: 'rounds',
+        team: 'depot',
+        slots: 2,
+        connections: 8,
+        reserved: TASK_SIZE,
+      },
+    }));
+    this.executor = this.changes.executor as FakeExecutor;
+  }
+
+  request(requestId: string, changes: Partial<ServeRequest> = {}) {
+    return this.agent.serve({
+      requestId,
+      service: 'rounds',
+      team: 'depot',
+      method: 'GET',
+      path: '/stock',
+      headers: [],
+      body: Buffer.alloc(0),
+      deadlineMillis: 1_000,
+      idempotent: true,
+      ...changes,
+    });
+  }
+}
+
+test('should bring each request its own whole answer', async t => {
+  const fixture = new ServiceFixture();
+  await fixture.begin();
+  const calls = ['a', 'b', 'c'].map(id => fixture.request(id));
+  const replies = await fixture.finish(Promise.all(calls));
+  for (const reply of replies) {
+    t.is(reply.outcome, ServeOutcome.ANSWERED);
+    t.is(reply.body.toString(), `answer to ${reply.requestId}`);
+  }
+});
+
+test('should refuse at once what cannot be answered in time', async t => {
+  const fixture = new ServiceFixture();
+  await fixture.begin();
+  const first = ['a', 'b', 'c', 'd'].map(id => fixture.request(id));
+  await fixture.finish(Promise.all(first));
+  fixture.executor.serviceMillis = 5_000;
+  void fixture.request('e', {deadlineMillis: 60_000});
+  void fixture.request('f', {deadlineMillis: 60_000});
+  const before = fixture.clock.now();
+  const late = await fixture.request('g', {deadlineMillis: 20});
+  t.is(late.outcome, ServeOutcome.NOT_RUN);
+  t.is(late.resultCode, ResultCodes.QUEUE_FULL.number);
+  t.true(late.retryAfterMillis > 0);
+  t.is(fixture.clock.now(), before);
+  t.false(fixture.executor.ran.includes('g'));
+});
+
+test('should say not run the moment a deadline passes in the queue', async t => {
+  const fixture = new ServiceFixture();
+  await fixture.begin();
+  fixture.executor.serviceMillis = 5_000;
+  void fixture.request('a', {deadlineMillis: 60_000});
+  void fixture.request('b', {deadlineMillis: 60_000});
+  const queued = fixture.request('c', {deadlineMillis: 300});
+  const before = fixture.clock.now();
+  const reply = await fixture.finish(queued);
+  t.is(reply.resultCode, ResultCodes.DEADLINE_PASSED.number);
+  t.is(reply.outcome, ServeOutcome.NOT_RUN);
+  t.true(fixture.clock.now() <= before + 350);
+  await fixture.pass(10_000);
+  t.false(fixture.executor.ran.includes('c'));
+});
+
+test('should say unknown when the executor may have run it', async t => {
+  const fixture = new ServiceFixture();
+  await fixture.begin();
+  fixture.executor.silent = true;
+  const reply = await fixture.finish(fixture.request('a'));
+  t.is(reply.outcome, ServeOutcome.UNKNOWN);
+});
+
+test('should say not run when nothing was sent', async t => {
+  const fixture = new ServiceFixture();
+  await fixture.begin();
+  fixture.executor.unreachable = true;
+  const reply = await fixture.finish(fixture.request('a'));
+  t.is(reply.outcome, ServeOutcome.NOT_RUN);
+  t.is(reply.resultCode, ResultCodes.EXECUTOR_UNREACHABLE.number);
+});
+
+test('should take itself out while the executor fails its probes', async t => {
+  const fixture = new ServiceFixture();
+  await fixture.begin();
+  fixture.executor.silent = true;
+  await fixture.pass(5_000);
+  t.true(fixture.entry.heartbeats.at(-1)!.executors[0].unavailable);
+  const before = fixture.executor.ran.length;
+  const reply = await fixture.request('a');
+  t.is(reply.outcome, ServeOutcome.NOT_RUN);
+  t.is(fixture.executor.ran.length, before);
+  fixture.executor.silent = false;
+  await fixture.pass(3_000);
+  t.is((await fixture.finish(fixture.request('b'))).status, 200);
+});
+
+test('should run a repeated request once when it is not idempotent', async t => {
+  const fixture = new ServiceFixture();
+  await fixture.begin();
+  const once = {idempotent: false, method: 'POST'};
+  const calls = [fixture.request('a', once), fixture.request('a', once)];
+  const replies = await fixture.finish(Promise.all(calls));
+  const later = await fixture.finish(fixture.request('a', once));
+  for (const reply of [...replies, later]) t.is(reply.status, 200);
+  t.deepEqual(fixture.executor.ran, ['a']);
+});
+
+test('should run two requests that only share an id', async t => {
+  const fixture = new ServiceFixture();
+  await fixture.begin();
+  const once = {idempotent: false, method: 'POST'};
+  const calls = [
+    fixture.request('a', {...once, body: Buffer.from('one')}),
+    fixture.request('a', {...once, body: Buffer.from('two')}),
+  ];
+  await fixture.finish(Promise.all(calls));
+  t.is(fixture.executor.ran.length, 2);
+});
+
+test('should finish its requests and take no others when it stops', async t => {
+  const fixture = new ServiceFixture();
+  await fixture.begin();
+  const open = fixture.request('a');
+  const stopped = fixture.agent.stop('replaced');
+  const refused = await fixture.request('b');
+  t.is(refused.resultCode, ResultCodes.UPSTREAM_DRAINING.number);
+  t.is(refused.outcome, ServeOutcome.NOT_RUN);
+  t.is((await fixture.finish(open)).outcome, ServeOutcome.ANSWERED);
+  await fixture.finish(stopped);
+});
--- /dev/null
+++ b/tests/agent/starts.test.ts
@@ -0,0 +1,208 @@
+import test from 'ava';
+import {AttemptOutcome} from '../../src/decisions/job_types.js';
+import {ResultCodes} from '../../src/observability/result_codes.js';
+import {
+  AgentFixture,
+  nameOf,
+  TASK_SIZE,
+  VM_SIZE,
+} from './fixtures/agent_fixture.js';
+
+test('should start a task, and once only when the start is repeated', async t => {
+  const fixture = new AgentFixture();
+  await fixture.begin();
+  const first = await fixture.start(1);
+  const second = await fixture.start(1);
+  t.true(first.accepted && second.accepted);
+  t.is(fixture.worker.startCalls.length, 1);
+  t.is(fixture.worker.running().length, 1);
+});
+
+test('should refuse a start of a deposed owner', async t => {
+  const fixture = new AgentFixture();
+  await fixture.begin();
+  const result = await fixture.start(1, {}, {epoch: 4});
+  t.is(result.resultCode, ResultCodes.OLD_EPOCH.number);
+  t.deepEqual(fixture.worker.startCalls, []);
+});
+
+test('should refuse a start that is meant for an earlier run', async t => {
+  const fixture = new AgentFixture();
+  await fixture.begin();
+  const result = await fixture.start(1, {}, {incarnation: 'run-0'});
+  t.is(result.resultCode, ResultCodes.OTHER_INCARNATION.number);
+});
+
+test('should refuse a start that was delayed on its way', async t => {
+  const fixture = new AgentFixture();
+  await fixture.begin();
+  const request = fixture.startRequest(1);
+  await fixture.pass(6_000);
+  const reply = await fixture.finish(fixture.agent.startAttempts(request));
+  t.is(reply.results[0].resultCode, ResultCodes.START_DELAYED.number);
+  t.deepEqual(fixture.worker.startCalls, []);
+});
+
+test('should keep its word when a refused start is repeated', async t => {
+  const fixture = new AgentFixture();
+  await fixture.begin();
+  fixture.settings.fleet = {
+    ...fixture.settings.fleet,
+    drainedVms: new Set(['vm-1']),
+  };
+  const refused = await fixture.start(1);
+  t.is(refused.resultCode, ResultCodes.VM_DRAINED.number);
+  fixture.settings.fleet = {
+    ...fixture.settings.fleet,
+    drainedVms: new Set(),
+  };
+  const repeated = await fixture.start(1);
+  t.is(repeated.resultCode, ResultCodes.ATTEMPT_CLOSED.number);
+});
+
+test('should refuse a start in a failure domain that is out', async t => {
+  const fixture = new AgentFixture();
+  await fixture.begin();
+  fixture.settings.fleet = {
+    ...fixture.settings.fleet,
+    failureDomainsOut: new Set(['domain-1']),
+  };
+  const result = await fixture.start(1);
+  t.is(result.resultCode, ResultCodes.FAILURE_DOMAIN_OUT.number);
+});
+
+test('should ask for the settings and wait before it starts a task', async t => {
+  const fixture = new AgentFixture();
+  await fixture.begin();
+  fixture.entry.confirmsSettings = false;
+  await fixture.pass(5_000);
+  fixture.entry.confirmsSettings = true;
+  fixture.entry.replyDelayMillis = 200;
+  const before = fixture.entry.heartbeats.length;
+  const result = await fixture.start(1);
+  t.true(result.accepted);
+  t.is(fixture.entry.heartbeats.length, before + 1);
+});
+
+test('should start nothing while the settings stay unconfirmed', async t => {
+  const fixture = new AgentFixture();
+  await fixture.begin();
+  fixture.entry.confirmsSettings = false;
+  await fixture.pass(5_000);
+  const result = await fixture.start(1);
+  t.is(result.resultCode, ResultCodes.SETTINGS_NOT_CONFIRMED.number);
+  t.deepEqual(fixture.worker.startCalls, []);
+});
+
+test('should start nothing of a shard without a lease', async t => {
+  const fixture = new AgentFixture();
+  fixture.entry.ownsShard = false;
+  await fixture.begin();
+  const result = await fixture.start(1);
+  t.is(result.resultCode, ResultCodes.NO_LEASE.number);
+});
+
+test('should never admit more than the VM holds', async t => {
+  const fixture = new AgentFixture();
+  await fixture.begin();
+  const calls = [1, 2, 3, 4, 5, 6].map(task => fixture.start(task));
+  const results = await Promise.all(calls);
+  t.is(results.filter(result => result.accepted).length, 4);
+  t.is(results[5].resultCode, ResultCodes.NO_CAPACITY.number);
+});
+
+test('should start nothing before the worker says what it runs', async t => {
+  const fixture = new AgentFixture();
+  fixture.worker.silent = true;
+  await fixture.begin();
+  const result = await fixture.start(1);
+  t.is(result.resultCode, ResultCodes.WORKER_UNAVAILABLE.number);
+  const query = {shard: 1, epoch: 5, names: [nameOf(2)]};
+  t.false((await fixture.agent.queryAttempts(query)).accepted);
+});
+
+test('should report a start that the worker refused as not run', async t => {
+  const fixture = new AgentFixture();
+  await fixture.begin();
+  fixture.worker.refusesStarts = true;
+  const result = await fixture.start(1);
+  t.is(result.resultCode, ResultCodes.WORKER_REFUSED.number);
+  fixture.worker.refusesStarts = false;
+  t.true((await fixture.start(2, {size: VM_SIZE})).accepted);
+});
+
+test('should find out by status that a start without a reply runs', async t => {
+  const fixture = new AgentFixture();
+  await fixture.begin();
+  fixture.worker.losesNextStartReply = true;
+  t.true((await fixture.start(1, {size: VM_SIZE})).accepted);
+  await fixture.pass(3_000);
+  t.is(fixture.worker.running().length, 1);
+  t.false((await fixture.start(2)).accepted);
+  fixture.worker.finish(fixture.worker.running()[0]);
+  await fixture.pass(2_000);
+  t.is(fixture.entry.reports[0].outcome, AttemptOutcome.FINISHED);
+});
+
+test('should ask again for a start that got lost on its way', async t => {
+  const fixture = new AgentFixture();
+  await fixture.begin();
+  fixture.worker.losesNextStart = true;
+  t.true((await fixture.start(1)).accepted);
+  await fixture.pass(3_000);
+  t.is(fixture.worker.running().length, 1);
+});
+
+test('should close for good the attempts that a query finds unknown', async t => {
+  const fixture = new AgentFixture();
+  await fixture.begin();
+  const request = fixture.startRequest(1);
+  const query = {shard: 1, epoch: 6, names: [nameOf(1)]};
+  const answer = await fixture.agent.queryAttempts(query);
+  t.is(answer.states[0].report?.outcome, AttemptOutcome.REFUSED);
+  const delayed = {...request, epoch: 6};
+  const reply = await fixture.finish(fixture.agent.startAttempts(delayed));
+  t.is(reply.results[0].resultCode, ResultCodes.ATTEMPT_CLOSED.number);
+});
+
+test('should obey no earlier owner after a query', async t => {
+  const fixture = new AgentFixture();
+  await fixture.begin();
+  await fixture.start(1);
+  const query = {shard: 1, epoch: 6, names: [nameOf(1)]};
+  const answer = await fixture.agent.queryAttempts(query);
+  t.true(answer.states[0].running);
+  const refused = await fixture.start(2, {}, {epoch: 5});
+  t.is(refused.resultCode, ResultCodes.OLD_EPOCH.number);
+  const stop = {name: nameOf(1), checkpoint: false, reason: 'cancelled'};
+  const stopped = {shard: 1, epoch: 5, stops: [stop]};
+  t.false((await fixture.agent.stopAttempts(stopped)).accepted);
+  t.is(fixture.worker.running().length, 1);
+});
+
+test('should evict the task with the least work lost for an urgent one', async t => {
+  const fixture = new AgentFixture();
+  await fixture.begin();
+  await fixture.start(1, {evictable: false});
+  await fixture.start(2);
+  await fixture.pass(1_000);
+  await fixture.start(3);
+  await fixture.start(4, {urgent: true});
+  const result = await fixture.start(5, {urgent: true});
+  t.true(result.accepted);
+  await fixture.pass(1_000);
+  const [report] = fixture.entry.reports;
+  t.is(report.outcome, AttemptOutcome.EVICTED);
+  t.is(report.name?.task, 3);
+  t.not(report.checkpoint, '');
+});
+
+test('should evict nothing when that would not make enough room', async t => {
+  const fixture = new AgentFixture();
+  await fixture.begin();
+  await fixture.start(1);
+  const size = {...TASK_SIZE, accelerators: 2};
+  const result = await fixture.start(2, {urgent: true, size});
+  t.is(result.resultCode, ResultCodes.NO_CAPACITY.number);
+  t.is(fixture.worker.running().length, 1);
+});
