--- a/src/agent/commands/attempt_closer.ts
+++ b/src/agent/commands/attempt_closer.ts
@@ -16,7 +16,7 @@
     const {ledger, closed, clock, logger} = this.context;
     ledger.release(attempt.key);
     closed.close(attempt.key, clock.now());
-    logger.event(Events.ATTEMPT_ENDED, {
+    logger.event(Events.TASK_ENDED, {
       attempt: attempt.key,
       outcome: report.outcome,
       resultCode: report.resultCode,
--- a/src/agent/commands/attempt_starter.ts
+++ b/src/agent/commands/attempt_starter.ts
@@ -127,7 +127,7 @@
       }
       this.unconfirmed.set(attempt.key, start);
       this.monitor.pollSoon();
-      logger.event(Events.ATTEMPT_START_UNKNOWN, {attempt: attempt.key});
+      logger.event(Events.TASK_START_UNKNOWN, {attempt: attempt.key});
       return undefined;
     }
     this.noteStarted(attempt, endsAt);
@@ -176,7 +176,7 @@
     if (attempt.phase !== AttemptPhase.STARTING) return;
     attempt.phase = AttemptPhase.RUNNING;
     const {logger} = this.context;
-    logger.event(Events.ATTEMPT_STARTED, {attempt: attempt.key});
+    logger.event(Events.TASK_STARTED, {attempt: attempt.key});
   }
 
   private refuse(attempt: Attempt, refusal: Refusal): Refusal {
--- a/src/agent/commands/room_maker.ts
+++ b/src/agent/commands/room_maker.ts
@@ -66,7 +66,7 @@
   private displace(attempt: Attempt, holder: string): void {
     const reason = `made room for urgent ${holder}`;
     const {logger} = this.context;
-    logger.event(Events.ATTEMPT_EVICTED, {attempt: attempt.key, reason});
+    logger.event(Events.TASK_EVICTED, {attempt: attempt.key, reason});
     this.stopper.stop(attempt, evictionIntent(reason));
   }
 
--- a/src/agent/commands/start_attempts.ts
+++ b/src/agent/commands/start_attempts.ts
@@ -79,7 +79,7 @@
     const {closed, clock, logger} = this.context;
     const key = attemptKey(start.name);
     if (code !== ResultCodes.OTHER_INCARNATION) closed.close(key, clock.now());
-    logger.event(Events.ATTEMPT_REFUSED, {
+    logger.event(Events.TASK_START_REFUSED, {
       attempt: key,
       resultCode: code.number,
       reason,
--- a/src/agent/entry_channel.ts
+++ b/src/agent/entry_channel.ts
@@ -91,7 +91,7 @@
     }
     if (this.reportedSilent) {
       this.reportedSilent = false;
-      logger.event(Events.ENTRY_HEARD, {address: this.address});
+      logger.event(Events.ENTRY_CONNECTION_BACK, {address: this.address});
     }
     this.options.onReply(this, reply, sentAt);
   }
@@ -104,7 +104,7 @@
     if (!this.reportedSilent) {
       this.reportedSilent = true;
       const {address} = this;
-      this.options.logger.event(Events.ENTRY_SILENT, {address, reason});
+      this.options.logger.event(Events.ENTRY_CONNECTION_SILENT, {address, reason});
     }
     link.close('two heartbeats brought no reply');
     this.currentLink = this.options.links.openEntry(this.address);
--- a/src/agent/executor_probe.ts
+++ b/src/agent/executor_probe.ts
@@ -59,13 +59,13 @@
     this.failures = 0;
     if (!this.unavailable) return;
     this.unavailable = false;
-    this.logger.event(Events.EXECUTOR_AVAILABLE, {});
+    this.logger.event(Events.EXECUTOR_BACK, {});
   }
 
   private noteFailure(reason: string): void {
     this.failures += 1;
     if (this.unavailable || this.failures < FAILED_PROBES) return;
     this.unavailable = true;
-    this.logger.event(Events.EXECUTOR_UNAVAILABLE, {reason});
+    this.logger.event(Events.EXECUTOR_LOST, {reason});
   }
 }
--- a/src/agent/worker_monitor.ts
+++ b/src/agent/worker_monitor.ts
@@ -71,7 +71,7 @@
   private noteSilence(reason: string): void {
     if (this.silent) return;
     this.silent = true;
-    this.context.logger.event(Events.WORKER_SILENT, {reason});
+    this.context.logger.event(Events.WORKER_LOST, {reason});
   }
 
   private takeIn(status: WorkerStatus, askedAt: number, now: number): void {
@@ -95,7 +95,7 @@
 
   private logRecovery(): void {
     const adopted = this.context.attempts.live().length;
-    this.context.logger.event(Events.WORKER_RECOVERED, {adopted});
+    this.context.logger.event(Events.WORKER_BACK, {adopted});
   }
 
   private takeInTask(task: WorkerTask, now: number): void {
