--- a/src/observability/events.ts
+++ b/src/observability/events.ts
@@ -398,6 +398,17 @@
     'info',
     'The service meets its tail target again.',
   ),
+  TASK_START_UNKNOWN: event(
+    4022,
+    'warn',
+    'The worker did not answer a start; the size stays reserved until it is known.',
+  ),
+  ENTRY_CONNECTION_SILENT: event(
+    4023,
+    'warn',
+    'An entry left two heartbeats unanswered; the connection was replaced.',
+  ),
+  ENTRY_CONNECTION_BACK: event(4024, 'info', 'The entry answers again.'),
   // 5xxx: the store.
   STORE_UNREACHABLE: event(
     5000,
