--- a/src/platform/store_endpoints.ts
+++ b/src/platform/store_endpoints.ts
@@ -5,6 +5,7 @@
 import type {HttpAnswer} from './http_exchange.js';
 import {StoreUnavailableError} from './platform_errors.js';
 
+const MAXIMUM_STREAMS = 64;
 const JSON_HEADERS = [['content-type', 'application/json']] as const;
 const STATUS_OK = 200;
 const LEASE_PATHS = '/v3/lease/';
@@ -33,7 +34,11 @@
     this.endpoints = options.addresses.map(address => ({
       address,
       calls: new HttpConnections({address, clock, connections}),
-      streams: new HttpConnections({address, clock, connections: Infinity}),
+      streams: new HttpConnections({
+        address,
+        clock,
+        connections: MAXIMUM_STREAMS,
+      }),
     }));
   }
 
