--- a/src/platform/http_connections.ts
+++ b/src/platform/http_connections.ts
@@ -23,7 +23,7 @@
 }
 
 export interface HttpConnectionsOptions {
-  /** HOST:PORT */
+  /** HOST:PORT, or an origin such as https://HOST:PORT */
   readonly address: string;
   readonly clock?: Clock;
   readonly connections?: number;
@@ -120,7 +120,7 @@
   }
 
   private openPool(): Pool {
-    return new Pool(`http://${this.options.address}`, {
+    return new Pool(toOrigin(this.options.address), {
       connections: this.options.connections ?? DEFAULT_CONNECTIONS,
       pipelining: 1,
       headersTimeout: 0,
@@ -153,3 +153,7 @@
     }
   }
 }
+
+function toOrigin(address: string): string {
+  return address.includes('://') ? address : `http://${address}`;
+}
--- a/src/platform/http_executor.ts
+++ b/src/platform/http_executor.ts
@@ -24,7 +24,7 @@
 ]);
 
 export interface HttpExecutorOptions {
-  /** HOST:PORT */
+  /** HOST:PORT or an origin. */
   readonly address: string;
   readonly clock?: Clock;
   /** Bound on open connections. */
--- a/src/platform/http_store.ts
+++ b/src/platform/http_store.ts
@@ -29,7 +29,7 @@
 const MILLIS_PER_SECOND = 1_000;
 
 export interface HttpStoreOptions {
-  /** HOST:PORT each, tried in this order. */
+  /** HOST:PORT or an origin each, tried in this order. */
   readonly endpoints: readonly string[];
   readonly clock?: Clock;
   readonly timeoutMillis?: number;
--- a/src/platform/http_worker.ts
+++ b/src/platform/http_worker.ts
@@ -16,7 +16,7 @@
 const FIRST_FAULT_STATUS = 500;
 
 export interface HttpWorkerOptions {
-  /** HOST:PORT */
+  /** HOST:PORT or an origin. */
   readonly address: string;
   readonly clock?: Clock;
   readonly connections?: number;
--- a/src/platform/store_endpoints.ts
+++ b/src/platform/store_endpoints.ts
@@ -7,6 +7,7 @@
 
 const JSON_HEADERS = [['content-type', 'application/json']] as const;
 const STATUS_OK = 200;
+const WATCH_CONNECTIONS = 256;
 const LEASE_PATHS = '/v3/lease/';
 const LEASE_NOT_FOUND = /requested lease not found/;
 
@@ -33,7 +34,11 @@
     this.endpoints = options.addresses.map(address => ({
       address,
       calls: new HttpConnections({address, clock, connections}),
-      streams: new HttpConnections({address, clock, connections: Infinity}),
+      streams: new HttpConnections({
+        address,
+        clock,
+        connections: WATCH_CONNECTIONS,
+      }),
     }));
   }
 
--- a/tests/stand_ins/memory_store.ts
+++ b/tests/stand_ins/memory_store.ts
@@ -202,9 +202,10 @@
     if (this.ended) return;
     const {table, faults} = this.store;
     if (faults.down) return this.end('the store is down');
-    if (fromRevision <= table.compactedRevision) return this.end('compacted');
+    const from = fromRevision || table.revision + 1;
+    if (from <= table.compactedRevision) return this.end('compacted');
     table.addWatcher(this);
-    const missed = table.changesSince(this.prefix, fromRevision);
+    const missed = table.changesSince(this.prefix, from);
     if (missed.length > 0) this.notify(missed, table.revision);
   }
 
--- /dev/null
+++ b/tests/stand_ins/store_stand_in.ts
@@ -0,0 +1,277 @@
+import type {IncomingMessage, ServerResponse} from 'node:http';
+import type {SwapResult} from '../../src/platform/store.js';
+import {encodeText} from '../../src/platform/store_messages.js';
+import {TokenBucket} from '../../src/platform/token_bucket.js';
+import {messageOf} from '../../src/utilities/base_error.js';
+import {SystemClock} from '../../src/utilities/clock.js';
+import type {Clock} from '../../src/utilities/clock.js';
+import {HttpListener, parseJson, replyJson} from './http_listener.js';
+import {StoreTable} from './store_table.js';
+import type {TableEntry} from './store_table.js';
+import {StoreWatchStream} from './store_watch_stream.js';
+
+const MILLIS_PER_SECOND = 1_000;
+const BURST_SHARE_OF_RATE = 0.5;
+
+export interface StoreFaults {
+  /** Connections are cut. */
+  down: boolean;
+  /** Every answer is late by this much. */
+  delayMillis: number;
+  /** Calls over this rate are answered 429; 0 is no limit. */
+  callsPerSecond: number;
+  /** So many next writes take effect and are not answered. */
+  loseWriteReplies: number;
+  /** Watches hear nothing and are not ended. */
+  watchesSilent: boolean;
+}
+
+export interface StoreStandInOptions {
+  readonly clock?: Clock;
+  readonly entries?: readonly TableEntry[];
+  readonly journal?: (entry: TableEntry) => void;
+}
+
+interface RangeRequest {
+  readonly key: string;
+  readonly range_end?: string;
+  readonly limit?: string;
+}
+
+interface TransactionRequest {
+  readonly compare: ReadonlyArray<{readonly modRevision?: string}>;
+  readonly success: ReadonlyArray<{
+    readonly requestPut?: {key: string; value: string; lease?: string};
+    readonly requestDeleteRange?: {key: string};
+  }>;
+  readonly failure: ReadonlyArray<{readonly requestRange: RangeRequest}>;
+}
+
+interface LeaseRequest {
+  readonly ID?: string;
+  readonly TTL?: string;
+}
+
+/** A platform store for tests: the subset of etcd's JSON mapping in use. */
+export class StoreStandIn {
+  readonly table: StoreTable;
+  readonly faults: StoreFaults = {
+    down: false,
+    delayMillis: 0,
+    callsPerSecond: 0,
+    loseWriteReplies: 0,
+    watchesSilent: false,
+  };
+  private readonly clock: Clock;
+  private readonly listener: HttpListener;
+  private readonly counts = new Map<string, number>();
+  private readonly watches = new Set<StoreWatchStream>();
+  private bucket?: TokenBucket;
+
+  constructor(options: StoreStandInOptions = {}) {
+    this.clock = options.clock ?? new SystemClock();
+    this.table = new StoreTable(this.clock, options);
+    this.listener = new HttpListener({
+      handle: (request, body, response) => this.handle(request, body, response),
+    });
+  }
+
+  listen(address?: string): Promise<string> {
+    return this.listener.listen(address);
+  }
+
+  /** Calls by path. */
+  callCounts(): Readonly<Record<string, number>> {
+    return Object.fromEntries(this.counts);
+  }
+
+  setFaults(faults: Partial<StoreFaults>): void {
+    Object.assign(this.faults, faults);
+    const {down, callsPerSecond} = this.faults;
+    this.bucket = callsPerSecond > 0 ? this.openBucket() : undefined;
+    if (down) this.listener.destroyConnections();
+  }
+
+  async close(): Promise<void> {
+    for (const watch of this.watches) watch.close();
+    this.table.dispose();
+    await this.listener.close();
+  }
+
+  private openBucket(): TokenBucket {
+    const rate = this.faults.callsPerSecond;
+    const burst = rate * BURST_SHARE_OF_RATE;
+    return new TokenBucket(rate, burst, this.clock.now());
+  }
+
+  private handle(
+    request: IncomingMessage,
+    body: Buffer,
+    response: ServerResponse,
+  ): void {
+    const path = request.url ?? '';
+    if (path.startsWith('/control/')) {
+      return this.control(path, body, response);
+    }
+    if (this.faults.down) {
+      request.socket.destroy();
+      return;
+    }
+    this.counts.set(path, (this.counts.get(path) ?? 0) + 1);
+    if (this.bucket && !this.bucket.tryTake(this.clock.now())) {
+      return replyJson(response, 429, {message: 'too many requests'});
+    }
+    const answer = () => this.answer(path, body, response);
+    if (this.faults.delayMillis === 0) return answer();
+    this.clock.schedule(this.faults.delayMillis, answer);
+  }
+
+  private control(path: string, body: Buffer, response: ServerResponse): void {
+    if (path === '/control/faults') this.setFaults(parseJson(body));
+    if (path === '/control/lapse-leases') this.table.lapseAllLeases();
+    if (path === '/control/compact') this.table.compact();
+    replyJson(response, 200, {faults: this.faults, counts: this.callCounts()});
+  }
+
+  private answer(path: string, body: Buffer, response: ServerResponse): void {
+    try {
+      if (path === '/v3/watch') return this.watch(parseJson(body), response);
+      const reply = this.execute(path, body);
+      if (!reply) return replyJson(response, 404, {message: 'no such path'});
+      if (this.losesReply(path)) return;
+      replyJson(response, 200, reply);
+    } catch (thrown) {
+      const message = messageOf(thrown);
+      replyJson(response, 404, {error: message, code: 5, message});
+    }
+  }
+
+  private losesReply(path: string): boolean {
+    if (this.faults.loseWriteReplies === 0 || path === '/v3/kv/range') {
+      return false;
+    }
+    this.faults.loseWriteReplies--;
+    return true;
+  }
+
+  private execute(path: string, body: Buffer): object | undefined {
+    switch (path) {
+      case '/v3/kv/range':
+        return this.range(parseJson(body));
+      case '/v3/kv/txn':
+        return this.transact(parseJson(body));
+      case '/v3/kv/put':
+        return this.put(parseJson(body));
+      case '/v3/kv/deleterange':
+        return this.deleteRange(parseJson(body));
+      case '/v3/lease/grant':
+        return this.grant(parseJson(body));
+      case '/v3/lease/keepalive':
+        return this.keepAlive(parseJson(body));
+      case '/v3/lease/revoke':
+      case '/v3/kv/lease/revoke':
+        return this.revoke(parseJson(body));
+      default:
+        return undefined;
+    }
+  }
+
+  private range(request: RangeRequest): object {
+    const {first, end} = readRange(request);
+    const one = this.table.get(first);
+    const single = one ? [one] : [];
+    const all = request.range_end ? this.table.range(first, end) : single;
+    const limit = Number(request.limit ?? 0) || Infinity;
+    const kvs = all.slice(0, limit).map(found => ({
+      key: encodeText(found.key),
+      value: encodeText(found.value),
+      mod_revision: String(found.revision),
+    }));
+    const more = kvs.length < all.length;
+    return {header: this.header(), kvs, more, count: String(all.length)};
+  }
+
+  private transact(request: TransactionRequest): object {
+    const result = this.swapOrRemove(request);
+    if (result.succeeded) {
+      return {header: this.header(), succeeded: true, responses: [{}]};
+    }
+    const found = this.range(request.failure[0].requestRange);
+    return {header: this.header(), responses: [{response_range: found}]};
+  }
+
+  private swapOrRemove(request: TransactionRequest): SwapResult {
+    const expected = Number(request.compare[0].modRevision ?? 0);
+    const {requestPut: put, requestDeleteRange: remove} = request.success[0];
+    if (remove) return this.table.remove(decode(remove.key), expected);
+    if (!put) throw new Error('a transaction without a write');
+    const {key, value, lease} = put;
+    return this.table.swap(decode(key), expected, decode(value), lease);
+  }
+
+  private put(request: {key: string; value: string; lease?: string}): object {
+    const key = decode(request.key);
+    const expected = this.table.get(key)?.revision ?? 0;
+    this.table.swap(key, expected, decode(request.value), request.lease);
+    return {header: this.header()};
+  }
+
+  private deleteRange(request: RangeRequest): object {
+    const {first, end} = readRange(request);
+    const bound = request.range_end ? end : `${first}\0`;
+    const deleted = this.table.removeRange(first, bound);
+    return {header: this.header(), deleted: String(deleted)};
+  }
+
+  private grant(request: LeaseRequest): object {
+    const TTL = request.TTL ?? '0';
+    const ID = this.table.grantLease(Number(TTL) * MILLIS_PER_SECOND);
+    return {header: this.header(), ID, TTL};
+  }
+
+  private keepAlive(request: LeaseRequest): object {
+    const ID = request.ID ?? '0';
+    const left = this.table.keepLeaseAlive(ID) / MILLIS_PER_SECOND;
+    return {result: {header: this.header(), ID, TTL: String(left)}};
+  }
+
+  private revoke(request: LeaseRequest): object {
+    const found = this.table.revokeLease(request.ID ?? '0');
+    if (!found) throw new Error('etcdserver: requested lease not found');
+    return {header: this.header()};
+  }
+
+  private watch(
+    request: {create_request: {key: string; start_revision?: string}},
+    response: ServerResponse,
+  ): void {
+    const {key, start_revision: start} = request.create_request;
+    const watch = new StoreWatchStream({
+      prefix: decode(key),
+      fromRevision: Number(start ?? 0),
+      table: this.table,
+      clock: this.clock,
+      faults: this.faults,
+      response,
+    });
+    this.watches.add(watch);
+    response.on('close', () => {
+      watch.close();
+      this.watches.delete(watch);
+    });
+  }
+
+  private header(): object {
+    return {revision: String(this.table.revision)};
+  }
+}
+
+function decode(encoded: string): string {
+  return Buffer.from(encoded, 'base64').toString();
+}
+
+/** An end of a single zero byte means that there is none. */
+function readRange(request: RangeRequest): {first: string; end?: string} {
+  const end = decode(request.range_end ?? '');
+  return {first: decode(request.key), end: end === '\0' ? undefined : end};
+}
--- a/tests/stand_ins/store_table.ts
+++ b/tests/stand_ins/store_table.ts
@@ -15,7 +15,29 @@
   readonly ttlMillis: number;
   readonly keys: Set<string>;
   expiry: Timer;
-  expiresAt: number;
+}
+
+/** One change of the table, as a journal keeps it. */
+export type TableEntry =
+  | {
+      readonly type: 'put';
+      readonly key: string;
+      readonly value: string;
+      readonly revision: number;
+      readonly leaseId?: string;
+    }
+  | {
+      readonly type: 'remove';
+      readonly keys: readonly string[];
+      readonly revision: number;
+    }
+  | {readonly type: 'grant'; readonly id: string; readonly ttlMillis: number}
+  | {readonly type: 'end'; readonly id: string};
+
+export interface StoreTableOptions {
+  /** What an earlier table wrote to its journal. */
+  readonly entries?: readonly TableEntry[];
+  readonly journal?: (entry: TableEntry) => void;
 }
 
 export interface TableWatcher {
@@ -33,7 +55,14 @@
   private changes: StoreChange[] = [];
   private leasesGranted = 0;
 
-  constructor(private readonly clock: Clock) {}
+  constructor(
+    private readonly clock: Clock,
+    private readonly options: StoreTableOptions = {},
+  ) {
+    const entries = options.entries ?? [];
+    for (const entry of entries) this.restore(entry);
+    if (entries.length > 0) this.compact();
+  }
 
   get(key: string): StoredValue | undefined {
     const row = this.rows.get(key);
@@ -61,12 +90,12 @@
     if (leaseId !== undefined && !lease) {
       throw new Error('etcdserver: requested lease not found');
     }
-    this.detach(key);
-    lease?.keys.add(key);
     this.revision++;
-    this.rows.set(key, {value, revision: this.revision, leaseId});
-    this.publish([{key, value, revision: this.revision}]);
-    return {succeeded: true, revision: this.revision};
+    const {revision} = this;
+    this.put(key, {value, revision, leaseId});
+    this.options.journal?.({type: 'put', key, value, revision, leaseId});
+    this.publish([{key, value, revision}]);
+    return {succeeded: true, revision};
   }
 
   remove(key: string, expectedRevision: number): SwapResult {
@@ -84,9 +113,8 @@
 
   grantLease(ttlMillis: number): string {
     const id = String(7_587_000_000_000_000 + ++this.leasesGranted);
-    const expiry = this.scheduleExpiry(id, ttlMillis);
-    const expiresAt = this.clock.now() + ttlMillis;
-    this.leases.set(id, {ttlMillis, keys: new Set(), expiry, expiresAt});
+    this.openLease(id, ttlMillis);
+    this.options.journal?.({type: 'grant', id, ttlMillis});
     return id;
   }
 
@@ -96,7 +124,6 @@
     if (!lease) return 0;
     lease.expiry.cancel();
     lease.expiry = this.scheduleExpiry(id, lease.ttlMillis);
-    lease.expiresAt = this.clock.now() + lease.ttlMillis;
     return lease.ttlMillis;
   }
 
@@ -106,6 +133,7 @@
     lease.expiry.cancel();
     this.leases.delete(id);
     this.removeKeys([...lease.keys]);
+    this.options.journal?.({type: 'end', id});
     return true;
   }
 
@@ -151,11 +179,45 @@
     if (present.length === 0) return;
     this.revision++;
     const {revision} = this;
-    for (const key of present) {
+    this.dropRows(present);
+    this.options.journal?.({type: 'remove', keys: present, revision});
+    this.publish(present.map(key => ({key, revision})));
+  }
+
+  private put(key: string, row: Row): void {
+    this.detach(key);
+    this.rows.set(key, row);
+    if (row.leaseId !== undefined) this.leases.get(row.leaseId)?.keys.add(key);
+  }
+
+  private dropRows(keys: readonly string[]): void {
+    for (const key of keys) {
       this.detach(key);
       this.rows.delete(key);
     }
-    this.publish(present.map(key => ({key, revision})));
+  }
+
+  private openLease(id: string, ttlMillis: number): void {
+    const expiry = this.scheduleExpiry(id, ttlMillis);
+    this.leases.set(id, {ttlMillis, keys: new Set(), expiry});
+  }
+
+  private closeLease(id: string): void {
+    this.leases.get(id)?.expiry.cancel();
+    this.leases.delete(id);
+  }
+
+  /** Leases get their whole time again, as after a change of leader. */
+  private restore(entry: TableEntry): void {
+    if (entry.type === 'grant') {
+      this.leasesGranted++;
+      return this.openLease(entry.id, entry.ttlMillis);
+    }
+    if (entry.type === 'end') return this.closeLease(entry.id);
+    this.revision = entry.revision;
+    if (entry.type === 'remove') return this.dropRows(entry.keys);
+    const {key, value, revision, leaseId} = entry;
+    this.put(key, {value, revision, leaseId});
   }
 
   private detach(key: string): void {
