--- a/src/platform/store_endpoints.ts
+++ b/src/platform/store_endpoints.ts
@@ -5,9 +5,9 @@
 import type {HttpAnswer} from './http_exchange.js';
 import {StoreUnavailableError} from './platform_errors.js';
 
-const MAXIMUM_STREAMS = 64;
 const JSON_HEADERS = [['content-type', 'application/json']] as const;
 const STATUS_OK = 200;
+const WATCH_CONNECTIONS = 256;
 const LEASE_PATHS = '/v3/lease/';
 const LEASE_NOT_FOUND = /requested lease not found/;
 
@@ -37,7 +37,7 @@
       streams: new HttpConnections({
         address,
         clock,
-        connections: MAXIMUM_STREAMS,
+        connections: WATCH_CONNECTIONS,
       }),
     }));
   }
