Add the operators' tool

Cause: operators need to change settings, follow work and look into processes without knowing the HTTP API, and scripts need exit codes they can rely on.

A text is applied only against the revision that stands in its first line, as "settings get" writes it. Reading the current revision at apply time was ruled out: it would overwrite what changed between get and apply.

--- /dev/null
+++ b/src/cli/api_types.ts
@@ -0,0 +1,117 @@
+/** Answers of the entries' HTTP API, as far as the tool shows them. */
+
+export interface SettingsBranch {
+  readonly branch: string;
+  /** 0 for a branch that doesn't exist yet. */
+  readonly revision: number;
+  readonly version: number;
+  readonly author: string;
+  /** Milliseconds since 1970. */
+  readonly wallTime: number;
+  readonly text: string;
+}
+
+export interface SettingsHistory {
+  readonly branch: string;
+  readonly versions: ReadonlyArray<
+    Pick<SettingsBranch, 'version' | 'author' | 'wallTime' | 'text'>
+  >;
+}
+
+export interface SettingsStatus {
+  readonly revision: number;
+  readonly processes: readonly ProcessStatus[];
+}
+
+export interface ProcessStatus {
+  readonly processId: string;
+  readonly role: string;
+  readonly settingsRevision: number;
+  readonly ageMillis: number;
+}
+
+/** The body of an answer to a change that came second. */
+export interface SettingsConflict {
+  readonly message: string;
+  readonly current: Pick<
+    SettingsBranch,
+    'revision' | 'version' | 'author' | 'text'
+  >;
+  readonly proposed: {readonly text: string};
+}
+
+export interface FailureDomain {
+  readonly name: string;
+  readonly out: boolean;
+  readonly vms: number;
+}
+
+interface VmSize {
+  readonly milliprocessors: number;
+  readonly memoryMegabytes: number;
+  readonly accelerators: number;
+}
+
+export interface Vm {
+  readonly vm: string;
+  readonly failureDomain: string;
+  readonly rack: string;
+  readonly capacity?: VmSize;
+  readonly committed?: VmSize;
+  readonly runningAttempts: number;
+  readonly drained: boolean;
+  readonly stopping: boolean;
+  readonly recovering: boolean;
+  readonly silentMillis: number;
+}
+
+export interface Service {
+  readonly service: string;
+  readonly upstreams: readonly Upstream[];
+}
+
+export interface Upstream {
+  readonly vm: string;
+  readonly failureDomain: string;
+  readonly slots: number;
+  readonly inFlight: number;
+  readonly queued: number;
+  readonly tailMillis: number;
+  readonly draining: boolean;
+  readonly unavailable: boolean;
+}
+
+export interface Task {
+  readonly task: number;
+  readonly phase: string;
+  readonly attempts: number;
+  readonly failures: number;
+  readonly vm: string;
+  readonly result: string;
+  readonly reason: string;
+}
+
+export interface Job {
+  readonly team: string;
+  readonly name: string;
+  readonly kind: string;
+  readonly urgency: string;
+  readonly phase: string;
+  readonly counts: Readonly<Record<string, number>>;
+  readonly submittedWallTime: number;
+  readonly closedWallTime: number;
+  readonly cancelReason?: string;
+  readonly confirmedBy?: string;
+  readonly tasks: readonly Task[];
+}
+
+export interface JobExplanation {
+  readonly team: string;
+  readonly name: string;
+  readonly phase: string;
+  readonly summary: string;
+  readonly history: ReadonlyArray<{
+    readonly wallTime: number;
+    readonly text: string;
+  }>;
+}
--- /dev/null
+++ b/src/cli/job_commands.ts
@@ -0,0 +1,98 @@
+import type {Job} from './api_types.js';
+import {waitOptionsOf} from './settings_commands.js';
+import {WAIT_ARGUMENTS, defineToolCommand} from './tool_command.js';
+import {
+  NAME_ARGUMENT,
+  TEAM_ARGUMENT,
+  collectionPath,
+  endCommand,
+  explainCommand,
+  listCommand,
+  showCommand,
+  workPath,
+} from './work_commands.js';
+import type {WorkKind} from './work_commands.js';
+import {formatJob, throwUnlessEndedAs, waitForEnd} from './work_output.js';
+import {SUBMISSION_ARGUMENTS, submissionOf} from './work_submission.js';
+
+/** `burdockmoor job …` */
+
+const JOB: WorkKind = {
+  word: 'job',
+  collection: 'jobs',
+  ending: 'cancel',
+  exampleName: 'routes-0412',
+};
+
+export const showJob = showCommand(JOB);
+export const listJobs = listCommand(JOB);
+export const explainJob = explainCommand(JOB);
+export const cancelJob = endCommand(JOB);
+
+export const submitJob = defineToolCommand({
+  name: 'submit',
+  description:
+    'Submit a batch job; the same submission again gives the same job',
+  example:
+    'burdockmoor job submit asantewaa routes-0412 --tasks 4 --processors 0.5 --memory-megabytes 256 --wait',
+  args: {
+    team: TEAM_ARGUMENT,
+    name: NAME_ARGUMENT,
+    tasks: {
+      type: 'string',
+      description: 'Number of tasks',
+      valueHint: 'number',
+    },
+    ...SUBMISSION_ARGUMENTS,
+    'maximum-failures': {
+      type: 'string',
+      description: 'Attempts of a task that may fail before it has failed',
+      valueHint: 'number',
+    },
+    idempotent: {
+      type: 'boolean',
+      description: 'A task may run again after an attempt was lost',
+      negativeDescription: 'A task that may have run is never run again',
+    },
+    ...WAIT_ARGUMENTS,
+  },
+  async run(session, args) {
+    const body = JSON.stringify(submissionOf(args.name, args));
+    const collection = collectionPath(JOB, args.team);
+    const headers = {'content-type': 'application/json'};
+    const submitted = await session.client.change<Job>('POST', collection, {
+      headers,
+      body,
+    });
+    const options = waitOptionsOf(args);
+    if (!options.wait) {
+      session.show(submitted, formatJob(submitted));
+      return;
+    }
+    const path = workPath(JOB, args.team, args.name);
+    const ended = await waitForEnd(session, path, options.timeoutSeconds);
+    session.show(ended, formatJob(ended));
+    throwUnlessEndedAs(ended, 'finished');
+  },
+});
+
+export const confirmJob = defineToolCommand({
+  name: 'confirm',
+  description: 'Confirm a finished job by the name of a person',
+  example: 'burdockmoor job confirm asantewaa routes-0412 --by efua',
+  args: {
+    team: TEAM_ARGUMENT,
+    name: NAME_ARGUMENT,
+    by: {
+      type: 'string',
+      description: 'Who confirms it; else the author',
+      valueHint: 'name',
+    },
+  },
+  async run(session, {team, name, by = session.author}) {
+    const path = `${workPath(JOB, team, name)}/confirm`;
+    const body = JSON.stringify({by});
+    const job = await session.client.change<Job>('POST', path, {body});
+    session.show(job, formatJob(job));
+  },
+});
--- /dev/null
+++ b/src/cli/settings_commands.ts
@@ -0,0 +1,197 @@
+import {readFileSync} from 'node:fs';
+import {withKey} from '../settings/ini_edit.js';
+import {messageOf} from '../utilities/base_error.js';
+import type {
+  SettingsBranch,
+  SettingsHistory,
+  SettingsStatus,
+} from './api_types.js';
+import {
+  checkBranchText,
+  replaceBranch,
+  settingsPath,
+  showChange,
+} from './settings_change.js';
+import type {WaitOptions} from './settings_change.js';
+import {formatTable, formatTime, orHyphen} from './table.js';
+import {
+  WAIT_ARGUMENTS,
+  defineToolCommand,
+  wholeNumber,
+} from './tool_command.js';
+import {ExitCodes} from './exit_codes.js';
+import {toolError, usageError} from './tool_error.js';
+
+/** `burdockmoor settings …` */
+
+const BRANCH_ARGUMENT = {
+  type: 'positional',
+  description: 'fleet, or the name of a team',
+  required: true,
+} as const;
+
+const REVISION_LINE = /^; revision (\d+)\r?\n/;
+
+export const getSettings = defineToolCommand({
+  name: 'get',
+  description: 'Write the text of a branch, headed by its revision',
+  example: 'burdockmoor settings get fleet > fleet.ini',
+  args: {branch: BRANCH_ARGUMENT},
+  async run(session, {branch}) {
+    const path = settingsPath(branch);
+    const found = await session.client.read<SettingsBranch>(path);
+    if (found.version === 0) {
+      session.progress(`Branch ${branch} does not exist yet.`);
+    }
+    session.show(found, `; revision ${found.revision}\n${found.text}`);
+  },
+});
+
+export const setSettings = defineToolCommand({
+  name: 'set',
+  description: 'Set one key of a branch and keep the rest of its text',
+  example: 'burdockmoor settings set fleet leases task_lease_seconds 20 --wait',
+  args: {
+    branch: BRANCH_ARGUMENT,
+    section: {
+      type: 'positional',
+      description: 'The section as in its header, such as "service rounds"',
+      required: true,
+    },
+    key: {type: 'positional', description: 'The key', required: true},
+    value: {type: 'positional', description: 'The value', required: true},
+    ...WAIT_ARGUMENTS,
+  },
+  async run(session, args) {
+    const {branch, section, key, value} = args;
+    if (/[;#\r\n]/.test(value)) {
+      throw usageError('A value has no semicolon, number sign or line end.');
+    }
+    const path = settingsPath(branch);
+    const based = await session.client.read<SettingsBranch>(path);
+    const text = withKey(based.text, section, key, value);
+    checkBranchText(branch, text);
+    const changed = await replaceBranch(session, {...based, branch}, text);
+    await showChange(session, changed, 'Set', waitOptionsOf(args));
+  },
+});
+
+export const applySettings = defineToolCommand({
+  name: 'apply',
+  description:
+    'Replace a branch by the text of a file, if it still has the revision in its first line',
+  example: 'burdockmoor settings apply fleet fleet.ini --wait',
+  args: {
+    branch: BRANCH_ARGUMENT,
+    file: {
+      type: 'positional',
+      description: 'The file, as `settings get` wrote it and you changed it',
+      required: true,
+    },
+    revision: {
+      type: 'string',
+      description: 'The revision it is based on, 0 for a new branch',
+      valueHint: 'number',
+    },
+    ...WAIT_ARGUMENTS,
+  },
+  async run(session, args) {
+    const {branch, file} = args;
+    const content = readFile(file);
+    const text = content.replace(REVISION_LINE, '');
+    const given = wholeNumber('revision', args.revision);
+    const revision = given ?? revisionIn(content);
+    if (revision === undefined) {
+      throw usageError(
+        `${file} does not begin with "; revision NUMBER", as \`settings get\` writes it, and --revision is not given.`,
+      );
+    }
+    checkBranchText(branch, text);
+    const changed = await replaceBranch(session, {branch, revision}, text);
+    await showChange(session, changed, 'Applied', waitOptionsOf(args));
+  },
+});
+
+export const showHistory = defineToolCommand({
+  name: 'history',
+  description: 'List the versions of a branch, or write the text of one',
+  example: 'burdockmoor settings history fleet',
+  args: {
+    branch: BRANCH_ARGUMENT,
+    version: {
+      type: 'string',
+      description: 'Write the text of this version',
+      valueHint: 'number',
+    },
+  },
+  async run(session, {branch, version}) {
+    const wanted = wholeNumber('version', version);
+    const path = `${settingsPath(branch)}/history`;
+    const history = await session.client.read<SettingsHistory>(path);
+    if (wanted !== undefined) {
+      const found = history.versions.find(known => known.version === wanted);
+      if (!found) {
+        throw toolError(
+          ExitCodes.NOT_FOUND,
+          `Branch ${branch} has no version ${wanted}, or it is no longer kept.`,
+        );
+      }
+      session.show(found, found.text);
+      return;
+    }
+    const rows = history.versions.map(known => [
+      known.version,
+      formatTime(known.wallTime),
+      orHyphen(known.author),
+      `${known.text.split('\n').length} lines`,
+    ]);
+    const headings = ['VERSION', 'TIME', 'AUTHOR', 'TEXT'];
+    session.show(history, formatTable(headings, rows));
+  },
+});
+
+export const showStatus = defineToolCommand({
+  name: 'status',
+  description: 'List the revision that each process has in force',
+  example: 'burdockmoor settings status',
+  args: {},
+  async run(session) {
+    const path = '/v1/settings-status';
+    const status = await session.client.read<SettingsStatus>(path);
+    const rows = status.processes.map(known => [
+      known.processId,
+      known.role,
+      known.settingsRevision,
+      known.settingsRevision < status.revision ? 'lags' : 'in force',
+      `${known.ageMillis} ms ago`,
+    ]);
+    const headings = ['PROCESS', 'ROLE', 'REVISION', 'STATE', 'HEARD'];
+    const table = formatTable(headings, rows);
+    session.show(status, `revision ${status.revision}\n${table}`);
+  },
+});
+
+/** What `--wait` and `--timeout-seconds` ask for. */
+export function waitOptionsOf(args: {
+  readonly wait?: boolean;
+  readonly 'timeout-seconds': string;
+}): WaitOptions {
+  const timeoutSeconds = wholeNumber(
+    'timeout-seconds',
+    args['timeout-seconds'],
+  )!;
+  return {wait: args.wait ?? false, timeoutSeconds};
+}
+
+function revisionIn(content: string): number | undefined {
+  const match = REVISION_LINE.exec(content);
+  return match ? Number(match[1]) : undefined;
+}
+
+function readFile(file: string): string {
+  try {
+    return readFileSync(file, 'utf8');
+  } catch (error) {
+    throw usageError(`${file} can't be read: ${messageOf(error)}.`);
+  }
+}
--- /dev/null
+++ b/src/cli/undici_request.d.ts
@@ -0,0 +1,8 @@
+/** The call of one request, without the rest of the package. */
+declare module 'undici/lib/api/api-request.js' {
+  import type {Dispatcher} from 'undici';
+  export default function request(
+    this: Dispatcher,
+    options: Dispatcher.RequestOptions,
+  ): Promise<Dispatcher.ResponseData>;
+}
--- /dev/null
+++ b/src/cli/vm_commands.ts
@@ -0,0 +1,95 @@
+import type {SettingsBranch, Vm} from './api_types.js';
+import {showChange} from './settings_change.js';
+import {waitOptionsOf} from './settings_commands.js';
+import {formatTable, orHyphen} from './table.js';
+import {WAIT_ARGUMENTS, defineToolCommand} from './tool_command.js';
+import type {ToolCommand} from './tool_command.js';
+
+/** `burdockmoor vm …` */
+
+const PATH = '/v1/vms';
+const MILLIPROCESSORS_PER_PROCESSOR = 1000;
+
+export const drainVm = changeOfVm(
+  'drain',
+  'Drain a VM: it takes no new work and its tasks move away',
+  'drained',
+);
+
+export const undrainVm = changeOfVm(
+  'undrain',
+  'End the drain of a VM',
+  'undrained',
+);
+
+export const listVms = defineToolCommand({
+  name: 'list',
+  description: 'List the VMs whose agents report',
+  example: 'burdockmoor vm list',
+  args: {},
+  async run(session) {
+    const answer = await session.client.read<{vms: readonly Vm[]}>(PATH);
+    const headings = [
+      'VM',
+      'FAILURE DOMAIN',
+      'RACK',
+      'PROCESSORS',
+      'MEMORY MB',
+      'ACCELERATORS',
+      'TASKS',
+      'STATE',
+      'HEARD',
+    ];
+    const rows = answer.vms.map(vm => [
+      vm.vm,
+      vm.failureDomain,
+      orHyphen(vm.rack),
+      `${processors(vm.committed)} of ${processors(vm.capacity)}`,
+      `${vm.committed?.memoryMegabytes ?? 0} of ${vm.capacity?.memoryMegabytes ?? 0}`,
+      `${vm.committed?.accelerators ?? 0} of ${vm.capacity?.accelerators ?? 0}`,
+      vm.runningAttempts,
+      stateOf(vm),
+      `${vm.silentMillis} ms ago`,
+    ]);
+    session.show(answer, formatTable(headings, rows));
+  },
+});
+
+function changeOfVm(
+  name: 'drain' | 'undrain',
+  description: string,
+  done: string,
+): ToolCommand {
+  return defineToolCommand({
+    name,
+    description,
+    example: `burdockmoor vm ${name} vm-1 --wait`,
+    args: {
+      vm: {type: 'positional', description: 'The VM', required: true},
+      ...WAIT_ARGUMENTS,
+    },
+    async run(session, args) {
+      const path = `${PATH}/${encodeURIComponent(args.vm)}/${name}`;
+      const headers = {'x-author': session.author};
+      const branch = await session.client.change<SettingsBranch>('POST', path, {
+        headers,
+      });
+      await showChange(
+        session,
+        branch,
+        `VM ${args.vm} ${done}`,
+        waitOptionsOf(args),
+      );
+    },
+  });
+}
+
+function processors(size: Vm['capacity']): number {
+  return (size?.milliprocessors ?? 0) / MILLIPROCESSORS_PER_PROCESSOR;
+}
+
+function stateOf(vm: Vm): string {
+  if (vm.stopping) return 'stopping';
+  if (vm.drained) return 'drained';
+  return vm.recovering ? 'recovering' : 'open';
+}
--- /dev/null
+++ b/src/cli/watcher_commands.ts
@@ -0,0 +1,46 @@
+import type {Job} from './api_types.js';
+import {defineToolCommand} from './tool_command.js';
+import {
+  NAME_ARGUMENT,
+  TEAM_ARGUMENT,
+  collectionPath,
+  endCommand,
+  explainCommand,
+  listCommand,
+  showCommand,
+} from './work_commands.js';
+import type {WorkKind} from './work_commands.js';
+import {formatJob} from './work_output.js';
+import {SUBMISSION_ARGUMENTS, submissionOf} from './work_submission.js';
+
+/** `burdockmoor watcher …` */
+
+const WATCHER: WorkKind = {
+  word: 'watcher',
+  collection: 'watchers',
+  ending: 'close',
+  exampleName: 'freezer-van-7',
+};
+
+export const showWatcher = showCommand(WATCHER);
+export const listWatchers = listCommand(WATCHER);
+export const explainWatcher = explainCommand(WATCHER);
+export const closeWatcher = endCommand(WATCHER);
+
+export const openWatcher = defineToolCommand({
+  name: 'open',
+  description: 'Open a watcher; it runs in one place until it is closed',
+  example:
+    'burdockmoor watcher open asantewaa freezer-van-7 --processors 0.1 --memory-megabytes 64',
+  args: {team: TEAM_ARGUMENT, name: NAME_ARGUMENT, ...SUBMISSION_ARGUMENTS},
+  async run(session, args) {
+    const body = JSON.stringify(submissionOf(args.name, args));
+    const path = collectionPath(WATCHER, args.team);
+    const headers = {'content-type': 'application/json'};
+    const opened = await session.client.change<Job>('POST', path, {
+      headers,
+      body,
+    });
+    session.show(opened, formatJob(opened));
+  },
+});
--- a/src/settings/ini_edit.ts
+++ b/src/settings/ini_edit.ts
@@ -4,20 +4,31 @@
 
 const VALUE_IN_LINE = /^([^=]*=[ \t]*)([^;#]*?)([ \t]*(?:[;#].*)?\r?)$/;
 
-/** The text with the key of the section set; false is left out where it can. */
+/** The text with the key set; a section isn't added only to say false. */
 export function withBooleanKey(
   text: string,
   section: string,
   key: string,
   value: boolean,
+): string {
+  if (!value && !hasSection(text, section)) return text;
+  return withKey(text, section, key, String(value));
+}
+
+/** The text with the key of the section set; a new section goes to its end. */
+export function withKey(
+  text: string,
+  section: string,
+  key: string,
+  value: string,
 ): string {
   const lines = text.split('\n');
   const header = lines.findIndex(line => isHeaderOf(line, section));
-  if (header < 0) return value ? withSection(text, section, key) : text;
+  if (header < 0) return withSection(text, section, `${key} = ${value}`);
   for (let index = header + 1; index < lines.length; index++) {
     if (sectionNameOf(lines[index]) !== undefined) break;
     if (!isAssignmentOf(lines[index], key)) continue;
-    lines[index] = lines[index].replace(VALUE_IN_LINE, `$1${value}$3`);
+    lines[index] = withValue(lines[index], value);
     return lines.join('\n');
   }
   const lineEnd = lines[header].endsWith('\r') ? '\r' : '';
@@ -26,9 +37,21 @@
 }
 
 /** The text with a new section at its end. */
-function withSection(text: string, section: string, key: string): string {
+function withSection(text: string, section: string, line: string): string {
   const divider = text === '' ? '' : text.endsWith('\n') ? '\n' : '\n\n';
-  return `${text}${divider}[${section}]\n${key} = true\n`;
+  return `${text}${divider}[${section}]\n${line}\n`;
+}
+
+function withValue(line: string, value: string): string {
+  return line.replace(
+    VALUE_IN_LINE,
+    (_line, start: string, _old: string, end: string) =>
+      `${start}${value}${end}`,
+  );
+}
+
+function hasSection(text: string, section: string): boolean {
+  return text.split('\n').some(line => isHeaderOf(line, section));
 }
 
 function isHeaderOf(line: string, section: string): boolean {
