Write the pages of settings, events, result codes and the tool from the code

Cause: pages kept by hand drift from the code. npm run docs writes them; a test compares the committed ones.

--- /dev/null
+++ b/tools/pages/markdown.ts
@@ -0,0 +1,23 @@
+/** A Markdown table; pipes in cells are escaped. */
+export function markdownTable(
+  headings: readonly string[],
+  rows: ReadonlyArray<ReadonlyArray<string | number>>,
+): string {
+  const lines = [headings, headings.map(() => '---'), ...rows].map(
+    cells => `| ${cells.map(cell => escapeCell(String(cell))).join(' | ')} |`,
+  );
+  return lines.join('\n');
+}
+
+/** Blocks with an empty line between each two. */
+export function joinBlocks(blocks: readonly string[]): string {
+  return `${blocks.join('\n\n')}\n`;
+}
+
+/** The line that heads a page that `npm run docs` writes. */
+export const GENERATED_NOTE =
+  '<!-- Written by `npm run docs` from the code; change it there. -->';
+
+function escapeCell(text: string): string {
+  return text.replace(/\|/g, '\\|');
+}
--- /dev/null
+++ b/tools/pages/pages.ts
@@ -0,0 +1,11 @@
+import {eventsPage, resultCodesPage} from './catalogue_pages.js';
+import {cliPage} from './cli_page.js';
+import {settingsPage} from './settings_page.js';
+
+/** The pages that are written from the code, by file. */
+export const generatedPages: ReadonlyMap<string, () => string> = new Map([
+  ['docs/SETTINGS.md', settingsPage],
+  ['docs/EVENTS.md', eventsPage],
+  ['docs/RESULT_CODES.md', resultCodesPage],
+  ['docs/CLI.md', cliPage],
+]);
