--- /dev/null
+++ b/bench/scenarios.ts
@@ -0,0 +1,10 @@
+import type {MicroBenchmark, Scenario} from './scenario.js';
+import {routingMicroBenchmarks} from './micro/routing_micro_benchmarks.js';
+import {serviceScenarios} from './service/service_scenarios.js';
+
+/** All that the bench can run, in the order in which it runs them. */
+export const scenarios: readonly Scenario[] = [...serviceScenarios];
+
+export const microBenchmarks: readonly MicroBenchmark[] = [
+  ...routingMicroBenchmarks,
+];
--- a/src/decisions/routing/service_router.ts
+++ b/src/decisions/routing/service_router.ts
@@ -68,6 +68,8 @@
   readonly outcome: 'answered' | 'notRun' | 'unknown';
   /** Time from the choice to the answer. */
   readonly answerMillis: number;
+  /** The answer is whole, but says that the executor failed. */
+  readonly failed?: boolean;
 }
 
 /** An upstream that is no longer known, for the dump. */
@@ -178,13 +180,13 @@
   ended(
     agentId: string,
     serviceName: string,
-    {outcome, answerMillis}: RouteEnd,
+    {outcome, answerMillis, failed = false}: RouteEnd,
     now: number,
   ): void {
     const service = this.byService.get(serviceName);
     const upstream = service?.upstreams.get(agentId);
     if (!service || !upstream) return;
-    if (outcome === 'unknown') {
+    if (outcome === 'unknown' || failed) {
       upstream.failed(now);
       return;
     }
--- a/src/decisions/routing/upstream_state.ts
+++ b/src/decisions/routing/upstream_state.ts
@@ -12,6 +12,7 @@
   ownInFlight = 0;
   private answerMillis = 0;
   private loadReported = 0;
+  private reportedAt: number | undefined;
   /** Own requests sent, less those ended, since the last report. */
   private ownSinceReport = 0;
   /** Send times of own requests that a report may not count yet. */
@@ -55,6 +56,7 @@
   applyReport(report: UpstreamReport, now: number): void {
     const wasOpen = this.isOpen;
     this.report = report;
+    this.reportedAt = now;
     this.loadReported = report.inFlight + report.queued;
     this.ownSinceReport = this.countUnreported(now);
     this.health.heard(this.ownInFlight, now);
@@ -71,7 +73,7 @@
 
   /** Counts an answer, or a true word that the request did not run. */
   answered(answerMillis: number, succeeded: boolean, now: number): void {
-    this.endOne();
+    this.endOne(now);
     this.health.heard(this.ownInFlight, now);
     if (!succeeded) return;
     this.health.succeeded(now);
@@ -81,7 +83,7 @@
 
   /** Counts a request whose outcome nobody knows. */
   failed(now: number): void {
-    this.endOne();
+    this.endOne(now);
     this.health.failed(now);
   }
 
@@ -101,9 +103,10 @@
     };
   }
 
-  private endOne(): void {
+  /** The report that came along with the answer counts it as ended. */
+  private endOne(now: number): void {
     this.ownInFlight = Math.max(0, this.ownInFlight - 1);
-    this.ownSinceReport--;
+    if (this.reportedAt !== now) this.ownSinceReport--;
   }
 
   /** Own requests that were still on their way as the report left. */
