Make room for urgent tasks and for those that starve

An urgent task that finds no room for 150 ms has the fewest and youngest normal attempts of one VM moved off with a checkpoint, and the VM held for it; a job without room for a minute gets one VM kept from smaller tasks. Only attempts of the same shard can be moved: another shard's were ruled out, for their owner alone may decide on them. Not measured yet.

--- a/src/decisions/placement/placement_round.ts
+++ b/src/decisions/placement/placement_round.ts
@@ -5,8 +5,9 @@
 import type {JobState} from '../jobs/job_state.js';
 import {taskKey} from '../jobs/shard_state.js';
 import type {ShardState} from '../jobs/shard_state.js';
-import type {PlacementTask} from './placer.js';
+import type {PlacementChoice, PlacementTask} from './placer.js';
 import type {ReadyJob} from './ready_queue.js';
+import {RoomKeeper} from './room_keeper.js';
 import type {VmState} from './vm_table.js';
 
 /**
@@ -17,16 +18,20 @@
   /** Sizes that found no room in this round. */
   private noRoom: Resources[] = [];
   private readonly blocked = new Set<JobState>();
+  private readonly keeper: RoomKeeper;
   private budget = 0;
 
   constructor(
     private readonly state: ShardState,
     private readonly lifecycle: AttemptLifecycle,
-  ) {}
+  ) {
+    this.keeper = new RoomKeeper(state);
+  }
 
   run(now: number, wallTime: number): void {
     this.noRoom = [];
     this.blocked.clear();
+    this.keeper.beginRound(now);
     for (const vm of this.state.vms.vms) this.refresh(vm, now);
     this.budget = this.state.limits.placementsPerDecision;
     this.placeAll(Urgency.URGENT, now, wallTime);
@@ -66,11 +71,12 @@
   private placeOne(ready: ReadyJob, now: number, wallTime: number): void {
     const {job} = ready;
     const task = this.describe(ready, now);
-    const obstacle = this.obstacle(task);
-    if (obstacle) return this.block(job, obstacle);
-    const choice = this.state.placer.choose(task, this.state.vms.vms, now);
+    if (!this.state.ledger.allows(task.team, task.size)) {
+      return this.block(job, 'the quota of its team is used up');
+    }
+    const choice = this.choose(job, task, now);
     if (!choice) {
-      if (task.avoid.length === 0) this.noRoom.push(task.size);
+      this.keeper.blocked(job, task.size, now);
       return this.block(job, 'no usable VM has room for its size');
     }
     const index = this.state.ready.take(ready);
@@ -79,6 +85,7 @@
     this.state.pacer.take();
     this.state.judge.notePlaced(choice.vm.view.vm, now);
     this.state.waitReasons.delete(job.key);
+    this.keeper.placed(job);
     this.lifecycle.place(job, index, task.size, choice, now, wallTime);
     this.refresh(choice.vm, now);
   }
@@ -112,15 +119,17 @@
     return possible ? learned : declared;
   }
 
-  private obstacle(task: PlacementTask): string | undefined {
-    if (!this.state.ledger.allows(task.team, task.size)) {
-      return 'the quota of its team is used up';
-    }
-    for (const size of this.noRoom) {
-      if (fitsInto(size, task.size))
-        return 'no usable VM has room for its size';
-    }
-    return undefined;
+  private choose(
+    job: JobState,
+    task: PlacementTask,
+    now: number,
+  ): PlacementChoice | undefined {
+    const kept = this.keeper.isKeptFor(job);
+    const hopeless = this.noRoom.some(size => fitsInto(size, task.size));
+    if (hopeless && !kept) return undefined;
+    const choice = this.state.placer.choose(task, this.state.vms.vms, now);
+    if (!choice && task.avoid.length === 0) this.noRoom.push(task.size);
+    return choice;
   }
 
   private block(job: JobState, reason: string): void {
