--- /dev/null
+++ b/tests/history/checkers/at_most_once_checker.ts
@@ -0,0 +1,50 @@
+import {taskKey} from '../history.js';
+import type {Checker, HistoryEvent, Violation} from '../history.js';
+
+/**
+ * A request that is not idempotent runs at most once. The same holds for the
+ * tasks of a job that is not idempotent, but that evicted work goes on.
+ */
+export class AtMostOnceChecker implements Checker {
+  readonly point = 'at most once';
+
+  check(events: readonly HistoryEvent[]): Violation[] {
+    const violations: Violation[] = [];
+    const once = new Set<string>();
+    const runs = new Map<string, HistoryEvent>();
+    const starts = new Map<string, HistoryEvent>();
+    const evicted = new Set<string>();
+    for (const event of events) {
+      if (event.type === 'invoke' && !event.idempotent) {
+        once.add(event.requestId);
+      }
+      if (event.type === 'jobDeclared' && !event.idempotent) {
+        once.add(`${event.team}/${event.job}`);
+      }
+      if (event.type === 'attemptClosed' && event.outcome === 'evicted') {
+        evicted.add(`${taskKey(event.name)}/${event.attempt}`);
+      }
+      if (event.type === 'executorBegin' && once.has(event.requestId)) {
+        const before = runs.get(event.requestId);
+        if (before) violations.push(this.violation(before, event));
+        runs.set(event.requestId, event);
+      }
+      if (event.type !== 'taskStart') continue;
+      if (!once.has(`${event.name.team}/${event.name.job}`)) continue;
+      const key = taskKey(event.name);
+      const before = starts.get(key);
+      starts.set(key, event);
+      const resumed = evicted.has(`${key}/${event.attempt - 1}`);
+      if (before && !resumed) violations.push(this.violation(before, event));
+    }
+    return violations;
+  }
+
+  private violation(first: HistoryEvent, second: HistoryEvent): Violation {
+    return {
+      point: this.point,
+      message: 'What is not idempotent ran again.',
+      excerpt: [first, second],
+    };
+  }
+}
--- /dev/null
+++ b/tests/history/checkers/graceful_stop_checker.ts
@@ -0,0 +1,58 @@
+import {taskKey} from '../history.js';
+import type {Checker, HistoryEvent, Violation} from '../history.js';
+import {isEnd} from './capacity_checker.js';
+
+/**
+ * Every planned stop is graceful: when the agent has stopped, nothing runs on
+ * its VM, and nothing there lapsed. Stops that a fault disturbs are passed over.
+ */
+export class GracefulStopChecker implements Checker {
+  readonly point = 'graceful stop';
+
+  check(events: readonly HistoryEvent[]): Violation[] {
+    const violations: Violation[] = [];
+    const running = new Map<string, Map<string, HistoryEvent>>();
+    const requests = new Map<string, Map<string, HistoryEvent>>();
+    for (const event of events) {
+      if (event.type === 'vmLost') {
+        running.delete(event.vm);
+        requests.delete(event.vm);
+      }
+      if (event.type === 'taskStart') {
+        placeOf(running, event.vm).set(taskKey(event.name), event);
+      }
+      if (isEnd(event)) placeOf(running, event.vm).delete(taskKey(event.name));
+      if (event.type === 'executorBegin') {
+        placeOf(requests, event.vm).set(event.requestId, event);
+      }
+      if (event.type === 'executorEnd') {
+        placeOf(requests, event.vm).delete(event.requestId);
+      }
+      if (event.type !== 'shutdownEnd' || event.vm === '') continue;
+      if (!event.undisturbed) continue;
+      const left = [
+        ...placeOf(running, event.vm).values(),
+        ...placeOf(requests, event.vm).values(),
+      ];
+      if (left.length === 0) continue;
+      violations.push({
+        point: this.point,
+        message: `Work was left on ${event.vm} when its agent had stopped.`,
+        excerpt: [...left, event],
+      });
+    }
+    return violations;
+  }
+}
+
+function placeOf(
+  places: Map<string, Map<string, HistoryEvent>>,
+  vm: string,
+): Map<string, HistoryEvent> {
+  let place = places.get(vm);
+  if (!place) {
+    place = new Map();
+    places.set(vm, place);
+  }
+  return place;
+}
--- /dev/null
+++ b/tests/history/virtual_entry.ts
@@ -0,0 +1,168 @@
+import {EntryProcess} from '../../src/entry/entry_process.js';
+import type {ApiAnswer} from '../../src/entry/http/api_types.js';
+import {decodeSegments} from '../../src/entry/http/api_server.js';
+import type {Logger} from '../../src/observability/logger.js';
+import {Metrics} from '../../src/observability/metrics.js';
+import {Random} from '../../src/utilities/random.js';
+import type {VirtualClock} from '../../src/utilities/virtual_clock.js';
+import {MemoryStore} from '../stand_ins/memory_store.js';
+import type {StoreTable} from '../stand_ins/store_table.js';
+import type {History} from './history.js';
+import {ProcessClock} from './process_clock.js';
+import type {StepHooks} from './step_hooks.js';
+import {StepStore} from './step_store.js';
+import type {NetworkNode, VirtualNetwork} from './virtual_network.js';
+
+const STORE_LATENCY_MILLIS = 4;
+const CALLER_LATENCY_MILLIS = 1;
+const SETTINGS_WATCH_MILLIS = 100;
+
+export interface VirtualEntryOptions {
+  readonly id: string;
+  readonly failureDomain: string;
+  readonly shardCount: number;
+  readonly table: StoreTable;
+  readonly clock: VirtualClock;
+  readonly network: VirtualNetwork;
+  readonly history: History;
+  readonly hooks: StepHooks;
+  readonly random: Random;
+  readonly logger: Logger;
+  readonly outageGraceMillis: number;
+}
+
+/** A call of the HTTP API as a caller or operator makes it. */
+export interface VirtualCall {
+  readonly method: string;
+  readonly path: string;
+  readonly headers?: Readonly<Record<string, string>>;
+  readonly body?: string;
+}
+
+/** One entry VM. */
+export class VirtualEntry {
+  readonly address: string;
+  entry!: EntryProcess;
+  memory!: MemoryStore;
+  store!: StepStore;
+  private processClock!: ProcessClock;
+  private node!: NetworkNode;
+  private run = 0;
+
+  constructor(readonly options: VirtualEntryOptions) {
+    this.address = `${options.id}:1`;
+    this.start();
+  }
+
+  get alive(): boolean {
+    return !this.processClock.dead;
+  }
+
+  get clock(): ProcessClock {
+    return this.processClock;
+  }
+
+  start(): void {
+    const {id, clock, network, history, hooks, random, logger} = this.options;
+    const processClock = new ProcessClock(clock);
+    this.processClock = processClock;
+    this.run++;
+    history.record({type: 'processUp', process: id, run: this.run});
+    this.memory = new MemoryStore({
+      clock: processClock,
+      table: this.options.table,
+      latencyMillis: STORE_LATENCY_MILLIS,
+    });
+    this.store = new StepStore(id, this.memory, processClock, hooks);
+    this.entry = new EntryProcess({
+      record: {
+        entryId: id,
+        processAddress: this.address,
+        callerAddress: this.address,
+        failureDomain: this.options.failureDomain,
+        nonce: `${id}-run-${this.run}`,
+        stopping: false,
+      },
+      shardCount: this.options.shardCount,
+      store: this.store,
+      links: network.linksOf(() => this.node),
+      clock: processClock,
+      random: new Random(random.below(2 ** 31)),
+      logger,
+      metrics: new Metrics(),
+      outageGraceMillis: this.options.outageGraceMillis,
+    });
+    this.node = {
+      id,
+      address: this.address,
+      clock: processClock,
+      handlers: this.entry,
+      isEntry: true,
+    };
+    network.attach(this.node);
+    void this.entry.start();
+    this.watchSettings(-1);
+  }
+
+  kill(): void {
+    const {id, history} = this.options;
+    if (!this.alive) return;
+    this.processClock.kill();
+    history.record({type: 'processDown', process: id, run: this.run});
+  }
+
+  async shutDown(): Promise<void> {
+    const {id, history, hooks} = this.options;
+    const clock = this.processClock;
+    const run = this.run;
+    const observation = {process: id, vm: '', undisturbed: true};
+    history.record({type: 'shutdownBegin', ...observation});
+    hooks.reached('shutdown.begin', {entry: id});
+    if (clock.dead) return;
+    await this.entry.stop('planned');
+    if (clock.dead) return;
+    history.record({type: 'shutdownEnd', ...observation});
+    clock.kill();
+    history.record({type: 'processDown', process: id, run});
+  }
+
+  /** Resolves to undefined when the connection is refused: nothing ran. */
+  async call(call: VirtualCall): Promise<ApiAnswer | undefined> {
+    const clock = this.processClock;
+    if (clock.dead) return undefined;
+    await this.pause();
+    await clock.resumed();
+    const [path] = call.path.split('?', 1);
+    const answer = await this.entry.call({
+      method: call.method,
+      target: call.path,
+      segments: decodeSegments(path),
+      query: new URLSearchParams(call.path.split('?')[1] ?? ''),
+      headers: new Map(Object.entries(call.headers ?? {})),
+      body: Buffer.from(call.body ?? ''),
+    });
+    await clock.resumed();
+    await this.pause();
+    return answer;
+  }
+
+  private pause(): Promise<void> {
+    return new Promise(resolve =>
+      this.options.clock.schedule(CALLER_LATENCY_MILLIS, resolve),
+    );
+  }
+
+  /** Looks at the settings in force often enough to see each change. */
+  private watchSettings(last: number): void {
+    const {id, history} = this.options;
+    const run = this.run;
+    const dump = this.entry.dumpState() as {settings: {revision: number}};
+    const {revision} = dump.settings;
+    if (revision !== last) {
+      history.record({type: 'settingsInForce', process: id, run, revision});
+    }
+    this.processClock.schedule(SETTINGS_WATCH_MILLIS, () =>
+      this.watchSettings(revision),
+    );
+  }
+}
--- /dev/null
+++ b/tests/history/virtual_executor.ts
@@ -0,0 +1,94 @@
+import {ExecutorFailure} from '../../src/platform/executor.js';
+import type {
+  Executor,
+  ExecutorAnswer,
+  ExecutorRequest,
+} from '../../src/platform/executor.js';
+import {ExecutorError} from '../../src/platform/platform_errors.js';
+import type {Random} from '../../src/utilities/random.js';
+import {answerBody} from './checkers/whole_answer_checker.js';
+import type {History} from './history.js';
+import type {ProcessClock} from './process_clock.js';
+import type {StepHooks} from './step_hooks.js';
+
+const MEAN_RUN_MILLIS = 20;
+
+/** How the VM's executor behaves; its state outlives the agent beside it. */
+export interface ExecutorMachine {
+  readonly vm: string;
+  /** Answers come after the deadline of their request. */
+  late: boolean;
+  /** Requests are taken and never answered. */
+  silent: boolean;
+  /** Connections are refused. */
+  refusing: boolean;
+}
+
+/** An executor that records which requests it runs. */
+export class VirtualExecutor implements Executor {
+  constructor(
+    private readonly machine: ExecutorMachine,
+    /** Of the agent, which waits for the answers. */
+    private readonly agentClock: ProcessClock,
+    /** Of the VM, on which requests run on when the agent is gone. */
+    private readonly vmClock: ProcessClock,
+    private readonly random: Random,
+    private readonly history: History,
+    private readonly hooks: StepHooks,
+  ) {}
+
+  async send(request: ExecutorRequest): Promise<ExecutorAnswer> {
+    const {machine} = this;
+    const agent = machine.vm;
+    this.hooks.reached('executorSend.before', {agent});
+    await this.agentClock.resumed();
+    if (machine.refusing) throw failure(ExecutorFailure.NOT_SENT);
+    const ran = this.run(request.requestId, request.deadlineMillis);
+    await this.wait(ran, request.deadlineMillis);
+    this.hooks.reached('executorSend.after', {agent});
+    await this.agentClock.resumed();
+    const text = answerBody(
+      request.requestId,
+      Buffer.from(request.body).toString(),
+    );
+    return {status: 200, headers: [], body: Buffer.from(text)};
+  }
+
+  async probe(): Promise<void> {
+    const {refusing, silent} = this.machine;
+    if (refusing || silent) throw failure(ExecutorFailure.UNKNOWN);
+  }
+
+  close(): void {}
+
+  private run(requestId: string, deadlineMillis: number): Promise<void> {
+    const {vm, late, silent} = this.machine;
+    const usual = this.random.exponential(MEAN_RUN_MILLIS);
+    const runMillis = late ? 2 * deadlineMillis : usual;
+    this.history.record({type: 'executorBegin', vm, requestId});
+    return new Promise(resolve => {
+      this.vmClock.schedule(runMillis, () => {
+        this.history.record({type: 'executorEnd', vm, requestId});
+        if (!silent) resolve();
+      });
+    });
+  }
+
+  private wait(ran: Promise<void>, deadlineMillis: number): Promise<void> {
+    return new Promise((resolve, reject) => {
+      const deadline = this.agentClock.schedule(deadlineMillis, () =>
+        reject(failure(ExecutorFailure.UNKNOWN)),
+      );
+      void ran.then(() =>
+        this.agentClock.run(() => {
+          deadline.cancel();
+          resolve();
+        }),
+      );
+    });
+  }
+}
+
+function failure(kind: ExecutorFailure): Error {
+  return new ExecutorError(`No answer: ${kind}.`, {props: {failure: kind}});
+}
