Count a loss from the leases that were granted, not from today's setting

Ruled out: late replies (the agent never moved a lease back) and the worker's clock. Now each VM keeps the latest end of any lease granted to it, and what an earlier owner granted counts with the longest lease that settings may ask for, which is 30 s in place of 120 s for that reason.

--- a/src/decisions/jobs/agent_answers.ts
+++ b/src/decisions/jobs/agent_answers.ts
@@ -17,7 +17,9 @@
   noteVm(view: VmView, now: number, wallTime: number): void {
     const {interference, vms} = this.state;
     const before = vms.get(view.vm)?.view.incarnation;
-    vms.note(view, now);
+    const vm = vms.note(view, now);
+    const leasedUntil = now + this.state.fleet.taskLeaseMillis;
+    vm.leasedUntil = Math.max(vm.leasedUntil, leasedUntil);
     interference.note(view, now);
     if (before === view.incarnation) return;
     for (const attempt of [...this.state.attempts.onVm(view.vm)]) {
--- a/src/decisions/placement/vm_table.ts
+++ b/src/decisions/placement/vm_table.ts
@@ -44,6 +44,8 @@
 export class VmState {
   view: VmView;
   answeredAt: number;
+  /** No lease that was granted to its attempts ends later. */
+  leasedUntil = -Infinity;
   /** Settings, health and freshness let tasks be placed here. */
   usable = false;
   freeMilliprocessors = 0;
--- a/src/decisions/recovery/loss_detector.ts
+++ b/src/decisions/recovery/loss_detector.ts
@@ -1,3 +1,4 @@
+import {MAXIMUM_TASK_LEASE_MILLIS} from '../../settings/settings_types.js';
 import type {AttemptLifecycle} from '../jobs/attempt_lifecycle.js';
 import type {OpenAttempt} from '../jobs/open_attempts.js';
 import type {ShardState} from '../jobs/shard_state.js';
@@ -14,30 +15,33 @@
   ) {}
 
   run(now: number, wallTime: number): void {
-    for (const vm of [...this.state.attempts.vms()]) {
-      const silent = this.silentMillis(vm, now);
-      if (silent <= this.lostAfterMillis) continue;
+    const {attempts, limits} = this.state;
+    for (const vm of [...attempts.vms()]) {
+      if (now <= this.leasedUntil(vm) + limits.lossMarginMillis) continue;
       this.closeLost(vm, now, wallTime);
     }
   }
 
-  private get lostAfterMillis(): number {
-    const {fleet, limits} = this.state;
-    return fleet.taskLeaseMillis + limits.lossMarginMillis;
-  }
-
-  private silentMillis(vm: string, now: number): number {
-    const known = this.state.vms.get(vm);
-    return known ? now - known.answeredAt : Infinity;
+  /** Leases keep the length with which they were granted. */
+  private leasedUntil(vm: string): number {
+    return this.state.vms.get(vm)?.leasedUntil ?? -Infinity;
   }
 
   private closeLost(vm: string, now: number, wallTime: number): void {
-    for (const attempt of [...this.state.attempts.onVm(vm)]) {
-      if (now - attempt.placedAt <= this.lostAfterMillis) continue;
+    const {attempts, limits} = this.state;
+    for (const attempt of [...attempts.onVm(vm)]) {
+      const leasedUntil = attempt.placedAt + this.leaseMillisOf(attempt);
+      if (now <= leasedUntil + limits.lossMarginMillis) continue;
       this.closeOne(attempt, now, wallTime);
     }
   }
 
+  /** An earlier owner may have had settings with any lease. */
+  private leaseMillisOf(attempt: OpenAttempt): number {
+    if (attempt.inherited) return MAXIMUM_TASK_LEASE_MILLIS;
+    return this.state.fleet.taskLeaseMillis;
+  }
+
   private closeOne(attempt: OpenAttempt, now: number, wallTime: number): void {
     const outcome = attempt.neverSent
       ? AttemptOutcome.REFUSED
--- a/src/settings/branch_schemas.ts
+++ b/src/settings/branch_schemas.ts
@@ -68,7 +68,7 @@
         example: '15',
       },
       3,
-      120,
+      30,
     ),
     15,
     '15',
--- a/src/settings/settings_types.ts
+++ b/src/settings/settings_types.ts
@@ -8,6 +8,9 @@
 export const Urgency = {URGENT: 'urgent', NORMAL: 'normal'} as const;
 export type Urgency = (typeof Urgency)[keyof typeof Urgency];
 
+/** The longest task lease that settings may ask for. */
+export const MAXIMUM_TASK_LEASE_MILLIS = 30_000;
+
 /** One accepted text of a branch. */
 export interface SettingsDocument {
   readonly branch: string;
