Route by load with slowness only beyond noise; hedge only off agents in doubt

Cause: smoothed holding times of equal executors differ by 10 to 15% by chance, and the router followed the differences in place of free slots. Hedges of long requests ran them twice: a long request is as long elsewhere. Now holding times within 1.7 times of the usual count as equal, the expected wait rises smoothly before the last slot, the agent smooths over 100 requests, and a hedge needs an agent that is silent, ejected or gone.

--- a/src/decisions/admission/holding_time.ts
+++ b/src/decisions/admission/holding_time.ts
@@ -1,5 +1,5 @@
 /** Weight of the newest holding time in the smoothed one. */
-const SMOOTHING = 0.02;
+const SMOOTHING = 0.01;
 /** The first requests count by their plain mean until this many were seen. */
 const WARM_UP_REQUESTS = 1 / SMOOTHING;
 /** Running requests this many times older than usual show a stall. */
--- a/src/decisions/routing/least_expected_time_policy.ts
+++ b/src/decisions/routing/least_expected_time_policy.ts
@@ -1,5 +1,4 @@
 import type {Random} from '../../utilities/random.js';
-import {expectedWaitMillis} from './routing_policy.js';
 import type {RoutingPolicy, UpstreamView} from './routing_policy.js';
 
 /** Up to this many upstreams are all looked at; of more, a sample. */
@@ -9,8 +8,10 @@
 const UNKNOWN_SERVICE_MILLIS = 10;
 /** Extra expected time of an upstream that should rather not be used. */
 const AVOIDED_PENALTY_MILLIS = 1000;
-/** Weight of slots that are taken while others are free. */
-const OCCUPANCY_WEIGHT = 0.05;
+/** Holding times that differ from the usual by less are taken as equal. */
+const NOISE_SHARE = 0.7;
+/** Requests by which an estimated load may well be wrong. */
+const LOAD_UNCERTAINTY = 1;
 
 export interface LeastExpectedTimeOptions {
   /** Round trip to another failure domain, in milliseconds. */
@@ -44,11 +45,12 @@
     candidates: readonly UpstreamView[],
     offset: number,
   ): UpstreamView {
+    const usualMillis = usualServiceMillis(candidates);
     let best = candidates[offset];
-    let bestMillis = this.expectedMillis(best);
+    let bestMillis = this.expectedMillis(best, usualMillis);
     for (let index = 1; index < candidates.length; index++) {
       const candidate = candidates[(offset + index) % candidates.length];
-      const millis = this.expectedMillis(candidate);
+      const millis = this.expectedMillis(candidate, usualMillis);
       if (millis >= bestMillis) continue;
       best = candidate;
       bestMillis = millis;
@@ -56,13 +58,43 @@
     return best;
   }
 
-  private expectedMillis(upstream: UpstreamView): number {
-    const service = upstream.serviceMillis || UNKNOWN_SERVICE_MILLIS;
-    const occupancy = upstream.estimatedLoad / Math.max(1, upstream.slots);
-    let millis = service * (1 + OCCUPANCY_WEIGHT * occupancy);
-    millis += expectedWaitMillis(upstream);
+  private expectedMillis(upstream: UpstreamView, usualMillis: number): number {
+    const service = usualMillis * slowdownOf(upstream, usualMillis);
+    let millis = service + waitMillis(upstream, service);
     if (!upstream.isLocal) millis += this.crossingMillis;
     if (upstream.isAvoided) millis += AVOIDED_PENALTY_MILLIS;
     return millis;
   }
 }
+
+/** The harmonic mean of the holding times: a few slow ones weigh little. */
+function usualServiceMillis(candidates: readonly UpstreamView[]): number {
+  let known = 0;
+  let rates = 0;
+  for (const {serviceMillis} of candidates) {
+    if (serviceMillis <= 0) continue;
+    known++;
+    rates += 1 / serviceMillis;
+  }
+  return known === 0 ? UNKNOWN_SERVICE_MILLIS : known / rates;
+}
+
+/** How many times longer than usual it takes, less what may be noise. */
+function slowdownOf(upstream: UpstreamView, usualMillis: number): number {
+  if (upstream.serviceMillis <= 0) return 1;
+  const ratio = upstream.serviceMillis / usualMillis;
+  if (ratio > 1 + NOISE_SHARE) return ratio - NOISE_SHARE;
+  if (ratio < 1 / (1 + NOISE_SHARE)) return ratio * (1 + NOISE_SHARE);
+  return 1;
+}
+
+/**
+ * Expected time in the queue. The load is an estimate, so the expectation
+ * rises smoothly before the last slot is taken.
+ */
+function waitMillis(upstream: UpstreamView, serviceMillis: number): number {
+  const slots = Math.max(1, upstream.slots);
+  const ahead = (upstream.estimatedLoad + 1 - slots) / LOAD_UNCERTAINTY;
+  const smooth = ahead > 20 ? ahead : Math.log1p(Math.exp(ahead));
+  return (smooth * LOAD_UNCERTAINTY * serviceMillis) / slots;
+}
--- a/src/decisions/routing/service_router.ts
+++ b/src/decisions/routing/service_router.ts
@@ -16,8 +16,9 @@
 const NO_UPSTREAM_RETRY_AFTER_MILLIS = 500;
 const LEAST_RETRY_AFTER_MILLIS = 5;
 const REMOVALS_KEPT = 20;
-/** Hedges start no sooner than this. */
-const LEAST_HEDGE_DELAY_MILLIS = 2;
+/** Hedges start no sooner than this: a silent upstream shows by then. */
+const LEAST_HEDGE_DELAY_MILLIS = 110;
+const HEDGE_DELAY_FACTOR = 2;
 
 export interface ServiceRouterOptions {
   readonly ownFailureDomain: string;
@@ -204,16 +205,21 @@
   hedgeDelayMillis(serviceName: string, now: number): number | undefined {
     const service = this.byService.get(serviceName);
     if (!service || service.upstreams.size < 2) return undefined;
-    if (!service.hasSpareSlot(now)) return undefined;
+    if (!service.hasWellUpstream(now)) return undefined;
     const quantile = service.answerTimes.value();
     if (quantile === undefined) return undefined;
-    return Math.max(LEAST_HEDGE_DELAY_MILLIS, quantile);
+    return Math.max(LEAST_HEDGE_DELAY_MILLIS, HEDGE_DELAY_FACTOR * quantile);
   }
 
-  /** Spends the budget on a hedge, only while slots are free. */
-  mayHedge(serviceName: string, now: number): boolean {
+  /**
+   * Spends the budget on a hedge: only while slots are free, and only when the
+   * agent that has the request is in doubt. A request that takes long is as
+   * long elsewhere; a second run of it would just take another slot.
+   */
+  mayHedge(serviceName: string, now: number, agentId?: string): boolean {
     const service = this.byService.get(serviceName);
     if (!service?.hasSpareSlot(now)) return false;
+    if (!service.isInDoubt(agentId, now)) return false;
     return service.retryBudget.spend(now);
   }
 
--- a/src/decisions/routing/service_upstreams.ts
+++ b/src/decisions/routing/service_upstreams.ts
@@ -71,13 +71,35 @@
     this.upstreams.set(upstream.agentId, upstream);
   }
 
-  /** Whether some upstream should have a free slot. */
+  /** Whether some upstream that is well should have a free slot. */
   hasSpareSlot(now: number): boolean {
     for (const upstream of this.upstreams.values()) {
-      if (!upstream.isOpen) continue;
-      if (upstream.healthAt(now) !== HealthState.HEALTHY) continue;
+      if (!isWell(upstream, now)) continue;
       if (upstream.estimatedLoad < upstream.slots) return true;
     }
     return false;
   }
+
+  hasWellUpstream(now: number): boolean {
+    for (const upstream of this.upstreams.values()) {
+      if (isWell(upstream, now)) return true;
+    }
+    return false;
+  }
+
+  /** Whether the agent's answers are in doubt; without an id, of any agent. */
+  isInDoubt(agentId: string | undefined, now: number): boolean {
+    if (agentId !== undefined) {
+      const upstream = this.upstreams.get(agentId);
+      return !upstream || !isWell(upstream, now);
+    }
+    for (const upstream of this.upstreams.values()) {
+      if (!isWell(upstream, now)) return true;
+    }
+    return false;
+  }
+}
+
+function isWell(upstream: UpstreamState, now: number): boolean {
+  return upstream.isOpen && upstream.healthAt(now) === HealthState.HEALTHY;
 }
--- a/src/decisions/routing/upstream_health.ts
+++ b/src/decisions/routing/upstream_health.ts
@@ -6,9 +6,12 @@
 const PROBE_MILLIS = 2000;
 const SLOW_START_MILLIS = 3000;
 const LEAST_SLOW_START_SHARE = 0.1;
-/** Without any word for this long an upstream with open requests lags. */
-const LAGGING_MILLIS = 400;
-/** Or for this many times its usual answer time, when that is longer. */
+/** Without any word for this long an upstream with open requests may lag. */
+const LEAST_LAGGING_MILLIS = 100;
+/**
+ * It lags after this many times its usual answer time with one open request;
+ * with many the time goes down to the usual one.
+ */
 const LAGGING_FACTOR = 8;
 
 export const HealthState = {
@@ -68,15 +71,20 @@
     this.returnedAt = now;
   }
 
-  stateAt(now: number, answerMillis: number): HealthState {
+  /** With the usual answer time and the requests that are on their way. */
+  stateAt(now: number, answerMillis: number, open: number): HealthState {
     if (this.ejectedUntil !== undefined) {
       return now < this.ejectedUntil
         ? HealthState.EJECTED
         : HealthState.PROBING;
     }
     if (this.silentSince === undefined) return HealthState.HEALTHY;
-    const patience = Math.max(LAGGING_MILLIS, LAGGING_FACTOR * answerMillis);
-    return now - this.silentSince > patience
+    const answerTimes = 1 + (LAGGING_FACTOR - 1) / Math.max(1, open);
+    const patienceMillis = Math.max(
+      LEAST_LAGGING_MILLIS,
+      answerTimes * answerMillis,
+    );
+    return now - this.silentSince > patienceMillis
       ? HealthState.LAGGING
       : HealthState.HEALTHY;
   }
--- a/src/decisions/routing/upstream_state.ts
+++ b/src/decisions/routing/upstream_state.ts
@@ -88,7 +88,7 @@
   }
 
   healthAt(now: number): HealthState {
-    return this.health.stateAt(now, this.answerMillis);
+    return this.health.stateAt(now, this.answerMillis, this.ownInFlight);
   }
 
   dump(now: number): Record<string, unknown> {
