Add fault and overload scenarios; keep a lost failure domain out of use

The floor on upstreams in use took all unwell ones back once it was passed: with a third of the fleet dead, requests went to the dead. Now only as many return as the floor asks for, the least unwell first, and the share that may be out is 0.4 by default, above one of three failure domains.

--- a/bench/service/service_recorder.ts
+++ b/bench/service/service_recorder.ts
@@ -56,6 +56,7 @@
       'unknown %': (100 * unknown) / total,
       'failed %': (100 * failed) / total,
       'refused p99': millisAt(this.refusals, 99),
+      'refused max': this.refusals.maxValue / MICROS_PER_MILLI,
       'extra %': (100 * this.extra) / total,
     };
   }
--- a/bench/service/service_scenarios.ts
+++ b/bench/service/service_scenarios.ts
@@ -1,47 +1,16 @@
-import type {RoutingPolicy} from '../../src/decisions/routing/routing_policy.js';
-import {LeastConnectionsPolicy} from '../baselines/least_connections_policy.js';
-import {PowerOfTwoPolicy} from '../baselines/power_of_two_policy.js';
-import {RandomPolicy} from '../baselines/random_policy.js';
-import {RoundRobinPolicy} from '../baselines/round_robin_policy.js';
-import type {
-  Scenario,
-  ScenarioRatio,
-  ScenarioResult,
-  ScenarioRow,
-} from '../scenario.js';
-import {CentralQueue} from './central_queue.js';
-import type {Fault} from './fault.js';
+import type {Scenario} from '../scenario.js';
+import type {Fault, FaultTarget} from './fault.js';
 import {fleetSizes} from './fleet_size.js';
-import type {FleetSize} from './fleet_size.js';
-import {traceOf} from './request_trace.js';
-import type {TraceOptions} from './request_trace.js';
-import {ServiceSimulation} from './service_simulation.js';
+import {BOUND, REFERENCE, serviceScenario} from './service_runner.js';
+import type {RatioRule, ServiceScenarioOptions} from './service_runner.js';
 
 const SECOND = 1000;
-const PRODUCT = 'product';
-const BOUND = 'central queue';
-
-const baselines: ReadonlyArray<() => RoutingPolicy> = [
-  () => new RandomPolicy(),
-  () => new RoundRobinPolicy(),
-  () => new PowerOfTwoPolicy(),
-  () => new LeastConnectionsPolicy(),
-];
-
-/** A figure of the product against another variant's, with its target. */
-interface RatioRule {
-  readonly figure: string;
-  readonly against: string;
-  readonly atMost?: number;
-  readonly atLeast?: number;
-}
-
-interface ServiceScenarioOptions extends TraceOptions {
-  readonly name: string;
-  readonly description: string;
-  readonly faults?: (size: FleetSize) => readonly Fault[];
-  readonly ratios: readonly RatioRule[];
-}
+const STEADY_MILLIS = 60 * SECOND;
+const FAULT_MILLIS = 30 * SECOND;
+const FAULT_BEGINS_MILLIS = 8 * SECOND;
+const FAULT_ENDS_MILLIS = 18 * SECOND;
+/** Executors of the first failure domain; they are dealt out in turn. */
+const FIRST_DOMAIN = [0, 3, 6, 9];
 
 const toBound: readonly RatioRule[] = [
   {figure: 'p99', against: BOUND},
@@ -49,6 +18,14 @@
   {figure: 'answered/s', against: BOUND},
 ];
 
+function begins(apply: (target: FaultTarget) => void): Fault {
+  return {atMillis: FAULT_BEGINS_MILLIS, apply};
+}
+
+function ends(apply: (target: FaultTarget) => void): Fault {
+  return {atMillis: FAULT_ENDS_MILLIS, apply};
+}
+
 /** Slots left when one of the executors is slower by the factor. */
 function capacityWithSlow(executors: number, factor: number): number {
   return (executors - 1 + 1 / factor) / executors;
@@ -65,14 +42,14 @@
   {
     name: 'steady-70',
     description: '70% load, lognormal times of sigma 1',
-    durationMillis: 60 * SECOND,
+    durationMillis: STEADY_MILLIS,
     loadAt: () => 0.7,
     ratios: toBound,
   },
   {
     name: 'steady-90',
     description: '90% load, lognormal times of sigma 1',
-    durationMillis: 60 * SECOND,
+    durationMillis: STEADY_MILLIS,
     loadAt: () => 0.9,
     ratios: [
       {figure: 'p99', against: BOUND, atMost: 1.02},
@@ -82,7 +59,7 @@
   {
     name: 'low-variance-90',
     description: '90% load, lognormal times of sigma 0.2',
-    durationMillis: 60 * SECOND,
+    durationMillis: STEADY_MILLIS,
     loadAt: () => 0.9,
     sigma: 0.2,
     ratios: [{figure: 'wait p99', against: BOUND, atMost: 2}],
@@ -90,73 +67,140 @@
   {
     name: 'slow-executor-70',
     description: '70% of the capacity left, one executor 4 times slower',
-    durationMillis: 60 * SECOND,
+    durationMillis: STEADY_MILLIS,
     loadAt: () => 0.7 * SLOW_CAPACITY,
-    faults: () => [slowExecutor],
+    faults: [slowExecutor],
     ratios: [{figure: 'p99', against: BOUND, atMost: 1.08}],
   },
   {
     name: 'slow-executor-90',
     description: '90% of the capacity left, one executor 4 times slower',
-    durationMillis: 60 * SECOND,
+    durationMillis: STEADY_MILLIS,
     loadAt: () => 0.9 * SLOW_CAPACITY,
-    faults: () => [slowExecutor],
+    faults: [slowExecutor],
+    ratios: [{figure: 'p99', against: BOUND, atMost: 1.08}],
+  },
+  {
+    name: 'slow-executor-90-nominal',
+    description: '90% of all slots, one executor 4 times slower',
+    durationMillis: FAULT_MILLIS,
+    loadAt: () => 0.9,
+    faults: [slowExecutor],
     ratios: [{figure: 'p99', against: BOUND, atMost: 1.08}],
   },
+  {
+    name: 'load-shift',
+    description: '50% load, 95% for a third of the time, 60% after',
+    durationMillis: FAULT_MILLIS,
+    loadAt: time => {
+      if (time < 10 * SECOND) return 0.5;
+      return time < 20 * SECOND ? 0.95 : 0.6;
+    },
+    ratios: toBound,
+  },
+  {
+    name: 'overload-150',
+    description: '150% load against the same fleet at 100%',
+    durationMillis: FAULT_MILLIS,
+    loadAt: () => 1.5,
+    referenceLoad: 1,
+    ratios: [
+      {figure: 'answered/s', against: REFERENCE, atLeast: 0.95},
+      {figure: 'refused p99', atMost: 10},
+      {figure: 'refused max', atMost: 10},
+    ],
+  },
+  {
+    name: 'domain-out',
+    description: '55% load, a failure domain drains for 10 s and comes back',
+    durationMillis: FAULT_MILLIS,
+    loadAt: () => 0.55,
+    faults: FIRST_DOMAIN.flatMap(executor => [
+      begins(target => target.drainVm(executor)),
+      ends(target => target.killVm(executor)),
+      ends(target => target.replaceVm(executor)),
+    ]),
+    ratios: toBound,
+  },
+  {
+    name: 'domain-lost',
+    description: '55% load, a failure domain dies and is replaced after 10 s',
+    durationMillis: FAULT_MILLIS,
+    loadAt: () => 0.55,
+    faults: FIRST_DOMAIN.flatMap(executor => [
+      begins(target => target.killVm(executor)),
+      ends(target => target.replaceVm(executor)),
+    ]),
+    ratios: toBound,
+  },
+  {
+    name: 'vm-loss',
+    description: '70% load, a VM dies and is replaced after 10 s',
+    durationMillis: FAULT_MILLIS,
+    loadAt: () => 0.7,
+    faults: [
+      begins(target => target.killVm(0)),
+      ends(target => target.replaceVm(0)),
+    ],
+    ratios: toBound,
+  },
+  {
+    name: 'vm-frozen',
+    description: '70% load, a VM stands still for 10 s',
+    durationMillis: FAULT_MILLIS,
+    loadAt: () => 0.7,
+    faults: [
+      begins(target => target.freezeVm(0)),
+      ends(target => target.thawVm(0)),
+    ],
+    ratios: toBound,
+  },
+  {
+    name: 'executor-lags',
+    description: '70% load, an executor is 20 times slower for 10 s',
+    durationMillis: FAULT_MILLIS,
+    loadAt: () => 0.7,
+    faults: [
+      begins(target => target.setSlowdown(0, 20)),
+      ends(target => target.setSlowdown(0, 1)),
+    ],
+    ratios: toBound,
+  },
+  {
+    name: 'executor-fails',
+    description: '70% load, an executor answers at once with errors for 10 s',
+    durationMillis: FAULT_MILLIS,
+    loadAt: () => 0.7,
+    faults: [
+      begins(target => target.setFailing(0, true)),
+      ends(target => target.setFailing(0, false)),
+    ],
+    ratios: [...toBound, {figure: 'failed %'}],
+  },
+  {
+    name: 'entry-killed',
+    description: '70% load, an entry dies and is replaced after 10 s',
+    durationMillis: FAULT_MILLIS,
+    loadAt: () => 0.7,
+    faults: [
+      begins(target => target.killEntry(0)),
+      ends(target => target.replaceEntry(0)),
+    ],
+    ratios: toBound,
+  },
+  {
+    name: 'entry-frozen',
+    description: '70% load, an entry stands still for 10 s',
+    durationMillis: FAULT_MILLIS,
+    loadAt: () => 0.7,
+    faults: [
+      begins(target => target.freezeEntry(0)),
+      ends(target => target.thawEntry(0)),
+    ],
+    ratios: toBound,
+  },
 ];
 
 export const serviceScenarios: readonly Scenario[] = fleetSizes.flatMap(size =>
   options.map(each => serviceScenario(size, each)),
 );
-
-function serviceScenario(
-  size: FleetSize,
-  scenario: ServiceScenarioOptions,
-): Scenario {
-  return {
-    name: `${size.name}/${scenario.name}`,
-    description: scenario.description,
-    run: seed => runServiceScenario(size, scenario, seed),
-  };
-}
-
-function runServiceScenario(
-  size: FleetSize,
-  scenario: ServiceScenarioOptions,
-  seed: number,
-): ScenarioResult {
-  const trace = traceOf(size, seed, scenario);
-  const faults = scenario.faults?.(size) ?? [];
-  const {durationMillis} = scenario;
-  const common = {size, seed, trace, faults};
-  const product = new ServiceSimulation({...common, hedges: true}).run();
-  const rows = [{variant: PRODUCT, figures: product.figures(durationMillis)}];
-  for (const policy of baselines) {
-    const baseline = new ServiceSimulation({
-      ...common,
-      policy,
-      maximumEjectedShare: 0,
-      hedges: false,
-    }).run();
-    const figures = baseline.figures(durationMillis);
-    rows.push({variant: policy().name, figures});
-  }
-  const bound = new CentralQueue(size).run(trace, faults);
-  rows.push({variant: BOUND, figures: bound.figures(durationMillis)});
-  return {rows, ratios: ratiosOf(rows, scenario.ratios)};
-}
-
-function ratiosOf(
-  rows: readonly ScenarioRow[],
-  rules: readonly RatioRule[],
-): ScenarioRatio[] {
-  const product = rows[0].figures;
-  const ratios: ScenarioRatio[] = [];
-  for (const {figure, against, atMost, atLeast} of rules) {
-    const other = rows.find(({variant}) => variant === against);
-    if (!other) continue;
-    const value = product[figure] / other.figures[figure];
-    ratios.push({name: `${figure} against ${against}`, value, atMost, atLeast});
-  }
-  return ratios;
-}
--- a/src/decisions/routing/service_router.ts
+++ b/src/decisions/routing/service_router.ts
@@ -9,7 +9,7 @@
 import {UpstreamState} from './upstream_state.js';
 
 const DEFAULT_RETRY_BUDGET_SHARE = 0.1;
-const DEFAULT_MAXIMUM_EJECTED_SHARE = 0.3;
+const DEFAULT_MAXIMUM_EJECTED_SHARE = 0.4;
 const DEFAULT_CROSSING_MILLIS = 3;
 /** Round trip within a failure domain. */
 const LOCAL_ROUND_TRIP_MILLIS = 0.5;
--- a/src/decisions/routing/service_upstreams.ts
+++ b/src/decisions/routing/service_upstreams.ts
@@ -31,7 +31,7 @@
 
   /**
    * Sorts out who may take a request. At most the share of the open upstreams
-   * is left out for their health; beyond that all are compared.
+   * is left out for their health; of more, the least unwell are compared too.
    */
   candidates(
     excluded: ReadonlySet<string> | undefined,
@@ -60,7 +60,7 @@
       if (upstream.health.mayProbe(now)) probe = upstream;
     }
     const mostLeftOut = Math.floor(open * maximumEjectedShare);
-    if (unwell.length > mostLeftOut) healthy.push(...unwell);
+    healthy.push(...leastUnwell(unwell, unwell.length - mostLeftOut));
     if (healthy.length > 0) return {usable: healthy, probe};
     return {usable: starting.length > 0 ? starting : unwell, probe};
   }
@@ -100,6 +100,18 @@
   }
 }
 
+/** Those of the unwell with the fewest open requests. */
+function leastUnwell(
+  unwell: readonly UpstreamState[],
+  count: number,
+): UpstreamState[] {
+  if (count <= 0) return [];
+  const sorted = [...unwell].sort(
+    (left, right) => left.ownInFlight - right.ownInFlight,
+  );
+  return sorted.slice(0, count);
+}
+
 function isWell(upstream: UpstreamState, now: number): boolean {
   return upstream.isOpen && upstream.healthAt(now) === HealthState.HEALTHY;
 }
