--- a/src/decisions/routing/service_upstreams.ts
+++ b/src/decisions/routing/service_upstreams.ts
@@ -31,7 +31,7 @@
 
   /**
    * Sorts out who may take a request. At most the share of the open upstreams
-   * is left out for their health; beyond that all are compared.
+   * is left out for their health; of more, the least unwell are compared too.
    */
   candidates(
     excluded: ReadonlySet<string> | undefined,
@@ -60,7 +60,7 @@
       if (upstream.health.mayProbe(now)) probe = upstream;
     }
     const mostLeftOut = Math.floor(open * maximumEjectedShare);
-    if (unwell.length > mostLeftOut) healthy.push(...unwell);
+    healthy.push(...leastUnwell(unwell, unwell.length - mostLeftOut));
     if (healthy.length > 0) return {usable: healthy, probe};
     return {usable: starting.length > 0 ? starting : unwell, probe};
   }
@@ -71,13 +71,47 @@
     this.upstreams.set(upstream.agentId, upstream);
   }
 
-  /** Whether some upstream should have a free slot. */
+  /** Whether some upstream that is well should have a free slot. */
   hasSpareSlot(now: number): boolean {
     for (const upstream of this.upstreams.values()) {
-      if (!upstream.isOpen) continue;
-      if (upstream.healthAt(now) !== HealthState.HEALTHY) continue;
+      if (!isWell(upstream, now)) continue;
       if (upstream.estimatedLoad < upstream.slots) return true;
     }
     return false;
   }
+
+  hasWellUpstream(now: number): boolean {
+    for (const upstream of this.upstreams.values()) {
+      if (isWell(upstream, now)) return true;
+    }
+    return false;
+  }
+
+  /** Whether the agent's answers are in doubt; without an id, of any agent. */
+  isInDoubt(agentId: string | undefined, now: number): boolean {
+    if (agentId !== undefined) {
+      const upstream = this.upstreams.get(agentId);
+      return !upstream || !isWell(upstream, now);
+    }
+    for (const upstream of this.upstreams.values()) {
+      if (!isWell(upstream, now)) return true;
+    }
+    return false;
+  }
+}
+
+/** Those of the unwell with the fewest open requests. */
+function leastUnwell(
+  unwell: readonly UpstreamState[],
+  count: number,
+): UpstreamState[] {
+  if (count <= 0) return [];
+  const sorted = [...unwell].sort(
+    (left, right) => left.ownInFlight - right.ownInFlight,
+  );
+  return sorted.slice(0, count);
+}
+
+function isWell(upstream: UpstreamState, now: number): boolean {
+  return upstream.isOpen && upstream.healthAt(now) === HealthState.HEALTHY;
 }
