Drive shards, agents and workers in virtual time for the batch bench

Fakes of agents and workers run what they admit: progress slows when the processors are over-used, memory over the VM kills the worst offender, usage and tails are reported with a lag, services slow down by pair. Product and baseline see the same trace and seed.

--- /dev/null
+++ b/bench/batch/baseline_policies.ts
@@ -0,0 +1,36 @@
+import type {
+  PlacementChoice,
+  PlacementTask,
+  Placer,
+} from '../../src/decisions/placement/placer.js';
+import {mayStartOn} from '../../src/decisions/placement/placer.js';
+import type {SizeLearner} from '../../src/decisions/placement/size_learner.js';
+import type {VmState} from '../../src/decisions/placement/vm_table.js';
+import type {Resources} from '../../src/utilities/resources.js';
+
+/** Takes the first VM with room. */
+export class FirstFitPlacer implements Placer {
+  choose(
+    task: PlacementTask,
+    vms: readonly VmState[],
+    now: number,
+  ): PlacementChoice | undefined {
+    for (const vm of vms) {
+      if (mayStartOn(task, vm, now)) return {vm, reason: 'first fit'};
+    }
+    return undefined;
+  }
+}
+
+/** Believes what was declared. */
+export class DeclaredSizes implements SizeLearner {
+  note(): void {}
+
+  reservation(team: string, kind: string, declared: Resources): Resources {
+    return declared;
+  }
+
+  runMillis(team: string, kind: string, declared: number): number {
+    return declared;
+  }
+}
--- /dev/null
+++ b/bench/batch/batch_scenarios.ts
@@ -0,0 +1,241 @@
+import {Random} from '../../src/utilities/random.js';
+import type {Resources} from '../../src/utilities/resources.js';
+import type {BatchSimulation, SimulationOptions} from './batch_simulation.js';
+import {drawTrace} from './batch_trace.js';
+import type {TaskKindTruth, TraceOptions} from './batch_trace.js';
+import type {SimulatedVmOptions} from './simulated_vm.js';
+
+/** Fleets, work and faults of the batch scenarios. */
+
+export interface FleetSize {
+  readonly name: string;
+  readonly capacity: Resources;
+  readonly serviceSize: Resources;
+  readonly failureDomains: readonly string[];
+}
+
+const VMS = 11;
+const VMS_PER_RACK = 3;
+
+export const ASANTEWAA: FleetSize = {
+  name: 'asantewaa',
+  capacity: size(16, 60),
+  serviceSize: size(4, 12),
+  failureDomains: ['kaneshie', 'tema', 'madina'],
+};
+
+export const SFAX: FleetSize = {
+  name: 'sfax',
+  capacity: size(64, 250),
+  serviceSize: size(16, 50),
+  failureDomains: ['sfax', 'gabes', 'mahres'],
+};
+
+const SERVICES = ['rounds', 'orders'];
+const TEAMS = Array.from({length: 12}, (_, index) => `team${index}`);
+
+const QUIET = kind('quiet', size(1, 2), size(1, 2), 20_000, 1, 1);
+const URGENT = kind('urgent', size(1, 2), size(1, 2), 4000, 1, 1);
+const LOUD_FOR_ROUNDS = kind('mix', size(2, 4), size(2, 4), 15_000, 5, 1.1);
+const LOUD_FOR_ORDERS = kind('pallet', size(2, 4), size(2, 4), 15_000, 1.1, 5);
+const SMALL_DECLARED = [
+  kind('thin', size(1, 2), size(1, 6), 20_000, 1, 1),
+  kind('busy', size(1, 2), size(2, 3), 15_000, 1, 1),
+  QUIET,
+];
+const WELL_DECLARED = SMALL_DECLARED.map(truth => {
+  return {...truth, declared: truth.used};
+});
+
+export interface ScenarioPlan {
+  readonly vms: readonly SimulatedVmOptions[];
+  readonly shards: number;
+  readonly durationMillis: number;
+  readonly trace: TraceOptions;
+  readonly faults?: SimulationOptions['faults'];
+}
+
+export interface BatchScenario {
+  readonly name: string;
+  readonly title: string;
+  plan(fleet: FleetSize): ScenarioPlan;
+  /** A run in which nothing goes wrong, to compare with. */
+  reference?(fleet: FleetSize): ScenarioPlan;
+  /** Share of the reference's capacity that the scenario leaves. */
+  readonly capacityLeft?: number;
+}
+
+const MINUTE = 60_000;
+const OUT_AT = 2 * MINUTE;
+const BACK_AT = 5 * MINUTE;
+
+export const BATCH_SCENARIOS: readonly BatchScenario[] = [
+  {
+    name: 'batch-steady',
+    title: 'steady work at 80% of the room',
+    plan: fleet => basePlan(fleet, {load: 0.8}),
+  },
+  {
+    name: 'batch-urgent',
+    title: 'urgent tasks while the queue is full',
+    plan: fleet => basePlan(fleet, {load: 1.3, ...urgentWork()}),
+  },
+  {
+    name: 'batch-noisy',
+    title: 'a wave of tasks that each slow one of two services',
+    plan: fleet =>
+      basePlan(fleet, {load: 0.7, kinds: [LOUD_FOR_ROUNDS, LOUD_FOR_ORDERS]}),
+  },
+  {
+    name: 'batch-domain-out',
+    title: 'a failure domain is taken out for three minutes',
+    plan: fleet => ({
+      ...basePlan(fleet, {load: 1.3}),
+      faults: [
+        {at: OUT_AT, run: run => run.setOut(fleet.failureDomains[0])},
+        {at: BACK_AT, run: run => run.setOut()},
+      ],
+    }),
+    reference: fleet => basePlan(fleet, {load: 1.3}),
+  },
+  {
+    name: 'batch-vm-loss',
+    title: 'two VMs fail and are replaced after two minutes',
+    plan: fleet => ({
+      ...basePlan(fleet, {load: 1.3}),
+      faults: ['vm1', 'vm5'].flatMap(vm => [
+        {at: OUT_AT, run: crash(vm)},
+        {at: OUT_AT + 2 * MINUTE, run: revive(vm)},
+      ]),
+    }),
+    reference: fleet => basePlan(fleet, {load: 1.3}),
+    capacityLeft: 1 - (2 * 2) / (VMS * 8),
+  },
+  {
+    name: 'batch-wrong-sizes',
+    title: 'tasks use up to three times what they declare',
+    plan: fleet => basePlan(fleet, {load: 1.1, kinds: SMALL_DECLARED}),
+    reference: fleet => basePlan(fleet, {load: 1.1, kinds: WELL_DECLARED}),
+    capacityLeft: 1,
+  },
+  {
+    name: 'batch-black-hole',
+    title: 'one worker fails everything it starts',
+    plan: fleet => ({
+      ...basePlan(fleet, {load: 1.3}),
+      faults: [{at: 0, run: run => (run.vms.get('vm2')!.blackHole = true)}],
+    }),
+    reference: fleet => basePlan(fleet, {load: 1.3}),
+    capacityLeft: (VMS - 1) / VMS,
+  },
+  {
+    name: 'batch-cancellations',
+    title: 'half of all jobs are cancelled at once, twice',
+    plan: fleet => ({
+      ...basePlan(fleet, {load: 1.3}),
+      faults: [2, 5].map(minute => {
+        return {at: minute * MINUTE, run: run => run.cancelWave(0.5)};
+      }),
+    }),
+  },
+  {
+    name: 'batch-store-outage',
+    title: 'the store answers nothing for 60 s',
+    plan: fleet => ({
+      ...basePlan(fleet, {load: 1.3}),
+      faults: [{at: OUT_AT, run: storeOutage}],
+    }),
+    reference: fleet => basePlan(fleet, {load: 1.3}),
+  },
+  {
+    name: 'batch-race',
+    title: 'twelve shards race for the room of eleven VMs',
+    plan: fleet => ({...basePlan(fleet, {load: 1.3}), shards: 12}),
+  },
+];
+
+function basePlan(
+  fleet: FleetSize,
+  changes: Partial<TraceOptions> & {load: number},
+): ScenarioPlan {
+  const durationMillis = 8 * MINUTE;
+  const free =
+    fleet.capacity.milliprocessors - fleet.serviceSize.milliprocessors;
+  return {
+    vms: fleetVms(fleet),
+    shards: 3,
+    durationMillis,
+    trace: {
+      durationMillis,
+      batchMilliprocessors: VMS * free,
+      kinds: [QUIET, LOUD_FOR_ROUNDS, LOUD_FOR_ORDERS],
+      teams: TEAMS,
+      tasksPerJob: 6,
+      ...changes,
+    },
+  };
+}
+
+function urgentWork(): Partial<TraceOptions> {
+  return {
+    urgentJobsPerSecond: 1,
+    urgentKind: URGENT,
+    urgentFromMillis: MINUTE,
+  };
+}
+
+function fleetVms(fleet: FleetSize): SimulatedVmOptions[] {
+  const {capacity, serviceSize, failureDomains} = fleet;
+  return Array.from({length: VMS}, (_, index) => {
+    const rack = Math.floor(index / VMS_PER_RACK);
+    return {
+      vm: `vm${index}`,
+      failureDomain: failureDomains[index % failureDomains.length],
+      rack: `rack${rack}`,
+      capacity,
+      service: SERVICES[index % SERVICES.length],
+      serviceSize,
+    };
+  });
+}
+
+function crash(vm: string) {
+  return (run: BatchSimulation) => run.vms.get(vm)!.crash();
+}
+
+function revive(vm: string) {
+  return (run: BatchSimulation) => run.vms.get(vm)!.revive();
+}
+
+function storeOutage(run: BatchSimulation): void {
+  for (const entry of run.entries) {
+    entry.storeBackAt = run.clock.now() + MINUTE;
+  }
+}
+
+function size(processors: number, gigabytes: number): Resources {
+  return {
+    milliprocessors: processors * 1000,
+    memoryMegabytes: gigabytes * 1000,
+    accelerators: 0,
+  };
+}
+
+function kind(
+  taskKind: string,
+  declared: Resources,
+  used: Resources,
+  meanRunMillis: number,
+  slowsRounds: number,
+  slowsOrders: number,
+): TaskKindTruth {
+  const slowdowns = new Map([
+    ['rounds', slowsRounds],
+    ['orders', slowsOrders],
+  ]);
+  return {taskKind, declared, used, meanRunMillis, slowdowns};
+}
+
+export function drawJobs(plan: ScenarioPlan, seed: number) {
+  return drawTrace(plan.trace, new Random(seed));
+}
--- /dev/null
+++ b/bench/batch/batch_simulation.ts
@@ -0,0 +1,177 @@
+import {ShardScheduler} from '../../src/decisions/jobs/shard_scheduler.js';
+import type {
+  ShardLimits,
+  ShardPolicies,
+} from '../../src/decisions/jobs/shard_state.js';
+import {DEFAULT_SHARD_LIMITS} from '../../src/decisions/jobs/shard_state.js';
+import {StartPacer} from '../../src/decisions/recovery/start_pacer.js';
+import {TrustingJudge} from '../../src/decisions/recovery/worker_quarantine.js';
+import type {FleetSettings} from '../../src/settings/settings_types.js';
+import {Random} from '../../src/utilities/random.js';
+import {VirtualClock} from '../../src/utilities/virtual_clock.js';
+import {DeclaredSizes, FirstFitPlacer} from './baseline_policies.js';
+import {BatchMetrics} from './batch_metrics.js';
+import type {TracedJob} from './batch_trace.js';
+import {SimulatedEntry} from './simulated_entry.js';
+import {SimulatedVm} from './simulated_vm.js';
+import type {SimulatedVmOptions} from './simulated_vm.js';
+
+const HEARTBEAT_MILLIS = 1000;
+const REPORT_MILLIS = 50;
+const OUT_DELAY_MILLIS = 2000;
+
+export interface PolicySet {
+  readonly name: string;
+  policies(): Partial<ShardPolicies>;
+  readonly limits: Partial<ShardLimits>;
+}
+
+export const PRODUCT: PolicySet = {
+  name: 'product',
+  policies: () => ({}),
+  limits: {},
+};
+
+/** First fit without learning, no quarantine, static limits. */
+export const BASELINE: PolicySet = {
+  name: 'first fit',
+  policies: () => ({
+    placer: new FirstFitPlacer(),
+    learner: new DeclaredSizes(),
+    judge: new TrustingJudge(),
+    pacer: new StartPacer({
+      startsPerSecond: 1e6,
+      burst: 1e6,
+      unconfirmedPerVm: 64,
+    }),
+  }),
+  limits: {urgentPatienceMillis: Infinity},
+};
+
+export interface SimulationOptions {
+  readonly vms: readonly SimulatedVmOptions[];
+  readonly shards: number;
+  readonly durationMillis: number;
+  readonly jobs: readonly TracedJob[];
+  readonly policySet: PolicySet;
+  readonly seed: number;
+  /** What goes wrong, and when. */
+  readonly faults?: ReadonlyArray<{
+    readonly at: number;
+    run(simulation: BatchSimulation): void;
+  }>;
+}
+
+/** Entries, agents and workers under virtual time: same seed, same figures. */
+export class BatchSimulation {
+  readonly clock = new VirtualClock();
+  readonly metrics = new BatchMetrics();
+  readonly vms = new Map<string, SimulatedVm>();
+  readonly entries: SimulatedEntry[] = [];
+  private fleet: FleetSettings = {
+    failureDomainsOut: new Set(),
+    drainedVms: new Set(),
+    taskLeaseMillis: 15_000,
+    settingsFreshMillis: 4000,
+    heartbeatMillis: HEARTBEAT_MILLIS,
+    retryBudgetShare: 0.1,
+    maximumEjectedShare: 0.3,
+  };
+
+  constructor(private readonly options: SimulationOptions) {
+    for (const vm of options.vms) {
+      this.vms.set(vm.vm, new SimulatedVm(vm, this.clock, this.metrics));
+    }
+    for (let shard = 0; shard < options.shards; shard++) this.addEntry(shard);
+  }
+
+  run(): BatchMetrics {
+    const {clock, options} = this;
+    let index = 0;
+    for (const vm of this.vms.values()) {
+      const offset = (index++ * HEARTBEAT_MILLIS) / this.vms.size;
+      clock.schedule(offset, () => this.heartbeat(vm));
+      clock.schedule(offset, () => this.report(vm));
+    }
+    for (const entry of this.entries) entry.begin();
+    for (const job of options.jobs) {
+      clock.schedule(job.arrivesAt, () => this.entryOf(job).submit(job));
+    }
+    for (const fault of options.faults ?? []) {
+      clock.schedule(fault.at, () => fault.run(this));
+    }
+    clock.schedule(HEARTBEAT_MILLIS, () => this.sample());
+    clock.runUntil(options.durationMillis);
+    return this.metrics;
+  }
+
+  /** Operators take failure domains out; none brings all back. */
+  setOut(...failureDomains: string[]): void {
+    this.fleet = {...this.fleet, failureDomainsOut: new Set(failureDomains)};
+    for (const {scheduler} of this.entries) scheduler.setFleet(this.fleet);
+    this.clock.schedule(OUT_DELAY_MILLIS, () => {
+      for (const vm of this.vms.values()) {
+        vm.out = failureDomains.includes(vm.options.failureDomain);
+      }
+    });
+  }
+
+  cancelWave(share: number): void {
+    const now = this.clock.now();
+    for (const [index, job] of this.options.jobs.entries()) {
+      if (job.arrivesAt > now || index % 100 >= share * 100) continue;
+      const {team, name} = job.specification;
+      this.entryOf(job).scheduler.cancel(team, name, 'wave', now, now);
+    }
+  }
+
+  private addEntry(shard: number): void {
+    const {policySet, seed} = this.options;
+    const scheduler = new ShardScheduler({
+      shard,
+      random: new Random(seed + shard),
+      limits: {...DEFAULT_SHARD_LIMITS, ...policySet.limits},
+      policies: policySet.policies(),
+    });
+    scheduler.setFleet(this.fleet);
+    const {clock, vms, metrics} = this;
+    this.entries.push(
+      new SimulatedEntry(shard, scheduler, clock, vms, metrics),
+    );
+  }
+
+  private entryOf(job: TracedJob): SimulatedEntry {
+    const team = Number(job.specification.team.replace(/\D/g, ''));
+    return this.entries[team % this.entries.length];
+  }
+
+  private heartbeat(vm: SimulatedVm): void {
+    this.clock.schedule(HEARTBEAT_MILLIS, () => this.heartbeat(vm));
+    if (!vm.alive) return;
+    for (const entry of this.entries) entry.heartbeat(vm);
+  }
+
+  private report(vm: SimulatedVm): void {
+    this.clock.schedule(REPORT_MILLIS, () => this.report(vm));
+    if (!vm.alive || vm.unrecorded.size === 0) return;
+    for (const entry of this.entries) {
+      const reports = [...vm.unrecorded.values()]
+        .filter(({shard}) => shard === entry.shard)
+        .map(({report}) => report);
+      if (reports.length === 0) continue;
+      for (const name of entry.report(vm.options.vm, reports)) {
+        vm.forget(name);
+      }
+    }
+  }
+
+  private sample(): void {
+    this.clock.schedule(HEARTBEAT_MILLIS, () => this.sample());
+    let work = 0;
+    for (const vm of this.vms.values()) {
+      vm.sample();
+      work += vm.doneWork;
+    }
+    this.metrics.workBySecond.push(work);
+  }
+}
--- /dev/null
+++ b/bench/batch/simulated_entry.ts
@@ -0,0 +1,133 @@
+import type {
+  AttemptName,
+  AttemptReport,
+} from '../../src/decisions/job_types.js';
+import {attemptKey, jobKey} from '../../src/decisions/job_types.js';
+import type {ShardScheduler} from '../../src/decisions/jobs/shard_scheduler.js';
+import type {StartsForVm} from '../../src/decisions/jobs/scheduler_types.js';
+import type {VirtualClock} from '../../src/utilities/virtual_clock.js';
+import type {BatchMetrics} from './batch_metrics.js';
+import type {TracedJob} from './batch_trace.js';
+import type {SimulatedVm} from './simulated_vm.js';
+
+const DECISION_MILLIS = 50;
+const APPEND_MILLIS = 8;
+const LINK_MILLIS = 1.5;
+
+/** The loop of one shard: decides, appends, and talks to the agents. */
+export class SimulatedEntry {
+  /** The store answers nothing before this time. */
+  storeBackAt = 0;
+  private appending = false;
+  private readonly jobs = new Map<string, TracedJob>();
+  private readonly started = new Set<string>();
+
+  constructor(
+    readonly shard: number,
+    readonly scheduler: ShardScheduler,
+    private readonly clock: VirtualClock,
+    private readonly vms: ReadonlyMap<string, SimulatedVm>,
+    private readonly metrics: BatchMetrics,
+  ) {
+    scheduler.tookOver(`entry${shard}`, 1, 0, 0);
+  }
+
+  begin(): void {
+    this.clock.schedule(this.shard, () => this.loop());
+  }
+
+  submit(job: TracedJob): void {
+    const {specification} = job;
+    const key = jobKey(specification.team, specification.name);
+    this.jobs.set(key, job);
+    const now = this.clock.now();
+    this.scheduler.submit(specification, now, now);
+  }
+
+  heartbeat(vm: SimulatedVm): void {
+    const now = this.clock.now();
+    this.scheduler.noteVm(vm.view(), now, now);
+  }
+
+  /** Takes reports in; returns those that the log holds. */
+  report(vm: string, reports: readonly AttemptReport[]): AttemptName[] {
+    const now = this.clock.now();
+    this.scheduler.noteReports(vm, reports, now, now);
+    return this.scheduler.recordedReports(reports.map(({name}) => name));
+  }
+
+  private loop(): void {
+    const now = this.clock.now();
+    this.scheduler.decide(now, now);
+    this.append();
+    this.send(now);
+    this.clock.schedule(DECISION_MILLIS, () => this.loop());
+  }
+
+  private append(): void {
+    if (this.appending || !this.scheduler.hasRecords) return;
+    this.appending = true;
+    this.scheduler.takeRecords();
+    const delay = Math.max(APPEND_MILLIS, this.storeBackAt - this.clock.now());
+    this.clock.schedule(delay, () => {
+      this.appending = false;
+      this.scheduler.acknowledge();
+      this.send(this.clock.now());
+      this.append();
+    });
+  }
+
+  private send(now: number): void {
+    for (const starts of this.scheduler.startsDue(now)) this.sendStarts(starts);
+    for (const {vm, stops} of this.scheduler.stopsDue(now)) {
+      const target = this.vms.get(vm);
+      if (!target?.alive) continue;
+      this.clock.schedule(LINK_MILLIS, () => {
+        for (const {name, checkpoint} of stops) target.stop(name, checkpoint);
+      });
+    }
+    for (const {vm, names} of this.scheduler.queriesDue(now)) {
+      this.clock.schedule(2 * LINK_MILLIS, () => this.query(vm, names));
+    }
+  }
+
+  private sendStarts({vm, incarnation, starts}: StartsForVm): void {
+    const target = this.vms.get(vm);
+    this.clock.schedule(LINK_MILLIS, () => {
+      if (!target?.alive || incarnation !== String(target.incarnation)) return;
+      const results = starts.map(order => {
+        const job = this.jobs.get(jobKey(order.name.team, order.name.job))!;
+        const outcome = target.start(this.shard, order, job);
+        if (outcome.accepted) this.noteBegin(order.name, job);
+        else this.metrics.refusedStarts++;
+        return outcome;
+      });
+      this.clock.schedule(LINK_MILLIS, () => {
+        const now = this.clock.now();
+        this.scheduler.noteStartResults(vm, results, now, now);
+      });
+    });
+  }
+
+  private query(vm: string, names: readonly AttemptName[]): void {
+    const target = this.vms.get(vm);
+    if (!target?.alive) return;
+    const now = this.clock.now();
+    const states = names.map(name => {
+      const report = target.unrecorded.get(attemptKey(name))?.report;
+      return {name, running: target.runs(name), report};
+    });
+    const incarnation = String(target.incarnation);
+    this.scheduler.noteQueryStates(vm, incarnation, states, now, now);
+  }
+
+  private noteBegin(name: AttemptName, job: TracedJob): void {
+    const task = `${name.team}/${name.job}/${name.task}`;
+    if (this.started.has(task)) return;
+    this.started.add(task);
+    const wait = this.clock.now() - job.arrivesAt;
+    const urgent = job.specification.urgency === 'urgent';
+    const waits = urgent ? this.metrics.urgentWaits : this.metrics.normalWaits;
+    waits.push(wait);
+  }
+}
--- /dev/null
+++ b/bench/batch/simulated_vm.ts
@@ -0,0 +1,340 @@
+import {ResultCodes} from '../../src/observability/result_codes.js';
+import {AttemptOutcome, attemptKey} from '../../src/decisions/job_types.js';
+import type {
+  AttemptName,
+  AttemptReport,
+} from '../../src/decisions/job_types.js';
+import type {
+  StartOrder,
+  StartOutcome,
+} from '../../src/decisions/jobs/scheduler_types.js';
+import type {VmView} from '../../src/decisions/placement/vm_table.js';
+import type {Clock, Timer} from '../../src/utilities/clock.js';
+import {
+  NO_RESOURCES,
+  addResources,
+  fitsInto,
+  subtractResources,
+} from '../../src/utilities/resources.js';
+import type {Resources} from '../../src/utilities/resources.js';
+import type {BatchMetrics} from './batch_metrics.js';
+import type {TracedJob} from './batch_trace.js';
+
+const BASE_TAIL_MILLIS = 20;
+const TARGET_TAIL_MILLIS = 40;
+const REPORT_LAG_SECONDS = 5;
+const BLACK_HOLE_MILLIS = 100;
+const CHECKPOINT_MILLIS = 300;
+/** Share of its run after which a task reaches its full memory. */
+const MEMORY_GROWTH_SHARE = 0.3;
+
+export interface SimulatedVmOptions {
+  readonly vm: string;
+  readonly failureDomain: string;
+  readonly rack: string;
+  readonly capacity: Resources;
+  readonly service: string;
+  readonly serviceSize: Resources;
+}
+
+interface RunningTask {
+  readonly key: string;
+  readonly shard: number;
+  readonly order: StartOrder;
+  readonly job: TracedJob;
+  readonly totalMillis: number;
+  readonly resumedMillis: number;
+  doneMillis: number;
+  stopping: boolean;
+}
+
+/** A VM, its worker and its agent: it runs what it admits, at the speed left. */
+export class SimulatedVm {
+  incarnation = 1;
+  alive = true;
+  out = false;
+  blackHole = false;
+  /** Reports by shard that no log holds yet. */
+  readonly unrecorded = new Map<
+    string,
+    {shard: number; report: AttemptReport}
+  >();
+  /** Milliprocessor milliseconds done by tasks so far. */
+  doneWork = 0;
+  private readonly running = new Map<string, RunningTask>();
+  private advancedAt = 0;
+  private timer: Timer | undefined;
+  private readonly usedHistory: Resources[] = [];
+  private readonly tailHistory: number[] = [];
+  private committed: Resources;
+
+  constructor(
+    readonly options: SimulatedVmOptions,
+    private readonly clock: Clock,
+    private readonly metrics: BatchMetrics,
+  ) {
+    this.committed = options.serviceSize;
+  }
+
+  start(shard: number, order: StartOrder, job: TracedJob): StartOutcome {
+    const {name} = order;
+    const key = attemptKey(name);
+    if (this.running.has(key) || this.unrecorded.has(key)) {
+      return {name, accepted: true, resultCode: 0, reason: ''};
+    }
+    const taken = addResources(this.committed, order.size);
+    if (this.out) return refusal(name, ResultCodes.FAILURE_DOMAIN_OUT.number);
+    if (!fitsInto(taken, this.options.capacity)) {
+      return refusal(name, ResultCodes.NO_CAPACITY.number);
+    }
+    this.advance();
+    this.committed = taken;
+    const resumed = Number(order.checkpoint || 0);
+    const task: RunningTask = {
+      key,
+      shard,
+      order,
+      job,
+      totalMillis: job.runMillis[name.task],
+      resumedMillis: resumed,
+      doneMillis: resumed,
+      stopping: false,
+    };
+    this.running.set(key, task);
+    this.metrics.startedAttempts++;
+    if (this.blackHole) this.failSoon(task);
+    this.reschedule();
+    return {name, accepted: true, resultCode: 0, reason: ''};
+  }
+
+  stop(name: AttemptName, checkpoint: boolean): void {
+    const task = this.running.get(attemptKey(name));
+    if (!task || task.stopping) return;
+    task.stopping = true;
+    const outcome = checkpoint
+      ? AttemptOutcome.EVICTED
+      : AttemptOutcome.CANCELLED;
+    this.clock.schedule(CHECKPOINT_MILLIS, () => this.end(task, outcome));
+  }
+
+  runs(name: AttemptName): boolean {
+    return this.running.has(attemptKey(name));
+  }
+
+  /** The log holds the report. */
+  forget(name: AttemptName): void {
+    this.unrecorded.delete(attemptKey(name));
+  }
+
+  /** The VM fails with all that ran on it. */
+  crash(): void {
+    this.advance();
+    this.alive = false;
+    this.timer?.cancel();
+    for (const task of this.running.values()) {
+      this.metrics.wastedWork += this.workOf(task);
+      this.metrics.lostAttempts++;
+    }
+    this.running.clear();
+    this.unrecorded.clear();
+    this.committed = this.options.serviceSize;
+    this.incarnation++;
+  }
+
+  revive(): void {
+    this.alive = true;
+    this.advancedAt = this.clock.now();
+  }
+
+  /** Samples usage and tail, which reports show later. */
+  sample(): void {
+    this.advance();
+    this.usedHistory.push(this.used());
+    this.tailHistory.push(this.tailMillis());
+    if (!this.alive) return;
+    this.metrics.serviceSeconds++;
+    if (this.tailMillis() > TARGET_TAIL_MILLIS) {
+      this.metrics.lateServiceSeconds++;
+    }
+  }
+
+  view(): VmView {
+    const {vm, failureDomain, rack, capacity, service} = this.options;
+    const sample = this.usedHistory.length - 1 - REPORT_LAG_SECONDS;
+    return {
+      vm,
+      incarnation: String(this.incarnation),
+      failureDomain,
+      region: 'region',
+      rack,
+      capacity,
+      committed: this.committed,
+      used: this.usedHistory[sample] ?? NO_RESOURCES,
+      draining: false,
+      stopping: false,
+      recovering: false,
+      runningAttempts: this.running.size,
+      services: [
+        {
+          service,
+          tailMillis: this.tailHistory[sample] ?? 0,
+          targetMillis: TARGET_TAIL_MILLIS,
+        },
+      ],
+      interference: this.interference(),
+    };
+  }
+
+  private interference() {
+    const kinds = new Map<string, number>();
+    for (const {job} of this.running.values()) {
+      const {taskKind, slowdowns} = job.truth;
+      kinds.set(taskKind, slowdowns.get(this.options.service) ?? 1);
+    }
+    const {service} = this.options;
+    return [...kinds].map(([taskKind, slowdown]) => {
+      return {service, taskKind, slowdown};
+    });
+  }
+
+  private used(): Resources {
+    let used = this.options.serviceSize;
+    for (const task of this.running.values()) {
+      used = addResources(used, usedBy(task));
+    }
+    return used;
+  }
+
+  private tailMillis(): number {
+    let slowdown = 1;
+    const {capacity, service} = this.options;
+    for (const {job} of this.running.values()) {
+      const {slowdowns, used} = job.truth;
+      const share = used.milliprocessors / capacity.milliprocessors;
+      slowdown += ((slowdowns.get(service) ?? 1) - 1) * share;
+    }
+    return BASE_TAIL_MILLIS * slowdown * this.overload() ** 2;
+  }
+
+  /** How much longer everything takes, 1 while the processors suffice. */
+  private overload(): number {
+    const {milliprocessors} = this.options.capacity;
+    return Math.max(1, this.used().milliprocessors / milliprocessors);
+  }
+
+  private advance(): void {
+    const now = this.clock.now();
+    const progress = (now - this.advancedAt) / this.overload();
+    this.advancedAt = now;
+    if (!this.alive || progress <= 0) return;
+    for (const task of this.running.values()) {
+      const {milliprocessors} = task.job.truth.used;
+      const step = Math.min(progress, task.totalMillis - task.doneMillis);
+      task.doneMillis += step;
+      this.doneWork += step * milliprocessors;
+    }
+  }
+
+  private reschedule(): void {
+    this.timer?.cancel();
+    let least = Infinity;
+    for (const task of this.running.values()) {
+      const grown = task.totalMillis * MEMORY_GROWTH_SHARE;
+      const next = task.doneMillis < grown ? grown : task.totalMillis;
+      least = Math.min(least, next - task.doneMillis);
+    }
+    if (least === Infinity) return;
+    const delay = Math.max(1, least * this.overload());
+    this.timer = this.clock.schedule(delay, () => this.progress());
+  }
+
+  private progress(): void {
+    this.advance();
+    this.killForMemory();
+    for (const task of [...this.running.values()]) {
+      if (task.totalMillis - task.doneMillis > 0.5) continue;
+      this.end(task, AttemptOutcome.FINISHED);
+    }
+    this.reschedule();
+  }
+
+  /** The worker kills what is furthest over its reservation. */
+  private killForMemory(): void {
+    const {memoryMegabytes} = this.options.capacity;
+    while (this.used().memoryMegabytes > memoryMegabytes) {
+      let worst: RunningTask | undefined;
+      for (const task of this.running.values()) {
+        if (!worst || excess(task) > excess(worst)) worst = task;
+      }
+      if (!worst) return;
+      this.end(worst, AttemptOutcome.FAILED);
+    }
+  }
+
+  private failSoon(task: RunningTask): void {
+    this.clock.schedule(BLACK_HOLE_MILLIS, () =>
+      this.end(task, AttemptOutcome.FAILED),
+    );
+  }
+
+  private end(task: RunningTask, outcome: AttemptOutcome): void {
+    if (!this.running.has(task.key)) return;
+    this.advance();
+    const used = usedBy(task);
+    this.running.delete(task.key);
+    this.committed = subtractResources(this.committed, task.order.size);
+    const {name} = task.order;
+    const evicted = outcome === AttemptOutcome.EVICTED;
+    const report: AttemptReport = {
+      name,
+      outcome,
+      checkpoint: evicted ? String(Math.max(0.001, task.doneMillis)) : '',
+      result: '',
+      reason: '',
+      resultCode:
+        outcome === AttemptOutcome.FAILED ? ResultCodes.TASK_FAILED.number : 0,
+      ranMillis: task.doneMillis - task.resumedMillis,
+      used,
+    };
+    this.unrecorded.set(task.key, {shard: task.shard, report});
+    this.count(task, outcome);
+    this.reschedule();
+  }
+
+  private count(task: RunningTask, outcome: AttemptOutcome): void {
+    const {metrics} = this;
+    if (outcome === AttemptOutcome.FINISHED) {
+      metrics.finishedTasks++;
+      metrics.finishedWork +=
+        task.totalMillis * task.job.truth.used.milliprocessors;
+    } else if (outcome === AttemptOutcome.EVICTED) {
+      metrics.evictions++;
+    } else {
+      metrics.wastedWork += this.workOf(task);
+      if (outcome === AttemptOutcome.FAILED) metrics.failedAttempts++;
+    }
+  }
+
+  private workOf(task: RunningTask): number {
+    return task.doneMillis * task.job.truth.used.milliprocessors;
+  }
+}
+
+function usedBy(task: RunningTask): Resources {
+  const {used, declared} = task.job.truth;
+  const grown = task.doneMillis >= task.totalMillis * MEMORY_GROWTH_SHARE;
+  if (grown) return used;
+  const memoryMegabytes = Math.min(
+    used.memoryMegabytes,
+    declared.memoryMegabytes,
+  );
+  return {...used, memoryMegabytes};
+}
+
+function excess(task: RunningTask): number {
+  return usedBy(task).memoryMegabytes - task.order.size.memoryMegabytes;
+}
+
+function refusal(name: AttemptName, resultCode: number): StartOutcome {
+  return {name, accepted: false, resultCode, reason: 'refused'};
+}
