--- a/tests/stand_ins/memory_store.ts
+++ b/tests/stand_ins/memory_store.ts
@@ -69,6 +69,14 @@
     return this.call(() => this.table.get(key));
   }
 
+  newest(prefix: string): Promise<StoredValue | undefined> {
+    return this.call(() => {
+      const all = this.table.range(prefix, `${prefix}\uffff`);
+      const newestFirst = all.sort((a, b) => b.revision - a.revision);
+      return newestFirst[0];
+    });
+  }
+
   list(
     prefix: string,
     options: {afterKey?: string; limit?: number} = {},
@@ -202,9 +210,10 @@
     if (this.ended) return;
     const {table, faults} = this.store;
     if (faults.down) return this.end('the store is down');
-    if (fromRevision <= table.compactedRevision) return this.end('compacted');
+    const from = fromRevision || table.revision + 1;
+    if (from <= table.compactedRevision) return this.end('compacted');
     table.addWatcher(this);
-    const missed = table.changesSince(this.prefix, fromRevision);
+    const missed = table.changesSince(this.prefix, from);
     if (missed.length > 0) this.notify(missed, table.revision);
   }
 
