--- a/bench/batch/batch_metrics.ts
+++ b/bench/batch/batch_metrics.ts
@@ -1,7 +1,6 @@
 /** What one run came to. */
 export class BatchMetrics {
   finishedTasks = 0;
-  failedTasks = 0;
   /** Processor work of finished attempts, in milliprocessor milliseconds. */
   finishedWork = 0;
   /** Processor work that was done and then thrown away. */
@@ -14,6 +13,8 @@
   /** Seconds of VMs, and of those in which the tail was over its target. */
   serviceSeconds = 0;
   lateServiceSeconds = 0;
+  /** The tail of each VM's service in each second, in milliseconds. */
+  readonly serviceTails: number[] = [];
   readonly normalWaits: number[] = [];
   readonly urgentWaits: number[] = [];
   /** Work done by all tasks up to the end of each second. */
--- a/bench/batch/batch_scenarios.ts
+++ b/bench/batch/batch_scenarios.ts
@@ -1,8 +1,12 @@
 import {Random} from '../../src/utilities/random.js';
 import type {Resources} from '../../src/utilities/resources.js';
 import type {BatchSimulation, SimulationOptions} from './batch_simulation.js';
+import type {Scenario, ScenarioRatio} from '../scenario.js';
+import {quantile} from './batch_metrics.js';
 import {drawTrace} from './batch_trace.js';
 import type {TaskKindTruth, TraceOptions} from './batch_trace.js';
+import {compareBatch, secondsUntilFullPace} from './compare_batch.js';
+import type {BatchRuns} from './compare_batch.js';
 import type {SimulatedVmOptions} from './simulated_vm.js';
 
 /** Fleets, work and faults of the batch scenarios. */
@@ -38,6 +42,7 @@
 const URGENT = kind('urgent', size(1, 2), size(1, 2), 4000, 1, 1);
 const LOUD_FOR_ROUNDS = kind('mix', size(2, 4), size(2, 4), 15_000, 5, 1.1);
 const LOUD_FOR_ORDERS = kind('pallet', size(2, 4), size(2, 4), 15_000, 1.1, 5);
+const LOUD = [LOUD_FOR_ROUNDS, LOUD_FOR_ORDERS];
 const SMALL_DECLARED = [
   kind('thin', size(1, 2), size(1, 6), 20_000, 1, 1),
   kind('busy', size(1, 2), size(2, 3), 15_000, 1, 1),
@@ -61,30 +66,44 @@
   plan(fleet: FleetSize): ScenarioPlan;
   /** A run in which nothing goes wrong, to compare with. */
   reference?(fleet: FleetSize): ScenarioPlan;
-  /** Share of the reference's capacity that the scenario leaves. */
-  readonly capacityLeft?: number;
+  ratios(runs: BatchRuns, fleet: FleetSize): readonly ScenarioRatio[];
 }
 
-const MINUTE = 60_000;
+const SECOND = 1000;
+const MINUTE = 60 * SECOND;
 const OUT_AT = 2 * MINUTE;
 const BACK_AT = 5 * MINUTE;
 
-export const BATCH_SCENARIOS: readonly BatchScenario[] = [
+const SCENARIOS: readonly BatchScenario[] = [
   {
     name: 'batch-steady',
     title: 'steady work at 80% of the room',
     plan: fleet => basePlan(fleet, {load: 0.8}),
+    ratios: lateRatio,
   },
   {
     name: 'batch-urgent',
     title: 'urgent tasks while the queue is full',
     plan: fleet => basePlan(fleet, {load: 1.3, ...urgentWork()}),
+    ratios: ({product}) => [
+      {
+        name: 'urgent start p99 in seconds',
+        value: quantile(product.urgentWaits, 0.99) / SECOND,
+        atMost: 1.2,
+      },
+    ],
   },
   {
     name: 'batch-noisy',
     title: 'a wave of tasks that each slow one of two services',
-    plan: fleet =>
-      basePlan(fleet, {load: 0.7, kinds: [LOUD_FOR_ROUNDS, LOUD_FOR_ORDERS]}),
+    plan: fleet => basePlan(fleet, {load: 0.7, kinds: LOUD}),
+    ratios: lateRatio,
+  },
+  {
+    name: 'batch-noisy-full',
+    title: 'the same with more work than room',
+    plan: fleet => basePlan(fleet, {load: 1.3, kinds: LOUD}),
+    ratios: lateRatio,
   },
   {
     name: 'batch-domain-out',
@@ -97,6 +116,19 @@
       ],
     }),
     reference: fleet => basePlan(fleet, {load: 1.3}),
+    ratios: (runs, fleet) => [
+      {
+        name: 'work while out, per share of capacity left',
+        value: workWhileOut(runs) / capacityLeft(fleet),
+        atLeast: (capacityLeft(fleet) - 0.02) / capacityLeft(fleet),
+      },
+      {
+        name: 'seconds until full pace after its return',
+        value: secondsUntilFullPace(runs, BACK_AT / SECOND),
+        atMost: 10,
+      },
+      wastedRatio(runs),
+    ],
   },
   {
     name: 'batch-vm-loss',
@@ -109,14 +141,14 @@
       ]),
     }),
     reference: fleet => basePlan(fleet, {load: 1.3}),
-    capacityLeft: 1 - (2 * 2) / (VMS * 8),
+    ratios: runs => perCapacityLeft(runs, 1 - (2 * 2) / (VMS * 8)),
   },
   {
     name: 'batch-wrong-sizes',
     title: 'tasks use up to three times what they declare',
     plan: fleet => basePlan(fleet, {load: 1.1, kinds: SMALL_DECLARED}),
     reference: fleet => basePlan(fleet, {load: 1.1, kinds: WELL_DECLARED}),
-    capacityLeft: 1,
+    ratios: runs => perCapacityLeft(runs, 1),
   },
   {
     name: 'batch-black-hole',
@@ -126,7 +158,7 @@
       faults: [{at: 0, run: run => (run.vms.get('vm2')!.blackHole = true)}],
     }),
     reference: fleet => basePlan(fleet, {load: 1.3}),
-    capacityLeft: (VMS - 1) / VMS,
+    ratios: runs => perCapacityLeft(runs, (VMS - 1) / VMS),
   },
   {
     name: 'batch-cancellations',
@@ -137,6 +169,7 @@
         return {at: minute * MINUTE, run: run => run.cancelWave(0.5)};
       }),
     }),
+    ratios: () => [],
   },
   {
     name: 'batch-store-outage',
@@ -146,14 +179,68 @@
       faults: [{at: OUT_AT, run: storeOutage}],
     }),
     reference: fleet => basePlan(fleet, {load: 1.3}),
+    ratios: runs => [
+      {
+        name: 'seconds until full pace after its return',
+        value: secondsUntilFullPace(runs, (OUT_AT + MINUTE) / SECOND),
+      },
+    ],
   },
   {
     name: 'batch-race',
     title: 'twelve shards race for the room of eleven VMs',
     plan: fleet => ({...basePlan(fleet, {load: 1.3}), shards: 12}),
+    reference: fleet => ({...basePlan(fleet, {load: 1.3}), shards: 1}),
+    ratios: ({product, reference}) => [
+      {
+        name: 'work against one shard',
+        value: product.finishedWork / reference.finishedWork,
+      },
+    ],
   },
 ];
 
+/** Every scenario at both sizes. */
+export const batchScenarios: readonly Scenario[] = SCENARIOS.flatMap(scenario =>
+  [ASANTEWAA, SFAX].map(fleet => ({
+    name: `${scenario.name}-${fleet.name}`,
+    description: scenario.title,
+    run: seed => compareBatch(scenario, fleet, seed),
+  })),
+);
+
+function lateRatio({product, baseline}: BatchRuns): ScenarioRatio[] {
+  const value = product.lateShare / baseline.lateShare;
+  return [{name: 'late seconds of services against first fit', value}];
+}
+
+function wastedRatio({product}: BatchRuns): ScenarioRatio {
+  const value = product.wastedShare;
+  return {name: 'share of work wasted', value, atMost: 0.03};
+}
+
+function perCapacityLeft(runs: BatchRuns, left: number): ScenarioRatio[] {
+  const {product, reference} = runs;
+  const value = product.finishedWork / reference.finishedWork / left;
+  return [
+    {name: 'work per capacity left', value, atLeast: 0.95},
+    wastedRatio(runs),
+  ];
+}
+
+function workWhileOut({product, reference}: BatchRuns): number {
+  const from = OUT_AT / SECOND;
+  const to = BACK_AT / SECOND;
+  return product.workBetween(from, to) / reference.workBetween(from, to);
+}
+
+/** Share of the VMs that are not in the first failure domain. */
+function capacityLeft(fleet: FleetSize): number {
+  const [out] = fleet.failureDomains;
+  const left = fleetVms(fleet).filter(vm => vm.failureDomain !== out);
+  return left.length / VMS;
+}
+
 function basePlan(
   fleet: FleetSize,
   changes: Partial<TraceOptions> & {load: number},
@@ -168,7 +255,7 @@
     trace: {
       durationMillis,
       batchMilliprocessors: VMS * free,
-      kinds: [QUIET, LOUD_FOR_ROUNDS, LOUD_FOR_ORDERS],
+      kinds: [QUIET, ...LOUD],
       teams: TEAMS,
       tasksPerJob: 6,
       ...changes,
--- a/bench/batch/compare_batch.ts
+++ b/bench/batch/compare_batch.ts
@@ -8,55 +8,55 @@
   FleetSize,
   ScenarioPlan,
 } from './batch_scenarios.js';
+import type {ScenarioResult, ScenarioRow} from '../scenario.js';
 
-/** The figures of one run. */
-export interface BatchFigures {
-  readonly run: string;
-  readonly finishedTasks: number;
-  /** Finished work in processor seconds. */
-  readonly finishedWork: number;
-  readonly wastedShare: number;
-  readonly lateShare: number;
-  readonly evictions: number;
-  readonly failedAttempts: number;
-  readonly lostAttempts: number;
-  readonly refusedShare: number;
-  readonly waitMedianMillis: number;
-  readonly urgentTailMillis: number;
-  /** Finished work against the reference run; 0 without one. */
-  readonly workShare: number;
-  /** The same per unit of the capacity that was left; 0 where not defined. */
-  readonly workShareOfLeft: number;
-  /** Work done in the minutes two to five, against the reference run. */
-  readonly faultWorkShare: number;
-  /** Seconds after minute five until 95% of the reference's pace. */
-  readonly backAfterSeconds: number;
-}
-
-const FAULT_FROM_SECOND = 120;
-const FAULT_TO_SECOND = 300;
-const WINDOW_SECONDS = 5;
+const PROCESSOR_SECOND = 1e6;
+const PERCENT = 100;
 const FULL_PACE = 0.95;
-const WORK_UNIT = 1e6;
+const PACE_WINDOW_SECONDS = 5;
+
+/** The runs of one scenario on one trace. */
+export interface BatchRuns {
+  readonly product: BatchMetrics;
+  readonly baseline: BatchMetrics;
+  /** Nothing goes wrong in it; the product itself where that is so anyway. */
+  readonly reference: BatchMetrics;
+}
 
-/** Runs product and baseline on the same trace, and the reference if any. */
 export function compareBatch(
   scenario: BatchScenario,
   fleet: FleetSize,
   seed: number,
-): BatchFigures[] {
+): ScenarioResult {
   const plan = scenario.plan(fleet);
-  const reference = scenario.reference?.(fleet);
-  const referenceRun = reference && runPlan(reference, PRODUCT, seed);
-  const figures = [PRODUCT, BASELINE].map(policySet => {
-    const metrics = runPlan(plan, policySet, seed);
-    const left = scenario.capacityLeft ?? 0;
-    return describe(policySet.name, metrics, referenceRun, left);
-  });
-  if (referenceRun) {
-    figures.push(describe('reference', referenceRun, referenceRun, 0));
+  const product = runPlan(plan, PRODUCT, seed);
+  const baseline = runPlan(plan, BASELINE, seed);
+  const rows = [rowOf('product', product), rowOf('first fit', baseline)];
+  let reference = product;
+  if (scenario.reference) {
+    reference = runPlan(scenario.reference(fleet), PRODUCT, seed);
+    rows.push(rowOf('product, no fault', reference));
+  }
+  const runs = {product, baseline, reference};
+  const work = product.finishedWork / baseline.finishedWork;
+  const ratios = [{name: 'work against first fit', value: work}];
+  return {rows, ratios: [...ratios, ...scenario.ratios(runs, fleet)]};
+}
+
+/** Seconds after the time until the pace of the reference is reached again. */
+export function secondsUntilFullPace(
+  {product, reference}: BatchRuns,
+  fromSecond: number,
+): number {
+  const last = product.workBySecond.length - PACE_WINDOW_SECONDS;
+  for (let second = fromSecond; second < last; second++) {
+    const end = second + PACE_WINDOW_SECONDS;
+    const full = reference.workBetween(second, end);
+    if (product.workBetween(second, end) >= FULL_PACE * full) {
+      return second - fromSecond;
+    }
   }
-  return figures;
+  return Infinity;
 }
 
 function runPlan(
@@ -70,47 +70,23 @@
   return new BatchSimulation(options).run();
 }
 
-function describe(
-  run: string,
-  metrics: BatchMetrics,
-  reference: BatchMetrics | undefined,
-  capacityLeft: number,
-): BatchFigures {
+function rowOf(variant: string, metrics: BatchMetrics): ScenarioRow {
   const {startedAttempts, refusedStarts, finishedWork} = metrics;
-  const workShare = reference ? finishedWork / reference.finishedWork : 0;
+  const sent = Math.max(1, startedAttempts + refusedStarts);
   return {
-    run,
-    finishedTasks: metrics.finishedTasks,
-    finishedWork: finishedWork / WORK_UNIT,
-    wastedShare: metrics.wastedShare,
-    lateShare: metrics.lateShare,
-    evictions: metrics.evictions,
-    failedAttempts: metrics.failedAttempts,
-    lostAttempts: metrics.lostAttempts,
-    refusedShare: refusedStarts / Math.max(1, startedAttempts + refusedStarts),
-    waitMedianMillis: quantile(metrics.normalWaits, 0.5),
-    urgentTailMillis: quantile(metrics.urgentWaits, 0.99),
-    workShare,
-    workShareOfLeft: capacityLeft === 0 ? 0 : workShare / capacityLeft,
-    faultWorkShare: reference ? faultWorkShare(metrics, reference) : 0,
-    backAfterSeconds: reference ? backAfter(metrics, reference) : 0,
+    variant,
+    figures: {
+      finished: metrics.finishedTasks,
+      'work cpu s': finishedWork / PROCESSOR_SECOND,
+      'wasted %': PERCENT * metrics.wastedShare,
+      'late %': PERCENT * metrics.lateShare,
+      'tail p99 ms': quantile(metrics.serviceTails, 0.99),
+      evicted: metrics.evictions,
+      failed: metrics.failedAttempts,
+      lost: metrics.lostAttempts,
+      'refused %': (PERCENT * refusedStarts) / sent,
+      'wait p50 ms': quantile(metrics.normalWaits, 0.5),
+      'urgent p99': quantile(metrics.urgentWaits, 0.99),
+    },
   };
 }
-
-function faultWorkShare(metrics: BatchMetrics, reference: BatchMetrics) {
-  return (
-    metrics.workBetween(FAULT_FROM_SECOND, FAULT_TO_SECOND) /
-    reference.workBetween(FAULT_FROM_SECOND, FAULT_TO_SECOND)
-  );
-}
-
-function backAfter(metrics: BatchMetrics, reference: BatchMetrics): number {
-  const last = metrics.workBySecond.length - WINDOW_SECONDS;
-  for (let second = FAULT_TO_SECOND; second < last; second++) {
-    const end = second + WINDOW_SECONDS;
-    const pace = metrics.workBetween(second, end);
-    const full = reference.workBetween(second, end);
-    if (pace >= FULL_PACE * full) return second - FAULT_TO_SECOND;
-  }
-  return Infinity;
-}
--- a/bench/batch/simulated_vm.ts
+++ b/bench/batch/simulated_vm.ts
@@ -153,6 +153,7 @@
     this.tailHistory.push(this.tailMillis());
     if (!this.alive) return;
     this.metrics.serviceSeconds++;
+    this.metrics.serviceTails.push(this.tailMillis());
     if (this.tailMillis() > TARGET_TAIL_MILLIS) {
       this.metrics.lateServiceSeconds++;
     }
--- a/bench/scenarios.ts
+++ b/bench/scenarios.ts
@@ -1,9 +1,13 @@
 import type {MicroBenchmark, Scenario} from './scenario.js';
+import {batchScenarios} from './batch/batch_scenarios.js';
 import {routingMicroBenchmarks} from './micro/routing_micro_benchmarks.js';
 import {serviceScenarios} from './service/service_scenarios.js';
 
 /** All that the bench can run, in the order in which it runs them. */
-export const scenarios: readonly Scenario[] = [...serviceScenarios];
+export const scenarios: readonly Scenario[] = [
+  ...serviceScenarios,
+  ...batchScenarios,
+];
 
 export const microBenchmarks: readonly MicroBenchmark[] = [
   ...routingMicroBenchmarks,
