Let shards claim room that others see only with a probability

Cause: all shards see the same free room in a heartbeat and race for it; the agents refused most starts of a full fleet, each at the cost of two records. Ruled out: partitioning the VMs among shards (idle room), stronger own preferences (one VM with room leaves nothing to prefer).

--- a/bench/batch/batch_simulation.ts
+++ b/bench/batch/batch_simulation.ts
@@ -4,6 +4,7 @@
   ShardPolicies,
 } from '../../src/decisions/jobs/shard_state.js';
 import {DEFAULT_SHARD_LIMITS} from '../../src/decisions/jobs/shard_state.js';
+import {ClaimAll} from '../../src/decisions/placement/room_claims.js';
 import {StartPacer} from '../../src/decisions/recovery/start_pacer.js';
 import {TrustingJudge} from '../../src/decisions/recovery/worker_quarantine.js';
 import type {FleetSettings} from '../../src/settings/settings_types.js';
@@ -38,6 +39,7 @@
   policies: () => ({
     placer: new FirstFitPlacer(),
     learner: new DeclaredSizes(),
+    claims: new ClaimAll(),
     judge: new TrustingJudge(),
     pacer: new StartPacer({
       startsPerSecond: 1e6,
--- a/src/decisions/jobs/agent_answers.ts
+++ b/src/decisions/jobs/agent_answers.ts
@@ -15,9 +15,9 @@
   ) {}
 
   noteVm(view: VmView, now: number, wallTime: number): void {
-    const {interference, vms} = this.state;
+    const {claims, interference, vms} = this.state;
     const before = vms.get(view.vm)?.view.incarnation;
-    vms.note(view, now);
+    vms.note(view, now).leftToOthers = !claims.draw();
     interference.note(view, now);
     if (before === view.incarnation) return;
     for (const attempt of [...this.state.attempts.onVm(view.vm)]) {
@@ -63,7 +63,8 @@
   }
 
   private confirm(attempt: OpenAttempt): void {
-    const {attempts, backoff, vms} = this.state;
+    const {attempts, backoff, claims, vms} = this.state;
+    if (!attempt.confirmed) claims.accepted();
     attempts.confirm(attempt);
     vms.get(attempt.vm)?.confirm(attempt.key);
     backoff.began(`${attempt.job.key}/${attempt.name.task}`);
@@ -87,6 +88,8 @@
       this.state.attempts.query(attempt);
       return;
     }
+    const full = resultCode === ResultCodes.NO_CAPACITY.number;
+    if (full) this.state.claims.refused();
     const outcome = AttemptOutcome.REFUSED;
     this.lifecycle.closeAs(attempt, outcome, reason, now, wallTime, resultCode);
   }
--- a/src/decisions/jobs/shard_state.ts
+++ b/src/decisions/jobs/shard_state.ts
@@ -6,6 +6,8 @@
 import {ReadyQueue} from '../placement/ready_queue.js';
 import {PeakSizeLearner} from '../placement/size_learner.js';
 import type {SizeLearner} from '../placement/size_learner.js';
+import {AdaptiveClaims} from '../placement/room_claims.js';
+import type {RoomClaims} from '../placement/room_claims.js';
 import {Spread} from '../placement/spread.js';
 import {TeamLedger} from '../placement/team_ledger.js';
 import {VmTable} from '../placement/vm_table.js';
@@ -61,6 +63,7 @@
   readonly learner: SizeLearner;
   readonly judge: WorkerJudge;
   readonly pacer: StartPacer;
+  readonly claims: RoomClaims;
 }
 
 export interface ShardSchedulerOptions {
@@ -96,6 +99,7 @@
   readonly ledger = new TeamLedger();
   readonly spread = new Spread();
   readonly interference = new InterferenceTable();
+  readonly claims: RoomClaims;
   readonly backoff: TaskBackoff;
   readonly placer: Placer;
   readonly learner: SizeLearner;
@@ -115,6 +119,7 @@
     const {shard, policies = {}} = options;
     this.limits = {...DEFAULT_SHARD_LIMITS, ...options.limits};
     this.records = new RecordQueue(book, durableBook);
+    this.claims = policies.claims ?? new AdaptiveClaims(options.random);
     this.backoff = new TaskBackoff(options.random);
     this.learner = policies.learner ?? new PeakSizeLearner();
     this.judge = policies.judge ?? new WorkerQuarantine();
--- a/src/decisions/placement/placer.ts
+++ b/src/decisions/placement/placer.ts
@@ -28,6 +28,9 @@
   ): PlacementChoice | undefined;
 }
 
+/** Room for so many tasks of the size is enough for several shards. */
+const PLENTY = 3;
+
 /** Whether the task may start on the VM right now. */
 export function mayStartOn(
   task: PlacementTask,
@@ -39,6 +42,16 @@
   if (size.milliprocessors > vm.freeMilliprocessors) return false;
   if (size.memoryMegabytes > vm.freeMemoryMegabytes) return false;
   if (size.accelerators > vm.freeAccelerators) return false;
+  if (vm.leftToOthers && !task.urgent && isContested(size, vm)) return false;
   if (vm.heldUntil > now && vm.heldFor !== task.job) return false;
   return !task.avoid.includes(vm.view.vm);
 }
+
+/** Other shards may fill what is free before a start arrives. */
+function isContested(size: Resources, vm: VmState): boolean {
+  const plenty =
+    vm.freeMilliprocessors >= PLENTY * size.milliprocessors &&
+    vm.freeMemoryMegabytes >= PLENTY * size.memoryMegabytes &&
+    vm.freeAccelerators >= PLENTY * size.accelerators;
+  return !plenty && !vm.ownRoomHolds(size);
+}
--- a/src/decisions/placement/vm_table.ts
+++ b/src/decisions/placement/vm_table.ts
@@ -51,6 +51,12 @@
   freeAccelerators = 0;
   /** Its agent refused a start since the last heartbeat. */
   refused = false;
+  /** The room is shared with other shards, and left to them for now. */
+  leftToOthers = false;
+  /** What the shard's own attempts left here since the last heartbeat. */
+  ownMilliprocessors = 0;
+  ownMemoryMegabytes = 0;
+  ownAccelerators = 0;
   /** Starts that the agent has not confirmed yet. */
   unconfirmed = 0;
   /** A job for which the room is kept. */
@@ -79,12 +85,16 @@
     this.penalties.clear();
     for (const key of this.confirmed) this.unseen.delete(key);
     this.confirmed.clear();
+    this.ownMilliprocessors = 0;
+    this.ownMemoryMegabytes = 0;
+    this.ownAccelerators = 0;
     this.refreshFree();
   }
 
   place(key: string, size: Resources): void {
     this.unseen.set(key, size);
     this.unconfirmed++;
+    this.changeOwn(size, -1);
     this.refreshFree();
   }
 
@@ -101,9 +111,25 @@
     } else {
       this.released = addResources(this.released, size);
     }
+    this.changeOwn(size, 1);
     this.refreshFree();
   }
 
+  /** Whether the room that the shard's own attempts left is enough. */
+  ownRoomHolds(size: Resources): boolean {
+    return (
+      size.milliprocessors <= this.ownMilliprocessors &&
+      size.memoryMegabytes <= this.ownMemoryMegabytes &&
+      size.accelerators <= this.ownAccelerators
+    );
+  }
+
+  private changeOwn(size: Resources, sign: 1 | -1): void {
+    this.ownMilliprocessors += sign * size.milliprocessors;
+    this.ownMemoryMegabytes += sign * size.memoryMegabytes;
+    this.ownAccelerators += sign * size.accelerators;
+  }
+
   private refreshFree(): void {
     const {capacity, committed, used} = this.view;
     let taken = subtractResources(committed, this.released);
