--- /dev/null
+++ b/src/entry/alarms/upstream_alarms.ts
@@ -0,0 +1,98 @@
+import {Events} from '../../observability/events.js';
+import type {EventType} from '../../observability/events.js';
+import type {Logger} from '../../observability/logger.js';
+import type {AgentDirectory, AgentRecord} from '../agents/agent_directory.js';
+import {LastingStates} from './lasting_states.js';
+
+/** How an agent stands with this entry. */
+const UpstreamPhase = {
+  OPEN: 'open',
+  DRAINING: 'draining',
+  SILENT: 'silent',
+  /** Silent after a graceful shutdown. */
+  LEFT: 'left',
+} as const;
+type UpstreamPhase = (typeof UpstreamPhase)[keyof typeof UpstreamPhase];
+
+const PHASE_EVENTS: Readonly<Record<UpstreamPhase, EventType | undefined>> = {
+  open: Events.UPSTREAM_RETURNED,
+  draining: Events.UPSTREAM_DRAINING,
+  silent: Events.UPSTREAM_LOST,
+  left: undefined,
+};
+
+/** Logs agents that come, drain, fall silent and return. */
+export class UpstreamAlarms {
+  private readonly phases = new LastingStates<UpstreamPhase>();
+  /** Whether a service has an upstream that takes requests. */
+  private readonly served = new LastingStates<boolean>();
+
+  constructor(
+    private readonly agents: AgentDirectory,
+    private readonly logger: Logger,
+  ) {}
+
+  check(now: number): void {
+    const silent = new Set(this.agents.silent(now).map(agent => agent.agentId));
+    const open = new Map<string, boolean>();
+    for (const name of this.served.names()) open.set(name, false);
+    for (const agent of this.agents.all()) {
+      const isSilent = silent.has(agent.agentId);
+      this.checkAgent(agent, isSilent);
+      noteServices(open, agent, !isSilent);
+    }
+    this.forgetMissing();
+    for (const [service, isOpen] of open) this.checkService(service, isOpen);
+  }
+
+  private checkAgent(agent: AgentRecord, isSilent: boolean): void {
+    const {agentId, heartbeat} = agent;
+    const phase = phaseOf(heartbeat.stopping, isSilent);
+    const {changed, before} = this.phases.change(agentId, phase);
+    if (!changed) return;
+    const event =
+      before === undefined && phase === UpstreamPhase.OPEN
+        ? Events.UPSTREAM_JOINED
+        : PHASE_EVENTS[phase];
+    if (!event) return;
+    const {failureDomain} = heartbeat;
+    this.logger.event(event, {vm: agentId, failureDomain});
+  }
+
+  private checkService(service: string, isOpen: boolean): void {
+    const {changed, before} = this.served.change(service, isOpen);
+    if (!changed) return;
+    if (!isOpen) {
+      this.logger.event(Events.SERVICE_WITHOUT_UPSTREAM, {service});
+    } else if (before !== undefined) {
+      this.logger.event(Events.SERVICE_SERVED_AGAIN, {service});
+    }
+  }
+
+  private forgetMissing(): void {
+    for (const name of this.phases.names()) {
+      if (!this.agents.find(name)) this.phases.forget(name);
+    }
+  }
+}
+
+function phaseOf(stopping: boolean, isSilent: boolean): UpstreamPhase {
+  if (isSilent) return stopping ? UpstreamPhase.LEFT : UpstreamPhase.SILENT;
+  return stopping ? UpstreamPhase.DRAINING : UpstreamPhase.OPEN;
+}
+
+function noteServices(
+  open: Map<string, boolean>,
+  {heartbeat}: AgentRecord,
+  isHeard: boolean,
+): void {
+  for (const executor of heartbeat.executors) {
+    const takesRequests =
+      isHeard &&
+      !heartbeat.stopping &&
+      !executor.draining &&
+      !executor.unavailable;
+    const known = open.get(executor.service) ?? false;
+    open.set(executor.service, known || takesRequests);
+  }
+}
--- a/src/entry/commands/settings_commands.ts
+++ b/src/entry/commands/settings_commands.ts
@@ -1,3 +1,5 @@
+import {Events} from '../../observability/events.js';
+import type {Logger} from '../../observability/logger.js';
 import {ResultCodes} from '../../observability/result_codes.js';
 import {
   parseFleetSettings,
@@ -24,6 +26,7 @@
 export class SettingsCommands {
   constructor(
     private readonly branches: SettingsBranchesStore,
+    private readonly logger: Logger,
     /** Puts what was written in force here; resolves once it is. */
     private readonly refresh: () => Promise<void>,
   ) {}
@@ -97,6 +100,12 @@
         retryAfterMillis: RETRY_AFTER_MILLIS,
       });
     }
+    const {branch, revision, stored} = result.content;
+    this.logger.event(Events.SETTINGS_CHANGED, {
+      branch,
+      revision,
+      author: stored?.author,
+    });
     await this.refresh();
     return answerOf(result.content);
   }
--- a/src/entry/entry_process.ts
+++ b/src/entry/entry_process.ts
@@ -25,6 +25,8 @@
 import {AgentDirectory} from './agents/agent_directory.js';
 import {HeartbeatResponder} from './agents/heartbeat_responder.js';
 import {ReportRecorder} from './agents/report_recorder.js';
+import {SettingsAlarms} from './alarms/settings_alarms.js';
+import {UpstreamAlarms} from './alarms/upstream_alarms.js';
 import {JobCommands} from './commands/job_commands.js';
 import {SettingsCommands} from './commands/settings_commands.js';
 import {ApiRouter} from './http/api_router.js';
@@ -98,6 +100,8 @@
   private readonly heartbeats: HeartbeatResponder;
   private readonly recorder: ReportRecorder;
   private readonly forwarder: RequestForwarder;
+  private readonly upstreamAlarms: UpstreamAlarms;
+  private readonly settingsAlarms: SettingsAlarms;
   private readonly tickers: ReadonlyArray<Ticker<EntryTick>>;
   private registering = false;
   private refreshing = false;
@@ -177,6 +181,8 @@
       clock,
       new RequestMetrics(metrics),
     );
+    this.upstreamAlarms = new UpstreamAlarms(this.agents, logger);
+    this.settingsAlarms = new SettingsAlarms(logger);
     this.tickers = this.createTickers();
     this.addRoutes(branches);
   }
@@ -319,9 +325,9 @@
     const {clock, metrics, record} = options;
     new JobCommands(access, settings, clock).addRoutes(api);
     new JobQueries(access).addRoutes(api);
-    new SettingsCommands(branches, () => this.follower.refresh()).addRoutes(
-      api,
-    );
+    new SettingsCommands(branches, options.logger, () =>
+      this.follower.refresh(),
+    ).addRoutes(api);
     new OperatorQueries({
       entryId: record.entryId,
       branches,
@@ -368,6 +374,12 @@
       this.router.removeUpstream(agent.agentId, 'it is silent', now);
     }
     this.agents.forgetLongSilent(now);
+    this.upstreamAlarms.check(now);
+    this.settingsAlarms.check(
+      this.statuses.all(now),
+      this.settings.revision,
+      now,
+    );
     void this.peers.exchange();
   }
 
@@ -403,6 +415,7 @@
 
   private applySettings(): void {
     const {fleet} = this.settings;
+    this.settingsAlarms.noteFleet(fleet);
     this.shards.applySettings();
     this.router.setAvoidedDomains(fleet.failureDomainsOut);
     this.router.setLimits(fleet);
--- a/src/entry/shards/shard_owner.ts
+++ b/src/entry/shards/shard_owner.ts
@@ -3,6 +3,7 @@
 import type {Logger} from '../../observability/logger.js';
 import {BaseError, messageOf} from '../../utilities/base_error.js';
 import type {Clock, Timer} from '../../utilities/clock.js';
+import {logRecordEvents} from '../alarms/record_events.js';
 import {DeposedError} from './shard_log.js';
 import type {ShardLog} from './shard_log.js';
 
@@ -164,6 +165,7 @@
     await this.log.append(records, APPEND_DEADLINE_MILLIS);
     if (this.dropped) return;
     this.scheduler.acknowledge();
+    logRecordEvents(records, this.logger);
     this.commits++;
     this.observer.onCommitted(this);
     if (this.log.snapshotIsDue) await this.trySnapshot();
--- /dev/null
+++ b/tests/entry/alarms.test.ts
@@ -0,0 +1,121 @@
+import test from 'ava';
+import {logRecordEvents} from '../../src/entry/alarms/record_events.js';
+import {SettingsAlarms} from '../../src/entry/alarms/settings_alarms.js';
+import {UpstreamAlarms} from '../../src/entry/alarms/upstream_alarms.js';
+import {AgentDirectory} from '../../src/entry/agents/agent_directory.js';
+import {eventName} from '../../src/observability/console_logger.js';
+import type {EventType} from '../../src/observability/events.js';
+import type {LogFields, Logger} from '../../src/observability/logger.js';
+import {
+  ExecutorReport,
+  HeartbeatRequest,
+} from '../../src/protocol/generated/burdockmoor.js';
+import type {AgentLink, LinkFactory} from '../../src/protocol/links.js';
+import {DEFAULT_FLEET_SETTINGS} from '../../src/settings/settings_branches.js';
+
+class RecordingLogger implements Logger {
+  private lines: string[] = [];
+
+  event(type: EventType, fields: LogFields = {}): void {
+    const values = Object.values(fields).join(' ');
+    this.lines.push(`${eventName(type.number)} ${values}`);
+  }
+
+  take(): string[] {
+    const lines = this.lines;
+    this.lines = [];
+    return lines;
+  }
+}
+
+const links = {
+  openAgent: () => ({close: () => {}}) as unknown as AgentLink,
+} as unknown as LinkFactory;
+
+const EMPTY_MESSAGE = new Uint8Array();
+const LONG_MILLIS = 20_000;
+
+test('should log once when an upstream comes, falls silent and returns', t => {
+  const agents = new AgentDirectory(links);
+  const logger = new RecordingLogger();
+  const alarms = new UpstreamAlarms(agents, logger);
+  let sequence = 0;
+  const hear = (now: number, change: Partial<HeartbeatRequest> = {}): void => {
+    sequence++;
+    const executor = {
+      ...ExecutorReport.decode(EMPTY_MESSAGE),
+      service: 'rounds',
+    };
+    const heartbeat = {
+      ...HeartbeatRequest.decode(EMPTY_MESSAGE),
+      agentId: 'vm-1',
+      incarnation: 'a',
+      failureDomain: 'tema',
+      sequence,
+      executors: [executor],
+      ...change,
+    };
+    agents.note(heartbeat, now);
+    alarms.check(now);
+  };
+  hear(0);
+  hear(1000);
+  t.deepEqual(logger.take(), ['UPSTREAM_JOINED vm-1 tema']);
+  alarms.check(LONG_MILLIS);
+  alarms.check(LONG_MILLIS);
+  t.deepEqual(logger.take(), [
+    'UPSTREAM_LOST vm-1 tema',
+    'SERVICE_WITHOUT_UPSTREAM rounds',
+  ]);
+  hear(LONG_MILLIS);
+  t.deepEqual(logger.take(), [
+    'UPSTREAM_RETURNED vm-1 tema',
+    'SERVICE_SERVED_AGAIN rounds',
+  ]);
+  hear(LONG_MILLIS, {stopping: true});
+  alarms.check(2 * LONG_MILLIS);
+  t.deepEqual(logger.take(), [
+    'UPSTREAM_DRAINING vm-1 tema',
+    'SERVICE_WITHOUT_UPSTREAM rounds',
+  ]);
+});
+
+test('should log a process that lags past the target, and that it is back', t => {
+  const logger = new RecordingLogger();
+  const alarms = new SettingsAlarms(logger);
+  const check = (has: number, expected: number, now: number): string[] => {
+    const status = {processId: 'vm-1', role: 'agent', ageMillis: 0};
+    alarms.check([{...status, settingsRevision: has}], expected, now);
+    return logger.take();
+  };
+  t.deepEqual(check(5, 6, 0), []);
+  t.deepEqual(check(5, 9, 14_000), []);
+  t.deepEqual(check(5, 9, 15_000), ['PROCESS_SETTINGS_LAG vm-1 agent 5']);
+  t.deepEqual(check(5, 9, 16_000), []);
+  t.deepEqual(check(6, 9, 17_000), ['PROCESS_SETTINGS_CAUGHT_UP vm-1 agent 6']);
+  t.deepEqual(check(8, 9, 18_000), []);
+  t.deepEqual(check(9, 30, 33_000), []);
+});
+
+test('should log what operators take out and bring back', t => {
+  const logger = new RecordingLogger();
+  const alarms = new SettingsAlarms(logger);
+  alarms.noteFleet({
+    ...DEFAULT_FLEET_SETTINGS,
+    failureDomainsOut: new Set(['tema']),
+    drainedVms: new Set(['vm-1']),
+  });
+  t.deepEqual(logger.take(), ['FAILURE_DOMAIN_OUT tema', 'VM_DRAINED vm-1']);
+  alarms.noteFleet(DEFAULT_FLEET_SETTINGS);
+  t.deepEqual(logger.take(), ['FAILURE_DOMAIN_IN tema', 'VM_UNDRAINED vm-1']);
+});
+
+test('should log an attempt that was lost', t => {
+  const logger = new RecordingLogger();
+  const name = {team: 'a', job: 'routes', task: 0, attempt: 2};
+  const closed = {checkpoint: '', result: '', resultCode: 0, wallTime: 0};
+  const reason = 'lease lapsed';
+  const record = {type: 'closed', name, outcome: 'lost', reason} as const;
+  logRecordEvents([{...record, ...closed}], logger);
+  t.deepEqual(logger.take(), ['TASK_LOST a/routes/0/2 lease lapsed']);
+});
