Refuse addresses that others can't reach; split the schemas by role

Cause: a process that listens on port 0 or on every address of its VM advertised just that, and no agent or entry could reach it; https addresses passed the check although the HTTP adapters speak plain HTTP only. Each is a fault of the settings file now, found before the process starts.

--- a/src/settings/process_settings.ts
+++ b/src/settings/process_settings.ts
@@ -3,23 +3,24 @@
 import type {Resources} from '../utilities/resources.js';
 import {
   AGENT_SCHEMA,
-  ENTRY_SCHEMA,
   agentAdvertiseSection,
   agentListenSection,
   agentProcessSection,
   entriesSection,
+  executorSection,
+  workerSection,
+} from './agent_schema.js';
+import {
+  ENTRY_SCHEMA,
   entryAdvertiseSection,
   entryListenSection,
   entryProcessSection,
-  executorSection,
   limitsSection,
-  logsSection,
   shardsSection,
   storeSection,
-  tlsSection,
-  workerSection,
-} from './process_schemas.js';
-import type {LOG_FORMATS, LOG_LEVELS} from './process_schemas.js';
+} from './entry_schema.js';
+import {logsSection, tlsSection} from './process_sections.js';
+import type {LOG_FORMATS, LOG_LEVELS} from './process_sections.js';
 import {settingsError} from './settings_fault.js';
 import type {SettingsFault} from './settings_fault.js';
 import {checkSettings} from './settings_schema.js';
@@ -27,9 +28,11 @@
 
 /** Settings files with which processes start. */
 
+/** Listening there means every address of the VM. */
+const ANY_HOSTS: ReadonlySet<string> = new Set(['0.0.0.0', '::']);
+
 export interface NetworkAddress {
   readonly host: string;
-  /** 0 takes any free port. */
   readonly port: number;
 }
 
@@ -207,11 +210,34 @@
 ): CheckedSettings {
   const result = checkSettings(file, text, schema);
   if (result.faults) throw settingsError(file, result.faults);
-  const faults = tlsFaults(file, result.settings);
+  const faults = [
+    ...advertiseFaults(file, result.settings),
+    ...tlsFaults(file, result.settings),
+  ];
   if (faults.length > 0) throw settingsError(file, faults);
   return result.settings;
 }
 
+/** Addresses that others would be told but can't reach. */
+function advertiseFaults(
+  file: string,
+  checked: CheckedSettings,
+): SettingsFault[] {
+  const section = entryAdvertiseSection.name;
+  const listen = checked.section(entryListenSection);
+  const advertise = checked.section(entryAdvertiseSection);
+  const faults: SettingsFault[] = [];
+  for (const key of ['callers', 'processes'] as const) {
+    const listened = listen[key];
+    if (listened === undefined || advertise[key] !== undefined) continue;
+    const {host} = parseAddress(listened);
+    if (!ANY_HOSTS.has(host)) continue;
+    const message = `The key is missing: others can't reach ${listened}.`;
+    faults.push(fileFault(file, section, key, message));
+  }
+  return faults;
+}
+
 function tlsOf(checked: CheckedSettings): TlsSettings | undefined {
   const {certificate, key, authority} = checked.section(tlsSection);
   if (!certificate || !key || !authority) return undefined;
--- a/src/settings/settings_keys.ts
+++ b/src/settings/settings_keys.ts
@@ -24,6 +24,7 @@
 
 const NAME = /^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$/;
 const HOST_AND_PORT = /^(?:\[[0-9A-Fa-f:.]+\]|[A-Za-z0-9._-]+):(\d{1,5})$/;
+const HTTP = 'http://';
 const MAXIMUM_PORT = 65_535;
 
 export const NAME_ACCEPTED =
@@ -36,12 +37,13 @@
 
 function isAddress(text: string): boolean {
   const match = HOST_AND_PORT.exec(text);
-  return match !== null && Number(match[1]) <= MAXIMUM_PORT;
+  const port = Number(match?.[1] ?? 0);
+  return port >= 1 && port <= MAXIMUM_PORT;
 }
 
 function isHttpAddress(text: string): boolean {
-  if (!/^https?:\/\//.test(text)) return false;
-  return isAddress(text.replace(/^https?:\/\//, '').replace(/\/$/, ''));
+  if (!text.startsWith(HTTP)) return false;
+  return isAddress(text.slice(HTTP.length).replace(/\/$/, ''));
 }
 
 /** The key must be there. */
--- a/tests/settings/process_settings.test.ts
+++ b/tests/settings/process_settings.test.ts
@@ -14,7 +14,7 @@
 failure_domain = kaneshie
 region = accra
 [listen]
-callers = 127.0.0.1:0
+callers = 127.0.0.1:7000
 processes = [::1]:7070
 [store]
 endpoints = http://127.0.0.1:2379, http://127.0.0.1:2380
@@ -27,7 +27,7 @@
 region = accra
 rack = rack-2
 [listen]
-processes = 127.0.0.1:0
+processes = 127.0.0.1:7001
 [entries]
 addresses = 127.0.0.1:7070
 [worker]
@@ -59,7 +59,8 @@
 });
 
 test('should report every missing and wrong key of a file at once', t => {
-  const text = '[process]\nid = -\n[store]\nendpoints = 127.0.0.1:2379\n';
+  const text =
+    '[process]\nid = -\n[store]\nendpoints = https://127.0.0.1:2379\n';
   const error = t.throws(() => parseEntrySettings('entry.ini', text), {
     instanceOf: SettingsError,
   });
@@ -88,6 +89,25 @@
   t.deepEqual(keys, ['certificate', 'key', 'authority']);
 });
 
+test('should refuse addresses that others could not reach', t => {
+  const texts = [
+    ENTRY_TEXT.replace('127.0.0.1:7000', '0.0.0.0:7000'),
+    ENTRY_TEXT.replace('127.0.0.1:7000', '127.0.0.1:0'),
+    ENTRY_TEXT.replace('127.0.0.1:7000', '127.0.0.1:65536'),
+  ];
+  for (const text of texts) {
+    const error = t.throws(() => parseEntrySettings('entry.ini', text), {
+      instanceOf: SettingsError,
+    });
+    t.deepEqual(
+      error.faults.map(fault => fault.key),
+      ['callers'],
+    );
+  }
+  const advertised = `${texts[0]}[advertise]\ncallers = 10.0.0.1:7000\n`;
+  t.notThrows(() => parseEntrySettings('entry.ini', advertised));
+});
+
 test('should report a file that is not there as a fault', t => {
   const error = t.throws(() => readEntrySettings('/nowhere/entry.ini'), {
     instanceOf: SettingsError,
--- a/tools/pages/settings_page.ts
+++ b/tools/pages/settings_page.ts
@@ -1,8 +1,6 @@
 import {FLEET_SCHEMA, TEAM_SCHEMA} from '../../src/settings/branch_schemas.js';
-import {
-  AGENT_SCHEMA,
-  ENTRY_SCHEMA,
-} from '../../src/settings/process_schemas.js';
+import {AGENT_SCHEMA} from '../../src/settings/agent_schema.js';
+import {ENTRY_SCHEMA} from '../../src/settings/entry_schema.js';
 import type {
   DocumentSchema,
   SectionSchema,
