End limits of services that settings no longer mention

Cause: the entry only ever set limits, so that a section taken out of a team's branch left its limit in force until the entry restarted; and a caller that named another team in x-team passed by the limit, which is kept by team and service. The service's own team goes first now.

--- a/src/entry/entry_process.ts
+++ b/src/entry/entry_process.ts
@@ -43,6 +43,7 @@
 import {readCallerRequest} from './requests/caller_request_reader.js';
 import {RequestForwarder} from './requests/request_forwarder.js';
 import {RequestMetrics} from './requests/request_metrics.js';
+import {ServiceLimits} from './requests/service_limits.js';
 import {SettingsBranchesStore} from './settings_branches_store.js';
 import {SettingsFollower} from './settings_follower.js';
 import {AttemptDispatcher} from './shards/attempt_dispatcher.js';
@@ -89,6 +90,7 @@
   private readonly agents: AgentDirectory;
   private readonly router: ServiceRouter;
   private readonly limiter = new RequestLimiter();
+  private readonly limits = new ServiceLimits(this.limiter);
   private readonly roster: EntryRoster;
   private readonly claims: ShardClaims;
   private readonly lease: StoreLeaseKeeper;
@@ -419,15 +421,6 @@
     this.shards.applySettings();
     this.router.setAvoidedDomains(fleet.failureDomainsOut);
     this.router.setLimits(fleet);
-    for (const branch of this.settings.branches()) {
-      for (const service of this.settings.team(branch).services.values()) {
-        this.limiter.setLimit(
-          service.team,
-          service.name,
-          service.requestsPerSecond,
-          this.options.clock.now(),
-        );
-      }
-    }
+    this.limits.apply(this.settings, this.options.clock.now());
   }
 }
--- a/src/entry/requests/caller_request_reader.ts
+++ b/src/entry/requests/caller_request_reader.ts
@@ -30,7 +30,8 @@
 ): CallerRequest {
   const {headers} = call;
   const serviceSettings = settings.service(checkName('The service', service));
-  const team = headers.get('x-team') ?? serviceSettings?.team ?? '';
+  // The limit of a service holds whatever team a caller names.
+  const team = serviceSettings?.team ?? headers.get('x-team') ?? '';
   const defaultDeadline =
     serviceSettings?.defaultDeadlineMillis ?? DEFAULT_DEADLINE_MILLIS;
   const methods = serviceSettings?.idempotentMethods ?? IDEMPOTENT_METHODS;
