Refuse a team's text that takes another team's service

Cause: of two branches with the same service section the one whose name sorts first was in force, so a team could set the limits of a rival's service. A new text with such a section is refused with the owner's name. Two changes that race on two entries can still both be accepted; then the order of names decides, the same in every process.

--- a/src/entry/commands/settings_commands.ts
+++ b/src/entry/commands/settings_commands.ts
@@ -2,12 +2,13 @@
 import type {Logger} from '../../observability/logger.js';
 import {ResultCodes} from '../../observability/result_codes.js';
 import {
-  parseFleetSettings,
-  parseTeamSettings,
+  branchFaults,
   withFailureDomain,
   withVmDrain,
 } from '../../settings/settings_branches.js';
+import type {SettingsFault} from '../../settings/settings_fault.js';
 import {FLEET_BRANCH} from '../../settings/settings_types.js';
+import type {SettingsView} from '../../settings/settings_view.js';
 import {apiError, jsonAnswer} from '../http/api_types.js';
 import type {ApiAnswer, ApiCall} from '../http/api_types.js';
 import type {ApiRouter} from '../http/api_router.js';
@@ -26,6 +27,7 @@
 export class SettingsCommands {
   constructor(
     private readonly branches: SettingsBranchesStore,
+    private readonly settings: SettingsView,
     private readonly logger: Logger,
     /** Puts what was written in force here; resolves once it is. */
     private readonly refresh: () => Promise<void>,
@@ -54,6 +56,7 @@
     const expected = readRevision(call.headers.get('if-match'));
     const text = readText(call.body);
     checkText(branch, text);
+    throwFaults(branch, this.settings.ownershipFaults(branch, text));
     const based = await this.branches.read(branch);
     if (based.revision !== expected) throw conflict(based, text);
     const change = {author: readAuthor(call), text};
@@ -145,15 +148,15 @@
 }
 
 function checkText(branch: string, text: string): void {
-  const result =
-    branch === FLEET_BRANCH
-      ? parseFleetSettings(text)
-      : parseTeamSettings(branch, text);
-  if (!result.faults) return;
+  throwFaults(branch, branchFaults(branch, text));
+}
+
+function throwFaults(branch: string, faults: readonly SettingsFault[]): void {
+  if (faults.length === 0) return;
   throw apiError(
     ResultCodes.SETTINGS_INVALID,
-    `The text of ${branch} has ${result.faults.length} faults.`,
-    {details: {faults: result.faults}},
+    `The text of ${branch} has ${faults.length} faults.`,
+    {details: {faults}},
   );
 }
 
--- a/src/entry/entry_process.ts
+++ b/src/entry/entry_process.ts
@@ -327,7 +327,7 @@
     const {clock, metrics, record} = options;
     new JobCommands(access, settings, clock).addRoutes(api);
     new JobQueries(access).addRoutes(api);
-    new SettingsCommands(branches, options.logger, () =>
+    new SettingsCommands(branches, settings, options.logger, () =>
       this.follower.refresh(),
     ).addRoutes(api);
     new OperatorQueries({
--- a/src/settings/settings_view.ts
+++ b/src/settings/settings_view.ts
@@ -1,5 +1,6 @@
 import {
   DEFAULT_FLEET_SETTINGS,
+  branchFile,
   defaultTeamSettings,
   parseFleetSettings,
   parseTeamSettings,
@@ -84,6 +85,18 @@
     return this.services.get(name);
   }
 
+  /** Faults of a team's text that takes services of other teams. */
+  ownershipFaults(branch: string, text: string): SettingsFault[] {
+    if (branch === FLEET_BRANCH) return [];
+    const {settings} = parseTeamSettings(branch, text);
+    const faults: SettingsFault[] = [];
+    for (const name of settings?.services.keys() ?? []) {
+      const owner = this.services.get(name)?.team ?? branch;
+      if (owner !== branch) faults.push(ownershipFault(branch, name, owner));
+    }
+    return faults;
+  }
+
   /** The names of all branches that have a text, in order. */
   branches(): string[] {
     return [...this.states.keys()].sort();
@@ -143,6 +156,21 @@
   return services;
 }
 
+function ownershipFault(
+  branch: string,
+  service: string,
+  owner: string,
+): SettingsFault {
+  return {
+    file: branchFile(branch),
+    section: `service ${service}`,
+    key: '',
+    message: `The service belongs to team ${owner}.`,
+    accepted: '',
+    line: 0,
+  };
+}
+
 function seenRevision(state: BranchState | undefined): number {
   return state?.rejected?.revision ?? state?.inForce?.revision ?? 0;
 }
--- a/tests/settings/settings_view.test.ts
+++ b/tests/settings/settings_view.test.ts
@@ -54,6 +54,16 @@
   t.deepEqual(view.branches(), ['sfax']);
 });
 
+test('should find services that belong to another team', t => {
+  const view = new SettingsView();
+  const text = '[service orders]\n[service stock]\n';
+  view.apply({branch: 'sfax', revision: 2, version: 1, text});
+  t.deepEqual(view.ownershipFaults('sfax', text), []);
+  const faults = view.ownershipFaults('rival', '[service orders]\n');
+  t.is(faults.length, 1);
+  t.is(faults[0].message, 'The service belongs to team sfax.');
+});
+
 test('should end with the newest text whatever the order of arrival', t => {
   const arrivals = fc.array(fc.integer({min: 1, max: 20}), {minLength: 1});
   fc.assert(
