Protect a service's tail from the tasks beside it

The cause: tasks that share a VM with a service slow its answers down, by pair, and only measurements show by how much.

A Kalman filter learns the effect of each kind on the logarithm of service times. A budget of slowdown follows the measured 99th percentile: it shrinks when the target is missed and grows in small steps while the tail is well below it. Shares are allotted within the budget, gentlest kinds first; while the least shares are not enough, the most harmful task is checkpointed and then evicted.

Also: counters and gauges of the agent, events for settings applied, and margins of leases as shares of the lease, since a short one left no time to start anything.

--- a/src/agent/agent_context.ts
+++ b/src/agent/agent_context.ts
@@ -6,6 +6,7 @@
   ServiceSettings,
   SettingsDocument,
 } from '../settings/settings_types.js';
+import type {ApplyResult} from '../settings/settings_view.js';
 import type {Clock} from '../utilities/clock.js';
 import type {Random} from '../utilities/random.js';
 import type {Resources} from '../utilities/resources.js';
@@ -20,7 +21,7 @@
   readonly revision: number;
   readonly fleet: FleetSettings;
   service(name: string): ServiceSettings | undefined;
-  apply(document: SettingsDocument): unknown;
+  apply(document: SettingsDocument): ApplyResult;
   /** A read of the store confirmed the revision, that long before `now`. */
   confirm(revision: number, now: number, ageMillis: number): void;
   confirmedAgeMillis(now: number): number;
--- a/src/agent/agent_process.ts
+++ b/src/agent/agent_process.ts
@@ -1,6 +1,9 @@
 import {CapacityLedger} from '../decisions/capacity/capacity_ledger.js';
+import {TailGuard} from '../decisions/eviction/tail_guard.js';
+import type {TailPolicy} from '../decisions/eviction/tail_policy.js';
 import {Events} from '../observability/events.js';
 import type {Logger} from '../observability/logger.js';
+import {Metrics} from '../observability/metrics.js';
 import type {Executor} from '../platform/executor.js';
 import type {Worker} from '../platform/worker.js';
 import type {
@@ -17,6 +20,7 @@
   StopAttemptsRequest,
 } from '../protocol/generated/burdockmoor.js';
 import type {AgentHandlers, LinkFactory} from '../protocol/links.js';
+import type {SettingsDocument} from '../settings/settings_types.js';
 import type {Clock} from '../utilities/clock.js';
 import type {Random} from '../utilities/random.js';
 import {EXECUTOR_HOLDER} from './agent_context.js';
@@ -28,6 +32,7 @@
 } from './agent_context.js';
 import {AgentLoop} from './agent_loop.js';
 import type {AgentEvent} from './agent_loop.js';
+import {AgentMetrics, observeVm} from './agent_metrics.js';
 import {AttemptTable} from './attempt_table.js';
 import {ClosedAttempts} from './closed_attempts.js';
 import {AttemptCloser} from './commands/attempt_closer.js';
@@ -48,6 +53,7 @@
 import {ReportSender} from './report_sender.js';
 import {ShardLeases} from './shard_leases.js';
 import {KEEP_CLOSED_MILLIS} from './start_checks.js';
+import {TailProtection} from './tail_protection.js';
 import {WorkerClock} from './worker_clock.js';
 import {WorkerMonitor} from './worker_monitor.js';
 
@@ -66,6 +72,9 @@
   readonly clock: Clock;
   readonly random: Random;
   readonly logger: Logger;
+  readonly metrics?: Metrics;
+  /** Protects the service beside the tasks; by default a TailGuard. */
+  readonly tailPolicy?: TailPolicy;
   readonly shutdownDeadlineMillis?: number;
 }
 
@@ -109,8 +118,16 @@
       this.monitor,
       this.roomMaker,
     );
-    this.starts = new StartAttempts(context, this.heartbeats, this.starter);
-    this.service = newService(options, context);
+    const {metrics: registry = new Metrics()} = options;
+    const metrics = new AgentMetrics(registry);
+    observeVm(registry, context);
+    this.starts = new StartAttempts(
+      context,
+      this.heartbeats,
+      this.starter,
+      metrics,
+    );
+    this.service = newService(options, context, this.stopper, metrics);
   }
 
   /** Begins to talk to the worker and the entries. */
@@ -191,7 +208,7 @@
     const {clock, settings} = this.options;
     const now = clock.now();
     this.directory.takeIn(reply.entries, now);
-    for (const document of reply.settings) settings.apply(document);
+    for (const document of reply.settings) this.apply(document);
     // Counted from the sending, since the reply took an unknown time.
     settings.confirm(reply.settingsRevision, sentAt, reply.settingsAgeMillis);
     const {entryId} = reply;
@@ -201,11 +218,25 @@
     this.heartbeats.noteConfirmation();
   }
 
+  private apply(document: SettingsDocument): void {
+    const {logger, settings} = this.options;
+    const {branch, revision} = document;
+    const result = settings.apply(document);
+    if (result === 'older') return;
+    if (result === 'applied') {
+      logger.event(Events.SETTINGS_APPLIED, {branch, revision});
+      return;
+    }
+    const faults = result.faults.map(fault => fault.message).join('; ');
+    logger.event(Events.SETTINGS_REJECTED, {branch, revision, faults});
+  }
+
   private buildHeartbeat() {
     const {executorConfiguration} = this.options;
     const teams = executorConfiguration ? [executorConfiguration.team] : [];
     const executors = this.executorReports();
-    const service = {executors, interference: [], teams};
+    const interference = this.service?.interference() ?? [];
+    const service = {executors, interference, teams};
     return heartbeatRequest(this.context, service, this.sequence++);
   }
 
@@ -243,11 +274,18 @@
 function newService(
   options: AgentOptions,
   context: AgentContext,
+  stopper: AttemptStopper,
+  metrics: AgentMetrics,
 ): ServeRequests | undefined {
   const {executorConfiguration, executor} = options;
   if (!executorConfiguration || !executor) return undefined;
-  return new ServeRequests(context, executorConfiguration, executor, {
-    observe: () => undefined,
-    tailMillis: () => 0,
-  });
+  const {tailPolicy = new TailGuard()} = options;
+  const {service} = executorConfiguration;
+  return new ServeRequests(
+    context,
+    executorConfiguration,
+    executor,
+    new TailProtection(context, service, tailPolicy, stopper),
+    metrics,
+  );
 }
--- a/src/agent/commands/room_maker.ts
+++ b/src/agent/commands/room_maker.ts
@@ -1,6 +1,7 @@
 import {chooseDisplaced} from '../../decisions/eviction/displacement.js';
 import type {DisplacementCandidate} from '../../decisions/eviction/displacement.js';
 import {Events} from '../../observability/events.js';
+import {ResultCodes} from '../../observability/result_codes.js';
 import type {Resources} from '../../utilities/resources.js';
 import type {AgentContext} from '../agent_context.js';
 import {AttemptPhase} from '../attempt_table.js';
@@ -67,7 +68,8 @@
     const reason = `made room for urgent ${holder}`;
     const {logger} = this.context;
     logger.event(Events.TASK_EVICTED, {attempt: attempt.key, reason});
-    this.stopper.stop(attempt, evictionIntent(reason));
+    const code = ResultCodes.DISPLACED.number;
+    this.stopper.stop(attempt, evictionIntent(reason, code));
   }
 
   private candidates(): DisplacementCandidate[] {
--- a/src/agent/commands/serve_requests.ts
+++ b/src/agent/commands/serve_requests.ts
@@ -7,6 +7,7 @@
 import {ExecutorError} from '../../platform/platform_errors.js';
 import type {
   ExecutorReport,
+  InterferenceSample,
   ServeReply,
   ServeRequest,
 } from '../../protocol/generated/burdockmoor.js';
@@ -15,10 +16,12 @@
 import type {Timer} from '../../utilities/clock.js';
 import {isDrained, isFailureDomainOut} from '../agent_context.js';
 import type {AgentContext, ExecutorConfiguration} from '../agent_context.js';
+import type {AgentMetrics} from '../agent_metrics.js';
 import {ExecutorProbe} from '../executor_probe.js';
 import {executorReport} from '../queries/executor_report.js';
 import {RepeatedRequests} from '../repeated_requests.js';
 import {withReplyDeadline} from '../reply_deadline.js';
+import type {TailProtection} from '../tail_protection.js';
 
 /** When a caller refused for other reasons than a full queue may come back. */
 const RETRY_AFTER_MILLIS = 500;
@@ -30,12 +33,6 @@
   readonly settle: (reply: ServeReply) => void;
 }
 
-/** What the agent does with the answer times of its executor. */
-export interface AnswerTimes {
-  observe(answerMillis: number, now: number): void;
-  tailMillis(now: number): number;
-}
-
 /** Runs service requests on the executor, as its slots become free. */
 export class ServeRequests {
   private readonly queue: SlotQueue<Admitted>;
@@ -48,7 +45,8 @@
     private readonly context: AgentContext,
     private readonly configuration: ExecutorConfiguration,
     private readonly executor: Executor,
-    private readonly answerTimes: AnswerTimes,
+    private readonly protection: TailProtection,
+    private readonly metrics: AgentMetrics,
   ) {
     const {clock, logger} = context;
     this.queue = new SlotQueue(configuration);
@@ -64,7 +62,7 @@
     return executorReport(this.configuration, this.queue, {
       draining: this.isDraining(),
       unavailable: this.probe.isUnavailable,
-      tailMillis: this.answerTimes.tailMillis(this.context.clock.now()),
+      tailMillis: this.protection.tailMillis(this.context.clock.now()),
     });
   }
 
@@ -75,6 +73,12 @@
 
   tick(now: number): void {
     this.probe.tick(now);
+    this.protection.tick(now);
+  }
+
+  /** How kinds of tasks were seen to slow the service down. */
+  interference(): InterferenceSample[] {
+    return this.protection.samples();
   }
 
   execute(request: ServeRequest): Promise<ServeReply> {
@@ -132,7 +136,10 @@
     const now = clock.now();
     const {run, expired} = this.queue.release(item.id, now - startedAt, now);
     if (reply.outcome !== ServeOutcome.NOT_RUN) {
-      this.answerTimes.observe(now - arrivedAt, now);
+      const answerMillis = now - arrivedAt;
+      const serviceMillis = now - startedAt;
+      this.protection.observe({answerMillis, serviceMillis}, now);
+      this.metrics.answerTimes.record(answerMillis);
     }
     settle({...reply, executor: this.report()});
     this.settleExpired(expired);
@@ -197,6 +204,7 @@
     reason: string,
     retryAfterMillis: number,
   ): ServeReply {
+    this.metrics.requestsNotRun.increment();
     const outcome = ServeOutcome.NOT_RUN;
     return this.unanswered(request, outcome, code, reason, retryAfterMillis);
   }
--- a/src/agent/commands/start_attempts.ts
+++ b/src/agent/commands/start_attempts.ts
@@ -11,6 +11,7 @@
 import {NO_RESOURCES} from '../../utilities/resources.js';
 import type {Resources} from '../../utilities/resources.js';
 import type {AgentContext} from '../agent_context.js';
+import type {AgentMetrics} from '../agent_metrics.js';
 import type {AttemptStarter} from './attempt_starter.js';
 import type {HeartbeatSender} from '../heartbeat_sender.js';
 import {
@@ -36,6 +37,7 @@
     private readonly context: AgentContext,
     private readonly heartbeats: HeartbeatSender,
     private readonly starter: AttemptStarter,
+    private readonly metrics: AgentMetrics,
   ) {}
 
   async execute(request: StartAttemptsRequest): Promise<StartAttemptsReply> {
@@ -64,7 +66,11 @@
       checkClosed(this.context, start.name) ??
       checkVm(this.context, request) ??
       (await this.starter.start(request, start));
-    if (!refusal) return accepted(start.name);
+    if (!refusal) {
+      this.metrics.startsAccepted.increment();
+      return accepted(start.name);
+    }
+    this.metrics.startsRefused.increment();
     this.noteRefusal(start, refusal);
     return {
       name: start.name,
--- a/src/agent/lease_keeper.ts
+++ b/src/agent/lease_keeper.ts
@@ -11,8 +11,8 @@
 /** Share of a lease that may pass before the worker is told of a later end. */
 const RENEW_AFTER_SHARE = 0.3;
 
-/** Time before the end of a lease that is left for a last checkpoint. */
-const LAST_CHECKPOINT_MILLIS = 1_500;
+/** Share of a lease, at its end, that is left for a last checkpoint. */
+const LAST_CHECKPOINT_SHARE = 0.15;
 
 const RENEW_DEADLINE_MILLIS = 1_000;
 
@@ -46,11 +46,15 @@
   }
 
   private stopLapsed(now: number): void {
+    const {taskLeaseMillis} = this.context.settings.fleet;
+    const marginMillis = LAST_CHECKPOINT_SHARE * taskLeaseMillis;
     for (const attempt of this.context.attempts.live()) {
-      if (now < this.lapsesAt(attempt) - LAST_CHECKPOINT_MILLIS) continue;
+      if (now < this.lapsesAt(attempt) - marginMillis) continue;
       if (now >= this.lapsesAt(attempt)) attempt.lapsed = true;
       if (attempt.stopIntent) continue;
-      this.context.logger.event(Events.TASK_LEASE_LAPSED, {attempt: attempt.key});
+      this.context.logger.event(Events.TASK_LEASE_LAPSED, {
+        attempt: attempt.key,
+      });
       const reason = 'the lease of the task lapsed';
       const code = ResultCodes.LEASE_LAPSED.number;
       this.stopper.stop(attempt, evictionIntent(reason, code));
--- a/src/agent/start_checks.ts
+++ b/src/agent/start_checks.ts
@@ -16,8 +16,8 @@
 /** How long a closed attempt is remembered: no start is obeyed that long. */
 export const KEEP_CLOSED_MILLIS = 4 * START_VALID_MILLIS;
 
-/** A start needs a lease that runs at least so much longer. */
-export const LEAST_LEASE_MILLIS = 2_500;
+/** Share of a lease that must be left for a start. */
+const LEAST_LEASE_SHARE = 0.3;
 
 /** Why a start was refused: it did not run and will not. */
 export interface Refusal {
@@ -108,7 +108,8 @@
   shard: number,
 ): Refusal | undefined {
   const leftMillis = context.leases.endsAt(shard) - context.clock.now();
-  if (leftMillis >= LEAST_LEASE_MILLIS) return undefined;
+  const {taskLeaseMillis} = context.settings.fleet;
+  if (leftMillis >= LEAST_LEASE_SHARE * taskLeaseMillis) return undefined;
   return refuse(ResultCodes.NO_LEASE, `no lease on shard ${shard}`);
 }
 
--- a/src/agent/worker_monitor.ts
+++ b/src/agent/worker_monitor.ts
@@ -1,3 +1,4 @@
+import {LEAST_SHARE} from '../decisions/eviction/share_allocation.js';
 import {ResultCodes} from '../observability/result_codes.js';
 import {WorkerTaskState} from '../platform/worker.js';
 import type {WorkerStatus, WorkerTask} from '../platform/worker.js';
@@ -142,7 +143,8 @@
       missing: false,
       lapsed: false,
       stopIntent: undefined,
-      throttledShare: 1,
+      // The share isn't known: the least lets the tail policy raise it.
+      throttledShare: task.throttled ? LEAST_SHARE : 1,
       checkpoint: task.checkpoint,
       checkpointedAt: now,
       ranMillis: task.ranMillis,
--- /dev/null
+++ b/src/decisions/eviction/tail_guard.ts
@@ -0,0 +1,220 @@
+import {AnswerWindow} from './answer_window.js';
+import {InterferenceEstimator} from './interference_estimator.js';
+import type {ServiceTimes} from './interference_estimator.js';
+import {allocateShares, LEAST_SHARE, nextShare} from './share_allocation.js';
+import type {WeighedTask} from './share_allocation.js';
+import {SlowdownBudget} from './slowdown_budget.js';
+import {GuardActionType} from './tail_policy.js';
+import type {
+  GuardAction,
+  GuardedTask,
+  GuardView,
+  KindSlowdown,
+  ServiceAnswer,
+  TailPolicy,
+} from './tail_policy.js';
+
+/** Part of its deviation by which an effect is taken to be larger. */
+const CAUTION = 0.5;
+
+/** A task's share grows by one step at most in this time. */
+const RAISE_PERIOD_MILLIS = 1_000;
+
+/** A target missed for so long although all is throttled leads to eviction. */
+const EVICT_AFTER_MILLIS = 6_000;
+
+/** A checkpoint this recent need not be taken again before an eviction. */
+const RECENT_CHECKPOINT_MILLIS = 5_000;
+
+const EVICTION_PAUSE_MILLIS = 5_000;
+const LEAST_SERVICE_MILLIS = 0.01;
+
+/**
+ * Protects a service's tail: keeps the slowdown that its neighbours are known
+ * to cause within a budget, which follows the measured tail. Tasks are
+ * throttled first; while that is not enough, the one that does most harm is
+ * checkpointed and then evicted.
+ */
+export class TailGuard implements TailPolicy {
+  private readonly window = new AnswerWindow();
+  private readonly estimator = new InterferenceEstimator();
+  private readonly budget = new SlowdownBudget();
+  private readonly raisedAt = new Map<string, number>();
+  private readonly loadPerTask = new Map<string, number>();
+  private sumOfLogs = 0;
+  private sumOfSquares = 0;
+  private answers = 0;
+  private loads = new Map<string, number>();
+  private decidedAt: number | undefined;
+  private evictedAt = -Infinity;
+
+  observe({answerMillis, serviceMillis}: ServiceAnswer, now: number): void {
+    this.window.observe(answerMillis, now);
+    const log = Math.log(Math.max(serviceMillis, LEAST_SERVICE_MILLIS));
+    this.sumOfLogs += log;
+    this.sumOfSquares += log * log;
+    this.answers += 1;
+  }
+
+  tailMillis(now: number): number {
+    return this.window.tailMillis(now);
+  }
+
+  slowdowns(): KindSlowdown[] {
+    const slowdowns: KindSlowdown[] = [];
+    for (const [kind, load] of this.loadPerTask) {
+      const slowdown = Math.exp(this.estimator.effect(kind) * load);
+      slowdowns.push({kind, slowdown});
+    }
+    return slowdowns;
+  }
+
+  decide(view: GuardView, now: number): GuardAction[] {
+    this.learn(view, now);
+    const tasks = this.weigh(view);
+    const slowdown = slowdownOf(tasks);
+    const {targetMillis} = view;
+    const tailMillis = this.window.tailMillis(now);
+    this.budget.update({tailMillis, targetMillis, slowdown}, now);
+    const actions = this.share(tasks, now);
+    const evictions = this.evict(tasks, now);
+    const changed = withShares(view.tasks, actions);
+    this.loads = loadsOf({...view, tasks: changed});
+    this.forgetGone(view.tasks);
+    return [...actions, ...evictions];
+  }
+
+  private learn(view: GuardView, now: number): void {
+    const loads = loadsOf(view);
+    const elapsedMillis = now - (this.decidedAt ?? now);
+    this.decidedAt = now;
+    for (const task of view.tasks) {
+      const load = task.milliprocessors / view.milliprocessors;
+      this.loadPerTask.set(task.kind, load);
+    }
+    const period = {first: this.loads, last: loads};
+    this.estimator.observe(this.takeServiceTimes(), period, elapsedMillis);
+  }
+
+  /** What was observed since the last call. */
+  private takeServiceTimes(): ServiceTimes {
+    const count = this.answers;
+    const divisor = Math.max(1, count);
+    const meanLog = this.sumOfLogs / divisor;
+    const varianceOfLog = this.sumOfSquares / divisor - meanLog * meanLog;
+    this.sumOfLogs = 0;
+    this.sumOfSquares = 0;
+    this.answers = 0;
+    return {count, meanLog, varianceOfLog};
+  }
+
+  private weigh(view: GuardView): WeighedTask[] {
+    const weighed: WeighedTask[] = [];
+    for (const task of view.tasks) {
+      const load = task.milliprocessors / view.milliprocessors;
+      const {kind} = task;
+      const caution = CAUTION * this.estimator.deviation(kind);
+      const effect = this.estimator.effect(kind) + caution;
+      weighed.push({task, effect, fullSlowdown: effect * load});
+    }
+    return weighed;
+  }
+
+  private share(tasks: readonly WeighedTask[], now: number): GuardAction[] {
+    const shares = allocateShares(tasks, this.budget.slowdown);
+    const actions: GuardAction[] = [];
+    for (const {task} of tasks) {
+      const wanted = shares.get(task.key) ?? 1;
+      if (wanted < task.share) {
+        this.raisedAt.set(task.key, now);
+        actions.push(throttle(task, wanted, 'the service needs its answers'));
+        continue;
+      }
+      if (wanted === task.share || !this.mayRaise(task, now)) continue;
+      this.raisedAt.set(task.key, now);
+      const raised = Math.min(wanted, nextShare(task.share));
+      actions.push(throttle(task, raised, 'the service meets its target'));
+    }
+    return actions;
+  }
+
+  private mayRaise(task: GuardedTask, now: number): boolean {
+    const raisedAt = this.raisedAt.get(task.key) ?? -Infinity;
+    return now - raisedAt >= RAISE_PERIOD_MILLIS;
+  }
+
+  /** Checkpoints, then evicts, the most harmful task, one at a time. */
+  private evict(tasks: readonly WeighedTask[], now: number): GuardAction[] {
+    if (this.budget.missedMillis(now) < EVICT_AFTER_MILLIS) return [];
+    if (now - this.evictedAt < EVICTION_PAUSE_MILLIS) return [];
+    const worst = mostHarmful(tasks);
+    if (!worst) return [];
+    const {key, lostMillis} = worst.task;
+    const reason = 'throttling was not enough for the service';
+    if (lostMillis > RECENT_CHECKPOINT_MILLIS) {
+      return [{type: GuardActionType.CHECKPOINT, key, reason}];
+    }
+    this.evictedAt = now;
+    return [{type: GuardActionType.EVICT, key, reason}];
+  }
+
+  private forgetGone(tasks: readonly GuardedTask[]): void {
+    if (this.raisedAt.size <= 2 * tasks.length) return;
+    const keys = new Set(tasks.map(task => task.key));
+    for (const key of this.raisedAt.keys()) {
+      if (!keys.has(key)) this.raisedAt.delete(key);
+    }
+  }
+}
+
+function throttle(
+  {key}: GuardedTask,
+  share: number,
+  reason: string,
+): GuardAction {
+  return {type: GuardActionType.THROTTLE, key, share, reason};
+}
+
+/** Of the fully throttled tasks that may go, the one that still harms most. */
+function mostHarmful(tasks: readonly WeighedTask[]): WeighedTask | undefined {
+  let worst: WeighedTask | undefined;
+  for (const weighed of tasks) {
+    const {task, fullSlowdown} = weighed;
+    if (!task.evictable || task.urgent || task.share > LEAST_SHARE) continue;
+    if (!worst || fullSlowdown > worst.fullSlowdown) worst = weighed;
+  }
+  return worst;
+}
+
+/** What the tasks are taken to add to the logarithm of service times. */
+function slowdownOf(tasks: readonly WeighedTask[]): number {
+  let slowdown = 0;
+  for (const {task, fullSlowdown} of tasks) {
+    slowdown += task.share * fullSlowdown;
+  }
+  return slowdown;
+}
+
+function loadsOf(view: GuardView): Map<string, number> {
+  const loads = new Map<string, number>();
+  for (const {kind, milliprocessors, share} of view.tasks) {
+    const load = (share * milliprocessors) / view.milliprocessors;
+    loads.set(kind, (loads.get(kind) ?? 0) + load);
+  }
+  return loads;
+}
+
+function withShares(
+  tasks: readonly GuardedTask[],
+  actions: readonly GuardAction[],
+): GuardedTask[] {
+  const shares = new Map<string, number>();
+  for (const action of actions) {
+    if (action.type !== GuardActionType.THROTTLE) continue;
+    shares.set(action.key, action.share);
+  }
+  return tasks.map(task => ({
+    ...task,
+    share: shares.get(task.key) ?? task.share,
+  }));
+}
--- a/src/observability/result_codes.ts
+++ b/src/observability/result_codes.ts
@@ -160,6 +160,18 @@
     'Refused: the agent holds no lease from the owner of the shard.',
   ),
   JOB_OPEN: code(316, 'JOB_OPEN', 409, 'The job has not ended yet.'),
+  TAIL_PROTECTED: code(
+    317,
+    'TAIL_PROTECTED',
+    409,
+    'The task was evicted because a service missed its tail target.',
+  ),
+  DISPLACED: code(
+    318,
+    'DISPLACED',
+    409,
+    'The task was evicted to make room for an urgent one.',
+  ),
   // 4xx: settings.
   SETTINGS_INVALID: code(
     400,
