--- a/src/agent/agent_process.ts
+++ b/src/agent/agent_process.ts
@@ -23,6 +23,7 @@
 import type {SettingsDocument} from '../settings/settings_types.js';
 import type {Clock} from '../utilities/clock.js';
 import type {Random} from '../utilities/random.js';
+import {AgentAlarms} from './agent_alarms.js';
 import {EXECUTOR_HOLDER} from './agent_context.js';
 import type {
   AgentContext,
@@ -93,6 +94,7 @@
   private readonly starter: AttemptStarter;
   private readonly starts: StartAttempts;
   private readonly service: ServeRequests | undefined;
+  private readonly alarms: AgentAlarms;
   private sequence = 0;
 
   constructor(private readonly options: AgentOptions) {
@@ -106,6 +108,7 @@
     this.heartbeats = new HeartbeatSender(context, this.directory, () =>
       this.buildHeartbeat(),
     );
+    this.alarms = new AgentAlarms(context, this.directory);
     this.closer = new AttemptCloser(context);
     this.stopper = new AttemptStopper(context, this.closer);
     this.monitor = new WorkerMonitor(context, this.closer);
@@ -202,6 +205,7 @@
     this.service?.tick(now);
     this.reports.tick(now);
     this.heartbeats.tick(now);
+    this.alarms.tick(now);
   }
 
   private takeInReply(reply: HeartbeatReply, sentAt: number): void {
--- a/src/agent/closed_attempts.ts
+++ b/src/agent/closed_attempts.ts
@@ -23,6 +23,11 @@
     return this.marks.has(key);
   }
 
+  /** When the attempt was closed; undefined when that isn't known any more. */
+  closedAt(key: string): number | undefined {
+    return this.marks.get(key);
+  }
+
   private dropOld(now: number): void {
     for (const [key, markedAt] of this.marks) {
       if (now - markedAt <= this.keepMillis) return;
--- a/src/agent/entry_directory.ts
+++ b/src/agent/entry_directory.ts
@@ -48,6 +48,13 @@
     return undefined;
   }
 
+  isAnyHeard(now: number, withinMillis: number): boolean {
+    for (const channel of this.channels.values()) {
+      if (channel.isHeard(now, withinMillis)) return true;
+    }
+    return false;
+  }
+
   /** The addresses of the entries in use. */
   addresses(): string[] {
     return [...this.channels.keys()];
--- a/src/agent/worker_monitor.ts
+++ b/src/agent/worker_monitor.ts
@@ -15,6 +15,9 @@
 import {parseWorkerTaskId} from './worker_task_id.js';
 
 const STATUS_PERIOD_MILLIS = 500;
+
+/** Time between two answers for each task in them, to bound their bytes. */
+const STATUS_PERIOD_PER_TASK_MILLIS = 50;
 const STATUS_DEADLINE_MILLIS = 2_000;
 
 /** What the worker's clock may be off within one lease. */
@@ -46,7 +49,9 @@
   tick(now: number): void {
     this.giveUpAttemptsOfSilentWorker(now);
     if (this.asking || now < this.nextPollAt) return;
-    this.nextPollAt = now + STATUS_PERIOD_MILLIS;
+    const tasks = this.context.workerStatus?.tasks.length ?? 0;
+    const periodMillis = tasks * STATUS_PERIOD_PER_TASK_MILLIS;
+    this.nextPollAt = now + Math.max(STATUS_PERIOD_MILLIS, periodMillis);
     void this.poll(now);
   }
 
@@ -87,7 +92,8 @@
     const present = new Set<string>();
     for (const task of status.tasks) {
       present.add(task.id);
-      this.takeInTask(task, now);
+      if (this.isOver(task, askedAt)) this.stopUnexplained(task);
+      else this.takeInTask(task, now);
     }
     this.takeInAbsence(present, status, askedAt, now);
     this.releaseForeignTasks(status);
@@ -99,6 +105,26 @@
     this.context.logger.event(Events.WORKER_BACK, {adopted});
   }
 
+  /** Whether the task runs although the agent has closed its attempt. */
+  private isOver(task: WorkerTask, askedAt: number): boolean {
+    if (task.state !== WorkerTaskState.RUNNING) return false;
+    const identity = parseWorkerTaskId(task.id);
+    if (!identity) return false;
+    const key = attemptKey(identity.name);
+    const closedAt = this.context.closed.closedAt(key);
+    return closedAt !== undefined && closedAt < askedAt;
+  }
+
+  /** Nothing may go on that was reported as ended. */
+  private stopUnexplained(task: WorkerTask): void {
+    const {logger, worker} = this.context;
+    if (!this.foreignTasks.has(task.id)) {
+      logger.event(Events.TASK_UNKNOWN_STOPPED, {task: task.id});
+    }
+    this.countForeignTask(task);
+    worker.stop(task.id).catch(() => undefined);
+  }
+
   private takeInTask(task: WorkerTask, now: number): void {
     const attempt =
       this.context.attempts.getByTaskId(task.id) ?? this.adopt(task, now);
--- a/tests/agent/leases.test.ts
+++ b/tests/agent/leases.test.ts
@@ -1,7 +1,12 @@
 import test from 'ava';
 import {AttemptOutcome} from '../../src/decisions/job_types.js';
 import {ResultCodes} from '../../src/observability/result_codes.js';
-import {AgentFixture, nameOf, VM_SIZE} from './fixtures/agent_fixture.js';
+import {
+  AgentFixture,
+  nameOf,
+  TASK_SIZE,
+  VM_SIZE,
+} from './fixtures/agent_fixture.js';
 import {LEASE_MILLIS} from './fixtures/fake_entry.js';
 
 test('should keep a task alive for as long as its owner answers', async t => {
@@ -153,3 +158,18 @@
   await fixture.pass(2_000);
   t.is(fixture.entry.reports[0].outcome, AttemptOutcome.CANCELLED);
 });
+
+test('should stop a task that runs although it was reported as ended', async t => {
+  const fixture = new AgentFixture();
+  await fixture.begin();
+  const query = {shard: 1, epoch: 5, names: [nameOf(1)]};
+  await fixture.agent.queryAttempts(query);
+  await fixture.worker.start({
+    ...fixture.startRequest(1).starts[0],
+    id: '1.e/depot/route-build/1/1',
+    size: TASK_SIZE,
+    leaseExpiresAt: Infinity,
+  });
+  await fixture.pass(2_000);
+  t.deepEqual(fixture.worker.running(), []);
+});
