--- a/import_rules.js
+++ b/import_rules.js
@@ -47,7 +47,14 @@
       'decisions',
       'platform',
     ],
-    packages: ['most', 'node:crypto', 'node:http', 'node:https', 'node:net', 'node:fs'],
+    packages: [
+      'most',
+      'node:crypto',
+      'node:http',
+      'node:https',
+      'node:net',
+      'node:fs',
+    ],
   },
   daemon: {
     folders: [
--- a/src/agent/entry_channel.ts
+++ b/src/agent/entry_channel.ts
@@ -104,7 +104,10 @@
     if (!this.reportedSilent) {
       this.reportedSilent = true;
       const {address} = this;
-      this.options.logger.event(Events.ENTRY_CONNECTION_SILENT, {address, reason});
+      this.options.logger.event(Events.ENTRY_CONNECTION_SILENT, {
+        address,
+        reason,
+      });
     }
     link.close('two heartbeats brought no reply');
     this.currentLink = this.options.links.openEntry(this.address);
--- a/src/agent/lease_keeper.ts
+++ b/src/agent/lease_keeper.ts
@@ -50,7 +50,9 @@
       if (now < this.lapsesAt(attempt) - LAST_CHECKPOINT_MILLIS) continue;
       if (now >= this.lapsesAt(attempt)) attempt.lapsed = true;
       if (attempt.stopIntent) continue;
-      this.context.logger.event(Events.TASK_LEASE_LAPSED, {attempt: attempt.key});
+      this.context.logger.event(Events.TASK_LEASE_LAPSED, {
+        attempt: attempt.key,
+      });
       const reason = 'the lease of the task lapsed';
       const code = ResultCodes.LEASE_LAPSED.number;
       this.stopper.stop(attempt, evictionIntent(reason, code));
--- a/tests/platform/http_store.test.ts
+++ b/tests/platform/http_store.test.ts
@@ -44,7 +44,10 @@
     rest.values.map(value => value.key),
     ['a/2'],
   );
-  t.true((await store.compareAndDelete('a/1', first.revision)).succeeded);
+  await store.compareAndSwap('a/1', first.revision, 'newer');
+  const newest = await store.newest('a/');
+  t.is(newest?.value, 'newer');
+  t.true((await store.compareAndDelete('a/1', newest!.revision)).succeeded);
   await store.deleteRange('a/', 'a0');
   t.is(await store.get('a/2'), undefined);
   t.is((await store.get('b/1'))?.value, 'outside');
--- a/tests/stand_ins/store_stand_in.ts
+++ b/tests/stand_ins/store_stand_in.ts
@@ -36,6 +36,8 @@
   readonly key: string;
   readonly range_end?: string;
   readonly limit?: string;
+  readonly sort_order?: string;
+  readonly sort_target?: string;
 }
 
 interface TransactionRequest {
@@ -181,6 +183,7 @@
     const one = this.table.get(first);
     const single = one ? [one] : [];
     const all = request.range_end ? this.table.range(first, end) : single;
+    if (isNewestFirst(request)) all.sort((a, b) => b.revision - a.revision);
     const limit = Number(request.limit ?? 0) || Infinity;
     const kvs = all.slice(0, limit).map(found => ({
       key: encodeText(found.key),
@@ -270,6 +273,10 @@
   return Buffer.from(encoded, 'base64').toString();
 }
 
+function isNewestFirst(request: RangeRequest): boolean {
+  return request.sort_order === 'DESCEND' && request.sort_target === 'MOD';
+}
+
 /** An end of a single zero byte means that there is none. */
 function readRange(request: RangeRequest): {first: string; end?: string} {
   const end = decode(request.range_end ?? '');
