--- a/tests/history/observed_settings.ts
+++ b/tests/history/observed_settings.ts
@@ -1,6 +1,9 @@
 import type {AgentSettings} from '../../src/agent/agent_context.js';
 import type {SettingsDocument} from '../../src/settings/settings_types.js';
-import type {SettingsView} from '../../src/settings/settings_view.js';
+import type {
+  ApplyResult,
+  SettingsView,
+} from '../../src/settings/settings_view.js';
 import type {History} from './history.js';
 import type {ProcessClock} from './process_clock.js';
 
@@ -30,7 +33,7 @@
     return this.view.service(name);
   }
 
-  apply(document: SettingsDocument): unknown {
+  apply(document: SettingsDocument): ApplyResult {
     return this.view.apply(document);
   }
 
