Let entries hear that an agent stops before it is gone

Cause, seen with two entries and three agents as processes: an idle agent ended 3 ms after SIGTERM, before its last heartbeat had left, so that an entry logged UPSTREAM_LOST for a planned stop and went on choosing the agent for 5 s.

An agent logged PROCESS_STOPPED twice.

--- a/src/agent/agent_process.ts
+++ b/src/agent/agent_process.ts
@@ -156,7 +156,6 @@
     await shutdown.execute(reason, shutdownDeadlineMillis);
     this.loop.stop();
     this.directory.close(reason);
-    logger.event(Events.PROCESS_STOPPED, {reason});
   }
 
   /** Ends the process at once, without any announcement. */
--- a/src/agent/commands/graceful_shutdown.ts
+++ b/src/agent/commands/graceful_shutdown.ts
@@ -26,7 +26,7 @@
     const endsAt = this.context.clock.now() + deadlineMillis;
     this.context.stopping = true;
     this.service?.drain();
-    void this.heartbeats.beatAll();
+    const announced = this.heartbeats.beatAll();
     for (const attempt of this.context.attempts.live()) {
       if (!attempt.evictable) continue;
       this.stopper.stop(attempt, evictionIntent(`the agent stops: ${reason}`));
@@ -34,6 +34,7 @@
     while (!this.isDone() && this.context.clock.now() < endsAt) {
       await this.pause();
     }
+    await announced;
   }
 
   private isDone(): boolean {
--- a/src/observability/events.ts
+++ b/src/observability/events.ts
@@ -164,6 +164,8 @@
     'A shard could not be released in the store; its lease has to lapse.',
   ),
   // 4xxx: agents.
+  ENTRIES_FOUND: event(4000, 'info', 'The agent hears from an entry.'),
+  ENTRIES_LOST: event(4001, 'error', 'No entry answers the agent.'),
   TASK_STARTED: event(4002, 'debug', 'The worker started a task attempt.'),
   TASK_ENDED: event(4003, 'debug', 'A task attempt has ended.'),
   TASK_START_REFUSED: event(
@@ -206,12 +208,32 @@
     'info',
     'The worker answers again and its tasks are known.',
   ),
+  TASK_UNKNOWN_STOPPED: event(
+    4012,
+    'warn',
+    'The worker ran a task that no record explains; it was stopped.',
+  ),
   EXECUTOR_LOST: event(
     4013,
     'error',
     "The executor can't be reached; the VM takes no service requests.",
   ),
   EXECUTOR_BACK: event(4014, 'info', 'The executor can be reached again.'),
+  SETTINGS_STALE: event(
+    4016,
+    'warn',
+    'The settings have not been confirmed lately; no task starts here.',
+  ),
+  SETTINGS_FRESH: event(
+    4017,
+    'info',
+    'The settings are confirmed again; tasks may start.',
+  ),
+  VM_OVERCOMMITTED: event(
+    4018,
+    'error',
+    "The worker runs more than the VM's size; nothing starts until that ends.",
+  ),
   TAIL_TARGET_MISSED: event(
     4020,
     'warn',
--- a/tests/observability/catalogues.test.ts
+++ b/tests/observability/catalogues.test.ts
@@ -1,3 +1,5 @@
+import {readFileSync, readdirSync} from 'node:fs';
+import {join} from 'node:path';
 import test from 'ava';
 import {EventLevel, Events} from '../../src/observability/events.js';
 import {ResultCodes} from '../../src/observability/result_codes.js';
@@ -22,3 +24,18 @@
   t.true(codes.every(([name, code]) => name === code.name));
   t.true(codes.every(([, code]) => code.httpStatus >= 400));
 });
+
+test('should list only events that some code logs', t => {
+  const files = readdirSync('src', {recursive: true, encoding: 'utf8'});
+  const logged = new Set<string>();
+  for (const file of files) {
+    if (!file.endsWith('.ts') || file === join('observability', 'events.ts'))
+      continue;
+    const code = readFileSync(join('src', file), 'utf8');
+    for (const [, name] of code.matchAll(/\bEvents\.([A-Z_]+)/g)) {
+      logged.add(name);
+    }
+  }
+  const silent = Object.keys(Events).filter(name => !logged.has(name));
+  t.deepEqual(silent, []);
+});
