Leave out processes that shut down when settings are waited for

Cause, seen on a fleet of processes: after a planned stop of an entry or agent "settings status" listed it for 30 s, so that any "--wait" in that time could end with status 9 and its name. Silent VMs were shown as open, and an unknown 99th percentile as 0 ms. Log lines now begin with time, level and number, which also no field can replace.

--- a/src/cli/service_commands.ts
+++ b/src/cli/service_commands.ts
@@ -28,7 +28,7 @@
         upstream.failureDomain,
         `${upstream.inFlight} of ${upstream.slots}`,
         upstream.queued,
-        `${Math.round(upstream.tailMillis)} ms`,
+        tailText(upstream),
         stateOf(upstream),
       ]),
     );
@@ -128,6 +128,11 @@
   throw toolError(ExitCodes.UNSUCCESSFUL, message);
 }
 
+/** The 99th percentile of answer times; a hyphen while it is unknown. */
+function tailText({tailMillis}: Upstream): string {
+  return tailMillis > 0 ? `${Math.round(tailMillis)} ms` : '-';
+}
+
 function stateOf(upstream: Upstream): string {
   if (upstream.draining) return 'draining';
   return upstream.unavailable ? 'unavailable' : 'open';
--- a/src/cli/vm_commands.ts
+++ b/src/cli/vm_commands.ts
@@ -9,6 +9,8 @@
 
 const PATH = '/v1/vms';
 const MILLIPROCESSORS_PER_PROCESSOR = 1000;
+/** Several heartbeats are missing. */
+const SILENT_AFTER_MILLIS = 5000;
 
 export const drainVm = changeOfVm(
   'drain',
@@ -90,6 +92,7 @@
 
 function stateOf(vm: Vm): string {
   if (vm.stopping) return 'stopping';
+  if (vm.silentMillis > SILENT_AFTER_MILLIS) return 'silent';
   if (vm.drained) return 'drained';
   return vm.recovering ? 'recovering' : 'open';
 }
--- a/src/entry/entry_process.ts
+++ b/src/entry/entry_process.ts
@@ -156,7 +156,12 @@
       logger,
       () => this.applySettings(),
     );
-    this.statuses = new ProcessStatuses(entryId, this.settings, this.agents);
+    this.statuses = new ProcessStatuses(
+      entryId,
+      this.settings,
+      this.agents,
+      peer => this.roster.find(peer)?.stopping === false,
+    );
     this.peers = new PeerExchange({
       entryId,
       roster: this.roster,
--- a/src/entry/membership/process_statuses.ts
+++ b/src/entry/membership/process_statuses.ts
@@ -1,7 +1,7 @@
 import type {SettingsView} from '../../settings/settings_view.js';
 import type {AgentDirectory} from '../agents/agent_directory.js';
 
-/** A process silent for longer is left out: it is gone. */
+/** A process silent for longer is left out, as is one that shuts down. */
 const GONE_AFTER_MILLIS = 30_000;
 
 /** The settings that one process has in force. */
@@ -26,6 +26,8 @@
     private readonly entryId: string,
     private readonly settings: SettingsView,
     private readonly agents: AgentDirectory,
+    /** Whether an entry is registered and is not shutting down. */
+    private readonly isServing: (entryId: string) => boolean,
   ) {}
 
   notePeer(entryId: string, settingsRevision: number, now: number): void {
@@ -36,13 +38,13 @@
     const statuses: ProcessStatus[] = [this.ownStatus()];
     for (const [processId, peer] of this.peers) {
       const ageMillis = Math.round(now - peer.heardAt);
-      if (ageMillis > GONE_AFTER_MILLIS) continue;
+      if (ageMillis > GONE_AFTER_MILLIS || !this.isServing(processId)) continue;
       const {settingsRevision} = peer;
       statuses.push({processId, role: 'entry', settingsRevision, ageMillis});
     }
     for (const agent of this.agents.all()) {
       const ageMillis = Math.round(now - agent.heardAt);
-      if (ageMillis > GONE_AFTER_MILLIS) continue;
+      if (ageMillis > GONE_AFTER_MILLIS || agent.heartbeat.stopping) continue;
       statuses.push({
         processId: agent.agentId,
         role: 'agent',
--- a/src/observability/console_logger.ts
+++ b/src/observability/console_logger.ts
@@ -74,14 +74,15 @@
   event(type: EventType, fields: LogFields = {}): void {
     this.counts.set(type.number, (this.counts.get(type.number) ?? 0) + 1);
     if (LEVEL_ORDER[type.level] < this.lowestLevel) return;
-    const line: LogLine = {
-      ...fields,
+    const head = {
       time: new Date(this.wallTime()).toISOString(),
       level: type.level,
       event: type.number,
       name: eventName(type.number),
       process: this.processId,
     };
+    // First for their place in the line, last so that no field replaces them.
+    const line: LogLine = {...head, ...fields, ...head};
     this.console[type.level].raw(line);
   }
 
--- a/tests/observability/console_logger.test.ts
+++ b/tests/observability/console_logger.test.ts
@@ -19,7 +19,9 @@
     output,
     wallTime: () => 0,
   });
-  logger.event(Events.WORKER_LOST, {address: 'http://127.0.0.1:1'});
+  const fields = {address: 'http://127.0.0.1:1', process: 'not this one'};
+  logger.event(Events.WORKER_LOST, fields);
+  t.true(output.text.startsWith('{"time":"1970'));
   t.deepEqual(JSON.parse(output.text), {
     time: '1970-01-01T00:00:00.000Z',
     level: 'error',
