Expect the usual load of other entries once a report is old; sample hundreds

A report that is some milliseconds old says little about the requests that other entries sent since. The estimate now goes back to what they usually have there. Over 32 upstreams are drawn from, with their health, before the policy compares them.

--- a/bench/service/service_runner.ts
+++ b/bench/service/service_runner.ts
@@ -43,6 +43,8 @@
   readonly faults?: readonly Fault[];
   /** Runs the product on this load too, without the faults. */
   readonly referenceLoad?: number;
+  /** In place of the fleet's usual one. */
+  readonly deadlineMillis?: number;
   readonly ratios: readonly RatioRule[];
 }
 
@@ -60,13 +62,16 @@
 
 /** Runs all variants of one scenario on the same trace. */
 class ServiceRunner {
+  private readonly size: FleetSize;
   private readonly faults: readonly Fault[];
 
   constructor(
-    private readonly size: FleetSize,
+    fleet: FleetSize,
     private readonly options: ServiceScenarioOptions,
     private readonly seed: number,
   ) {
+    const {deadlineMillis = fleet.deadlineMillis} = options;
+    this.size = {...fleet, deadlineMillis};
     this.faults = options.faults ?? [];
   }
 
--- a/bench/service/service_scenarios.ts
+++ b/bench/service/service_scenarios.ts
@@ -18,6 +18,12 @@
   {figure: 'answered/s', against: BOUND},
 ];
 
+const overload: readonly RatioRule[] = [
+  {figure: 'answered/s', against: REFERENCE, atLeast: 0.95},
+  {figure: 'refused p99', atMost: 10},
+  {figure: 'refused max', atMost: 10},
+];
+
 function begins(apply: (target: FaultTarget) => void): Fault {
   return {atMillis: FAULT_BEGINS_MILLIS, apply};
 }
@@ -104,11 +110,16 @@
     durationMillis: FAULT_MILLIS,
     loadAt: () => 1.5,
     referenceLoad: 1,
-    ratios: [
-      {figure: 'answered/s', against: REFERENCE, atLeast: 0.95},
-      {figure: 'refused p99', atMost: 10},
-      {figure: 'refused max', atMost: 10},
-    ],
+    ratios: overload,
+  },
+  {
+    name: 'overload-150-tight',
+    description: '150% load as above, with a deadline of 150 ms',
+    durationMillis: FAULT_MILLIS,
+    loadAt: () => 1.5,
+    referenceLoad: 1,
+    deadlineMillis: 150,
+    ratios: overload,
   },
   {
     name: 'domain-out',
--- a/src/decisions/routing/least_expected_time_policy.ts
+++ b/src/decisions/routing/least_expected_time_policy.ts
@@ -1,9 +1,6 @@
 import type {Random} from '../../utilities/random.js';
 import type {RoutingPolicy, UpstreamView} from './routing_policy.js';
 
-/** Up to this many upstreams are all looked at; of more, a sample. */
-const MOST_COMPARED = 32;
-const SAMPLE_SIZE = 16;
 /** Stands in for a holding time that no upstream has reported yet. */
 const UNKNOWN_SERVICE_MILLIS = 10;
 /** Extra expected time of an upstream that should rather not be used. */
@@ -31,20 +28,7 @@
   }
 
   choose(candidates: readonly UpstreamView[], random: Random): UpstreamView {
-    if (candidates.length <= MOST_COMPARED) {
-      return this.least(candidates, random.below(candidates.length));
-    }
-    const sample: UpstreamView[] = [];
-    for (let index = 0; index < SAMPLE_SIZE; index++) {
-      sample.push(candidates[random.below(candidates.length)]);
-    }
-    return this.least(sample, 0);
-  }
-
-  private least(
-    candidates: readonly UpstreamView[],
-    offset: number,
-  ): UpstreamView {
+    const offset = random.below(candidates.length);
     const usualMillis = usualServiceMillis(candidates);
     let best = candidates[offset];
     let bestMillis = this.expectedMillis(best, usualMillis);
--- a/src/decisions/routing/service_router.ts
+++ b/src/decisions/routing/service_router.ts
@@ -112,7 +112,7 @@
   /** Takes in a report; the first one makes the upstream known. */
   applyReport(report: UpstreamReport, now: number): void {
     const service = this.serviceFor(report.service, now);
-    const known = service.upstreams.get(report.agentId);
+    const known = service.find(report.agentId);
     if (known && known.failureDomain === report.failureDomain) {
       known.applyReport(report, now);
       return;
@@ -121,7 +121,7 @@
     const roundTripMillis = isLocal
       ? LOCAL_ROUND_TRIP_MILLIS
       : this.crossingMillis;
-    const upstream = new UpstreamState(report, isLocal, roundTripMillis);
+    const upstream = new UpstreamState(report, isLocal, roundTripMillis, now);
     upstream.isAvoided = this.avoidedDomains.has(report.failureDomain);
     service.add(upstream, now);
   }
@@ -129,8 +129,8 @@
   /** Forgets an agent in all services; the dump shows the reason. */
   removeUpstream(agentId: string, reason: string, now: number): void {
     for (const [name, service] of this.byService) {
-      if (!service.upstreams.delete(agentId)) continue;
-      if (service.upstreams.size === 0) this.byService.delete(name);
+      if (!service.remove(agentId)) continue;
+      if (service.all().length === 0) this.byService.delete(name);
       this.removals.push({agentId, service: name, reason, removedAt: now});
     }
     this.removals.splice(0, this.removals.length - REMOVALS_KEPT);
@@ -140,7 +140,7 @@
   setAvoidedDomains(domains: ReadonlySet<string>): void {
     this.avoidedDomains = new Set(domains);
     for (const service of this.byService.values()) {
-      for (const upstream of service.upstreams.values()) {
+      for (const upstream of service.all()) {
         upstream.isAvoided = domains.has(upstream.failureDomain);
       }
     }
@@ -185,7 +185,7 @@
     now: number,
   ): void {
     const service = this.byService.get(serviceName);
-    const upstream = service?.upstreams.get(agentId);
+    const upstream = service?.find(agentId);
     if (!service || !upstream) return;
     if (outcome === 'unknown' || failed) {
       upstream.failed(now);
@@ -204,7 +204,7 @@
   /** How long to wait for an answer before a hedge; undefined: not at all. */
   hedgeDelayMillis(serviceName: string, now: number): number | undefined {
     const service = this.byService.get(serviceName);
-    if (!service || service.upstreams.size < 2) return undefined;
+    if (!service || service.all().length < 2) return undefined;
     if (!service.hasWellUpstream(now)) return undefined;
     const quantile = service.answerTimes.value();
     if (quantile === undefined) return undefined;
@@ -231,8 +231,7 @@
   dump(now: number): Record<string, unknown> {
     const services: Record<string, unknown> = {};
     for (const [name, service] of this.byService) {
-      const upstreams = [...service.upstreams.values()];
-      services[name] = upstreams.map(upstream => upstream.dump(now));
+      services[name] = service.all().map(upstream => upstream.dump(now));
     }
     return {
       policy: this.policy.name,
--- a/src/decisions/routing/service_upstreams.ts
+++ b/src/decisions/routing/service_upstreams.ts
@@ -4,6 +4,8 @@
 import {HealthState} from './upstream_health.js';
 import type {UpstreamState} from './upstream_state.js';
 
+/** Up to this many upstreams are all looked at; of more, a sample. */
+const MOST_COMPARED = 32;
 const HEDGE_QUANTILE = 0.95;
 /** All upstreams are new to an entry at first; later ones start slowly. */
 const ALL_NEW_MILLIS = 3000;
@@ -18,7 +20,9 @@
 
 /** All that an entry knows of one service. */
 export class ServiceUpstreams {
-  readonly upstreams = new Map<string, UpstreamState>();
+  private readonly upstreams = new Map<string, UpstreamState>();
+  /** The same, to draw from. */
+  private list: UpstreamState[] = [];
   readonly retryBudget: RetryBudget;
   readonly answerTimes = new QuantileTracker(HEDGE_QUANTILE);
 
@@ -44,11 +48,12 @@
     const unwell: UpstreamState[] = [];
     let open = 0;
     let probe: UpstreamState | undefined;
-    for (const upstream of this.upstreams.values()) {
+    for (const upstream of this.compared(random)) {
       if (!upstream.isOpen) continue;
       open++;
       const state = upstream.healthAt(now);
       if (excluded?.has(upstream.agentId)) continue;
+      upstream.refresh(now);
       if (state === HealthState.HEALTHY) {
         const share = upstream.health.slowStartShare(now);
         const takesPart = share >= 1 || random.unit() < share;
@@ -69,19 +74,45 @@
     const isNew = now - this.knownSince > ALL_NEW_MILLIS;
     if (isNew) upstream.health.returned(now);
     this.upstreams.set(upstream.agentId, upstream);
+    this.list = [...this.upstreams.values()];
+  }
+
+  /** False when the agent is not known. */
+  remove(agentId: string): boolean {
+    if (!this.upstreams.delete(agentId)) return false;
+    this.list = [...this.upstreams.values()];
+    return true;
+  }
+
+  find(agentId: string): UpstreamState | undefined {
+    return this.upstreams.get(agentId);
+  }
+
+  all(): readonly UpstreamState[] {
+    return this.list;
   }
 
   /** Whether some upstream that is well should have a free slot. */
   hasSpareSlot(now: number): boolean {
-    for (const upstream of this.upstreams.values()) {
+    for (const upstream of this.list) {
       if (!isWell(upstream, now)) continue;
       if (upstream.estimatedLoad < upstream.slots) return true;
     }
     return false;
   }
 
+  /** All upstreams while there are few, otherwise some drawn at random. */
+  private compared(random: Random): readonly UpstreamState[] {
+    if (this.list.length <= MOST_COMPARED) return this.list;
+    const drawn = new Set<UpstreamState>();
+    for (let draw = 0; draw < MOST_COMPARED; draw++) {
+      drawn.add(this.list[random.below(this.list.length)]);
+    }
+    return [...drawn];
+  }
+
   hasWellUpstream(now: number): boolean {
-    for (const upstream of this.upstreams.values()) {
+    for (const upstream of this.list) {
       if (isWell(upstream, now)) return true;
     }
     return false;
@@ -93,7 +124,7 @@
       const upstream = this.upstreams.get(agentId);
       return !upstream || !isWell(upstream, now);
     }
-    for (const upstream of this.upstreams.values()) {
+    for (const upstream of this.list) {
       if (!isWell(upstream, now)) return true;
     }
     return false;
--- a/src/decisions/routing/upstream_state.ts
+++ b/src/decisions/routing/upstream_state.ts
@@ -4,6 +4,11 @@
 
 /** Weight of the newest answer time in the smoothed one. */
 const ANSWER_SMOOTHING = 0.05;
+/** Weight of the newest report in the usual load of other entries. */
+const OTHERS_SMOOTHING = 0.05;
+/** A reported load of others goes back to the usual one in this time. */
+const OTHERS_HORIZON_SERVICE_TIMES = 0.3;
+const UNKNOWN_SERVICE_MILLIS = 10;
 
 /** One upstream of a service, as this entry sees it. */
 export class UpstreamState implements UpstreamView {
@@ -11,10 +16,12 @@
   isAvoided = false;
   ownInFlight = 0;
   private answerMillis = 0;
-  private loadReported = 0;
-  private reportedAt: number | undefined;
-  /** Own requests sent, less those ended, since the last report. */
-  private ownSinceReport = 0;
+  private reportedAt: number;
+  /** Requests of other entries in the last report. */
+  private othersReported = 0;
+  /** What other entries usually have there. */
+  private othersUsual = 0;
+  private othersExpected = 0;
   /** Send times of own requests that a report may not count yet. */
   private recentlySent: number[] = [];
 
@@ -23,8 +30,12 @@
     readonly isLocal: boolean,
     /** Round trip to the upstream, in milliseconds. */
     private readonly roundTripMillis: number,
+    now: number,
   ) {
-    this.loadReported = report.inFlight + report.queued;
+    this.reportedAt = now;
+    this.othersReported = report.inFlight + report.queued;
+    this.othersUsual = this.othersReported;
+    this.othersExpected = this.othersReported;
   }
 
   get agentId(): string {
@@ -44,8 +55,7 @@
   }
 
   get estimatedLoad(): number {
-    const load = this.loadReported + this.ownSinceReport;
-    return Math.max(load, this.ownInFlight);
+    return this.ownInFlight + this.othersExpected;
   }
 
   /** Whether it says that it can take requests. */
@@ -57,8 +67,12 @@
     const wasOpen = this.isOpen;
     this.report = report;
     this.reportedAt = now;
-    this.loadReported = report.inFlight + report.queued;
-    this.ownSinceReport = this.countUnreported(now);
+    const ownReported = this.ownInFlight - this.countUnreported(now);
+    const load = report.inFlight + report.queued;
+    this.othersReported = Math.max(0, load - ownReported);
+    this.othersExpected = this.othersReported;
+    this.othersUsual +=
+      OTHERS_SMOOTHING * (this.othersReported - this.othersUsual);
     this.health.heard(this.ownInFlight, now);
     if (!wasOpen && this.isOpen) this.health.returned(now);
   }
@@ -66,14 +80,14 @@
   /** Counts a request that goes to the upstream now. */
   sent(now: number): void {
     this.ownInFlight++;
-    this.ownSinceReport++;
+    this.dropReported(now);
     this.recentlySent.push(now);
     this.health.sent(now);
   }
 
   /** Counts an answer, or a true word that the request did not run. */
   answered(answerMillis: number, succeeded: boolean, now: number): void {
-    this.endOne(now);
+    this.endOne();
     this.health.heard(this.ownInFlight, now);
     if (!succeeded) return;
     this.health.succeeded(now);
@@ -83,7 +97,7 @@
 
   /** Counts a request whose outcome nobody knows. */
   failed(now: number): void {
-    this.endOne(now);
+    this.endOne();
     this.health.failed(now);
   }
 
@@ -91,6 +105,19 @@
     return this.health.stateAt(now, this.answerMillis, this.ownInFlight);
   }
 
+  /**
+   * Brings the estimate of the load up to date: the older the report, the more
+   * the usual load of other entries counts in place of the reported one.
+   */
+  refresh(now: number): void {
+    const ageMillis = now - this.reportedAt;
+    const serviceMillis = this.report.serviceMillis || UNKNOWN_SERVICE_MILLIS;
+    const horizonMillis = OTHERS_HORIZON_SERVICE_TIMES * serviceMillis;
+    const weight = Math.exp(-ageMillis / horizonMillis);
+    this.othersExpected =
+      this.othersUsual + weight * (this.othersReported - this.othersUsual);
+  }
+
   dump(now: number): Record<string, unknown> {
     return {
       ...this.report,
@@ -103,16 +130,18 @@
     };
   }
 
-  /** The report that came along with the answer counts it as ended. */
-  private endOne(now: number): void {
+  private endOne(): void {
     this.ownInFlight = Math.max(0, this.ownInFlight - 1);
-    if (this.reportedAt !== now) this.ownSinceReport--;
   }
 
   /** Own requests that were still on their way as the report left. */
   private countUnreported(now: number): number {
-    const earliest = now - this.roundTripMillis;
-    this.recentlySent = this.recentlySent.filter(time => time > earliest);
+    this.dropReported(now);
     return Math.min(this.recentlySent.length, this.ownInFlight);
   }
+
+  private dropReported(now: number): void {
+    const earliest = now - this.roundTripMillis;
+    while (this.recentlySent[0] <= earliest) this.recentlySent.shift();
+  }
 }
--- a/tests/routing/service_router.test.ts
+++ b/tests/routing/service_router.test.ts
@@ -150,6 +150,28 @@
   t.is(choose(router), 'QUEUE_FULL');
 });
 
+test('should expect the usual load of others once a report is old', t => {
+  const router = routerOf([report('a', {inFlight: 4}), report('b')]);
+  for (let now = 0; now < 2000; now += 10) {
+    router.applyReport(report('a', {inFlight: 4}), now);
+    router.applyReport(report('b', {inFlight: 2}), now);
+  }
+  router.applyReport(report('b', {inFlight: 8}), 2000);
+  t.is(choose(router, 2000), 'a');
+  t.is(choose(router, 2060), 'b');
+});
+
+test('should find an idle upstream among hundreds', t => {
+  const router = routerOf(
+    Array.from({length: 300}, (unused, index) =>
+      report(`${index}`, {inFlight: index % 8 === 0 ? 0 : 8, queued: 4}),
+    ),
+  );
+  for (let request = 0; request < 20; request++) {
+    t.is(Number(choose(router)) % 8, 0);
+  }
+});
+
 test('should hold retries and hedges together to a share of requests', t => {
   const router = routerOf([report('a'), report('b')], {retryBudgetShare: 0.1});
   let extra = 0;
