Count only a lasting excess of usage against a VM's room

Cause: traces of late urgent starts showed VMs without room for seconds after an eviction. Room was the least of what is not committed and what is not used, but usage is reported 5 s late, so each release stayed hidden that long. A smoothed excess of usage over what is committed now counts instead.

--- a/bench/batch/batch_metrics.ts
+++ b/bench/batch/batch_metrics.ts
@@ -1,6 +1,8 @@
 /** What one run came to. */
 export class BatchMetrics {
   finishedTasks = 0;
+  /** Tasks that failed more often than they may. */
+  failedTasks = 0;
   /** Processor work of finished attempts, in milliprocessor milliseconds. */
   finishedWork = 0;
   /** Processor work that was done and then thrown away. */
--- a/bench/batch/batch_simulation.ts
+++ b/bench/batch/batch_simulation.ts
@@ -104,6 +104,7 @@
     }
     clock.schedule(HEARTBEAT_MILLIS, () => this.sample());
     clock.runUntil(options.durationMillis);
+    for (const job of options.jobs) this.countFailed(job);
     return this.metrics;
   }
 
@@ -127,10 +128,17 @@
     }
   }
 
+  private countFailed(job: TracedJob): void {
+    const {team, name} = job.specification;
+    const view = this.entryOf(job).scheduler.job(team, name);
+    this.metrics.failedTasks += view?.counts.failed ?? 0;
+  }
+
   private addEntry(shard: number): void {
     const {policySet, seed} = this.options;
     const scheduler = new ShardScheduler({
       shard,
+      shards: this.options.shards,
       random: new Random(seed + shard),
       limits: {...DEFAULT_SHARD_LIMITS, ...policySet.limits},
       policies: policySet.policies(),
--- a/src/decisions/jobs/agent_answers.ts
+++ b/src/decisions/jobs/agent_answers.ts
@@ -17,7 +17,7 @@
   noteVm(view: VmView, now: number, wallTime: number): void {
     const {claims, interference, vms} = this.state;
     const before = vms.get(view.vm)?.view.incarnation;
-    vms.note(view, now).leftToOthers = !claims.draw();
+    vms.note(view, now).leftToOthers = !claims.draw(view.vm);
     interference.note(view, now);
     if (before === view.incarnation) return;
     for (const attempt of [...this.state.attempts.onVm(view.vm)]) {
--- a/src/decisions/jobs/attempt_lifecycle.ts
+++ b/src/decisions/jobs/attempt_lifecycle.ts
@@ -1,4 +1,5 @@
 import {ResultCodes} from '../../observability/result_codes.js';
+import {Urgency} from '../../settings/settings_types.js';
 import {NO_RESOURCES} from '../../utilities/resources.js';
 import type {Resources} from '../../utilities/resources.js';
 import {AttemptOutcome, LogRecordType, attemptKey} from '../job_types.js';
@@ -181,9 +182,10 @@
     now: number,
   ): number {
     const {backoff} = this.state;
+    const urgent = attempt.job.specification.urgency === Urgency.URGENT;
     switch (report.outcome) {
       case AttemptOutcome.REFUSED:
-        return attempt.neverSent ? 0 : backoff.afterRefusal(key);
+        return attempt.neverSent ? 0 : backoff.afterRefusal(key, urgent);
       case AttemptOutcome.FAILED:
         return backoff.afterFailure(key, attempt.vm, now);
       case AttemptOutcome.FINISHED:
--- a/src/decisions/jobs/shard_state.ts
+++ b/src/decisions/jobs/shard_state.ts
@@ -68,6 +68,8 @@
 
 export interface ShardSchedulerOptions {
   readonly shard: number;
+  /** How many shards there are; they share the VMs. */
+  readonly shards?: number;
   readonly random: Random;
   readonly limits?: Partial<ShardLimits>;
   readonly policies?: Partial<ShardPolicies>;
@@ -116,11 +118,11 @@
     readonly durableBook: JobBook,
     options: ShardSchedulerOptions,
   ) {
-    const {shard, policies = {}} = options;
+    const {shard, shards = 1, random, policies = {}} = options;
     this.limits = {...DEFAULT_SHARD_LIMITS, ...options.limits};
     this.records = new RecordQueue(book, durableBook);
-    this.claims = policies.claims ?? new AdaptiveClaims(options.random);
-    this.backoff = new TaskBackoff(options.random);
+    this.claims = policies.claims ?? new AdaptiveClaims(random, shard, shards);
+    this.backoff = new TaskBackoff(random);
     this.learner = policies.learner ?? new PeakSizeLearner();
     this.judge = policies.judge ?? new WorkerQuarantine();
     this.pacer = policies.pacer ?? new StartPacer();
--- a/src/decisions/placement/best_fit_placer.ts
+++ b/src/decisions/placement/best_fit_placer.ts
@@ -1,9 +1,11 @@
+import {hashOf} from '../../utilities/text_hash.js';
 import type {InterferenceTable} from './interference_table.js';
 import type {PlacementChoice, PlacementTask, Placer} from './placer.js';
 import {mayStartOn} from './placer.js';
 import type {Spread} from './spread.js';
 import type {VmState} from './vm_table.js';
 
+const HASH_RANGE = 2 ** 32;
 const ACCELERATOR_PENALTY = 4;
 const SPREAD_PENALTY = 1;
 
@@ -70,7 +72,7 @@
   private preference(vm: string): number {
     let preference = this.preferences.get(vm);
     if (preference === undefined) {
-      preference = hashShare(`${this.shard}/${vm}`);
+      preference = hashOf(`${this.shard}/${vm}`) / HASH_RANGE;
       this.preferences.set(vm, preference);
     }
     return preference;
@@ -88,15 +90,3 @@
     capacity.memoryMegabytes;
   return (processors + memory) / 2;
 }
-
-const FNV_OFFSET = 0x811c9dc5;
-const FNV_PRIME = 0x01000193;
-
-/** A number from 0 to 1 that depends on nothing but the text (FNV-1a). */
-function hashShare(text: string): number {
-  let hash = FNV_OFFSET;
-  for (let index = 0; index < text.length; index++) {
-    hash = Math.imul(hash ^ text.charCodeAt(index), FNV_PRIME);
-  }
-  return (hash >>> 0) / 2 ** 32;
-}
--- a/src/decisions/placement/placement_round.ts
+++ b/src/decisions/placement/placement_round.ts
@@ -74,6 +74,7 @@
     if (!this.state.ledger.allows(task.team, task.size)) {
       return this.block(job, 'the quota of its team is used up');
     }
+    if (task.refusals > 0) this.keeper.refused(job, task.size, now);
     const choice = this.choose(job, task, now);
     if (!choice) {
       this.keeper.blocked(job, task.size, now);
@@ -85,7 +86,7 @@
     this.state.pacer.take();
     this.state.judge.notePlaced(choice.vm.view.vm, now);
     this.state.waitReasons.delete(job.key);
-    this.keeper.placed(job);
+    this.keeper.placed(job, choice.vm);
     this.lifecycle.place(job, index, task.size, choice, now, wallTime);
     this.refresh(choice.vm, now);
   }
@@ -93,7 +94,8 @@
   private describe(ready: ReadyJob, now: number): PlacementTask {
     const {job, tasks} = ready;
     const {team, taskKind, size, urgency} = job.specification;
-    const next = tasks[tasks.length - 1];
+    const {backoff} = this.state;
+    const next = taskKey(job, tasks[tasks.length - 1]);
     return {
       job: job.key,
       team,
@@ -101,7 +103,8 @@
       size: this.reservation(team, taskKind, size),
       urgent: urgency === Urgency.URGENT,
       watcher: job.watcher,
-      avoid: this.state.backoff.avoided(taskKey(job, next), now),
+      avoid: backoff.avoided(next, now),
+      refusals: backoff.refusals(next),
     };
   }
 
--- a/src/decisions/placement/placer.ts
+++ b/src/decisions/placement/placer.ts
@@ -12,6 +12,8 @@
   readonly watcher: boolean;
   /** VMs on which it failed before. */
   readonly avoid: readonly string[];
+  /** How often agents refused it since it last ran. */
+  readonly refusals: number;
 }
 
 export interface PlacementChoice {
--- a/src/decisions/placement/room_keeper.ts
+++ b/src/decisions/placement/room_keeper.ts
@@ -6,12 +6,20 @@
 import type {ShardState} from '../jobs/shard_state.js';
 import type {VmState} from './vm_table.js';
 
-const URGENT_HOLD_MILLIS = 3000;
+const URGENT_HOLD_MILLIS = 2000;
 const URGENT_HOLDS_PER_DECISION = 4;
 const STARVING_MILLIS = 60_000;
 const STARVING_HOLD_MILLIS = 60_000;
 const URGENT_ROOM_REASON = 'an urgent task needs the room';
 
+/** A placement that an agent refuses does not end the wait for room. */
+const BLOCK_FORGOTTEN_MILLIS = 5000;
+
+interface Block {
+  readonly since: number;
+  lastAt: number;
+}
+
 interface Plan {
   readonly vm: VmState;
   readonly moved: readonly OpenAttempt[];
@@ -23,7 +31,7 @@
  * ones off the VM with the most room.
  */
 export class RoomKeeper {
-  private readonly blockedSince = new Map<string, number>();
+  private readonly blocks = new Map<string, Block>();
   private readonly holds = new Map<string, VmState>();
   private urgentHolds = 0;
 
@@ -31,6 +39,9 @@
 
   beginRound(now: number): void {
     this.urgentHolds = 0;
+    for (const [job, {lastAt}] of this.blocks) {
+      if (now - lastAt > BLOCK_FORGOTTEN_MILLIS) this.blocks.delete(job);
+    }
     for (const [job, vm] of this.holds) {
       const ended = vm.heldUntil <= now || vm.heldFor !== job;
       if (ended) this.holds.delete(job);
@@ -41,21 +52,28 @@
     return this.holds.has(job.key);
   }
 
-  /** One of the job's tasks was placed. */
-  placed(job: JobState): void {
-    this.blockedSince.delete(job.key);
-    const vm = this.holds.get(job.key);
-    if (!vm) return;
-    vm.heldUntil = 0;
+  /** One of the job's tasks was placed: the room kept there is used. */
+  placed(job: JobState, on: VmState): void {
+    const normal = job.specification.urgency === Urgency.NORMAL;
+    if (normal) this.blocks.delete(job.key);
+    if (this.holds.get(job.key) !== on) return;
+    on.heldUntil = 0;
     this.holds.delete(job.key);
   }
 
+  /** Agents refused the job's next task: what looks free is not. */
+  refused(job: JobState, size: Resources, now: number): void {
+    const {urgentPatienceMillis} = this.state.limits;
+    const urgent =
+      job.specification.urgency === Urgency.URGENT &&
+      urgentPatienceMillis < Infinity;
+    if (urgent && !this.holds.has(job.key)) this.makeRoom(job, size, now);
+  }
+
   /** No VM has room for the job's next task. */
   blocked(job: JobState, size: Resources, now: number): void {
-    const since = this.blockedSince.get(job.key) ?? now;
-    this.blockedSince.set(job.key, since);
+    const waited = this.waited(job, now);
     if (this.holds.has(job.key)) return;
-    const waited = now - since;
     if (job.specification.urgency === Urgency.URGENT) {
       const patience = this.state.limits.urgentPatienceMillis;
       if (waited >= patience) this.makeRoom(job, size, now);
@@ -64,6 +82,16 @@
     }
   }
 
+  private waited(job: JobState, now: number): number {
+    const block = this.blocks.get(job.key);
+    if (block) {
+      block.lastAt = now;
+      return now - block.since;
+    }
+    this.blocks.set(job.key, {since: now, lastAt: now});
+    return 0;
+  }
+
   private makeRoom(job: JobState, size: Resources, now: number): void {
     if (this.urgentHolds >= URGENT_HOLDS_PER_DECISION) return;
     this.urgentHolds++;
@@ -79,7 +107,7 @@
   private cheapestPlan(size: Resources, now: number): Plan | undefined {
     let best: Plan | undefined;
     for (const vm of this.state.vms.vms) {
-      if (!vm.usable || vm.heldUntil > now) continue;
+      if (!vm.usable || vm.refused || vm.heldUntil > now) continue;
       if (!fitsInto(size, vm.view.capacity)) continue;
       const moved = this.attemptsToMove(vm, size);
       if (!moved) continue;
--- a/src/decisions/placement/vm_table.ts
+++ b/src/decisions/placement/vm_table.ts
@@ -40,6 +40,8 @@
   readonly interference: readonly InterferenceObservation[];
 }
 
+const EXCESS_SMOOTHING = 0.2;
+
 /** One VM. Sizes are numbers of their own, so that scans stay cheap. */
 export class VmState {
   view: VmView;
@@ -68,6 +70,9 @@
   private readonly unseen = new Map<string, Resources>();
   /** Confirmed attempts among the unseen: the next heartbeat shows them. */
   private readonly confirmed = new Set<string>();
+  /** Smoothed usage beyond what is committed; below 0 when there is none. */
+  private excessMilliprocessors = 0;
+  private excessMemoryMegabytes = 0;
   /** Ended since the last heartbeat. */
   private released: Resources = NO_RESOURCES;
 
@@ -88,6 +93,7 @@
     this.ownMilliprocessors = 0;
     this.ownMemoryMegabytes = 0;
     this.ownAccelerators = 0;
+    this.noteUsage();
     this.refreshFree();
   }
 
@@ -130,19 +136,25 @@
     this.ownAccelerators += sign * size.accelerators;
   }
 
+  /** Usage is reported late, so only a lasting excess counts. */
+  private noteUsage(): void {
+    const {committed, used} = this.view;
+    const excess = subtractResources(used, committed);
+    this.excessMilliprocessors +=
+      EXCESS_SMOOTHING * (excess.milliprocessors - this.excessMilliprocessors);
+    this.excessMemoryMegabytes +=
+      EXCESS_SMOOTHING * (excess.memoryMegabytes - this.excessMemoryMegabytes);
+  }
+
   private refreshFree(): void {
-    const {capacity, committed, used} = this.view;
+    const {capacity, committed} = this.view;
     let taken = subtractResources(committed, this.released);
     for (const size of this.unseen.values()) taken = addResources(taken, size);
     const free = subtractResources(capacity, taken);
-    this.freeMilliprocessors = Math.min(
-      free.milliprocessors,
-      capacity.milliprocessors - used.milliprocessors,
-    );
-    this.freeMemoryMegabytes = Math.min(
-      free.memoryMegabytes,
-      capacity.memoryMegabytes - used.memoryMegabytes,
-    );
+    this.freeMilliprocessors =
+      free.milliprocessors - Math.max(0, this.excessMilliprocessors);
+    this.freeMemoryMegabytes =
+      free.memoryMegabytes - Math.max(0, this.excessMemoryMegabytes);
     this.freeAccelerators = free.accelerators;
   }
 }
--- a/src/decisions/recovery/task_backoff.ts
+++ b/src/decisions/recovery/task_backoff.ts
@@ -4,6 +4,7 @@
 const LONGEST_FAILURE_BACKOFF_MILLIS = 5 * 60 * 1000;
 const REFUSAL_BACKOFF_MILLIS = 50;
 const LONGEST_REFUSAL_BACKOFF_MILLIS = 2000;
+const LONGEST_URGENT_BACKOFF_MILLIS = 100;
 const JITTER_SHARE = 0.3;
 
 interface Setbacks {
@@ -33,10 +34,13 @@
   }
 
   /** The time to wait after an agent refused the start. */
-  afterRefusal(task: string): number {
+  afterRefusal(task: string, urgent = false): number {
     const setback = this.setback(task);
     const delay = REFUSAL_BACKOFF_MILLIS * 2 ** setback.refusals++;
-    return this.jittered(delay, LONGEST_REFUSAL_BACKOFF_MILLIS);
+    const longest = urgent
+      ? LONGEST_URGENT_BACKOFF_MILLIS
+      : LONGEST_REFUSAL_BACKOFF_MILLIS;
+    return this.jittered(delay, longest);
   }
 
   avoided(task: string, now: number): readonly string[] {
@@ -45,6 +49,11 @@
     return setback.avoid;
   }
 
+  /** How often agents refused it since it last ran. */
+  refusals(task: string): number {
+    return this.setbacks.get(task)?.refusals ?? 0;
+  }
+
   /** The task began: refusals before that don't count any longer. */
   began(task: string): void {
     const setback = this.setbacks.get(task);
