--- a/src/decisions/jobs/agent_answers.ts
+++ b/src/decisions/jobs/agent_answers.ts
@@ -20,7 +20,7 @@
     const vm = vms.note(view, now);
     const leasedUntil = now + this.state.fleet.taskLeaseMillis;
     vm.leasedUntil = Math.max(vm.leasedUntil, leasedUntil);
-    vm.leftToOthers = !claims.draw();
+    vm.leftToOthers = !claims.draw(view.vm);
     interference.note(view, now);
     if (before === view.incarnation) return;
     for (const attempt of [...this.state.attempts.onVm(view.vm)]) {
