Bench the protection of a service in waves of noisy batch tasks

The cause: what the tail guard is worth shows only against doing nothing and against a static limit, on the same trace.

--- a/bench/scenarios.ts
+++ b/bench/scenarios.ts
@@ -1,9 +1,13 @@
+import {evictionScenarios} from './eviction/eviction_scenarios.js';
 import type {MicroBenchmark, Scenario} from './scenario.js';
 import {routingMicroBenchmarks} from './micro/routing_micro_benchmarks.js';
 import {serviceScenarios} from './service/service_scenarios.js';
 
 /** All that the bench can run, in the order in which it runs them. */
-export const scenarios: readonly Scenario[] = [...serviceScenarios];
+export const scenarios: readonly Scenario[] = [
+  ...serviceScenarios,
+  ...evictionScenarios,
+];
 
 export const microBenchmarks: readonly MicroBenchmark[] = [
   ...routingMicroBenchmarks,
--- a/bench/service/service_simulation.ts
+++ b/bench/service/service_simulation.ts
@@ -8,6 +8,7 @@
 import type {TracedRequest} from './request_trace.js';
 import {ServiceRecorder} from './service_recorder.js';
 import {SimulatedAgent} from './simulated_agent.js';
+import type {AnswerObserver} from './simulated_agent.js';
 import {SimulatedEntry} from './simulated_entry.js';
 
 const HEARTBEAT_MILLIS = 1000;
@@ -24,6 +25,8 @@
   /** Share of upstreams that may be ejected. */
   readonly maximumEjectedShare?: number;
   readonly hedges: boolean;
+  /** Told of each answer, by the executor that gave it. */
+  readonly observer?: (executor: number) => AnswerObserver;
 }
 
 /** Runs a trace through entries and agents in virtual time. */
@@ -150,8 +153,9 @@
   }
 
   private newAgent(index: number): void {
-    const {size} = this.options;
+    const {observer, size} = this.options;
     const agent = new SimulatedAgent(this.clock, size, index, this.runs++);
+    if (observer) agent.setObserver(observer(index));
     this.agents[index] = agent;
     this.agentsById.set(agent.agentId, agent);
     this.announce(agent);
--- a/bench/service/simulated_agent.ts
+++ b/bench/service/simulated_agent.ts
@@ -15,7 +15,15 @@
   readonly report: UpstreamReport;
 }
 
+/** Told of each answer of the executor, with the times that an agent sees. */
+export type AnswerObserver = (
+  answerMillis: number,
+  serviceMillis: number,
+  now: number,
+) => void;
+
 interface ServedRequest {
+  readonly arrivedAt: number;
   readonly serviceMillis: number;
   reply(answer: AgentAnswer): void;
 }
@@ -28,6 +36,7 @@
   private readonly size: FleetSize;
   private slowdown = 1;
   private failing = false;
+  private observer: AnswerObserver | undefined;
 
   constructor(clock: Clock, size: FleetSize, index: number, run: number) {
     super(clock);
@@ -42,6 +51,10 @@
     this.slowdown = factor;
   }
 
+  setObserver(observer: AnswerObserver): void {
+    this.observer = observer;
+  }
+
   /** The executor answers everything at once with an error. */
   setFailing(failing: boolean): void {
     this.failing = failing;
@@ -62,7 +75,7 @@
       const item = {
         id,
         deadlineAt: now + deadlineMillis,
-        value: {serviceMillis, reply},
+        value: {arrivedAt: now, serviceMillis, reply},
       };
       const decision = this.queue.offer(item, now);
       if (decision.kind === 'refused') this.notRun([item]);
@@ -96,6 +109,7 @@
       const {run, expired} = this.queue.release(item.id, heldMillis, now);
       for (const next of run) this.run(next);
       this.notRun(expired);
+      this.observer?.(now - item.value.arrivedAt, heldMillis, now);
       const report = this.report();
       item.value.reply({outcome: 'answered', failed, report});
     });
--- a/tests/history/observed_settings.ts
+++ b/tests/history/observed_settings.ts
@@ -30,7 +30,7 @@
     return this.view.service(name);
   }
 
-  apply(document: SettingsDocument): unknown {
+  apply(document: SettingsDocument): ReturnType<SettingsView['apply']> {
     return this.view.apply(document);
   }
 
