--- a/bench/fleet/service_load.ts
+++ b/bench/fleet/service_load.ts
@@ -1,5 +1,5 @@
 import {randomUUID} from 'node:crypto';
-import type {EntryApi} from './entry_api.js';
+import type {EntryApi, EntryCall, ServiceAnswer} from './entry_api.js';
 import type {FleetRecords} from './fleet_records.js';
 import {pause} from './wait_until.js';
 
@@ -29,23 +29,38 @@
 /** Sends service requests through all entries in turn and checks the answers. */
 export class ServiceLoad {
   private readonly sent: SentRequest[] = [];
+  private sending: Promise<void> = Promise.resolve();
+  private stopped = false;
 
   constructor(
     private readonly entries: readonly EntryApi[],
     private readonly service: string,
   ) {}
 
+  /** Goes on sending requests until it is stopped. */
+  start(): void {
+    const sendSome = async () => {
+      while (!this.stopped) await this.sendAndPause();
+    };
+    this.sending = this.sendTogether(sendSome);
+  }
+
+  /** Resolves when all requests under way have ended. */
+  async stop(): Promise<void> {
+    this.stopped = true;
+    await this.sending;
+  }
+
   /** Sends so many requests, half of them not idempotent. */
   async send(count: number): Promise<void> {
     let left = count;
     const sendSome = async () => {
       while (left > 0) {
         left--;
-        await this.sendOne();
-        await pause(PAUSE_MILLIS);
+        await this.sendAndPause();
       }
     };
-    await Promise.all(Array.from({length: CONCURRENT_REQUESTS}, sendSome));
+    await this.sendTogether(sendSome);
   }
 
   /** Counted by what the executors wrote down. */
@@ -63,12 +78,40 @@
     return {served, failed: this.sent.length - served, ranTwice, faults};
   }
 
+  /** Like a balancer, takes the next entry when one accepts no connection. */
+  private async serve(
+    index: number,
+    path: string,
+    call: EntryCall,
+  ): Promise<ServiceAnswer> {
+    const {entries} = this;
+    let refused: unknown;
+    for (let offset = 0; offset < entries.length; offset++) {
+      const entry = entries[(index + offset) % entries.length];
+      try {
+        return await entry.serve(path, call);
+      } catch (thrown) {
+        if (!isRefused(thrown)) throw thrown;
+        refused = thrown;
+      }
+    }
+    throw refused;
+  }
+
+  private async sendTogether(sendSome: () => Promise<void>): Promise<void> {
+    await Promise.all(Array.from({length: CONCURRENT_REQUESTS}, sendSome));
+  }
+
+  private async sendAndPause(): Promise<void> {
+    await this.sendOne();
+    await pause(PAUSE_MILLIS);
+  }
+
   private async sendOne(): Promise<void> {
     const index = this.sent.length;
     const method = index % 2 === 0 ? 'POST' : 'GET';
     const request: SentRequest = {id: randomUUID(), method, answered: false};
     this.sent.push(request);
-    const entry = this.entries[index % this.entries.length];
     const body = method === 'POST' ? `check ${request.id}` : undefined;
     const path = `/v1/services/${this.service}/checks?runMillis=${RUN_MILLIS}`;
     const headers = {
@@ -76,15 +119,28 @@
       'x-deadline-milliseconds': String(DEADLINE_MILLIS),
     };
     try {
-      const answer = await entry.serve(path, {method, body, headers});
+      const answer = await this.serve(index, path, {method, body, headers});
       request.fault = findFault(request, answer.status, answer.body, body);
     } catch (thrown) {
-      request.fault = thrown instanceof Error ? thrown.message : String(thrown);
+      request.fault = describe(thrown);
     }
     request.answered = request.fault === undefined;
   }
 }
 
+function describe(thrown: unknown): string {
+  if (!(thrown instanceof Error)) return String(thrown);
+  const cause =
+    thrown.cause instanceof Error ? `: ${thrown.cause.message}` : '';
+  return `${thrown.message}${cause}`;
+}
+
+/** Whether no connection came about, so that nothing was sent. */
+function isRefused(thrown: unknown): boolean {
+  const cause = thrown instanceof Error ? thrown.cause : undefined;
+  return (cause as {code?: string} | undefined)?.code === 'ECONNREFUSED';
+}
+
 function findFault(
   request: SentRequest,
   status: number,
