--- a/tests/history/process_clock.ts
+++ b/tests/history/process_clock.ts
@@ -16,7 +16,15 @@
   private state: ProcessState = ProcessState.RUNNING;
   private waiting: Array<() => void> = [];
 
-  constructor(private readonly base: VirtualClock) {}
+  /** Resolves when the process dies. */
+  readonly death: Promise<void>;
+  private noteDeath!: () => void;
+
+  constructor(private readonly base: VirtualClock) {
+    this.death = new Promise(resolve => {
+      this.noteDeath = resolve;
+    });
+  }
 
   get dead(): boolean {
     return this.state === ProcessState.DEAD;
@@ -61,5 +69,6 @@
   kill(): void {
     this.state = ProcessState.DEAD;
     this.waiting = [];
+    this.noteDeath();
   }
 }
--- a/tests/history/virtual_entry.ts
+++ b/tests/history/virtual_entry.ts
@@ -16,6 +16,12 @@
 const STORE_LATENCY_MILLIS = 4;
 const CALLER_LATENCY_MILLIS = 1;
 const SETTINGS_WATCH_MILLIS = 100;
+const CLOSE_GRACE_MILLIS = 5_000;
+const BROKEN_CONNECTION: ApiAnswer = {
+  status: 0,
+  headers: [],
+  body: new Uint8Array(),
+};
 
 export interface VirtualEntryOptions {
   readonly id: string;
@@ -48,6 +54,7 @@
   private processClock!: ProcessClock;
   private node!: NetworkNode;
   private run = 0;
+  private openCalls = 0;
 
   constructor(readonly options: VirtualEntryOptions) {
     this.address = `${options.id}:1`;
@@ -66,6 +73,7 @@
     const {id, clock, network, history, hooks, random, logger} = this.options;
     const processClock = new ProcessClock(clock);
     this.processClock = processClock;
+    this.openCalls = 0;
     this.run++;
     history.record({type: 'processUp', process: id, run: this.run});
     this.memory = new MemoryStore({
@@ -120,16 +128,31 @@
     hooks.reached('shutdown.begin', {entry: id});
     if (clock.dead) return;
     await this.entry.stop('planned');
+    await this.finishCalls();
     if (clock.dead) return;
     history.record({type: 'shutdownEnd', ...observation});
     clock.kill();
     history.record({type: 'processDown', process: id, run});
   }
 
-  /** Resolves to undefined when the connection is refused: nothing ran. */
+  /**
+   * Resolves to undefined when the connection is refused, for nothing ran, and
+   * to an answer without outcome when it breaks.
+   */
   async call(call: VirtualCall): Promise<ApiAnswer | undefined> {
     const clock = this.processClock;
     if (clock.dead) return undefined;
+    this.openCalls++;
+    const broken = clock.death.then(() => BROKEN_CONNECTION);
+    const answer = await Promise.race([this.answer(call, clock), broken]);
+    this.openCalls--;
+    return answer;
+  }
+
+  private async answer(
+    call: VirtualCall,
+    clock: ProcessClock,
+  ): Promise<ApiAnswer> {
     await this.pause();
     await clock.resumed();
     const [path] = call.path.split('?', 1);
@@ -146,6 +169,14 @@
     return answer;
   }
 
+  /** The HTTP server lets calls in progress end, for a while. */
+  private async finishCalls(): Promise<void> {
+    const deadline = this.options.clock.now() + CLOSE_GRACE_MILLIS;
+    while (this.openCalls > 0 && this.options.clock.now() < deadline) {
+      await this.pause();
+    }
+  }
+
   private pause(): Promise<void> {
     return new Promise(resolve =>
       this.options.clock.schedule(CALLER_LATENCY_MILLIS, resolve),
--- a/tests/history/workload.ts
+++ b/tests/history/workload.ts
@@ -172,7 +172,7 @@
         path: `/v1/teams/${team}/${kind}`,
         body: JSON.stringify({...fields, name}),
       });
-      if (answer && answer.status < 300) return;
+      if (isDone(answer)) return;
       await new Promise<void>(resolve =>
         this.fleet.clock.schedule(CHECK_PERIOD_MILLIS, resolve),
       );
@@ -182,7 +182,7 @@
   private close(watcher: JobPlan): void {
     const path = `/v1/teams/${watcher.team}/watchers/${watcher.name}/close`;
     void this.call({method: 'POST', path}).then(answer => {
-      if (answer && answer.status < 300) return;
+      if (isDone(answer)) return;
       this.after(CHECK_PERIOD_MILLIS, () => this.close(watcher));
     });
   }
@@ -197,7 +197,7 @@
   private setDomain(direction: 'out' | 'in'): void {
     const path = `/v1/failure-domains/gabes/${direction}`;
     void this.call({method: 'POST', path}).then(answer => {
-      if (answer && answer.status < 300) return;
+      if (isDone(answer)) return;
       this.after(CHECK_PERIOD_MILLIS, () => this.setDomain(direction));
     });
   }
@@ -244,6 +244,10 @@
   }
 }
 
+function isDone(answer: ApiAnswer | undefined): boolean {
+  return answer !== undefined && answer.status >= 200 && answer.status < 300;
+}
+
 function outcomeOf(
   answer: ApiAnswer | undefined,
 ): 'answered' | 'notRun' | 'unknown' {
