Ask agents for attempts that a stop does not end

Ruled out: lost reports. After the second stop the agent is now asked, which closes what it never got.

--- a/src/decisions/jobs/message_planner.ts
+++ b/src/decisions/jobs/message_planner.ts
@@ -4,6 +4,9 @@
 import type {StopOrder, StopsForVm} from './scheduler_types.js';
 import type {ShardState} from './shard_state.js';
 
+/** Stops without an end after which the agent is asked for the attempt. */
+const STOPS_BEFORE_QUERY = 1;
+
 /**
  * What is to be sent to agents now. Nothing is sent once: each message is due
  * again, more and more seldom, until the agent's answer settles it.
@@ -37,6 +40,8 @@
       const stops = due.get(attempt.vm) ?? {vm: attempt.vm, stops: []};
       due.set(attempt.vm, stops);
       attempt.stops.sent(now);
+      // An agent that never got the start has nothing to stop or report.
+      if (attempt.stops.sends > STOPS_BEFORE_QUERY) attempt.queried = true;
       stops.stops.push(stopOrder(attempt, reason));
     }
     return [...due.values()];
