Queue only what can still be answered in time

A request was queued when its wait fitted the deadline, and then ran in vain when its own time did not. The slot queue now keeps the 95th percentile of holding times (at most 0.9 of the time left) free for it; a free slot is given whatever the deadline.

The test of refusing what would wait past its deadline queued a request that could not have ended in time; it now takes one that can, and two tests pin the new border.

--- a/src/decisions/admission/holding_time.ts
+++ b/src/decisions/admission/holding_time.ts
@@ -1,7 +1,11 @@
+import {QuantileTracker} from '../retries/quantile_tracker.js';
+
 /** Weight of the newest holding time in the smoothed one. */
 const SMOOTHING = 0.01;
 /** The first requests count by their plain mean until this many were seen. */
 const WARM_UP_REQUESTS = 1 / SMOOTHING;
+/** Long holding times, for which a queued request must still have time. */
+const LONG_QUANTILE = 0.95;
 /** Running requests this many times older than usual show a stall. */
 const STALL_FACTOR = 4;
 
@@ -13,6 +17,7 @@
   private smoothedMillis = 0;
   private endedRequests = 0;
   private startTimeSum = 0;
+  private readonly longTimes = new QuantileTracker(LONG_QUANTILE);
   private latestTime = 0;
 
   /** Takes note of the time; it never goes back. */
@@ -28,6 +33,7 @@
   ended(startedAt: number, heldMillis: number): void {
     this.startTimeSum -= startedAt;
     this.endedRequests++;
+    this.longTimes.add(heldMillis);
     const weight =
       this.endedRequests < WARM_UP_REQUESTS
         ? 1 / this.endedRequests
@@ -35,6 +41,11 @@
     this.smoothedMillis += weight * (heldMillis - this.smoothedMillis);
   }
 
+  /** A time that few requests exceed; 0: unknown. */
+  longMillis(): number {
+    return this.longTimes.value() ?? 0;
+  }
+
   /** Expected holding time with the number of requests running; 0: unknown. */
   expectedMillis(running: number): number {
     if (running === 0) return this.smoothedMillis;
--- a/src/decisions/admission/slot_queue.ts
+++ b/src/decisions/admission/slot_queue.ts
@@ -6,6 +6,8 @@
 /** The time after which a caller of a stopping upstream may come back. */
 const DRAINING_RETRY_AFTER_MILLIS = 100;
 const LEAST_RETRY_AFTER_MILLIS = 5;
+/** Share of the time left that is kept for holding the slot, at most. */
+const MOST_HOLDING_SHARE = 0.9;
 
 export interface SlotItem<T> {
   readonly id: string;
@@ -165,7 +167,12 @@
   private isInTime(item: SlotItem<T>, now: number): boolean {
     const taken = this.running.size + this.waiting.size;
     if (taken >= this.connections) return false;
-    return now + this.expectedWaitMillis() <= item.deadlineAt;
+    const leftMillis = item.deadlineAt - now;
+    const holdMillis = Math.min(
+      this.holdingTime.longMillis(),
+      leftMillis * MOST_HOLDING_SHARE,
+    );
+    return this.expectedWaitMillis() + holdMillis <= leftMillis;
   }
 
   private retryAfterMillis(): number {
--- a/tests/admission/slot_queue.test.ts
+++ b/tests/admission/slot_queue.test.ts
@@ -34,7 +34,18 @@
   const queue = learnedQueue();
   queue.offer(item('running'), 100);
   t.is(queue.offer(item('late', 150), 100).kind, 'refused');
-  t.is(queue.offer(item('in time', 250), 100).kind, 'queued');
+  t.is(queue.offer(item('in time', 350), 100).kind, 'queued');
+});
+
+test('should refuse what would start in time but not end in time', t => {
+  const queue = learnedQueue();
+  queue.offer(item('running'), 100);
+  t.is(queue.offer(item('too late', 250), 100).kind, 'refused');
+});
+
+test('should run what finds a free slot however short its deadline', t => {
+  const queue = learnedQueue();
+  t.is(queue.offer(item('short', 110), 100).kind, 'run');
 });
 
 test('should refuse above the connections and tell when to come back', t => {
