--- a/src/decisions/jobs/shard_state.ts
+++ b/src/decisions/jobs/shard_state.ts
@@ -6,6 +6,8 @@
 import {ReadyQueue} from '../placement/ready_queue.js';
 import {PeakSizeLearner} from '../placement/size_learner.js';
 import type {SizeLearner} from '../placement/size_learner.js';
+import {AdaptiveClaims} from '../placement/room_claims.js';
+import type {RoomClaims} from '../placement/room_claims.js';
 import {Spread} from '../placement/spread.js';
 import {TeamLedger} from '../placement/team_ledger.js';
 import {VmTable} from '../placement/vm_table.js';
@@ -61,10 +63,13 @@
   readonly learner: SizeLearner;
   readonly judge: WorkerJudge;
   readonly pacer: StartPacer;
+  readonly claims: RoomClaims;
 }
 
 export interface ShardSchedulerOptions {
   readonly shard: number;
+  /** How many shards there are; they share the VMs. */
+  readonly shards?: number;
   readonly random: Random;
   readonly limits?: Partial<ShardLimits>;
   readonly policies?: Partial<ShardPolicies>;
@@ -96,6 +101,7 @@
   readonly ledger = new TeamLedger();
   readonly spread = new Spread();
   readonly interference = new InterferenceTable();
+  readonly claims: RoomClaims;
   readonly backoff: TaskBackoff;
   readonly placer: Placer;
   readonly learner: SizeLearner;
@@ -112,10 +118,11 @@
     readonly durableBook: JobBook,
     options: ShardSchedulerOptions,
   ) {
-    const {shard, policies = {}} = options;
+    const {shard, shards = 1, random, policies = {}} = options;
     this.limits = {...DEFAULT_SHARD_LIMITS, ...options.limits};
     this.records = new RecordQueue(book, durableBook);
-    this.backoff = new TaskBackoff(options.random);
+    this.claims = policies.claims ?? new AdaptiveClaims(random, shard, shards);
+    this.backoff = new TaskBackoff(random);
     this.learner = policies.learner ?? new PeakSizeLearner();
     this.judge = policies.judge ?? new WorkerQuarantine();
     this.pacer = policies.pacer ?? new StartPacer();
--- a/src/decisions/placement/vm_table.ts
+++ b/src/decisions/placement/vm_table.ts
@@ -40,10 +40,14 @@
   readonly interference: readonly InterferenceObservation[];
 }
 
+const EXCESS_SMOOTHING = 0.2;
+
 /** One VM. Sizes are numbers of their own, so that scans stay cheap. */
 export class VmState {
   view: VmView;
   answeredAt: number;
+  /** No lease that was granted to its attempts ends later. */
+  leasedUntil = -Infinity;
   /** Settings, health and freshness let tasks be placed here. */
   usable = false;
   freeMilliprocessors = 0;
@@ -51,6 +55,12 @@
   freeAccelerators = 0;
   /** Its agent refused a start since the last heartbeat. */
   refused = false;
+  /** The room is shared with other shards, and left to them for now. */
+  leftToOthers = false;
+  /** What the shard's own attempts left here since the last heartbeat. */
+  ownMilliprocessors = 0;
+  ownMemoryMegabytes = 0;
+  ownAccelerators = 0;
   /** Starts that the agent has not confirmed yet. */
   unconfirmed = 0;
   /** A job for which the room is kept. */
@@ -62,6 +72,9 @@
   private readonly unseen = new Map<string, Resources>();
   /** Confirmed attempts among the unseen: the next heartbeat shows them. */
   private readonly confirmed = new Set<string>();
+  /** Smoothed usage beyond what is committed; below 0 when there is none. */
+  private excessMilliprocessors = 0;
+  private excessMemoryMegabytes = 0;
   /** Ended since the last heartbeat. */
   private released: Resources = NO_RESOURCES;
 
@@ -79,12 +92,17 @@
     this.penalties.clear();
     for (const key of this.confirmed) this.unseen.delete(key);
     this.confirmed.clear();
+    this.ownMilliprocessors = 0;
+    this.ownMemoryMegabytes = 0;
+    this.ownAccelerators = 0;
+    this.noteUsage();
     this.refreshFree();
   }
 
   place(key: string, size: Resources): void {
     this.unseen.set(key, size);
     this.unconfirmed++;
+    this.changeOwn(size, -1);
     this.refreshFree();
   }
 
@@ -101,22 +119,44 @@
     } else {
       this.released = addResources(this.released, size);
     }
+    this.changeOwn(size, 1);
     this.refreshFree();
   }
 
+  /** Whether the room that the shard's own attempts left is enough. */
+  ownRoomHolds(size: Resources): boolean {
+    return (
+      size.milliprocessors <= this.ownMilliprocessors &&
+      size.memoryMegabytes <= this.ownMemoryMegabytes &&
+      size.accelerators <= this.ownAccelerators
+    );
+  }
+
+  private changeOwn(size: Resources, sign: 1 | -1): void {
+    this.ownMilliprocessors += sign * size.milliprocessors;
+    this.ownMemoryMegabytes += sign * size.memoryMegabytes;
+    this.ownAccelerators += sign * size.accelerators;
+  }
+
+  /** Usage is reported late, so only a lasting excess counts. */
+  private noteUsage(): void {
+    const {committed, used} = this.view;
+    const excess = subtractResources(used, committed);
+    this.excessMilliprocessors +=
+      EXCESS_SMOOTHING * (excess.milliprocessors - this.excessMilliprocessors);
+    this.excessMemoryMegabytes +=
+      EXCESS_SMOOTHING * (excess.memoryMegabytes - this.excessMemoryMegabytes);
+  }
+
   private refreshFree(): void {
-    const {capacity, committed, used} = this.view;
+    const {capacity, committed} = this.view;
     let taken = subtractResources(committed, this.released);
     for (const size of this.unseen.values()) taken = addResources(taken, size);
     const free = subtractResources(capacity, taken);
-    this.freeMilliprocessors = Math.min(
-      free.milliprocessors,
-      capacity.milliprocessors - used.milliprocessors,
-    );
-    this.freeMemoryMegabytes = Math.min(
-      free.memoryMegabytes,
-      capacity.memoryMegabytes - used.memoryMegabytes,
-    );
+    this.freeMilliprocessors =
+      free.milliprocessors - Math.max(0, this.excessMilliprocessors);
+    this.freeMemoryMegabytes =
+      free.memoryMegabytes - Math.max(0, this.excessMemoryMegabytes);
     this.freeAccelerators = free.accelerators;
   }
 }
