Keep one placement decision short with a full queue

Cause: each decision looked at every team for every blocked job, at every attempt for failure domains that are not out, and at every VM for the loss of attempts. Teams now wait in a heap by share, a size that found no room rules out all larger ones before anything is computed for them, fleet checks run every 100 ms, and evacuation looks only at VMs that are out.

--- a/bench/scenarios.ts
+++ b/bench/scenarios.ts
@@ -1,5 +1,6 @@
 import type {MicroBenchmark, Scenario} from './scenario.js';
 import {batchScenarios} from './batch/batch_scenarios.js';
+import {placementMicroBenchmarks} from './micro/placement_micro_benchmarks.js';
 import {routingMicroBenchmarks} from './micro/routing_micro_benchmarks.js';
 import {serviceScenarios} from './service/service_scenarios.js';
 
@@ -11,4 +12,5 @@
 
 export const microBenchmarks: readonly MicroBenchmark[] = [
   ...routingMicroBenchmarks,
+  ...placementMicroBenchmarks,
 ];
--- a/src/decisions/jobs/job_queries.ts
+++ b/src/decisions/jobs/job_queries.ts
@@ -116,7 +116,10 @@
       return 'its size alone is over the quota of its team: it can never run';
     }
     if (!vms.couldEverFit(size)) return this.impossibleReason(job);
-    return waitReasons.get(job.key) ?? 'its next task backs off or is next';
+    return (
+      waitReasons.get(job.key) ??
+      'no usable VM has room for its size, or its next task backs off'
+    );
   }
 
   private impossibleReason(job: JobState): string {
--- a/src/decisions/jobs/delay_queue.ts
+++ b/src/decisions/jobs/key_heap.ts
@@ -1,31 +1,31 @@
-interface Delayed<Item> {
-  readonly dueMillis: number;
+interface Entry<Item> {
+  readonly key: number;
   readonly item: Item;
 }
 
-/** Items that wait for their time, earliest first. */
-export class DelayQueue<Item> {
-  private readonly heap: Array<Delayed<Item>> = [];
+/** Items under numbers, such as times; the least number comes first. */
+export class KeyHeap<Item> {
+  private readonly heap: Array<Entry<Item>> = [];
 
   get size(): number {
     return this.heap.length;
   }
 
-  add(dueMillis: number, item: Item): void {
+  add(key: number, item: Item): void {
     const heap = this.heap;
-    let index = heap.push({dueMillis, item}) - 1;
+    let index = heap.push({key, item}) - 1;
     while (index > 0) {
       const parent = (index - 1) >> 1;
-      if (heap[parent].dueMillis <= heap[index].dueMillis) return;
+      if (heap[parent].key <= heap[index].key) return;
       [heap[index], heap[parent]] = [heap[parent], heap[index]];
       index = parent;
     }
   }
 
-  /** Removes and returns the earliest item that is due. */
-  takeDue(now: number): Item | undefined {
+  /** Removes and returns the first item whose number is not above the limit. */
+  take(limit = Infinity): Item | undefined {
     const first = this.heap[0];
-    if (!first || first.dueMillis > now) return undefined;
+    if (!first || first.key > limit) return undefined;
     const last = this.heap.pop();
     if (last && this.heap.length > 0) {
       this.heap[0] = last;
@@ -40,7 +40,7 @@
     for (;;) {
       let least = index;
       for (const child of [2 * index + 1, 2 * index + 2]) {
-        const earlier = heap[child]?.dueMillis < heap[least].dueMillis;
+        const earlier = heap[child]?.key < heap[least].key;
         if (child < heap.length && earlier) least = child;
       }
       if (least === index) return;
--- a/src/decisions/jobs/shard_scheduler.ts
+++ b/src/decisions/jobs/shard_scheduler.ts
@@ -40,6 +40,8 @@
 import type {ShardSchedulerOptions} from './shard_state.js';
 import {readSnapshot, writeSnapshot} from './snapshot.js';
 
+const FLEET_CHECK_MILLIS = 100;
+
 /**
  * All decisions about the jobs of one shard. A decision is in force at once and
  * its record is queued; what agents are told and queries show follows only from
@@ -59,6 +61,7 @@
   private readonly losses: LossDetector;
   private readonly evacuation: Evacuation;
   private readonly placement: PlacementRound;
+  private nextCheckAt = -Infinity;
 
   constructor(
     options: ShardSchedulerOptions,
@@ -189,11 +192,9 @@
 
   /** Decides all that time and news allow; call it several times a second. */
   decide(now: number, wallTime: number): void {
-    this.refreshFleet(now);
-    this.losses.run(now, wallTime);
+    if (now >= this.nextCheckAt) this.checkFleet(now, wallTime);
     this.evacuation.run(now, wallTime);
     this.wakeDelayed(now);
-    this.commands.removeOld(now, wallTime);
     if (this.state.records.size > this.state.limits.queuedRecords) return;
     this.placement.run(now, wallTime);
   }
@@ -295,6 +296,14 @@
     }
   }
 
+  /** What need not be looked at with every decision. */
+  private checkFleet(now: number, wallTime: number): void {
+    this.nextCheckAt = now + FLEET_CHECK_MILLIS;
+    this.refreshFleet(now);
+    this.losses.run(now, wallTime);
+    this.commands.removeOld(now, wallTime);
+  }
+
   private refreshFleet(now: number): void {
     const {attempts, ledger, limits, vms} = this.state;
     let capacity = NO_RESOURCES;
@@ -312,7 +321,7 @@
   private wakeDelayed(now: number): void {
     const {delayed, ready} = this.state;
     for (;;) {
-      const item = delayed.takeDue(now);
+      const item = delayed.take(now);
       if (!item) return;
       const {job, task} = item;
       if (job.tasks[task].phase === TaskPhase.WAITING) ready.add(job, task);
--- a/src/decisions/jobs/shard_state.ts
+++ b/src/decisions/jobs/shard_state.ts
@@ -15,7 +15,7 @@
 import {TaskBackoff} from '../recovery/task_backoff.js';
 import {WorkerQuarantine} from '../recovery/worker_quarantine.js';
 import type {WorkerJudge} from '../recovery/worker_quarantine.js';
-import {DelayQueue} from './delay_queue.js';
+import {KeyHeap} from './key_heap.js';
 import type {JobBook} from './job_book.js';
 import type {JobState} from './job_state.js';
 import {OpenAttempts} from './open_attempts.js';
@@ -97,7 +97,8 @@
   readonly attempts = new OpenAttempts();
   readonly vms = new VmTable();
   readonly ready = new ReadyQueue();
-  readonly delayed = new DelayQueue<DelayedTask>();
+  /** Tasks that back off, by the time at which they are ready again. */
+  readonly delayed = new KeyHeap<DelayedTask>();
   readonly ledger = new TeamLedger();
   readonly spread = new Spread();
   readonly interference = new InterferenceTable();
--- a/src/decisions/placement/placement_round.ts
+++ b/src/decisions/placement/placement_round.ts
@@ -2,6 +2,7 @@
 import type {Resources} from '../../utilities/resources.js';
 import {fitsInto} from '../../utilities/resources.js';
 import type {AttemptLifecycle} from '../jobs/attempt_lifecycle.js';
+import {KeyHeap} from '../jobs/key_heap.js';
 import type {JobState} from '../jobs/job_state.js';
 import {taskKey} from '../jobs/shard_state.js';
 import type {ShardState} from '../jobs/shard_state.js';
@@ -10,6 +11,8 @@
 import {RoomKeeper} from './room_keeper.js';
 import type {VmState} from './vm_table.js';
 
+const REFRESH_MILLIS = 20;
+
 /**
  * Places what can be placed: urgent jobs first, then the team with the least
  * weighted share, its oldest job first. A job that finds no room blocks nobody.
@@ -20,6 +23,7 @@
   private readonly blocked = new Set<JobState>();
   private readonly keeper: RoomKeeper;
   private budget = 0;
+  private nextRefreshAt = -Infinity;
 
   constructor(
     private readonly state: ShardState,
@@ -32,7 +36,8 @@
     this.noRoom = [];
     this.blocked.clear();
     this.keeper.beginRound(now);
-    for (const vm of this.state.vms.vms) this.refresh(vm, now);
+    if (now >= this.nextRefreshAt) this.refreshAll(now);
+    if (this.state.ready.size === 0) return;
     this.budget = this.state.limits.placementsPerDecision;
     this.placeAll(Urgency.URGENT, now, wallTime);
     this.budget = Math.min(this.budget, this.state.pacer.available(now));
@@ -40,55 +45,70 @@
   }
 
   private placeAll(urgency: Urgency, now: number, wallTime: number): void {
-    const teams = new Set(this.state.ready.teams(urgency));
-    while (this.budget > 0 && teams.size > 0) {
-      const team = this.poorest(teams);
-      const ready = this.nextJob(urgency, team);
-      if (!ready) teams.delete(team);
-      else this.placeOne(ready, now, wallTime);
+    const teams = new KeyHeap<string>();
+    for (const team of this.state.ready.teams(urgency)) {
+      teams.add(this.state.ledger.share(team), team);
     }
-  }
-
-  private poorest(teams: Iterable<string>): string {
-    let poorest = '';
-    let least = Infinity;
-    for (const team of teams) {
-      const share = this.state.ledger.share(team);
-      if (share >= least) continue;
-      poorest = team;
-      least = share;
+    while (this.budget > 0) {
+      const team = teams.take();
+      if (team === undefined) return;
+      const placed = this.placeNext(urgency, team, now, wallTime);
+      if (placed) teams.add(this.state.ledger.share(team), team);
     }
-    return poorest;
   }
 
-  private nextJob(urgency: Urgency, team: string): ReadyJob | undefined {
+  /** Places a task of the team's first job that finds room. */
+  private placeNext(
+    urgency: Urgency,
+    team: string,
+    now: number,
+    wallTime: number,
+  ): boolean {
     for (const ready of this.state.ready.jobs(urgency, team)) {
-      if (!this.blocked.has(ready.job)) return ready;
+      if (this.blocked.has(ready.job)) continue;
+      if (this.placeOne(ready, now, wallTime)) return true;
     }
-    return undefined;
+    return false;
   }
 
-  private placeOne(ready: ReadyJob, now: number, wallTime: number): void {
+  private placeOne(ready: ReadyJob, now: number, wallTime: number): boolean {
     const {job} = ready;
+    const {ledger} = this.state;
+    const {size, team} = job.specification;
+    if (this.isHopeless(job, size)) {
+      this.keeper.blocked(ready, size, now);
+      return false;
+    }
     const task = this.describe(ready, now);
-    if (!this.state.ledger.allows(task.team, task.size)) {
+    if (!ledger.allows(team, task.size)) {
       return this.block(job, 'the quota of its team is used up');
     }
     if (task.refusals > 0) this.keeper.refused(job, task.size, now);
     const choice = this.choose(job, task, now);
-    if (!choice) {
-      this.keeper.blocked(job, task.size, now);
-      return this.block(job, 'no usable VM has room for its size');
-    }
+    if (!choice) return this.noRoomFor(ready, task.size, now);
     const index = this.state.ready.take(ready);
-    if (index === undefined) return;
+    if (index === undefined) return false;
     this.budget--;
     this.state.pacer.take();
     this.state.judge.notePlaced(choice.vm.view.vm, now);
     this.state.waitReasons.delete(job.key);
-    this.keeper.placed(job, choice.vm);
+    this.keeper.placed(ready, choice.vm);
     this.lifecycle.place(job, index, task.size, choice, now, wallTime);
     this.refresh(choice.vm, now);
+    return true;
+  }
+
+  /** A size that is no larger found no room in this round. */
+  private isHopeless(job: JobState, size: Resources): boolean {
+    for (const without of this.noRoom) {
+      if (fitsInto(without, size)) return !this.keeper.isKeptFor(job);
+    }
+    return false;
+  }
+
+  private noRoomFor(ready: ReadyJob, size: Resources, now: number): boolean {
+    this.keeper.blocked(ready, size, now);
+    return this.block(ready.job, 'no usable VM has room for its size');
   }
 
   private describe(ready: ReadyJob, now: number): PlacementTask {
@@ -127,17 +147,21 @@
     task: PlacementTask,
     now: number,
   ): PlacementChoice | undefined {
-    const kept = this.keeper.isKeptFor(job);
-    const hopeless = this.noRoom.some(size => fitsInto(size, task.size));
-    if (hopeless && !kept) return undefined;
+    if (this.isHopeless(job, task.size)) return undefined;
     const choice = this.state.placer.choose(task, this.state.vms.vms, now);
     if (!choice && task.avoid.length === 0) this.noRoom.push(task.size);
     return choice;
   }
 
-  private block(job: JobState, reason: string): void {
+  private block(job: JobState, reason: string): boolean {
     this.blocked.add(job);
     this.state.waitReasons.set(job.key, reason);
+    return false;
+  }
+
+  private refreshAll(now: number): void {
+    this.nextRefreshAt = now + REFRESH_MILLIS;
+    for (const vm of this.state.vms.vms) this.refresh(vm, now);
   }
 
   private refresh(vm: VmState, now: number): void {
--- a/src/decisions/placement/ready_queue.ts
+++ b/src/decisions/placement/ready_queue.ts
@@ -6,6 +6,8 @@
   readonly job: JobState;
   /** Indexes of its tasks; the last is the next. */
   readonly tasks: number[];
+  /** Since when no VM has had room for it; undefined while one may. */
+  blockedSince: number | undefined;
 }
 
 /** The tasks that may be placed now, by urgency, team and order of submission. */
@@ -73,7 +75,7 @@
     while (index > 0 && jobs[index - 1].job.sequence > job.sequence) index--;
     const before = jobs[index - 1];
     if (before?.job === job) return before;
-    const added: ReadyJob = {job, tasks: []};
+    const added: ReadyJob = {job, tasks: [], blockedSince: undefined};
     jobs.splice(index, 0, added);
     return added;
   }
--- a/src/decisions/placement/room_keeper.ts
+++ b/src/decisions/placement/room_keeper.ts
@@ -4,6 +4,7 @@
 import type {JobState} from '../jobs/job_state.js';
 import type {OpenAttempt} from '../jobs/open_attempts.js';
 import type {ShardState} from '../jobs/shard_state.js';
+import type {ReadyJob} from './ready_queue.js';
 import type {VmState} from './vm_table.js';
 
 const URGENT_HOLD_MILLIS = 2000;
@@ -12,14 +13,6 @@
 const STARVING_HOLD_MILLIS = 60_000;
 const URGENT_ROOM_REASON = 'an urgent task needs the room';
 
-/** A placement that an agent refuses does not end the wait for room. */
-const BLOCK_FORGOTTEN_MILLIS = 5000;
-
-interface Block {
-  readonly since: number;
-  lastAt: number;
-}
-
 interface Plan {
   readonly vm: VmState;
   readonly moved: readonly OpenAttempt[];
@@ -31,7 +24,6 @@
  * ones off the VM with the most room.
  */
 export class RoomKeeper {
-  private readonly blocks = new Map<string, Block>();
   private readonly holds = new Map<string, VmState>();
   private urgentHolds = 0;
 
@@ -39,9 +31,6 @@
 
   beginRound(now: number): void {
     this.urgentHolds = 0;
-    for (const [job, {lastAt}] of this.blocks) {
-      if (now - lastAt > BLOCK_FORGOTTEN_MILLIS) this.blocks.delete(job);
-    }
     for (const [job, vm] of this.holds) {
       const ended = vm.heldUntil <= now || vm.heldFor !== job;
       if (ended) this.holds.delete(job);
@@ -53,9 +42,9 @@
   }
 
   /** One of the job's tasks was placed: the room kept there is used. */
-  placed(job: JobState, on: VmState): void {
-    const normal = job.specification.urgency === Urgency.NORMAL;
-    if (normal) this.blocks.delete(job.key);
+  placed(ready: ReadyJob, on: VmState): void {
+    const {job} = ready;
+    ready.blockedSince = undefined;
     if (this.holds.get(job.key) !== on) return;
     on.heldUntil = 0;
     this.holds.delete(job.key);
@@ -71,27 +60,18 @@
   }
 
   /** No VM has room for the job's next task. */
-  blocked(job: JobState, size: Resources, now: number): void {
-    const waited = this.waited(job, now);
-    if (this.holds.has(job.key)) return;
+  blocked(ready: ReadyJob, size: Resources, now: number): void {
+    ready.blockedSince ??= now;
+    const waited = now - ready.blockedSince;
+    const {job} = ready;
     if (job.specification.urgency === Urgency.URGENT) {
-      const patience = this.state.limits.urgentPatienceMillis;
-      if (waited >= patience) this.makeRoom(job, size, now);
+      if (waited < this.state.limits.urgentPatienceMillis) return;
+      if (!this.holds.has(job.key)) this.makeRoom(job, size, now);
     } else if (waited >= STARVING_MILLIS && this.holds.size === 0) {
       this.keepRoom(job, size, now);
     }
   }
 
-  private waited(job: JobState, now: number): number {
-    const block = this.blocks.get(job.key);
-    if (block) {
-      block.lastAt = now;
-      return now - block.since;
-    }
-    this.blocks.set(job.key, {since: now, lastAt: now});
-    return 0;
-  }
-
   private makeRoom(job: JobState, size: Resources, now: number): void {
     if (this.urgentHolds >= URGENT_HOLDS_PER_DECISION) return;
     this.urgentHolds++;
--- a/src/decisions/placement/team_ledger.ts
+++ b/src/decisions/placement/team_ledger.ts
@@ -11,32 +11,42 @@
   settings: TeamSettings | undefined;
   used: Resources;
   runningTasks: number;
+  /** Negative when it has to be computed anew. */
+  share: number;
 }
 
+const UNKNOWN_SHARE = -1;
+
 /** What each team's open attempts reserve, against its quota and its weight. */
 export class TeamLedger {
   private readonly teams = new Map<string, TeamUse>();
   private capacity: Resources = NO_RESOURCES;
 
   setTeam(settings: TeamSettings): void {
-    this.use(settings.team).settings = settings;
+    const use = this.use(settings.team);
+    use.settings = settings;
+    use.share = UNKNOWN_SHARE;
   }
 
   /** The size against which shares are counted. */
   setCapacity(capacity: Resources): void {
+    if (isEqual(this.capacity, capacity)) return;
     this.capacity = capacity;
+    for (const use of this.teams.values()) use.share = UNKNOWN_SHARE;
   }
 
   add(team: string, size: Resources): void {
     const use = this.use(team);
     use.used = addResources(use.used, size);
     use.runningTasks++;
+    use.share = UNKNOWN_SHARE;
   }
 
   remove(team: string, size: Resources): void {
     const use = this.use(team);
     use.used = subtractResources(use.used, size);
     use.runningTasks--;
+    use.share = UNKNOWN_SHARE;
   }
 
   /** Whether one more task of the size stays within the team's quota. */
@@ -56,14 +66,9 @@
 
   /** The largest of the team's shares of the fleet, divided by its weight. */
   share(team: string): number {
-    const {settings, used} = this.use(team);
-    const {milliprocessors, memoryMegabytes, accelerators} = this.capacity;
-    const dominant = Math.max(
-      used.milliprocessors / Math.max(1, milliprocessors),
-      used.memoryMegabytes / Math.max(1, memoryMegabytes),
-      used.accelerators / Math.max(1, accelerators),
-    );
-    return dominant / Math.max(settings?.weight ?? 1, Number.EPSILON);
+    const use = this.use(team);
+    if (use.share < 0) use.share = this.computeShare(use);
+    return use.share;
   }
 
   dump(): object {
@@ -74,12 +79,31 @@
     return teams;
   }
 
+  private computeShare({settings, used}: TeamUse): number {
+    const {milliprocessors, memoryMegabytes, accelerators} = this.capacity;
+    const dominant = Math.max(
+      used.milliprocessors / Math.max(1, milliprocessors),
+      used.memoryMegabytes / Math.max(1, memoryMegabytes),
+      used.accelerators / Math.max(1, accelerators),
+    );
+    return dominant / Math.max(settings?.weight ?? 1, Number.EPSILON);
+  }
+
   private use(team: string): TeamUse {
     let use = this.teams.get(team);
     if (!use) {
-      use = {settings: undefined, used: NO_RESOURCES, runningTasks: 0};
+      use = {
+        settings: undefined,
+        used: NO_RESOURCES,
+        runningTasks: 0,
+        share: UNKNOWN_SHARE,
+      };
       this.teams.set(team, use);
     }
     return use;
   }
 }
+
+function isEqual(left: Resources, right: Resources): boolean {
+  return fitsInto(left, right) && fitsInto(right, left);
+}
--- a/src/decisions/recovery/evacuation.ts
+++ b/src/decisions/recovery/evacuation.ts
@@ -10,6 +10,8 @@
  * at once, the others with a checkpoint, urgent ones first and a few at a time.
  */
 export class Evacuation {
+  /** VMs that attempts were told to leave. */
+  private readonly left = new Set<string>();
   private allowance = 0;
   private filledAt = 0;
 
@@ -21,9 +23,10 @@
   run(now: number, wallTime: number): void {
     this.fill(now);
     const moving: OpenAttempt[] = [];
-    for (const vm of [...this.state.attempts.vms()]) {
-      if (this.state.isOut(vm)) this.leave(vm, moving, now, wallTime);
-      else this.stay(vm);
+    for (const vm of this.left) if (!this.state.isOut(vm)) this.stay(vm);
+    for (const vm of this.outWithAttempts()) {
+      this.left.add(vm);
+      this.leave(vm, moving, now, wallTime);
     }
     moving.sort(byUrgency);
     for (const attempt of moving) {
@@ -33,6 +36,12 @@
     }
   }
 
+  private outWithAttempts(): string[] {
+    const {failureDomainsOut, drainedVms} = this.state.fleet;
+    if (failureDomainsOut.size + drainedVms.size === 0) return [];
+    return [...this.state.attempts.vms()].filter(vm => this.state.isOut(vm));
+  }
+
   private leave(
     vm: string,
     moving: OpenAttempt[],
@@ -49,6 +58,7 @@
   }
 
   private stay(vm: string): void {
+    this.left.delete(vm);
     for (const attempt of this.state.attempts.onVm(vm)) {
       if (attempt.stopReason !== OUT_REASON) continue;
       if (attempt.stops.sends === 0) this.state.attempts.keep(attempt);
