Place nothing where a service would answer too late beside it

A placement is now ruled out when the tail, with the learned slowdown of the pair and that of tasks placed too lately to show, would pass 0.9 of the service's target. Urgent tasks and those that waited five minutes are exempt.

--- a/bench/batch/baseline_policies.ts
+++ b/bench/batch/baseline_policies.ts
@@ -3,7 +3,10 @@
   PlacementTask,
   Placer,
 } from '../../src/decisions/placement/placer.js';
-import {mayStartOn} from '../../src/decisions/placement/placer.js';
+import {
+  PlacementObstacle,
+  mayStartOn,
+} from '../../src/decisions/placement/placer.js';
 import type {SizeLearner} from '../../src/decisions/placement/size_learner.js';
 import type {VmState} from '../../src/decisions/placement/vm_table.js';
 import type {Resources} from '../../src/utilities/resources.js';
@@ -14,11 +17,11 @@
     task: PlacementTask,
     vms: readonly VmState[],
     now: number,
-  ): PlacementChoice | undefined {
+  ): PlacementChoice | PlacementObstacle {
     for (const vm of vms) {
       if (mayStartOn(task, vm, now)) return {vm, reason: 'first fit'};
     }
-    return undefined;
+    return PlacementObstacle.NO_ROOM;
   }
 }
 
--- a/src/decisions/placement/best_fit_placer.ts
+++ b/src/decisions/placement/best_fit_placer.ts
@@ -1,7 +1,7 @@
 import {hashOf} from '../../utilities/text_hash.js';
 import type {InterferenceTable} from './interference_table.js';
 import type {PlacementChoice, PlacementTask, Placer} from './placer.js';
-import {mayStartOn} from './placer.js';
+import {PlacementObstacle, mayStartOn} from './placer.js';
 import type {Spread} from './spread.js';
 import type {VmState} from './vm_table.js';
 
@@ -43,21 +43,33 @@
     task: PlacementTask,
     vms: readonly VmState[],
     now: number,
-  ): PlacementChoice | undefined {
+  ): PlacementChoice | PlacementObstacle {
     let best: VmState | undefined;
     let bestCost = Infinity;
+    let room = false;
     for (const vm of vms) {
       if (!mayStartOn(task, vm, now)) continue;
+      room = true;
       const cost = this.cost(task, vm);
       if (cost >= bestCost) continue;
       best = vm;
       bestCost = cost;
     }
-    if (!best) return undefined;
+    if (!best) {
+      return room ? PlacementObstacle.HARMFUL : PlacementObstacle.NO_ROOM;
+    }
+    best.unseenSlowdown += this.interference.addedSlowdown(
+      task.taskKind,
+      best,
+      shareOf(task, best),
+    );
     return {vm: best, reason: `best fit, cost ${bestCost.toFixed(2)}`};
   }
 
   private cost(task: PlacementTask, vm: VmState): number {
+    if (!task.urgent && !task.overdue && this.isHarmful(task, vm)) {
+      return Infinity;
+    }
     let cost = leftoverShare(task, vm);
     cost += this.interference.penalty(task.taskKind, vm);
     if (task.size.accelerators === 0 && vm.freeAccelerators > 0) {
@@ -69,6 +81,11 @@
     return cost + this.preferenceWeight * this.preference(vm.view.vm);
   }
 
+  private isHarmful(task: PlacementTask, vm: VmState): boolean {
+    const share = shareOf(task, vm);
+    return this.interference.wouldBeLate(task.taskKind, vm, share);
+  }
+
   private preference(vm: string): number {
     let preference = this.preferences.get(vm);
     if (preference === undefined) {
@@ -90,3 +107,8 @@
     capacity.memoryMegabytes;
   return (processors + memory) / 2;
 }
+
+/** Share of the VM's processors that the task takes. */
+function shareOf(task: PlacementTask, vm: VmState): number {
+  return task.size.milliprocessors / vm.view.capacity.milliprocessors;
+}
--- a/src/decisions/placement/interference_table.ts
+++ b/src/decisions/placement/interference_table.ts
@@ -6,6 +6,10 @@
 /** A service at its target counts in full, far below it hardly. */
 const UNKNOWN_PRESSURE = 0.5;
 
+const HARMLESS_SLOWDOWN = 1.05;
+/** Share of a service's target that placements may use up. */
+const SAFE_SHARE = 0.9;
+
 interface LearnedPair {
   slowdown: number;
   notedAt: number;
@@ -39,6 +43,32 @@
     return penalty;
   }
 
+  /**
+   * Whether one more task of the kind would bring a service of the VM over its
+   * target. Counts what was placed too lately to show in the reported tails.
+   */
+  wouldBeLate(taskKind: string, vm: VmState, share: number): boolean {
+    if (this.pairs.size === 0) return false;
+    for (const {service, tailMillis, targetMillis} of vm.view.services) {
+      if (tailMillis === 0 || targetMillis === 0) continue;
+      const slowdown = this.slowdown(service, taskKind, vm.answeredAt);
+      if (slowdown < HARMLESS_SLOWDOWN) continue;
+      const added = vm.unseenSlowdown + (slowdown - 1) * share;
+      if (tailMillis * (1 + added) > SAFE_SHARE * targetMillis) return true;
+    }
+    return false;
+  }
+
+  /** The slowdown that a task adds to the VM's services, the worst of them. */
+  addedSlowdown(taskKind: string, vm: VmState, share: number): number {
+    let worst = 0;
+    for (const {service} of vm.view.services) {
+      const slowdown = this.slowdown(service, taskKind, vm.answeredAt);
+      worst = Math.max(worst, (slowdown - 1) * share);
+    }
+    return worst;
+  }
+
   private computePenalty(taskKind: string, vm: VmState): number {
     let penalty = 0;
     for (const {service, tailMillis, targetMillis} of vm.view.services) {
--- a/src/decisions/placement/placement_round.ts
+++ b/src/decisions/placement/placement_round.ts
@@ -6,12 +6,14 @@
 import type {JobState} from '../jobs/job_state.js';
 import {taskKey} from '../jobs/shard_state.js';
 import type {ShardState} from '../jobs/shard_state.js';
+import {PlacementObstacle} from './placer.js';
 import type {PlacementChoice, PlacementTask} from './placer.js';
 import type {ReadyJob} from './ready_queue.js';
 import {RoomKeeper} from './room_keeper.js';
 import type {VmState} from './vm_table.js';
 
 const REFRESH_MILLIS = 20;
+const OVERDUE_MILLIS = 5 * 60 * 1000;
 
 /**
  * Places what can be placed: urgent jobs first, then the team with the least
@@ -20,6 +22,8 @@
 export class PlacementRound {
   /** Sizes that found no room in this round. */
   private noRoom: Resources[] = [];
+  /** Sizes for which each kind found room only beside services it harms. */
+  private readonly harmful = new Map<string, Resources>();
   private readonly blocked = new Set<JobState>();
   private readonly keeper: RoomKeeper;
   private budget = 0;
@@ -34,6 +38,7 @@
 
   run(now: number, wallTime: number): void {
     this.noRoom = [];
+    this.harmful.clear();
     this.blocked.clear();
     this.keeper.beginRound(now);
     if (now >= this.nextRefreshAt) this.refreshAll(now);
@@ -85,7 +90,10 @@
     }
     if (task.refusals > 0) this.keeper.refused(job, task.size, now);
     const choice = this.choose(job, task, now);
-    if (!choice) return this.noRoomFor(ready, task.size, now);
+    if (typeof choice === 'string') {
+      this.keeper.blocked(ready, task.size, now);
+      return this.block(job, choice);
+    }
     const index = this.state.ready.take(ready);
     if (index === undefined) return false;
     this.budget--;
@@ -98,21 +106,19 @@
     return true;
   }
 
-  /** A size that is no larger found no room in this round. */
+  /** The kind, or a size that is no larger, found no room in this round. */
   private isHopeless(job: JobState, size: Resources): boolean {
+    const {taskKind} = job.specification;
+    const harmful = this.harmful.get(taskKind);
+    if (harmful && fitsInto(harmful, size)) return !this.keeper.isKeptFor(job);
     for (const without of this.noRoom) {
       if (fitsInto(without, size)) return !this.keeper.isKeptFor(job);
     }
     return false;
   }
 
-  private noRoomFor(ready: ReadyJob, size: Resources, now: number): boolean {
-    this.keeper.blocked(ready, size, now);
-    return this.block(ready.job, 'no usable VM has room for its size');
-  }
-
   private describe(ready: ReadyJob, now: number): PlacementTask {
-    const {job, tasks} = ready;
+    const {job, tasks, blockedSince = now} = ready;
     const {team, taskKind, size, urgency} = job.specification;
     const {backoff} = this.state;
     const next = taskKey(job, tasks[tasks.length - 1]);
@@ -124,6 +130,7 @@
       urgent: urgency === Urgency.URGENT,
       watcher: job.watcher,
       avoid: backoff.avoided(next, now),
+      overdue: now - blockedSince > OVERDUE_MILLIS,
       refusals: backoff.refusals(next),
     };
   }
@@ -146,10 +153,14 @@
     job: JobState,
     task: PlacementTask,
     now: number,
-  ): PlacementChoice | undefined {
-    if (this.isHopeless(job, task.size)) return undefined;
+  ): PlacementChoice | PlacementObstacle {
+    if (this.isHopeless(job, task.size)) return PlacementObstacle.NO_ROOM;
     const choice = this.state.placer.choose(task, this.state.vms.vms, now);
-    if (!choice && task.avoid.length === 0) this.noRoom.push(task.size);
+    if (task.avoid.length > 0) return choice;
+    if (choice === PlacementObstacle.NO_ROOM) this.noRoom.push(task.size);
+    if (choice === PlacementObstacle.HARMFUL) {
+      this.harmful.set(task.taskKind, task.size);
+    }
     return choice;
   }
 
--- a/src/decisions/placement/placer.ts
+++ b/src/decisions/placement/placer.ts
@@ -12,6 +12,8 @@
   readonly watcher: boolean;
   /** VMs on which it failed before. */
   readonly avoid: readonly string[];
+  /** Has waited so long that services may suffer from it. */
+  readonly overdue: boolean;
   /** How often agents refused it since it last ran. */
   readonly refusals: number;
 }
@@ -21,13 +23,22 @@
   readonly reason: string;
 }
 
+/** Why no VM was picked. */
+export const PlacementObstacle = {
+  NO_ROOM: 'no usable VM has room for its size',
+  /** There is room, but only beside services that would answer too late. */
+  HARMFUL: 'where there is room, services would be late beside its kind',
+} as const;
+export type PlacementObstacle =
+  (typeof PlacementObstacle)[keyof typeof PlacementObstacle];
+
 /** Picks the VM for a task. */
 export interface Placer {
   choose(
     task: PlacementTask,
     vms: readonly VmState[],
     now: number,
-  ): PlacementChoice | undefined;
+  ): PlacementChoice | PlacementObstacle;
 }
 
 /** Room for so many tasks of the size is enough for several shards. */
--- a/src/decisions/placement/vm_table.ts
+++ b/src/decisions/placement/vm_table.ts
@@ -41,6 +41,7 @@
 }
 
 const EXCESS_SMOOTHING = 0.2;
+const UNSEEN_SLOWDOWN_DECAY = 0.8;
 
 /** One VM. Sizes are numbers of their own, so that scans stay cheap. */
 export class VmState {
@@ -61,6 +62,8 @@
   ownAccelerators = 0;
   /** Starts that the agent has not confirmed yet. */
   unconfirmed = 0;
+  /** What lately placed tasks add, until the reported tails show it. */
+  unseenSlowdown = 0;
   /** A job for which the room is kept. */
   heldFor = '';
   heldUntil = 0;
@@ -93,6 +96,7 @@
     this.ownMilliprocessors = 0;
     this.ownMemoryMegabytes = 0;
     this.ownAccelerators = 0;
+    this.unseenSlowdown *= UNSEEN_SLOWDOWN_DECAY;
     this.noteUsage();
     this.refreshFree();
   }
