--- a/src/decisions/jobs/agent_answers.ts
+++ b/src/decisions/jobs/agent_answers.ts
@@ -17,7 +17,10 @@
   noteVm(view: VmView, now: number, wallTime: number): void {
     const {claims, interference, vms} = this.state;
     const before = vms.get(view.vm)?.view.incarnation;
-    vms.note(view, now).leftToOthers = !claims.draw(view.vm);
+    const vm = vms.note(view, now);
+    const leasedUntil = now + this.state.fleet.taskLeaseMillis;
+    vm.leasedUntil = Math.max(vm.leasedUntil, leasedUntil);
+    vm.leftToOthers = !claims.draw(view.vm);
     interference.note(view, now);
     if (before === view.incarnation) return;
     for (const attempt of [...this.state.attempts.onVm(view.vm)]) {
--- a/src/decisions/placement/vm_table.ts
+++ b/src/decisions/placement/vm_table.ts
@@ -47,6 +47,8 @@
 export class VmState {
   view: VmView;
   answeredAt: number;
+  /** No lease that was granted to its attempts ends later. */
+  leasedUntil = -Infinity;
   /** Settings, health and freshness let tasks be placed here. */
   usable = false;
   freeMilliprocessors = 0;
--- a/src/entry/entry_process.ts
+++ b/src/entry/entry_process.ts
@@ -25,6 +25,8 @@
 import {AgentDirectory} from './agents/agent_directory.js';
 import {HeartbeatResponder} from './agents/heartbeat_responder.js';
 import {ReportRecorder} from './agents/report_recorder.js';
+import {SettingsAlarms} from './alarms/settings_alarms.js';
+import {UpstreamAlarms} from './alarms/upstream_alarms.js';
 import {JobCommands} from './commands/job_commands.js';
 import {SettingsCommands} from './commands/settings_commands.js';
 import {ApiRouter} from './http/api_router.js';
@@ -41,6 +43,7 @@
 import {readCallerRequest} from './requests/caller_request_reader.js';
 import {RequestForwarder} from './requests/request_forwarder.js';
 import {RequestMetrics} from './requests/request_metrics.js';
+import {ServiceLimits} from './requests/service_limits.js';
 import {SettingsBranchesStore} from './settings_branches_store.js';
 import {SettingsFollower} from './settings_follower.js';
 import {AttemptDispatcher} from './shards/attempt_dispatcher.js';
@@ -87,6 +90,7 @@
   private readonly agents: AgentDirectory;
   private readonly router: ServiceRouter;
   private readonly limiter = new RequestLimiter();
+  private readonly limits = new ServiceLimits(this.limiter);
   private readonly roster: EntryRoster;
   private readonly claims: ShardClaims;
   private readonly lease: StoreLeaseKeeper;
@@ -98,6 +102,8 @@
   private readonly heartbeats: HeartbeatResponder;
   private readonly recorder: ReportRecorder;
   private readonly forwarder: RequestForwarder;
+  private readonly upstreamAlarms: UpstreamAlarms;
+  private readonly settingsAlarms: SettingsAlarms;
   private readonly tickers: ReadonlyArray<Ticker<EntryTick>>;
   private registering = false;
   private refreshing = false;
@@ -150,7 +156,12 @@
       logger,
       () => this.applySettings(),
     );
-    this.statuses = new ProcessStatuses(entryId, this.settings, this.agents);
+    this.statuses = new ProcessStatuses(
+      entryId,
+      this.settings,
+      this.agents,
+      peer => this.roster.find(peer)?.stopping === false,
+    );
     this.peers = new PeerExchange({
       entryId,
       roster: this.roster,
@@ -177,6 +188,8 @@
       clock,
       new RequestMetrics(metrics),
     );
+    this.upstreamAlarms = new UpstreamAlarms(this.agents, logger);
+    this.settingsAlarms = new SettingsAlarms(logger);
     this.tickers = this.createTickers();
     this.addRoutes(branches);
   }
@@ -319,9 +332,9 @@
     const {clock, metrics, record} = options;
     new JobCommands(access, settings, clock).addRoutes(api);
     new JobQueries(access).addRoutes(api);
-    new SettingsCommands(branches, () => this.follower.refresh()).addRoutes(
-      api,
-    );
+    new SettingsCommands(branches, settings, options.logger, () =>
+      this.follower.refresh(),
+    ).addRoutes(api);
     new OperatorQueries({
       entryId: record.entryId,
       branches,
@@ -368,6 +381,12 @@
       this.router.removeUpstream(agent.agentId, 'it is silent', now);
     }
     this.agents.forgetLongSilent(now);
+    this.upstreamAlarms.check(now);
+    this.settingsAlarms.check(
+      this.statuses.all(now),
+      this.settings.revision,
+      now,
+    );
     void this.peers.exchange();
   }
 
@@ -403,18 +422,10 @@
 
   private applySettings(): void {
     const {fleet} = this.settings;
+    this.settingsAlarms.noteFleet(fleet);
     this.shards.applySettings();
     this.router.setAvoidedDomains(fleet.failureDomainsOut);
     this.router.setLimits(fleet);
-    for (const branch of this.settings.branches()) {
-      for (const service of this.settings.team(branch).services.values()) {
-        this.limiter.setLimit(
-          service.team,
-          service.name,
-          service.requestsPerSecond,
-          this.options.clock.now(),
-        );
-      }
-    }
+    this.limits.apply(this.settings, this.options.clock.now());
   }
 }
--- a/tests/observability/console_logger.test.ts
+++ b/tests/observability/console_logger.test.ts
@@ -19,7 +19,9 @@
     output,
     wallTime: () => 0,
   });
-  logger.event(Events.WORKER_LOST, {address: 'http://127.0.0.1:1'});
+  const fields = {address: 'http://127.0.0.1:1', process: 'not this one'};
+  logger.event(Events.WORKER_LOST, fields);
+  t.true(output.text.startsWith('{"time":"1970'));
   t.deepEqual(JSON.parse(output.text), {
     time: '1970-01-01T00:00:00.000Z',
     level: 'error',
@@ -43,9 +45,10 @@
 test('should leave out lower levels but count them, repeated ones too', t => {
   const output = new TextOutput();
   const logger = new ConsoleLogger({processId: 'a', output, level: 'warn'});
-  for (let index = 0; index < 20; index++) logger.event(Events.STORE_SLOW);
+  for (let index = 0; index < 20; index++)
+    logger.event(Events.STORE_UNREACHABLE);
   logger.event(Events.STORE_BACK);
   t.is(output.text.trim().split('\n').length, 20);
-  t.is(logger.countsByNumber().get(5002), 20);
+  t.is(logger.countsByNumber().get(5000), 20);
   t.is(logger.countsByNumber().get(5001), 1);
 });
