Log VMs in quarantine; count them as of now

Cause: counts() asked for the quarantines at time infinity, when all are over, so the state dump always said 0, and nothing told operators of a VM that fails what succeeds elsewhere.

--- a/src/decisions/jobs/job_queries.ts
+++ b/src/decisions/jobs/job_queries.ts
@@ -43,7 +43,7 @@
     return {team, name, phase, summary: this.summary(job), history};
   }
 
-  counts(): SchedulerCounts {
+  counts(now: number): SchedulerCounts {
     const {state} = this;
     return {
       jobs: state.book.jobs.size,
@@ -52,10 +52,15 @@
       delayedTasks: state.delayed.size,
       queuedRecords: state.records.size,
       vms: state.vms.vms.length,
-      quarantinedVms: state.judge.quarantined(Infinity).size,
+      quarantinedVms: state.judge.quarantined(now).size,
     };
   }
 
+  /** VMs that get no tasks because they fail what succeeds elsewhere. */
+  quarantinedVms(now: number): string[] {
+    return [...this.state.judge.quarantined(now).keys()];
+  }
+
   /** The scheduler's state for people, without the single tasks. */
   dump(now: number): object {
     const {state} = this;
@@ -71,7 +76,7 @@
     return {
       epoch: state.book.epoch,
       owner: state.book.ownerEntryId,
-      counts: this.counts(),
+      counts: this.counts(now),
       quarantined: Object.fromEntries(state.judge.quarantined(now)),
       waitReasons: Object.fromEntries(state.waitReasons),
       teams: state.ledger.dump(),
--- a/src/decisions/jobs/shard_scheduler.ts
+++ b/src/decisions/jobs/shard_scheduler.ts
@@ -262,8 +262,12 @@
     return this.queries.explain(team, name);
   }
 
-  counts(): SchedulerCounts {
-    return this.queries.counts();
+  counts(now: number): SchedulerCounts {
+    return this.queries.counts(now);
+  }
+
+  quarantinedVms(now: number): string[] {
+    return this.queries.quarantinedVms(now);
   }
 
   dump(now: number): object {
--- a/src/entry/entry_process.ts
+++ b/src/entry/entry_process.ts
@@ -25,8 +25,7 @@
 import {AgentDirectory} from './agents/agent_directory.js';
 import {HeartbeatResponder} from './agents/heartbeat_responder.js';
 import {ReportRecorder} from './agents/report_recorder.js';
-import {SettingsAlarms} from './alarms/settings_alarms.js';
-import {UpstreamAlarms} from './alarms/upstream_alarms.js';
+import {EntryAlarms} from './alarms/entry_alarms.js';
 import {JobCommands} from './commands/job_commands.js';
 import {SettingsCommands} from './commands/settings_commands.js';
 import {ApiRouter} from './http/api_router.js';
@@ -102,8 +101,7 @@
   private readonly heartbeats: HeartbeatResponder;
   private readonly recorder: ReportRecorder;
   private readonly forwarder: RequestForwarder;
-  private readonly upstreamAlarms: UpstreamAlarms;
-  private readonly settingsAlarms: SettingsAlarms;
+  private readonly alarms: EntryAlarms;
   private readonly tickers: ReadonlyArray<Ticker<EntryTick>>;
   private registering = false;
   private refreshing = false;
@@ -188,8 +186,13 @@
       clock,
       new RequestMetrics(metrics),
     );
-    this.upstreamAlarms = new UpstreamAlarms(this.agents, logger);
-    this.settingsAlarms = new SettingsAlarms(logger);
+    this.alarms = new EntryAlarms({
+      agents: this.agents,
+      statuses: this.statuses,
+      shards: this.shards,
+      settings: this.settings,
+      logger,
+    });
     this.tickers = this.createTickers();
     this.addRoutes(branches);
   }
@@ -291,7 +294,7 @@
         shard: owner.shard,
         epoch: owner.epoch,
         commits: owner.commitCount,
-        ...owner.scheduler.counts(),
+        ...owner.scheduler.counts(now),
       })),
       agents: [...this.agents.all()].map(agent => ({
         agentId: agent.agentId,
@@ -381,12 +384,7 @@
       this.router.removeUpstream(agent.agentId, 'it is silent', now);
     }
     this.agents.forgetLongSilent(now);
-    this.upstreamAlarms.check(now);
-    this.settingsAlarms.check(
-      this.statuses.all(now),
-      this.settings.revision,
-      now,
-    );
+    this.alarms.check(now);
     void this.peers.exchange();
   }
 
@@ -422,7 +420,7 @@
 
   private applySettings(): void {
     const {fleet} = this.settings;
-    this.settingsAlarms.noteFleet(fleet);
+    this.alarms.noteSettings();
     this.shards.applySettings();
     this.router.setAvoidedDomains(fleet.failureDomainsOut);
     this.router.setLimits(fleet);
--- a/src/observability/events.ts
+++ b/src/observability/events.ts
@@ -148,6 +148,16 @@
     'info',
     'An agent refused the start of a task attempt; it did not run.',
   ),
+  VM_QUARANTINED: event(
+    3018,
+    'error',
+    'A VM fails what succeeds elsewhere and gets no tasks of a shard.',
+  ),
+  VM_RELEASED: event(
+    3019,
+    'info',
+    'A VM gets single tasks of a shard again, to see whether they succeed.',
+  ),
   AGENT_CALL_FAILED: event(
     3050,
     'debug',
--- a/tests/entry/alarms.test.ts
+++ b/tests/entry/alarms.test.ts
@@ -1,5 +1,6 @@
 import test from 'ava';
 import {logRecordEvents} from '../../src/entry/alarms/record_events.js';
+import {QuarantineAlarms} from '../../src/entry/alarms/quarantine_alarms.js';
 import {SettingsAlarms} from '../../src/entry/alarms/settings_alarms.js';
 import {UpstreamAlarms} from '../../src/entry/alarms/upstream_alarms.js';
 import {AgentDirectory} from '../../src/entry/agents/agent_directory.js';
@@ -119,3 +120,15 @@
   logRecordEvents([{...record, ...closed}], logger);
   t.deepEqual(logger.take(), ['TASK_LOST a/routes/0/2 lease lapsed']);
 });
+
+test('should log a VM that a shard stops using, and uses again', t => {
+  const logger = new RecordingLogger();
+  const alarms = new QuarantineAlarms(logger);
+  const check = (...vms: string[]): string[] => {
+    alarms.check([{shard: 3, scheduler: {quarantinedVms: () => vms}}], 0);
+    return logger.take();
+  };
+  t.deepEqual(check('vm-1'), ['VM_QUARANTINED vm-1 3']);
+  t.deepEqual(check('vm-1'), []);
+  t.deepEqual(check(), ['VM_RELEASED vm-1 3']);
+});
