--- a/bench/scenarios.ts
+++ b/bench/scenarios.ts
@@ -1,3 +1,4 @@
+import {evictionScenarios} from './eviction/eviction_scenarios.js';
 import type {MicroBenchmark, Scenario} from './scenario.js';
 import {batchScenarios} from './batch/batch_scenarios.js';
 import {routingMicroBenchmarks} from './micro/routing_micro_benchmarks.js';
@@ -7,6 +8,7 @@
 export const scenarios: readonly Scenario[] = [
   ...serviceScenarios,
   ...batchScenarios,
+  ...evictionScenarios,
 ];
 
 export const microBenchmarks: readonly MicroBenchmark[] = [
