Explain evictions by their reason; serve an agent's metrics; walk the tour

Cause, seen in the tour against the playground: "explain" said "stopped on request" for a watcher that moved because its failure domain was taken out, as the worker's own words went before the reason that the agent was given; the VMs of that domain were listed as open; and an agent served its state under any path and its metrics under none. Events are counted in the metrics, whose names begin with burdockmoor_ now.

--- a/bench/fleet/playground.ts
+++ b/bench/fleet/playground.ts
@@ -14,9 +14,10 @@
   try {
     await fleet.start();
     const {team, service} = fleet.layout;
-    for (const {name} of fleet.layout.entries) {
-      console.log(`${name}: http://${fleet.addresses.of(name, 'callers')}`);
-    }
+    const urls = fleet.layout.entries.map(
+      ({name}) => `http://${fleet.addresses.of(name, 'callers')}`,
+    );
+    console.log(`export BURDOCKMOOR_ENTRY=${urls.join(',')}`);
     console.log(`team ${team}, service ${service}`);
     console.log(`settings and logs: ${fleet.folder}`);
     console.log('Interrupt it with Ctrl+C to stop.');
--- a/src/agent/attempt_reports.ts
+++ b/src/agent/attempt_reports.ts
@@ -54,7 +54,7 @@
     outcome,
     checkpoint: task.checkpoint || attempt.checkpoint,
     result: task.result,
-    reason: task.reason || reason,
+    reason,
     resultCode,
     ranMillis: task.ranMillis,
     used: attempt.used,
@@ -76,7 +76,7 @@
     return {
       outcome: AttemptOutcome.FAILED,
       resultCode: ResultCodes.TASK_FAILED.number,
-      reason: 'the task failed',
+      reason: task.reason || 'the task failed',
     };
   }
   if (task.state === WorkerTaskState.LAPSED) return judgeLapsed();
--- a/src/cli/api_types.ts
+++ b/src/cli/api_types.ts
@@ -55,6 +55,7 @@
 export interface Vm {
   readonly vm: string;
   readonly failureDomain: string;
+  readonly failureDomainOut: boolean;
   readonly rack: string;
   readonly capacity?: VmSize;
   readonly committed?: VmSize;
--- a/src/cli/vm_commands.ts
+++ b/src/cli/vm_commands.ts
@@ -94,5 +94,6 @@
   if (vm.stopping) return 'stopping';
   if (vm.silentMillis > SILENT_AFTER_MILLIS) return 'silent';
   if (vm.drained) return 'drained';
+  if (vm.failureDomainOut) return 'domain out';
   return vm.recovering ? 'recovering' : 'open';
 }
--- a/src/daemon/agent_role.ts
+++ b/src/daemon/agent_role.ts
@@ -1,10 +1,10 @@
 import {randomInt, randomUUID} from 'node:crypto';
-import {createServer} from 'node:http';
 import type {Server} from 'node:http';
 import {AgentProcess} from '../agent/agent_process.js';
 import {ConsoleLogger} from '../observability/console_logger.js';
 import {Events} from '../observability/events.js';
 import type {Logger} from '../observability/logger.js';
+import {Metrics} from '../observability/metrics.js';
 import {HttpExecutor} from '../platform/http_executor.js';
 import {HttpWorker} from '../platform/http_worker.js';
 import type {Executor} from '../platform/executor.js';
@@ -20,6 +20,7 @@
 import type {RunningRole} from './process_runner.js';
 import {hostOf} from './host_of.js';
 import {readOrExit} from './settings_exit.js';
+import {createStateServer} from './state_server.js';
 
 const RANDOM_SEED_BOUND = 2 ** 31;
 
@@ -34,6 +35,7 @@
   constructor(
     private readonly settings: AgentProcessSettings,
     private readonly logger: Logger,
+    metrics: Metrics,
   ) {
     const {process: identity, listen, advertise, executor, tls} = settings;
     this.worker = new HttpWorker({
@@ -63,6 +65,7 @@
       clock: new SystemClock(),
       random: new Random(randomInt(RANDOM_SEED_BOUND)),
       logger,
+      metrics,
     });
     this.processServer = new GrpcServer(
       {
@@ -70,11 +73,9 @@
       },
       {security: tls},
     );
-    this.stateServer = createServer((_request, response) => {
-      void this.agent.dumpState().then(reply => {
-        response.setHeader('content-type', 'application/json');
-        response.end(reply.json);
-      });
+    this.stateServer = createStateServer({
+      metrics,
+      dumpState: async () => (await this.agent.dumpState()).json,
     });
   }
 
@@ -98,12 +99,14 @@
 /** Runs an agent until a signal stops it. */
 export async function runAgent(file: string): Promise<void> {
   const settings = readOrExit(() => readAgentSettings(file));
+  const metrics = new Metrics();
   const logger = new ConsoleLogger({
     processId: settings.process.id,
+    metrics,
     ...settings.logs,
   });
   logUncaught(logger);
-  const role = new AgentRole(settings, logger);
+  const role = new AgentRole(settings, logger, metrics);
   stopOnSignals(role, logger);
   await role.start();
 }
--- a/src/daemon/entry_role.ts
+++ b/src/daemon/entry_role.ts
@@ -30,6 +30,7 @@
   constructor(
     private readonly settings: EntryProcessSettings,
     private readonly logger: Logger,
+    metrics: Metrics,
   ) {
     const {process: identity, listen, advertise, store, tls} = settings;
     const clock = new SystemClock();
@@ -60,7 +61,7 @@
       clock,
       random: new Random(randomInt(RANDOM_SEED_BOUND)),
       logger,
-      metrics: new Metrics(),
+      metrics,
     });
     this.processServer = new GrpcServer(
       {
@@ -99,12 +100,14 @@
 /** Runs an entry until a signal stops it. */
 export async function runEntry(file: string): Promise<void> {
   const settings = readOrExit(() => readEntrySettings(file));
+  const metrics = new Metrics();
   const logger = new ConsoleLogger({
     processId: settings.process.id,
+    metrics,
     ...settings.logs,
   });
   logUncaught(logger);
-  const role = new EntryRole(settings, logger);
+  const role = new EntryRole(settings, logger, metrics);
   stopOnSignals(role, logger);
   await role.start();
 }
--- a/src/entry/queries/operator_queries.ts
+++ b/src/entry/queries/operator_queries.ts
@@ -94,16 +94,18 @@
 
   private describeVm(agent: AgentRecord, now: number): object {
     const {heartbeat} = agent;
+    const {fleet} = this.options.settings;
     return {
       vm: agent.agentId,
       failureDomain: heartbeat.failureDomain,
+      failureDomainOut: fleet.failureDomainsOut.has(heartbeat.failureDomain),
       region: heartbeat.region,
       rack: heartbeat.rack,
       capacity: heartbeat.capacity,
       committed: heartbeat.committed,
       used: heartbeat.used,
       runningAttempts: heartbeat.runningAttempts,
-      drained: this.options.settings.fleet.drainedVms.has(agent.agentId),
+      drained: fleet.drainedVms.has(agent.agentId),
       stopping: heartbeat.stopping,
       recovering: heartbeat.recovering,
       silentMillis: Math.round(now - agent.heardAt),
--- a/src/observability/console_logger.ts
+++ b/src/observability/console_logger.ts
@@ -3,6 +3,7 @@
 import {Events} from './events.js';
 import type {EventLevel, EventType} from './events.js';
 import type {LogFields, Logger} from './logger.js';
+import type {Metrics} from './metrics.js';
 
 /** Where log lines go: a stream such as standard output. */
 export interface LogOutput {
@@ -17,6 +18,8 @@
   /** `auto` writes text on a terminal and JSON lines elsewhere. */
   readonly format?: 'auto' | 'json' | 'text';
   readonly output?: LogOutput;
+  /** Count the events there too. */
+  readonly metrics?: Metrics;
   /** Calendar time in milliseconds since 1970. */
   readonly wallTime?: () => number;
 }
@@ -50,12 +53,14 @@
   private readonly processId: string;
   private readonly lowestLevel: number;
   private readonly wallTime: () => number;
+  private readonly metrics: Metrics | undefined;
 
   constructor(options: ConsoleLoggerOptions) {
     const {output = process.stdout, format = 'auto', level = 'info'} = options;
     this.processId = options.processId;
     this.lowestLevel = LEVEL_ORDER[level];
     this.wallTime = options.wallTime ?? Date.now;
+    this.metrics = options.metrics;
     const json = format === 'json' || (format === 'auto' && !output.isTTY);
     this.console = createConsola({
       level: ALL_CONSOLA_LEVELS,
@@ -72,7 +77,7 @@
   }
 
   event(type: EventType, fields: LogFields = {}): void {
-    this.counts.set(type.number, (this.counts.get(type.number) ?? 0) + 1);
+    this.count(type);
     if (LEVEL_ORDER[type.level] < this.lowestLevel) return;
     const head = {
       time: new Date(this.wallTime()).toISOString(),
@@ -86,6 +91,16 @@
     this.console[type.level].raw(line);
   }
 
+  private count(type: EventType): void {
+    this.counts.set(type.number, (this.counts.get(type.number) ?? 0) + 1);
+    this.metrics
+      ?.counter('events_total', 'Events that were logged, by name.', {
+        event: eventName(type.number),
+        level: type.level,
+      })
+      .increment();
+  }
+
   /** How often each event came since the start, by number. */
   countsByNumber(): ReadonlyMap<number, number> {
     return this.counts;
--- a/src/observability/metrics.ts
+++ b/src/observability/metrics.ts
@@ -12,6 +12,8 @@
 const LONGEST_LATENCY_MICROS = 600_000_000;
 const SIGNIFICANT_DIGITS = 2;
 const QUANTILES = [0.5, 0.9, 0.99, 0.999];
+/** Before every name, so that it is unique where metrics are gathered. */
+const PREFIX = 'burdockmoor_';
 const METRIC_NAME = /^[a-z][a-z0-9_]*$/;
 
 /** A number that only grows. */
@@ -121,7 +123,7 @@
   render(): string {
     const lines: string[] = [];
     for (const name of [...this.families.keys()].sort()) {
-      lines.push(...renderFamily(name, this.families.get(name)!));
+      lines.push(...renderFamily(PREFIX + name, this.families.get(name)!));
     }
     return lines.map(line => `${line}\n`).join('');
   }
--- a/tests/agent/graceful_shutdown.test.ts
+++ b/tests/agent/graceful_shutdown.test.ts
@@ -1,4 +1,9 @@
 import test from 'ava';
+import {endedReport} from '../../src/agent/attempt_reports.js';
+import type {Attempt} from '../../src/agent/attempt_table.js';
+import {evictionIntent} from '../../src/agent/commands/attempt_stopper.js';
+import {WorkerTaskState} from '../../src/platform/worker.js';
+import type {WorkerTask} from '../../src/platform/worker.js';
 import {AgentFixture} from './fixtures/agent_fixture.js';
 
 test('should stay until the entry has heard that it stops', async t => {
@@ -23,3 +28,20 @@
   await fixture.pass(2_000);
   t.true(stopped);
 });
+
+test('should report why it stopped a task, not what the worker says', t => {
+  const task = {
+    state: WorkerTaskState.STOPPED,
+    reason: 'stopped on request',
+    checkpoint: '12',
+    result: '',
+    ranMillis: 5,
+  } as WorkerTask;
+  const attempt = {
+    evictable: true,
+    stopIntent: evictionIntent('its failure domain is out'),
+  } as Attempt;
+  const report = endedReport(attempt, task);
+  t.is(report.reason, 'its failure domain is out');
+  t.is(report.outcome, 'evicted');
+});
--- a/tests/observability/console_logger.test.ts
+++ b/tests/observability/console_logger.test.ts
@@ -1,6 +1,7 @@
 import test from 'ava';
 import {ConsoleLogger} from '../../src/observability/console_logger.js';
 import {Events} from '../../src/observability/events.js';
+import {Metrics} from '../../src/observability/metrics.js';
 
 class TextOutput {
   text = '';
@@ -43,12 +44,19 @@
 });
 
 test('should leave out lower levels but count them, repeated ones too', t => {
+  const metrics = new Metrics();
   const output = new TextOutput();
-  const logger = new ConsoleLogger({processId: 'a', output, level: 'warn'});
+  const logger = new ConsoleLogger({
+    processId: 'a',
+    output,
+    level: 'warn',
+    metrics,
+  });
   for (let index = 0; index < 20; index++)
     logger.event(Events.STORE_UNREACHABLE);
   logger.event(Events.STORE_BACK);
   t.is(output.text.trim().split('\n').length, 20);
   t.is(logger.countsByNumber().get(5000), 20);
   t.is(logger.countsByNumber().get(5001), 1);
+  t.regex(metrics.render(), /events_total{event="STORE_BACK".*} 1/);
 });
--- a/tests/observability/metrics.test.ts
+++ b/tests/observability/metrics.test.ts
@@ -10,12 +10,12 @@
   const latency = metrics.latency('answer_seconds', 'Answers.');
   for (let millis = 1; millis <= 100; millis++) latency.record(millis);
   const lines = metrics.render().split('\n');
-  t.true(lines.includes('starts_total{team="a\\"b"} 4'));
-  t.true(lines.includes('free_slots 5'));
-  t.true(lines.includes('queue 2'));
-  t.true(lines.includes('# TYPE answer_seconds summary'));
-  t.true(lines.includes('answer_seconds_count 100'));
-  t.true(lines.includes('answer_seconds_sum 5.05'));
+  t.true(lines.includes('burdockmoor_starts_total{team="a\\"b"} 4'));
+  t.true(lines.includes('burdockmoor_free_slots 5'));
+  t.true(lines.includes('burdockmoor_queue 2'));
+  t.true(lines.includes('# TYPE burdockmoor_answer_seconds summary'));
+  t.true(lines.includes('burdockmoor_answer_seconds_count 100'));
+  t.true(lines.includes('burdockmoor_answer_seconds_sum 5.05'));
   const p99 = latency.quantile(0.99);
   t.true(p99 >= 99 && p99 <= 100);
 });
