--- a/src/entry/alarms/record_events.ts
+++ b/src/entry/alarms/record_events.ts
@@ -3,19 +3,33 @@
   LogRecordType,
   attemptKey,
 } from '../../decisions/job_types.js';
-import type {LogRecord} from '../../decisions/job_types.js';
+import type {AttemptName, LogRecord} from '../../decisions/job_types.js';
+import {TaskPhase} from '../../decisions/jobs/job_state.js';
 import {Events} from '../../observability/events.js';
 import type {Logger} from '../../observability/logger.js';
 
+/** What is asked of the scheduler whose records they are. */
+export interface TaskPhases {
+  job(
+    team: string,
+    name: string,
+  ): {readonly tasks: ReadonlyArray<{readonly phase: string}>} | undefined;
+}
+
 /** Logs what a shard has decided and recorded. */
 export function logRecordEvents(
   records: readonly LogRecord[],
+  phases: TaskPhases,
   logger: Logger,
 ): void {
-  for (const record of records) logRecordEvent(record, logger);
+  for (const record of records) logRecordEvent(record, phases, logger);
 }
 
-function logRecordEvent(record: LogRecord, logger: Logger): void {
+function logRecordEvent(
+  record: LogRecord,
+  phases: TaskPhases,
+  logger: Logger,
+): void {
   if (record.type === LogRecordType.SUBMITTED) {
     const {team, name, taskCount} = record.specification;
     logger.event(Events.JOB_SUBMITTED, {team, job: name, tasks: taskCount});
@@ -39,10 +53,16 @@
   const {outcome, reason} = record;
   const attempt = attemptKey(record.name);
   if (outcome === AttemptOutcome.LOST) {
-    logger.event(Events.TASK_LOST, {attempt, reason});
+    const isHeld = phaseOf(record.name, phases) === TaskPhase.HELD;
+    const type = isHeld ? Events.TASK_HELD : Events.TASK_LOST;
+    logger.event(type, {attempt, reason});
   } else if (outcome === AttemptOutcome.FAILED) {
     logger.event(Events.TASK_FAILED, {attempt, reason});
   } else if (outcome === AttemptOutcome.REFUSED) {
     logger.event(Events.START_REFUSED, {attempt, reason});
   }
 }
+
+function phaseOf(name: AttemptName, phases: TaskPhases): string | undefined {
+  return phases.job(name.team, name.job)?.tasks[name.task]?.phase;
+}
--- a/src/entry/shards/shard_owner.ts
+++ b/src/entry/shards/shard_owner.ts
@@ -165,7 +165,7 @@
     await this.log.append(records, APPEND_DEADLINE_MILLIS);
     if (this.dropped) return;
     this.scheduler.acknowledge();
-    logRecordEvents(records, this.logger);
+    logRecordEvents(records, this.scheduler, this.logger);
     this.commits++;
     this.observer.onCommitted(this);
     if (this.log.snapshotIsDue) await this.trySnapshot();
--- a/src/observability/events.ts
+++ b/src/observability/events.ts
@@ -148,6 +148,11 @@
     'info',
     'An agent refused the start of a task attempt; it did not run.',
   ),
+  TASK_HELD: event(
+    3017,
+    'error',
+    'A task that may not run twice was lost; it waits for a person.',
+  ),
   VM_QUARANTINED: event(
     3018,
     'error',
--- a/tests/entry/alarms.test.ts
+++ b/tests/entry/alarms.test.ts
@@ -111,14 +111,19 @@
   t.deepEqual(logger.take(), ['FAILURE_DOMAIN_IN tema', 'VM_UNDRAINED vm-1']);
 });
 
-test('should log an attempt that was lost', t => {
+test('should tell a lost attempt from one whose task is held', t => {
   const logger = new RecordingLogger();
   const name = {team: 'a', job: 'routes', task: 0, attempt: 2};
   const closed = {checkpoint: '', result: '', resultCode: 0, wallTime: 0};
   const reason = 'lease lapsed';
   const record = {type: 'closed', name, outcome: 'lost', reason} as const;
-  logRecordEvents([{...record, ...closed}], logger);
-  t.deepEqual(logger.take(), ['TASK_LOST a/routes/0/2 lease lapsed']);
+  const log = (phase: string): string[] => {
+    const phases = {job: () => ({tasks: [{phase}]})};
+    logRecordEvents([{...record, ...closed}], phases, logger);
+    return logger.take();
+  };
+  t.deepEqual(log('waiting'), ['TASK_LOST a/routes/0/2 lease lapsed']);
+  t.deepEqual(log('held'), ['TASK_HELD a/routes/0/2 lease lapsed']);
 });
 
 test('should log a VM that a shard stops using, and uses again', t => {
