--- a/src/decisions/eviction/tail_guard.ts
+++ b/src/decisions/eviction/tail_guard.ts
@@ -1,7 +1,7 @@
 import {AnswerWindow} from './answer_window.js';
 import {InterferenceEstimator} from './interference_estimator.js';
 import type {ServiceTimes} from './interference_estimator.js';
-import {allocateShares, LEAST_SHARE, nextShare} from './share_allocation.js';
+import {allocateShares, nextShare} from './share_allocation.js';
 import type {WeighedTask} from './share_allocation.js';
 import {SlowdownBudget} from './slowdown_budget.js';
 import {GuardActionType} from './tail_policy.js';
@@ -15,18 +15,19 @@
 } from './tail_policy.js';
 
 /** Part of its deviation by which an effect is taken to be larger. */
-const CAUTION = 0.5;
+const CAUTION = 0.25;
 
 /** A task's share grows by one step at most in this time. */
 const RAISE_PERIOD_MILLIS = 1_000;
 
-/** A target missed for so long although all is throttled leads to eviction. */
-const EVICT_AFTER_MILLIS = 6_000;
+/** A task that may use no more for so long had better run elsewhere. */
+const EVICT_SHARE = 0.35;
+const EVICT_AFTER_MILLIS = 5_000;
 
 /** A checkpoint this recent need not be taken again before an eviction. */
 const RECENT_CHECKPOINT_MILLIS = 5_000;
 
-const EVICTION_PAUSE_MILLIS = 5_000;
+const EVICTION_PAUSE_MILLIS = 2_000;
 const LEAST_SERVICE_MILLIS = 0.01;
 
 /**
@@ -40,6 +41,8 @@
   private readonly estimator = new InterferenceEstimator();
   private readonly budget = new SlowdownBudget();
   private readonly raisedAt = new Map<string, number>();
+  /** Since when tasks have had so small a share that they may be evicted. */
+  private readonly throttledSince = new Map<string, number>();
   private readonly loadPerTask = new Map<string, number>();
   private sumOfLogs = 0;
   private sumOfSquares = 0;
@@ -75,7 +78,7 @@
     const slowdown = slowdownOf(tasks);
     const {targetMillis} = view;
     const tailMillis = this.window.tailMillis(now);
-    this.budget.update({tailMillis, targetMillis, slowdown}, now);
+    this.budget.update({tailMillis, targetMillis, slowdown});
     const actions = this.share(tasks, now);
     const evictions = this.evict(tasks, now);
     const changed = withShares(view.tasks, actions);
@@ -145,9 +148,9 @@
 
   /** Checkpoints, then evicts, the most harmful task, one at a time. */
   private evict(tasks: readonly WeighedTask[], now: number): GuardAction[] {
-    if (this.budget.missedMillis(now) < EVICT_AFTER_MILLIS) return [];
+    for (const {task} of tasks) this.noteShare(task, now);
     if (now - this.evictedAt < EVICTION_PAUSE_MILLIS) return [];
-    const worst = mostHarmful(tasks);
+    const worst = mostHarmful(tasks.filter(each => this.mayEvict(each, now)));
     if (!worst) return [];
     const {key, lostMillis} = worst.task;
     const reason = 'throttling was not enough for the service';
@@ -158,11 +161,21 @@
     return [{type: GuardActionType.EVICT, key, reason}];
   }
 
+  private noteShare({key, share}: GuardedTask, now: number): void {
+    if (share > EVICT_SHARE) this.throttledSince.delete(key);
+    else if (!this.throttledSince.has(key)) this.throttledSince.set(key, now);
+  }
+
+  private mayEvict({task}: WeighedTask, now: number): boolean {
+    if (!task.evictable || task.urgent) return false;
+    const since = this.throttledSince.get(task.key);
+    return since !== undefined && now - since >= EVICT_AFTER_MILLIS;
+  }
+
   private forgetGone(tasks: readonly GuardedTask[]): void {
-    if (this.raisedAt.size <= 2 * tasks.length) return;
     const keys = new Set(tasks.map(task => task.key));
-    for (const key of this.raisedAt.keys()) {
-      if (!keys.has(key)) this.raisedAt.delete(key);
+    for (const times of [this.raisedAt, this.throttledSince]) {
+      for (const key of times.keys()) if (!keys.has(key)) times.delete(key);
     }
   }
 }
@@ -175,13 +188,11 @@
   return {type: GuardActionType.THROTTLE, key, share, reason};
 }
 
-/** Of the fully throttled tasks that may go, the one that still harms most. */
+/** The task that would harm most at its full share. */
 function mostHarmful(tasks: readonly WeighedTask[]): WeighedTask | undefined {
   let worst: WeighedTask | undefined;
   for (const weighed of tasks) {
-    const {task, fullSlowdown} = weighed;
-    if (!task.evictable || task.urgent || task.share > LEAST_SHARE) continue;
-    if (!worst || fullSlowdown > worst.fullSlowdown) worst = weighed;
+    if (!worst || weighed.fullSlowdown > worst.fullSlowdown) worst = weighed;
   }
   return worst;
 }
