Judge the tail only once a notable change has settled

Answers from before a newcomer was throttled counted against the budget, which fell to its least and throttled and then evicted a quiet task as well. Now the budget waits for a second after the slowdown has changed notably, counts only answers since, and one eviction has 3 s to show what it brings before the next.

--- a/src/decisions/eviction/answer_window.ts
+++ b/src/decisions/eviction/answer_window.ts
@@ -5,6 +5,9 @@
   readonly answerMillis: number;
 }
 
+/** Fewer answers say nothing of a tail. */
+const TOO_FEW_ANSWERS = 20;
+
 export interface AnswerWindowOptions {
   /** Answers of this time count. */
   readonly recentMillis?: number;
@@ -43,14 +46,14 @@
     this.known = undefined;
   }
 
-  /** In milliseconds; 0 while nothing was answered lately. */
+  /** In milliseconds; 0 while too little was answered lately. */
   tailMillis(now: number): number {
     if (this.known && this.known.at === now) return this.known.tailMillis;
     this.dropOld(now);
     const times = Float64Array.from(this.answers, item => item.answerMillis);
     times.sort();
     const rank = Math.ceil(times.length * TAIL_SHARE) - 1;
-    const tailMillis = times.length === 0 ? 0 : times[rank];
+    const tailMillis = times.length < TOO_FEW_ANSWERS ? 0 : times[rank];
     this.known = {at: now, tailMillis};
     return tailMillis;
   }
--- a/src/decisions/eviction/tail_guard.ts
+++ b/src/decisions/eviction/tail_guard.ts
@@ -22,12 +22,17 @@
 
 /** A task that may use no more for so long had better run elsewhere. */
 const EVICT_SHARE = 0.35;
-const EVICT_AFTER_MILLIS = 5_000;
+const EVICT_AFTER_MILLIS = 3_000;
 
 /** A checkpoint this recent need not be taken again before an eviction. */
 const RECENT_CHECKPOINT_MILLIS = 5_000;
 
-const EVICTION_PAUSE_MILLIS = 2_000;
+/** A smaller change of the slowdown leaves the measured tail valid. */
+const NOTABLE_CHANGE = 0.05;
+
+/** Time for answers that a larger change came too late for to leave. */
+const SETTLE_MILLIS = 1_000;
+
 const LEAST_SERVICE_MILLIS = 0.01;
 
 /**
@@ -37,7 +42,9 @@
  * checkpointed and then evicted.
  */
 export class TailGuard implements TailPolicy {
+  /** Answers for the reports, and those since the last notable change. */
   private readonly window = new AnswerWindow();
+  private readonly settled = new AnswerWindow();
   private readonly estimator = new InterferenceEstimator();
   private readonly budget = new SlowdownBudget();
   private readonly raisedAt = new Map<string, number>();
@@ -50,9 +57,13 @@
   private loads = new Map<string, number>();
   private decidedAt: number | undefined;
   private evictedAt = -Infinity;
+  private settledAt = -Infinity;
+  /** After the last decision, as the logarithm of service times. */
+  private slowdown = 0;
 
   observe({answerMillis, serviceMillis}: ServiceAnswer, now: number): void {
     this.window.observe(answerMillis, now);
+    if (now >= this.settledAt) this.settled.observe(answerMillis, now);
     const log = Math.log(Math.max(serviceMillis, LEAST_SERVICE_MILLIS));
     this.sumOfLogs += log;
     this.sumOfSquares += log * log;
@@ -77,16 +88,26 @@
     const tasks = this.weigh(view);
     const slowdown = slowdownOf(tasks);
     const {targetMillis} = view;
-    const tailMillis = this.window.tailMillis(now);
+    if (slowdown - this.slowdown > NOTABLE_CHANGE) this.settle(now);
+    const tailMillis = this.settled.tailMillis(now);
     this.budget.update({tailMillis, targetMillis, slowdown});
     const actions = this.share(tasks, now);
     const evictions = this.evict(tasks, now);
     const changed = withShares(view.tasks, actions);
     this.loads = loadsOf({...view, tasks: changed});
+    const after = slowdownOf(this.weigh({...view, tasks: changed}));
+    if (slowdown - after > NOTABLE_CHANGE) this.settle(now);
+    this.slowdown = after;
     this.forgetGone(view.tasks);
     return [...actions, ...evictions];
   }
 
+  /** Waits for the tail to show what the change brought. */
+  private settle(now: number): void {
+    this.settledAt = now + SETTLE_MILLIS;
+    this.settled.clear();
+  }
+
   private learn(view: GuardView, now: number): void {
     const loads = loadsOf(view);
     const elapsedMillis = now - (this.decidedAt ?? now);
@@ -149,7 +170,8 @@
   /** Checkpoints, then evicts, the most harmful task, one at a time. */
   private evict(tasks: readonly WeighedTask[], now: number): GuardAction[] {
     for (const {task} of tasks) this.noteShare(task, now);
-    if (now - this.evictedAt < EVICTION_PAUSE_MILLIS) return [];
+    // What one eviction brings has to show before the next.
+    if (now - this.evictedAt < EVICT_AFTER_MILLIS) return [];
     const worst = mostHarmful(tasks.filter(each => this.mayEvict(each, now)));
     if (!worst) return [];
     const {key, lostMillis} = worst.task;
