--- a/bench/fleet/fleet.ts
+++ b/bench/fleet/fleet.ts
@@ -116,6 +116,11 @@
     this.report(`started ${name} again`);
   }
 
+  /** Tells a stand-in what goes wrong from now on, or another order. */
+  async control(name: string, order: string, value = {}): Promise<void> {
+    await this.standIn(name).post(`/control/${order}`, value);
+  }
+
   /** Stops the agents, the entries, then the platform; names with exits. */
   async stopAll(): Promise<ReadonlyMap<string, ProcessEnd>> {
     const ends = new Map<string, ProcessEnd>();
@@ -147,6 +152,11 @@
     rmSync(this.folder, {recursive: true, force: true});
   }
 
+  private standIn(name: string): EntryApi {
+    const [, vm, kind] = /^(?:(.+)-(worker|executor)|store)$/.exec(name) ?? [];
+    return new EntryApi(this.addresses.of(vm ?? 'store', kind));
+  }
+
   private async awaitEnd(name: string): Promise<ProcessEnd> {
     const process = this.process(name);
     return waitUntil(
--- a/tests/stand_ins/executor_stand_in.ts
+++ b/tests/stand_ins/executor_stand_in.ts
@@ -95,9 +95,9 @@
     return this.listener.sockets.size;
   }
 
-  setFaults(faults: Partial<ExecutorFaults>): void {
+  setFaults(faults: Partial<ExecutorFaults>, caller?: Socket): void {
     Object.assign(this.faults, faults);
-    if (this.faults.down) this.listener.destroyConnections();
+    if (this.faults.down) this.listener.destroyConnections({except: caller});
   }
 
   /** Connections open now carry nothing any more, and are not closed. */
@@ -135,7 +135,9 @@
   }
 
   private control(path: string, body: Buffer, response: ServerResponse): void {
-    if (path === '/control/faults') this.setFaults(parseJson(body));
+    if (path === '/control/faults') {
+      this.setFaults(parseJson(body), response.socket ?? undefined);
+    }
     if (path === '/control/runs') return replyJson(response, 200, this.runs);
     replyJson(response, 200, {faults: this.faults, runs: this.runs.length});
     if (path === '/control/silence-connections') {
--- a/tests/stand_ins/http_listener.ts
+++ b/tests/stand_ins/http_listener.ts
@@ -57,8 +57,10 @@
     return closed;
   }
 
-  destroyConnections(): void {
-    for (const socket of [...this.sockets]) socket.destroy();
+  destroyConnections(options: {except?: Socket} = {}): void {
+    for (const socket of [...this.sockets]) {
+      if (socket !== options.except) socket.destroy();
+    }
   }
 }
 
--- a/tests/stand_ins/store_stand_in.ts
+++ b/tests/stand_ins/store_stand_in.ts
@@ -1,4 +1,5 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
+import type {Socket} from 'node:net';
 import type {SwapResult} from '../../src/platform/store.js';
 import {encodeText} from '../../src/platform/store_messages.js';
 import {TokenBucket} from '../../src/platform/token_bucket.js';
@@ -87,11 +88,11 @@
     return Object.fromEntries(this.counts);
   }
 
-  setFaults(faults: Partial<StoreFaults>): void {
+  setFaults(faults: Partial<StoreFaults>, caller?: Socket): void {
     Object.assign(this.faults, faults);
     const {down, callsPerSecond} = this.faults;
     this.bucket = callsPerSecond > 0 ? this.openBucket() : undefined;
-    if (down) this.listener.destroyConnections();
+    if (down) this.listener.destroyConnections({except: caller});
   }
 
   async close(): Promise<void> {
@@ -129,7 +130,9 @@
   }
 
   private control(path: string, body: Buffer, response: ServerResponse): void {
-    if (path === '/control/faults') this.setFaults(parseJson(body));
+    if (path === '/control/faults') {
+      this.setFaults(parseJson(body), response.socket ?? undefined);
+    }
     if (path === '/control/lapse-leases') this.table.lapseAllLeases();
     if (path === '/control/compact') this.table.compact();
     replyJson(response, 200, {faults: this.faults, counts: this.callCounts()});
--- a/tests/stand_ins/worker_stand_in.ts
+++ b/tests/stand_ins/worker_stand_in.ts
@@ -1,4 +1,5 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
+import type {Socket} from 'node:net';
 import {WorkerRefusedError} from '../../src/platform/platform_errors.js';
 import type {WorkerTaskStart} from '../../src/platform/worker.js';
 import {messageOf} from '../../src/utilities/base_error.js';
@@ -63,10 +64,10 @@
     return this.listener.listen(address);
   }
 
-  setFaults(faults: Partial<WorkerFaults>): void {
+  setFaults(faults: Partial<WorkerFaults>, caller?: Socket): void {
     Object.assign(this.faults, faults);
     this.machine.failsEverything = this.faults.failsEverything;
-    if (this.faults.down) this.listener.destroyConnections();
+    if (this.faults.down) this.listener.destroyConnections({except: caller});
   }
 
   async close(): Promise<void> {
@@ -93,7 +94,9 @@
   }
 
   private control(path: string, body: Buffer, response: ServerResponse): void {
-    if (path === '/control/faults') this.setFaults(parseJson(body));
+    if (path === '/control/faults') {
+      this.setFaults(parseJson(body), response.socket ?? undefined);
+    }
     if (path === '/control/records') {
       return replyJson(response, 200, this.machine.records);
     }
