--- a/src/decisions/jobs/snapshot.ts
+++ b/src/decisions/jobs/snapshot.ts
@@ -2,12 +2,13 @@
 import type {JobSpecification} from '../job_types.js';
 import {JobBook} from './job_book.js';
 import {JobState, TaskPhase} from './job_state.js';
-import type {HistoryLine, TaskState} from './job_state.js';
+import type {TaskState} from './job_state.js';
 
 /** The folded log as compact JSON, and back. */
 
 const SNAPSHOT_FORMAT = 1;
-const SNAPSHOT_HISTORY_LINES = 6;
+const OPEN_HISTORY_LINES = 4;
+const CLOSED_HISTORY_LINES = 2;
 
 const PHASE_ORDER: readonly TaskPhase[] = [
   TaskPhase.WAITING,
@@ -18,20 +19,26 @@
   TaskPhase.CANCELLED,
 ];
 
-/** Index, phase and the values of a task in the order of `TaskState`. */
+/**
+ * Index, phase, attempts, failures, index of VM and incarnation in the table
+ * of names, then checkpoint, result, reason and size.
+ */
 type TaskRow = [
   number,
   number,
   number,
   number,
-  string,
-  string,
+  number,
+  number,
   string,
   string,
   string,
   Resources?,
 ];
 
+/** Wall time and text. */
+type HistoryRow = [number, string];
+
 interface JobRow {
   readonly specification: JobSpecification;
   readonly sequence: number;
@@ -39,7 +46,7 @@
   readonly closed: number;
   readonly cancelReason?: string;
   readonly confirmedBy?: string;
-  readonly history: readonly HistoryLine[];
+  readonly history: readonly HistoryRow[];
   /** Only tasks that were ever placed. */
   readonly tasks: readonly TaskRow[];
 }
@@ -48,15 +55,35 @@
   readonly format: number;
   readonly epoch: number;
   readonly owner: string;
+  /** VMs and incarnations, each once. */
+  readonly names: readonly string[];
   readonly jobs: readonly JobRow[];
 }
 
+/** Numbers names in the order in which they first come. */
+class NameTable {
+  readonly names: string[] = [];
+  private readonly indexes = new Map<string, number>();
+
+  indexOf(name: string): number {
+    let index = this.indexes.get(name);
+    if (index === undefined) {
+      index = this.names.push(name) - 1;
+      this.indexes.set(name, index);
+    }
+    return index;
+  }
+}
+
 export function writeSnapshot(book: JobBook): string {
+  const table = new NameTable();
+  const jobs = [...book.jobs.values()].map(job => toJobRow(job, table));
   const text: SnapshotText = {
     format: SNAPSHOT_FORMAT,
     epoch: book.epoch,
     owner: book.ownerEntryId,
-    jobs: [...book.jobs.values()].map(toJobRow),
+    names: table.names,
+    jobs,
   };
   return JSON.stringify(text);
 }
@@ -67,15 +94,17 @@
   const book = new JobBook();
   book.epoch = snapshot.epoch;
   book.ownerEntryId = snapshot.owner;
-  for (const row of snapshot.jobs) book.adopt(fromJobRow(row));
+  for (const row of snapshot.jobs) book.adopt(fromJobRow(row, snapshot.names));
   return book;
 }
 
-function toJobRow(job: JobState): JobRow {
+function toJobRow(job: JobState, table: NameTable): JobRow {
   const tasks: TaskRow[] = [];
   for (const [index, task] of job.tasks.entries()) {
-    if (task.attempts > 0) tasks.push(toTaskRow(index, task));
+    if (task.attempts > 0) tasks.push(toTaskRow(index, task, table));
   }
+  const lines = job.closed ? CLOSED_HISTORY_LINES : OPEN_HISTORY_LINES;
+  const history = job.history.slice(-lines);
   return {
     specification: job.specification,
     sequence: job.sequence,
@@ -83,33 +112,33 @@
     closed: job.closedWallTime,
     cancelReason: job.cancelReason,
     confirmedBy: job.confirmedBy,
-    history: job.history.slice(-SNAPSHOT_HISTORY_LINES),
+    history: history.map(({wallTime, text}) => [wallTime, text]),
     tasks,
   };
 }
 
-function toTaskRow(index: number, task: TaskState): TaskRow {
+function toTaskRow(index: number, task: TaskState, table: NameTable): TaskRow {
   return [
     index,
     PHASE_ORDER.indexOf(task.phase),
     task.attempts,
     task.failures,
+    table.indexOf(task.vm),
+    table.indexOf(task.incarnation),
     task.checkpoint,
     task.result,
     task.reason,
-    task.vm,
-    task.incarnation,
     task.size,
   ];
 }
 
-function fromJobRow(row: JobRow): JobState {
+function fromJobRow(row: JobRow, names: readonly string[]): JobState {
   const job = new JobState(row.specification, row.sequence, row.submitted);
   job.closedWallTime = row.closed;
   job.cancelReason = row.cancelReason;
   job.confirmedBy = row.confirmedBy;
-  job.history = [...row.history];
-  for (const taskRow of row.tasks) restoreTask(job, taskRow);
+  job.history = row.history.map(([wallTime, text]) => ({wallTime, text}));
+  for (const taskRow of row.tasks) restoreTask(job, taskRow, names);
   if (!job.cancelled) return job;
   for (const task of job.tasks) {
     if (task.phase === TaskPhase.WAITING) {
@@ -119,12 +148,17 @@
   return job;
 }
 
-function restoreTask(job: JobState, row: TaskRow): void {
-  const [index, phase, attempts, failures, checkpoint, result] = row;
-  const [, , , , , , reason, vm, incarnation, size] = row;
+function restoreTask(
+  job: JobState,
+  row: TaskRow,
+  names: readonly string[],
+): void {
+  const [index, phase, attempts, failures, vm, incarnation] = row;
+  const [, , , , , , checkpoint, result, reason, size] = row;
   const task = job.tasks[index];
   job.setPhase(task, PHASE_ORDER[phase]);
-  Object.assign(task, {attempts, failures, checkpoint, result, reason, vm});
-  task.incarnation = incarnation;
+  Object.assign(task, {attempts, failures, checkpoint, result, reason});
+  task.vm = names[vm];
+  task.incarnation = names[incarnation];
   task.size = size ?? undefined;
 }
--- a/src/decisions/placement/best_fit_placer.ts
+++ b/src/decisions/placement/best_fit_placer.ts
@@ -30,7 +30,6 @@
   private readonly spread: Spread;
   private readonly shard: number;
   private readonly preferenceWeight: number;
-  private readonly preferences = new Map<string, number>();
 
   constructor(options: BestFitPlacerOptions) {
     this.interference = options.interference;
@@ -78,7 +77,7 @@
     if (task.watcher) {
       cost += SPREAD_PENALTY * this.spread.crowding(task.team, vm.view);
     }
-    return cost + this.preferenceWeight * this.preference(vm.view.vm);
+    return cost + this.preferenceWeight * this.preference(vm);
   }
 
   private isHarmful(task: PlacementTask, vm: VmState): boolean {
@@ -86,13 +85,9 @@
     return this.interference.wouldBeLate(task.taskKind, vm, share);
   }
 
-  private preference(vm: string): number {
-    let preference = this.preferences.get(vm);
-    if (preference === undefined) {
-      preference = hashOf(`${this.shard}/${vm}`) / HASH_RANGE;
-      this.preferences.set(vm, preference);
-    }
-    return preference;
+  private preference(vm: VmState): number {
+    vm.preference ??= hashOf(`${this.shard}/${vm.view.vm}`) / HASH_RANGE;
+    return vm.preference;
   }
 }
 
--- a/src/decisions/placement/vm_table.ts
+++ b/src/decisions/placement/vm_table.ts
@@ -66,6 +66,8 @@
   unconfirmed = 0;
   /** What lately placed tasks add, until the reported tails show it. */
   unseenSlowdown = 0;
+  /** The shard's own preference among equal VMs, from 0 to 1. */
+  preference: number | undefined;
   /** A job for which the room is kept. */
   heldFor = '';
   heldUntil = 0;
--- a/src/decisions/recovery/worker_quarantine.ts
+++ b/src/decisions/recovery/worker_quarantine.ts
@@ -2,8 +2,8 @@
 const LONGEST_QUARANTINE_MILLIS = 10 * 60 * 1000;
 const QUARANTINE_SCORE = 2.5;
 const SUCCESS_FACTOR = 0.3;
-/** Weight of a failure while no other VM has run the kind. */
-const UNKNOWN_WEIGHT = 0.25;
+/** A failure proves nothing while no other VM has run the kind. */
+const UNKNOWN_WEIGHT = 0;
 const MAXIMUM_KINDS = 512;
 const PROBE_SPACING_MILLIS = 5000;
 
--- /dev/null
+++ b/tests/recovery/recovery.test.ts
@@ -0,0 +1,127 @@
+import test from 'ava';
+import {AttemptOutcome} from '../../src/decisions/job_types.js';
+import {StartPacer} from '../../src/decisions/recovery/start_pacer.js';
+import {WorkerQuarantine} from '../../src/decisions/recovery/worker_quarantine.js';
+import type {FleetSettings} from '../../src/settings/settings_types.js';
+import {ShardFixture, specification, view} from '../jobs/shard_fixture.js';
+
+function fleet(changes: Partial<FleetSettings> = {}): FleetSettings {
+  return {
+    failureDomainsOut: new Set(),
+    drainedVms: new Set(),
+    taskLeaseMillis: 10_000,
+    settingsFreshMillis: 4000,
+    heartbeatMillis: 1000,
+    retryBudgetShare: 0.1,
+    maximumEjectedShare: 0.3,
+    ...changes,
+  };
+}
+
+test('should place nothing where operators took a VM or domain out', t => {
+  const fixture = new ShardFixture();
+  const settings = fleet({
+    failureDomainsOut: new Set(['a']),
+    drainedVms: new Set(['vm2']),
+  });
+  fixture.scheduler.setFleet(settings);
+  const b = {failureDomain: 'b'};
+  fixture.heartbeat(view('vm1'), view('vm2', b));
+  fixture.scheduler.submit(specification(), 0, 0);
+  t.deepEqual(fixture.step(), []);
+  fixture.heartbeat(view('vm3', b));
+  t.is(fixture.step(100)[0].vm, 'vm3');
+});
+
+test('should move tasks with a checkpoint out of a domain, paced', t => {
+  const limits = {evacuationsPerSecond: 2};
+  const fixture = new ShardFixture({limits});
+  fixture.heartbeat(view('vm1'));
+  fixture.scheduler.submit(specification({taskCount: 4}), 0, 0);
+  const names = fixture.step().map(({name}) => name);
+  fixture.accept('vm1', ...names);
+  fixture.now = 1000;
+  const out = fleet({failureDomainsOut: new Set(['a'])});
+  fixture.scheduler.setFleet(out);
+  fixture.step();
+  const [{stops}] = fixture.scheduler.stopsDue(fixture.now);
+  t.is(stops.length, 2);
+  t.true(stops.every(({checkpoint}) => checkpoint));
+  fixture.step(1000);
+  t.is(fixture.scheduler.stopsDue(fixture.now)[0].stops.length, 4);
+});
+
+test('should not send a placement whose domain went out meanwhile', t => {
+  const fixture = new ShardFixture();
+  fixture.heartbeat(view('vm1'));
+  fixture.scheduler.submit(specification(), 0, 0);
+  fixture.scheduler.decide(0, 0);
+  fixture.scheduler.takeRecords();
+  fixture.scheduler.setFleet(fleet({failureDomainsOut: new Set(['a'])}));
+  fixture.scheduler.decide(10, 10);
+  fixture.scheduler.acknowledge();
+  t.deepEqual(fixture.scheduler.startsDue(10), []);
+});
+
+test('should quarantine a worker that fails what succeeds elsewhere', t => {
+  const judge = new WorkerQuarantine();
+  judge.noteSuccess('vm2', 'route');
+  judge.noteSuccess('vm3', 'route');
+  for (let index = 0; index < 3; index++) judge.noteFailure('vm1', 'route', 0);
+  t.false(judge.admits('vm1', 1));
+  t.true(judge.admits('vm2', 1));
+  t.true(judge.admits('vm1', 11_000));
+  judge.notePlaced('vm1', 11_000);
+  t.false(judge.admits('vm1', 11_001));
+  judge.noteSuccess('vm1', 'route');
+  t.true(judge.admits('vm1', 11_002));
+});
+
+test('should not blame workers for a kind that fails everywhere', t => {
+  const judge = new WorkerQuarantine();
+  const vms = ['vm1', 'vm2', 'vm3'];
+  for (const vm of vms) judge.noteFailure(vm, 'broken', 0);
+  for (let index = 0; index < 50; index++) {
+    for (const vm of vms) judge.noteFailure(vm, 'broken', index);
+  }
+  t.true(vms.every(vm => judge.admits(vm, 100)));
+});
+
+test('should not return a failed task to the VM on which it failed', t => {
+  const fixture = new ShardFixture();
+  fixture.heartbeat(view('vm1'), view('vm2'));
+  fixture.scheduler.submit(specification(), 0, 0);
+  const [{vm, name}] = fixture.step();
+  fixture.accept(vm, name);
+  const failed = {
+    name,
+    outcome: AttemptOutcome.FAILED,
+    checkpoint: '',
+    result: '',
+    reason: '',
+    resultCode: 313,
+    ranMillis: 1,
+    used: specification().size,
+  };
+  fixture.report(vm, failed);
+  t.deepEqual(fixture.step(100), []);
+  fixture.now = 2000;
+  fixture.heartbeat(view('vm1'), view('vm2'));
+  t.not(fixture.step()[0].vm, vm);
+});
+
+test('should pace normal placements but not urgent ones', t => {
+  const pacer = new StartPacer({startsPerSecond: 10, burst: 2});
+  const fixture = new ShardFixture({policies: {pacer}});
+  const capacity = {
+    milliprocessors: 64_000,
+    memoryMegabytes: 64_000,
+    accelerators: 0,
+  };
+  fixture.heartbeat(view('vm1', {capacity}), view('vm2', {capacity}));
+  fixture.scheduler.submit(specification({taskCount: 9}), 0, 0);
+  t.is(fixture.step().length, 2);
+  const urgent = {name: 'now', urgency: 'urgent', taskCount: 3} as const;
+  fixture.scheduler.submit(specification(urgent), 0, 0);
+  t.is(fixture.step().length, 3);
+});
