--- a/bench/micro/placement_micro_benchmarks.ts
+++ b/bench/micro/placement_micro_benchmarks.ts
@@ -107,7 +107,7 @@
 
   /** Tasks that wait; the bench means a full queue. */
   get waiting(): number {
-    return this.scheduler.counts().waitingTasks;
+    return this.scheduler.counts(this.now).waitingTasks;
   }
 
   private submit(jobs: number, prefix: string): void {
--- a/tests/jobs/snapshot_size.test.ts
+++ b/tests/jobs/snapshot_size.test.ts
@@ -27,7 +27,11 @@
     fixture.scheduler.submit(job, 0, 0);
   }
   let finished = 0;
-  for (let round = 0; fixture.scheduler.counts().waitingTasks > 0; round++) {
+  for (
+    let round = 0;
+    fixture.scheduler.counts(fixture.now).waitingTasks > 0;
+    round++
+  ) {
     fixture.heartbeat(...views);
     for (const {vm, name} of fixture.step(1000)) {
       fixture.accept(vm, name);
