--- a/src/decisions/jobs/job_queries.ts
+++ b/src/decisions/jobs/job_queries.ts
@@ -43,7 +43,7 @@
     return {team, name, phase, summary: this.summary(job), history};
   }
 
-  counts(now: number): SchedulerCounts {
+  counts(): SchedulerCounts {
     const {state} = this;
     return {
       jobs: state.book.jobs.size,
@@ -52,7 +52,6 @@
       delayedTasks: state.delayed.size,
       queuedRecords: state.records.size,
       vms: state.vms.vms.length,
-      quarantinedVms: state.judge.quarantined(now).size,
     };
   }
 
@@ -76,7 +75,7 @@
     return {
       epoch: state.book.epoch,
       owner: state.book.ownerEntryId,
-      counts: this.counts(now),
+      counts: this.counts(),
       quarantined: Object.fromEntries(state.judge.quarantined(now)),
       waitReasons: Object.fromEntries(state.waitReasons),
       teams: state.ledger.dump(),
--- a/src/decisions/jobs/scheduler_types.ts
+++ b/src/decisions/jobs/scheduler_types.ts
@@ -128,5 +128,4 @@
   readonly delayedTasks: number;
   readonly queuedRecords: number;
   readonly vms: number;
-  readonly quarantinedVms: number;
 }
--- a/src/decisions/jobs/shard_scheduler.ts
+++ b/src/decisions/jobs/shard_scheduler.ts
@@ -263,8 +263,8 @@
     return this.queries.explain(team, name);
   }
 
-  counts(now: number): SchedulerCounts {
-    return this.queries.counts(now);
+  counts(): SchedulerCounts {
+    return this.queries.counts();
   }
 
   quarantinedVms(now: number): string[] {
--- a/src/decisions/routing/service_router.ts
+++ b/src/decisions/routing/service_router.ts
@@ -6,6 +6,7 @@
 import type {RoutingPolicy} from './routing_policy.js';
 import {ServiceUpstreams} from './service_upstreams.js';
 import type {UpstreamReport} from './upstream_report.js';
+import {HealthState} from './upstream_health.js';
 import {UpstreamState} from './upstream_state.js';
 
 const DEFAULT_RETRY_BUDGET_SHARE = 0.1;
@@ -241,6 +242,19 @@
     };
   }
 
+  /** Upstreams that get no requests but probes, by service. */
+  ejected(now: number): Map<string, string[]> {
+    const ejected = new Map<string, string[]>();
+    for (const [name, service] of this.byService) {
+      const out = service.all().filter(upstream => isOut(upstream, now));
+      ejected.set(
+        name,
+        out.map(upstream => upstream.agentId),
+      );
+    }
+    return ejected;
+  }
+
   private serviceFor(name: string, now: number): ServiceUpstreams {
     let service = this.byService.get(name);
     if (!service) {
@@ -251,6 +265,11 @@
   }
 }
 
+function isOut(upstream: UpstreamState, now: number): boolean {
+  const health = upstream.healthAt(now);
+  return health === HealthState.EJECTED || health === HealthState.PROBING;
+}
+
 function chosen(upstream: UpstreamState, reason: RouteReason): RouteChoice {
   return {kind: 'chosen', agentId: upstream.agentId, reason};
 }
--- /dev/null
+++ b/src/entry/alarms/ejection_alarms.ts
@@ -0,0 +1,35 @@
+import {Events} from '../../observability/events.js';
+import type {Logger} from '../../observability/logger.js';
+
+/** What is asked of the router. */
+interface EjectingRouter {
+  ejected(now: number): ReadonlyMap<string, readonly string[]>;
+}
+
+/** Logs upstreams that requests avoid for their failures, and their return. */
+export class EjectionAlarms {
+  private ejected: ReadonlyMap<string, ReadonlySet<string>> = new Map();
+
+  constructor(
+    private readonly router: EjectingRouter,
+    private readonly logger: Logger,
+  ) {}
+
+  check(now: number): void {
+    const ejected = new Map<string, ReadonlySet<string>>();
+    for (const [service, vms] of this.router.ejected(now)) {
+      const before = this.ejected.get(service) ?? new Set<string>();
+      const after = new Set(vms);
+      ejected.set(service, after);
+      for (const vm of after) {
+        if (before.has(vm)) continue;
+        this.logger.event(Events.UPSTREAM_EJECTED, {service, vm});
+      }
+      for (const vm of before) {
+        if (after.has(vm)) continue;
+        this.logger.event(Events.UPSTREAM_READMITTED, {service, vm});
+      }
+    }
+    this.ejected = ejected;
+  }
+}
--- a/src/entry/entry_process.ts
+++ b/src/entry/entry_process.ts
@@ -188,6 +188,7 @@
     );
     this.alarms = new EntryAlarms({
       agents: this.agents,
+      router: this.router,
       statuses: this.statuses,
       shards: this.shards,
       settings: this.settings,
@@ -294,7 +295,8 @@
         shard: owner.shard,
         epoch: owner.epoch,
         commits: owner.commitCount,
-        ...owner.scheduler.counts(now),
+        ...owner.scheduler.counts(),
+        quarantinedVms: owner.scheduler.quarantinedVms(now),
       })),
       agents: [...this.agents.all()].map(agent => ({
         agentId: agent.agentId,
--- a/src/observability/events.ts
+++ b/src/observability/events.ts
@@ -63,11 +63,21 @@
     'warn',
     "An agent's heartbeats have stopped; it gets no new requests.",
   ),
+  UPSTREAM_EJECTED: event(
+    2005,
+    'warn',
+    'An upstream fails or lags: it gets no requests of the service but probes.',
+  ),
   UPSTREAM_RETURNED: event(
     2006,
     'info',
     'An ejected or lost upstream gets requests again.',
   ),
+  UPSTREAM_READMITTED: event(
+    2007,
+    'info',
+    'An ejected upstream answers probes and gets requests again.',
+  ),
   SERVICE_WITHOUT_UPSTREAM: event(
     2008,
     'error',
--- a/tests/entry/alarms.test.ts
+++ b/tests/entry/alarms.test.ts
@@ -1,5 +1,6 @@
 import test from 'ava';
 import {logRecordEvents} from '../../src/entry/alarms/record_events.js';
+import {EjectionAlarms} from '../../src/entry/alarms/ejection_alarms.js';
 import {QuarantineAlarms} from '../../src/entry/alarms/quarantine_alarms.js';
 import {SettingsAlarms} from '../../src/entry/alarms/settings_alarms.js';
 import {UpstreamAlarms} from '../../src/entry/alarms/upstream_alarms.js';
@@ -137,3 +138,20 @@
   t.deepEqual(check('vm-1'), []);
   t.deepEqual(check(), ['VM_RELEASED vm-1 3']);
 });
+
+test('should log an upstream that is ejected, and its return', t => {
+  const logger = new RecordingLogger();
+  let ejected: string[] = [];
+  const router = {ejected: () => new Map([['rounds', ejected]])};
+  const alarms = new EjectionAlarms(router, logger);
+  const check = (...vms: string[]): string[] => {
+    ejected = vms;
+    alarms.check(0);
+    return logger.take();
+  };
+  t.deepEqual(check('vm-1', 'vm-2'), [
+    'UPSTREAM_EJECTED rounds vm-1',
+    'UPSTREAM_EJECTED rounds vm-2',
+  ]);
+  t.deepEqual(check('vm-2'), ['UPSTREAM_READMITTED rounds vm-1']);
+});
