Answer "not done" while the store is away, not an unexpected fault

Cause, seen with a stopped store and two entries as processes: "settings set" and "domain out" ended with 502 INTERNAL, since an error of the store that a read raised was not known to the API. Nothing is changed then: writes settle their outcome themselves, and calls that are passed to another entry do too. An agent that doesn't answer for its state has a result code of its own, 504.

--- a/src/cli/exit_codes.ts
+++ b/src/cli/exit_codes.ts
@@ -43,6 +43,7 @@
   [ResultCodes.OUTCOME_UNKNOWN.number, ExitCodes.UNKNOWN],
   [ResultCodes.STORE_OUTCOME_UNKNOWN.number, ExitCodes.UNKNOWN],
   [ResultCodes.INTERNAL.number, ExitCodes.FAULT],
+  [ResultCodes.PROCESS_UNREACHABLE.number, ExitCodes.NOT_DONE],
 ]);
 
 const HTTP_CONFLICT = 409;
--- a/src/entry/http/api_types.ts
+++ b/src/entry/http/api_types.ts
@@ -1,5 +1,10 @@
 import type {ResultCode} from '../../observability/result_codes.js';
-import {BaseError} from '../../utilities/base_error.js';
+import {
+  StoreBudgetError,
+  StoreUnavailableError,
+} from '../../platform/platform_errors.js';
+import {LinkError} from '../../protocol/link_error.js';
+import {BaseError, messageOf} from '../../utilities/base_error.js';
 import {ResultCodes} from '../../observability/result_codes.js';
 
 /** A call of the HTTP API, its body read whole. */
@@ -32,6 +37,7 @@
 });
 
 const MILLIS_A_SECOND = 1_000;
+const RETRY_AFTER_MILLIS = 1_000;
 
 export function apiError(
   resultCode: ResultCode,
@@ -98,5 +104,23 @@
       retryAfterMillis,
     });
   }
-  return failureAnswer(ResultCodes.INTERNAL, 'An unexpected fault.');
+  const resultCode = resultCodeOf(error);
+  if (resultCode === ResultCodes.INTERNAL) {
+    return failureAnswer(resultCode, 'An unexpected fault.');
+  }
+  const retryAfterMillis = RETRY_AFTER_MILLIS;
+  return failureAnswer(resultCode, messageOf(error), {retryAfterMillis});
+}
+
+/**
+ * Writes to the store settle their outcome themselves, so an error of the store
+ * that ends a call comes from a read: nothing was changed.
+ */
+function resultCodeOf(error: unknown): ResultCode {
+  if (error instanceof StoreUnavailableError) {
+    return ResultCodes.STORE_UNAVAILABLE;
+  }
+  if (error instanceof StoreBudgetError) return ResultCodes.STORE_UNAVAILABLE;
+  if (error instanceof LinkError) return ResultCodes.PROCESS_UNREACHABLE;
+  return ResultCodes.INTERNAL;
 }
--- a/src/observability/result_codes.ts
+++ b/src/observability/result_codes.ts
@@ -210,4 +210,10 @@
     504,
     'The store did not say whether the change was made.',
   ),
+  PROCESS_UNREACHABLE: code(
+    504,
+    'PROCESS_UNREACHABLE',
+    502,
+    'The other process does not answer.',
+  ),
 } as const;
--- /dev/null
+++ b/tests/entry/api_errors.test.ts
@@ -0,0 +1,30 @@
+import test from 'ava';
+import {answerOfError} from '../../src/entry/http/api_types.js';
+import {ResultCodes} from '../../src/observability/result_codes.js';
+import type {ResultCode} from '../../src/observability/result_codes.js';
+import {
+  StoreBudgetError,
+  StoreUnavailableError,
+} from '../../src/platform/platform_errors.js';
+import {LinkError} from '../../src/protocol/link_error.js';
+
+const CASES: ReadonlyArray<readonly [Error, ResultCode]> = [
+  [new StoreUnavailableError('tried a'), ResultCodes.STORE_UNAVAILABLE],
+  [new StoreBudgetError('spent'), ResultCodes.STORE_UNAVAILABLE],
+  [new LinkError('tried b'), ResultCodes.PROCESS_UNREACHABLE],
+  [new TypeError('secret detail'), ResultCodes.INTERNAL],
+];
+
+for (const [error, code] of CASES) {
+  test(`should answer a ${error.name} as ${code.name}`, t => {
+    const answer = answerOfError(error);
+    t.is(answer.status, code.httpStatus);
+    t.true(
+      answer.headers.some(
+        ([name, value]) =>
+          name === 'x-result-code' && value === String(code.number),
+      ),
+    );
+    t.false(Buffer.from(answer.body).toString().includes('secret'));
+  });
+}
