--- a/src/entry/http/api_types.ts
+++ b/src/entry/http/api_types.ts
@@ -3,7 +3,8 @@
   StoreBudgetError,
   StoreUnavailableError,
 } from '../../platform/platform_errors.js';
-import {BaseError} from '../../utilities/base_error.js';
+import {LinkError} from '../../protocol/link_error.js';
+import {BaseError, messageOf} from '../../utilities/base_error.js';
 import {ResultCodes} from '../../observability/result_codes.js';
 
 /** A call of the HTTP API, its body read whole. */
@@ -35,8 +36,8 @@
   },
 });
 
-const STORE_RETRY_AFTER_MILLIS = 2_000;
 const MILLIS_A_SECOND = 1_000;
+const RETRY_AFTER_MILLIS = 1_000;
 
 export function apiError(
   resultCode: ResultCode,
@@ -94,12 +95,6 @@
   return jsonAnswer(body, {status: resultCode.httpStatus, headers});
 }
 
-function isStoreFailure(error: unknown): error is Error {
-  return (
-    error instanceof StoreUnavailableError || error instanceof StoreBudgetError
-  );
-}
-
 /** Turns whatever ended a call into its answer. */
 export function answerOfError(error: unknown): ApiAnswer {
   if (error instanceof ApiError) {
@@ -109,11 +104,23 @@
       retryAfterMillis,
     });
   }
-  if (isStoreFailure(error)) {
-    const code = ResultCodes.STORE_UNAVAILABLE;
-    return failureAnswer(code, `${code.meaning} ${error.message}`, {
-      retryAfterMillis: STORE_RETRY_AFTER_MILLIS,
-    });
+  const resultCode = resultCodeOf(error);
+  if (resultCode === ResultCodes.INTERNAL) {
+    return failureAnswer(resultCode, 'An unexpected fault.');
+  }
+  const retryAfterMillis = RETRY_AFTER_MILLIS;
+  return failureAnswer(resultCode, messageOf(error), {retryAfterMillis});
+}
+
+/**
+ * Writes to the store settle their outcome themselves, so an error of the store
+ * that ends a call comes from a read: nothing was changed.
+ */
+function resultCodeOf(error: unknown): ResultCode {
+  if (error instanceof StoreUnavailableError) {
+    return ResultCodes.STORE_UNAVAILABLE;
   }
-  return failureAnswer(ResultCodes.INTERNAL, 'An unexpected fault.');
+  if (error instanceof StoreBudgetError) return ResultCodes.STORE_UNAVAILABLE;
+  if (error instanceof LinkError) return ResultCodes.PROCESS_UNREACHABLE;
+  return ResultCodes.INTERNAL;
 }
