--- a/bench/fleet/playground.ts
+++ b/bench/fleet/playground.ts
@@ -17,7 +17,10 @@
     for (const {name} of fleet.layout.entries) {
       console.log(`${name}: http://${fleet.addresses.of(name, 'callers')}`);
     }
+    const [first] = fleet.layout.entries;
+    const address = fleet.addresses.of(first.name, 'callers');
     console.log(`team ${team}, service ${service}`);
+    console.log(`export BURDOCKMOOR_ENTRY=http://${address}`);
     console.log(`settings and logs: ${fleet.folder}`);
     console.log('Interrupt it with Ctrl+C to stop.');
     await interrupted;
