--- a/bench/service/service_runner.ts
+++ b/bench/service/service_runner.ts
@@ -13,7 +13,7 @@
 import type {Fault} from './fault.js';
 import type {FleetSize} from './fleet_size.js';
 import {traceOf} from './request_trace.js';
-import type {TraceOptions} from './request_trace.js';
+import type {TracedRequest, TraceOptions} from './request_trace.js';
 import {ServiceSimulation} from './service_simulation.js';
 
 const PRODUCT = 'product';
@@ -82,6 +82,7 @@
     const common = {size, seed: this.seed, trace, faults};
     const product = new ServiceSimulation({...common, hedges: true}).run();
     const rows = [{variant: PRODUCT, figures: product.figures(durationMillis)}];
+    if (faults.length > 0) rows.push(this.rowWithoutHedges(trace));
     for (const policy of baselines) {
       const baseline = new ServiceSimulation({
         ...common,
@@ -98,6 +99,14 @@
     return {rows, ratios: ratiosOf(rows, ratios)};
   }
 
+  private rowWithoutHedges(trace: readonly TracedRequest[]): ScenarioRow {
+    const {size, seed, faults} = this;
+    const options = {size, seed, trace, faults, hedges: false};
+    const recorder = new ServiceSimulation(options).run();
+    const figures = recorder.figures(this.options.durationMillis);
+    return {variant: 'product, no hedges', figures};
+  }
+
   private referenceRows(): ScenarioRow[] {
     const {referenceLoad, durationMillis} = this.options;
     if (referenceLoad === undefined) return [];
