--- a/src/decisions/jobs/job_commands.ts
+++ b/src/decisions/jobs/job_commands.ts
@@ -43,7 +43,8 @@
     const job = this.state.book.job(team, name);
     if (!job) return {kind: ChangeKind.NOT_FOUND};
     if (job.cancelled) return {kind: ChangeKind.SAME, job};
-    if (job.closed) return {kind: ChangeKind.CLOSED, job};
+    const held = job.phase === JobPhase.HELD;
+    if (job.closed && !held) return {kind: ChangeKind.CLOSED, job};
     const type = LogRecordType.CANCELLED;
     this.state.records.append({type, team, job: name, reason, wallTime});
     this.state.ready.drop(job);
--- a/tests/jobs/shard_scheduler.test.ts
+++ b/tests/jobs/shard_scheduler.test.ts
@@ -219,3 +219,15 @@
   t.is(fixture.scheduler.job('depot', 'build'), undefined);
   t.is(fixture.scheduler.job('depot', 'held')?.phase, 'held');
 });
+
+test('should let a held job be cancelled, and removed later', t => {
+  const fixture = new ShardFixture();
+  fixture.heartbeat(view('vm1'));
+  fixture.scheduler.submit(specification({idempotent: false}), 0, 0);
+  fixture.step();
+  fixture.step(20_000);
+  const result = fixture.scheduler.cancel('depot', 'build', 'did run', 0, 0);
+  t.is(result.kind, 'changed');
+  fixture.step(25 * 60 * 60 * 1000);
+  t.is(fixture.scheduler.job('depot', 'build'), undefined);
+});
