--- a/bench/batch/batch_metrics.ts
+++ b/bench/batch/batch_metrics.ts
@@ -9,6 +9,8 @@
   wastedWork = 0;
   startedAttempts = 0;
   refusedStarts = 0;
+  /** Starts of tasks that ran elsewhere at that moment. */
+  doubledStarts = 0;
   evictions = 0;
   lostAttempts = 0;
   failedAttempts = 0;
@@ -22,6 +24,17 @@
   /** Work done by all tasks up to the end of each second. */
   readonly workBySecond: number[] = [];
 
+  private readonly runningTasks = new Set<string>();
+
+  taskBegins(task: string): void {
+    if (this.runningTasks.has(task)) this.doubledStarts++;
+    this.runningTasks.add(task);
+  }
+
+  taskEnds(task: string): void {
+    this.runningTasks.delete(task);
+  }
+
   get wastedShare(): number {
     const all = this.finishedWork + this.wastedWork;
     return all === 0 ? 0 : this.wastedWork / all;
--- a/bench/batch/batch_scenarios.ts
+++ b/bench/batch/batch_scenarios.ts
@@ -72,6 +72,7 @@
 const SECOND = 1000;
 const MINUTE = 60 * SECOND;
 const OUT_AT = 2 * MINUTE;
+const TAKE_OVER_MILLIS = 12_000;
 const BACK_AT = 5 * MINUTE;
 
 const SCENARIOS: readonly BatchScenario[] = [
@@ -186,6 +187,27 @@
       },
     ],
   },
+  {
+    name: 'batch-entry-killed',
+    title: 'the owner of a third of the jobs dies, is replaced after 12 s',
+    plan: fleet => ({
+      ...basePlan(fleet, {load: 1.3}),
+      faults: [{at: OUT_AT, run: run => run.killEntry(0, TAKE_OVER_MILLIS)}],
+    }),
+    reference: fleet => basePlan(fleet, {load: 1.3}),
+    ratios: runs => [
+      {
+        name: 'work against the run without it',
+        value: runs.product.finishedWork / runs.reference.finishedWork,
+      },
+      {
+        name: 'starts of tasks that ran elsewhere',
+        value: runs.product.doubledStarts,
+        atMost: 0,
+      },
+      wastedRatio(runs),
+    ],
+  },
   {
     name: 'batch-race',
     title: 'twelve shards race for the room of eleven VMs',
--- a/bench/batch/batch_simulation.ts
+++ b/bench/batch/batch_simulation.ts
@@ -134,7 +134,34 @@
     this.metrics.failedTasks += view?.counts.failed ?? 0;
   }
 
+  /** An entry dies; another takes its shard over after the delay. */
+  killEntry(shard: number, takeOverMillis: number): void {
+    const killed = this.entries[shard];
+    killed.kill();
+    this.clock.schedule(takeOverMillis, () => {
+      const scheduler = this.newScheduler(shard);
+      killed.replayTo(scheduler);
+      const entry = this.newEntry(shard, scheduler, killed.epoch + 1);
+      entry.inherit(killed);
+      this.entries[shard] = entry;
+      entry.begin();
+    });
+  }
+
   private addEntry(shard: number): void {
+    this.entries.push(this.newEntry(shard, this.newScheduler(shard), 1));
+  }
+
+  private newEntry(
+    shard: number,
+    scheduler: ShardScheduler,
+    epoch: number,
+  ): SimulatedEntry {
+    const {clock, vms, metrics} = this;
+    return new SimulatedEntry(shard, scheduler, epoch, clock, vms, metrics);
+  }
+
+  private newScheduler(shard: number): ShardScheduler {
     const {policySet, seed} = this.options;
     const scheduler = new ShardScheduler({
       shard,
@@ -144,10 +171,7 @@
       policies: policySet.policies(),
     });
     scheduler.setFleet(this.fleet);
-    const {clock, vms, metrics} = this;
-    this.entries.push(
-      new SimulatedEntry(shard, scheduler, clock, vms, metrics),
-    );
+    return scheduler;
   }
 
   private entryOf(job: TracedJob): SimulatedEntry {
--- a/bench/batch/compare_batch.ts
+++ b/bench/batch/compare_batch.ts
@@ -85,6 +85,7 @@
       'failed try': metrics.failedAttempts,
       'failed task': metrics.failedTasks,
       lost: metrics.lostAttempts,
+      doubled: metrics.doubledStarts,
       'refused %': (PERCENT * refusedStarts) / sent,
       'wait p50 ms': quantile(metrics.normalWaits, 0.5),
       'urgent p99': quantile(metrics.urgentWaits, 0.99),
--- a/bench/batch/simulated_entry.ts
+++ b/bench/batch/simulated_entry.ts
@@ -1,6 +1,7 @@
 import type {
   AttemptName,
   AttemptReport,
+  LogRecord,
 } from '../../src/decisions/job_types.js';
 import {attemptKey, jobKey} from '../../src/decisions/job_types.js';
 import type {ShardScheduler} from '../../src/decisions/jobs/shard_scheduler.js';
@@ -19,44 +20,69 @@
   /** The store answers nothing before this time. */
   storeBackAt = 0;
   private appending = false;
+  private killed = false;
+  private readonly log: LogRecord[] = [];
   private readonly jobs = new Map<string, TracedJob>();
   private readonly started = new Set<string>();
 
   constructor(
     readonly shard: number,
     readonly scheduler: ShardScheduler,
+    readonly epoch: number,
     private readonly clock: VirtualClock,
     private readonly vms: ReadonlyMap<string, SimulatedVm>,
     private readonly metrics: BatchMetrics,
   ) {
-    scheduler.tookOver(`entry${shard}`, 1, 0, 0);
+    const now = clock.now();
+    scheduler.tookOver(`entry${epoch}`, epoch, now, now);
   }
 
   begin(): void {
     this.clock.schedule(this.shard, () => this.loop());
   }
 
+  /** Ends the process: what the log doesn't hold is gone. */
+  kill(): void {
+    this.killed = true;
+  }
+
+  /** Brings a scheduler to where this entry's log ends. */
+  replayTo(scheduler: ShardScheduler): void {
+    for (const record of this.log) scheduler.replay(record);
+  }
+
+  /** Goes on with an earlier owner's log; callers submit their jobs again. */
+  inherit(earlier: SimulatedEntry): void {
+    this.log.unshift(...earlier.log);
+    for (const task of earlier.started) this.started.add(task);
+    for (const job of earlier.jobs.values()) this.submit(job);
+  }
+
   submit(job: TracedJob): void {
     const {specification} = job;
     const key = jobKey(specification.team, specification.name);
     this.jobs.set(key, job);
+    if (this.killed) return;
     const now = this.clock.now();
     this.scheduler.submit(specification, now, now);
   }
 
   heartbeat(vm: SimulatedVm): void {
+    if (this.killed) return;
     const now = this.clock.now();
     this.scheduler.noteVm(vm.view(), now, now);
   }
 
   /** Takes reports in; returns those that the log holds. */
   report(vm: string, reports: readonly AttemptReport[]): AttemptName[] {
+    if (this.killed) return [];
     const now = this.clock.now();
     this.scheduler.noteReports(vm, reports, now, now);
     return this.scheduler.recordedReports(reports.map(({name}) => name));
   }
 
   private loop(): void {
+    if (this.killed) return;
     const now = this.clock.now();
     this.scheduler.decide(now, now);
     this.append();
@@ -67,10 +93,12 @@
   private append(): void {
     if (this.appending || !this.scheduler.hasRecords) return;
     this.appending = true;
-    this.scheduler.takeRecords();
+    const records = this.scheduler.takeRecords();
     const delay = Math.max(APPEND_MILLIS, this.storeBackAt - this.clock.now());
     this.clock.schedule(delay, () => {
       this.appending = false;
+      if (this.killed) return;
+      this.log.push(...records);
       this.scheduler.acknowledge();
       this.send(this.clock.now());
       this.append();
--- a/bench/batch/simulated_vm.ts
+++ b/bench/batch/simulated_vm.ts
@@ -102,6 +102,7 @@
     };
     this.running.set(key, task);
     this.metrics.startedAttempts++;
+    this.metrics.taskBegins(taskOf(task));
     if (this.blackHole) this.failSoon(task);
     this.reschedule();
     return {name, accepted: true, resultCode: 0, reason: ''};
@@ -134,6 +135,7 @@
     for (const task of this.running.values()) {
       this.metrics.wastedWork += this.workOf(task);
       this.metrics.lostAttempts++;
+      this.metrics.taskEnds(taskOf(task));
     }
     this.running.clear();
     this.unrecorded.clear();
@@ -283,6 +285,7 @@
     this.advance();
     const used = usedBy(task);
     this.running.delete(task.key);
+    this.metrics.taskEnds(taskOf(task));
     this.committed = subtractResources(this.committed, task.order.size);
     const {name} = task.order;
     const evicted = outcome === AttemptOutcome.EVICTED;
@@ -321,6 +324,11 @@
   }
 }
 
+function taskOf({order}: RunningTask): string {
+  const {team, job, task} = order.name;
+  return `${team}/${job}/${task}`;
+}
+
 function usedBy(task: RunningTask): Resources {
   const {used, declared} = task.job.truth;
   const grown = task.doneMillis >= task.totalMillis * MEMORY_GROWTH_SHARE;
