--- a/src/cli/tool_session.ts
+++ b/src/cli/tool_session.ts
@@ -31,7 +31,8 @@
   }
 
   progress(line: string): void {
-    this.surroundings.writeError(`${line}\n`);
+    const shown = this.json ? JSON.stringify({progress: line}) : line;
+    this.surroundings.writeError(`${shown}\n`);
   }
 
   pause(millis: number): Promise<void> {
--- a/src/entry/alarms/lasting_states.ts
+++ b/src/entry/alarms/lasting_states.ts
@@ -2,7 +2,7 @@
 export class LastingStates<State> {
   private readonly states = new Map<string, State>();
 
-  /** Takes in the state of one thing; resolves to the one before, if it differs. */
+  /** Takes in the state of one thing; tells the one before and if it differs. */
   change(
     name: string,
     state: State,
--- a/tests/cli/settings_commands.test.ts
+++ b/tests/cli/settings_commands.test.ts
@@ -139,7 +139,9 @@
   t.is(run.status, 9);
   const result = JSON.parse(run.output) as {wait: {lagging: string[]}};
   t.deepEqual(result.wait.lagging, ['vm-1']);
-  t.regex(run.errors, /vm-1/);
+  const lines = run.errors.trim().split('\n');
+  t.like(JSON.parse(lines.at(-1)!), {exitStatus: 9, lagging: ['vm-1']});
+  t.regex((JSON.parse(lines[0]) as {progress: string}).progress, /vm-1/);
 });
 
 test('should list versions and write the text of one', async t => {
