Name at most eight lagging processes; let settings be fresh for at most 10 s

Cause: at 600 agents a line of progress named them all. fresh_seconds went up to 60, which would let a task start in a failure domain a minute after it was taken out.

--- a/src/cli/settings_wait.ts
+++ b/src/cli/settings_wait.ts
@@ -5,6 +5,8 @@
 
 const POLL_MILLIS = 500;
 const MILLIS_PER_SECOND = 1000;
+/** More are only counted in text; JSON has all. */
+const SHOWN_NAMES = 8;
 
 export interface WaitResult {
   readonly revision: number;
@@ -39,7 +41,7 @@
 /** Throws the error that names the processes which lag, if there are any. */
 export function throwIfLagging(result: WaitResult): void {
   if (result.processes > 0 && result.lagging.length === 0) return;
-  const names = result.lagging.join(', ') || 'no entry answered';
+  const names = namesText(result.lagging) || 'no entry answered';
   throw toolError(
     ExitCodes.LAGGING,
     `The change is accepted as revision ${result.revision}, but not in force everywhere after ${result.seconds} s: ${names}.`,
@@ -77,5 +79,11 @@
   const {processes, lagging} = result;
   const done = `in force at ${processes - lagging.length} of ${processes} processes`;
   if (lagging.length === 0) return done;
-  return `${done}; waiting for ${lagging.join(', ')}`;
+  return `${done}; waiting for ${namesText(lagging)}`;
+}
+
+function namesText(names: readonly string[]): string {
+  const shown = names.slice(0, SHOWN_NAMES).join(', ');
+  const left = names.length - SHOWN_NAMES;
+  return left > 0 ? `${shown} and ${left} more` : shown;
 }
--- a/src/settings/branch_schemas.ts
+++ b/src/settings/branch_schemas.ts
@@ -84,7 +84,7 @@
         example: '4',
       },
       1,
-      60,
+      10,
     ),
     4,
     '4',
--- a/tests/cli/settings_commands.test.ts
+++ b/tests/cli/settings_commands.test.ts
@@ -144,6 +144,18 @@
   t.regex((JSON.parse(lines[0]) as {progress: string}).progress, /vm-1/);
 });
 
+test('should count the names of lagging processes when there are many', async t => {
+  const {entry} = t.context;
+  const body = {...BRANCH, revision: 18};
+  entry.on('POST /v1/vms/vm-1/drain', {body});
+  const revisions = new Array<number>(600).fill(17);
+  entry.on('GET /v1/settings-status', {body: statusOf(...revisions)});
+  const change = ['drain', 'vm-1', '--wait', '--timeout-seconds', '1'];
+  const run = await runAgainst(entry, 'vm', ...change);
+  t.is(run.status, 9);
+  t.regex(run.errors, /vm-0, vm-1, .*vm-7 and 592 more/);
+});
+
 test('should list versions and write the text of one', async t => {
   const {entry} = t.context;
   const versions = [BRANCH, {...BRANCH, version: 2, text: '; older\n'}];
