Refuse tasks that a service could not bear; judge tails by their noise

The cause: of the batch work that was lost, two thirds were slots held by noisy tasks at small shares until they were evicted. Now the agent says no to a task of a known kind when it would get less than half of its processors (result code 317), and the slot goes to another.

A budget moved by a fixed part was slow with steady service times and nervous with spread ones, so the part now follows the noise of the 99th percentile.

--- a/bench/eviction/batch_fleet.ts
+++ b/bench/eviction/batch_fleet.ts
@@ -2,6 +2,7 @@
 import type {
   GuardAction,
   GuardedTask,
+  GuardView,
   TailPolicy,
 } from '../../src/decisions/eviction/tail_policy.js';
 import type {FaultTarget} from '../service/fault.js';
@@ -16,14 +17,16 @@
 const TASK_MILLIPROCESSORS = 4_000;
 const VM_MILLIPROCESSORS = 16_000;
 
-/** Until a task that was evicted runs again, doubled each time. */
+/** Until a task that was evicted or refused is tried again, then doubled. */
 const RESUME_MILLIS = 5_000;
+/** Starts that the owner tries at a time. */
+const STARTS_PER_TICK = 20;
 const LONGEST_RESUME_MILLIS = 60_000;
 
 interface RunningTask {
   readonly task: BatchTask;
   leftMillis: number;
-  evictions: number;
+  setbacks: number;
   share: number;
   checkpointedAt: number;
 }
@@ -31,7 +34,7 @@
 interface WaitingTask {
   readonly task: BatchTask;
   readonly leftMillis: number;
-  readonly evictions: number;
+  readonly setbacks: number;
   readonly readyAt: number;
 }
 
@@ -40,6 +43,8 @@
   readonly finished: number;
   readonly noisyFinished: number;
   readonly evictions: number;
+  /** Starts that agents said no to. */
+  readonly refusals: number;
 }
 
 /**
@@ -53,6 +58,7 @@
   private finished = 0;
   private noisyFinished = 0;
   private evictions = 0;
+  private refusals = 0;
 
   constructor(
     private readonly policies: readonly TailPolicy[],
@@ -64,8 +70,8 @@
 
   figures(): BatchFigures {
     const workSeconds = this.workMillis / 1_000;
-    const {finished, noisyFinished, evictions} = this;
-    return {workSeconds, finished, noisyFinished, evictions};
+    const {finished, noisyFinished, evictions, refusals} = this;
+    return {workSeconds, finished, noisyFinished, evictions, refusals};
   }
 
   tick(now: number, target: FaultTarget): void {
@@ -96,17 +102,20 @@
   }
 
   private decide(index: number, now: number): void {
-    const tasks = this.vms[index];
-    const view = {
-      targetMillis: this.targetMillis,
-      milliprocessors: VM_MILLIPROCESSORS,
-      tasks: tasks.map(each => guarded(each, now)),
-    };
+    const view = this.view(index, now);
     for (const action of this.policies[index].decide(view, now)) {
       this.carryOut(index, action, now);
     }
   }
 
+  private view(index: number, now: number): GuardView {
+    return {
+      targetMillis: this.targetMillis,
+      milliprocessors: VM_MILLIPROCESSORS,
+      tasks: this.vms[index].map(each => guarded(each, now)),
+    };
+  }
+
   private carryOut(index: number, action: GuardAction, now: number): void {
     const tasks = this.vms[index];
     const each = tasks.find(({task}) => task.id === action.key);
@@ -121,30 +130,49 @@
     }
     this.evictions += 1;
     this.vms[index] = tasks.filter(other => other !== each);
-    const {task, leftMillis} = each;
-    const evictions = each.evictions + 1;
-    const pauseMillis = RESUME_MILLIS * 2 ** each.evictions;
-    const readyAt = now + Math.min(pauseMillis, LONGEST_RESUME_MILLIS);
-    this.waiting.push({task, leftMillis, evictions, readyAt});
+    this.postpone(each, now);
   }
 
   /** Starts tasks where there is room, on the emptiest VM first. */
   private fill(now: number): void {
-    for (;;) {
-      let emptiest = this.vms[0];
-      for (const tasks of this.vms) {
-        if (tasks.length < emptiest.length) emptiest = tasks;
-      }
-      if (emptiest.length >= TASKS_PER_VM) return;
-      emptiest.push(this.nextTask(now));
+    for (let started = 0; started < STARTS_PER_TICK; started++) {
+      const withRoom = this.vmsWithRoom();
+      if (withRoom.length === 0) return;
+      const task = this.nextTask(now);
+      const index = withRoom.find(vm => this.admits(vm, task, now));
+      if (index === undefined) this.postpone(task, now);
+      else this.vms[index].push(task);
     }
   }
 
+  private vmsWithRoom(): number[] {
+    const indexes = [...this.vms.keys()];
+    return indexes
+      .filter(index => this.vms[index].length < TASKS_PER_VM)
+      .sort((one, other) => this.vms[one].length - this.vms[other].length);
+  }
+
+  private admits(index: number, task: RunningTask, now: number): boolean {
+    const view = this.view(index, now);
+    const admitted = this.policies[index].admits(guarded(task, now), view);
+    if (!admitted) this.refusals += 1;
+    return admitted;
+  }
+
+  /** An evicted or refused task waits, longer each time. */
+  private postpone(each: RunningTask, now: number): void {
+    const {task, leftMillis} = each;
+    const pauseMillis = RESUME_MILLIS * 2 ** each.setbacks;
+    const readyAt = now + Math.min(pauseMillis, LONGEST_RESUME_MILLIS);
+    const setbacks = each.setbacks + 1;
+    this.waiting.push({task, leftMillis, setbacks, readyAt});
+  }
+
   private nextTask(now: number): RunningTask {
     const index = this.waiting.findIndex(({readyAt}) => readyAt <= now);
     if (index < 0) {
       const task = this.workload.next(now);
-      return newTask({task, leftMillis: task.runMillis, evictions: 0}, now);
+      return newTask({task, leftMillis: task.runMillis, setbacks: 0}, now);
     }
     const [resumed] = this.waiting.splice(index, 1);
     return newTask(resumed, now);
@@ -152,10 +180,10 @@
 }
 
 function newTask(
-  {task, leftMillis, evictions}: Omit<WaitingTask, 'readyAt'>,
+  {task, leftMillis, setbacks}: Omit<WaitingTask, 'readyAt'>,
   now: number,
 ): RunningTask {
-  return {task, leftMillis, evictions, share: 1, checkpointedAt: now};
+  return {task, leftMillis, setbacks, share: 1, checkpointedAt: now};
 }
 
 function guarded(each: RunningTask, now: number): GuardedTask {
--- a/bench/eviction/eviction_scenarios.ts
+++ b/bench/eviction/eviction_scenarios.ts
@@ -140,6 +140,7 @@
       finished: figures?.finished ?? 0,
       noisy: figures?.noisyFinished ?? 0,
       evictions: figures?.evictions ?? 0,
+      refusals: figures?.refusals ?? 0,
     },
   };
 }
--- a/bench/eviction/tail_baselines.ts
+++ b/bench/eviction/tail_baselines.ts
@@ -13,6 +13,10 @@
     return 0;
   }
 
+  admits(): boolean {
+    return true;
+  }
+
   decide(): GuardAction[] {
     return [];
   }
--- a/src/agent/agent_process.ts
+++ b/src/agent/agent_process.ts
@@ -9,7 +9,6 @@
 import type {
   DumpStateReply,
   ExecutorReport,
-  HeartbeatReply,
   QueryAttemptsReply,
   QueryAttemptsRequest,
   ServeReply,
@@ -20,7 +19,6 @@
   StopAttemptsRequest,
 } from '../protocol/generated/burdockmoor.js';
 import type {AgentHandlers, LinkFactory} from '../protocol/links.js';
-import type {SettingsDocument} from '../settings/settings_types.js';
 import type {Clock} from '../utilities/clock.js';
 import type {Random} from '../utilities/random.js';
 import {AgentAlarms} from './agent_alarms.js';
@@ -40,6 +38,7 @@
 import {AttemptStarter} from './commands/attempt_starter.js';
 import {AttemptStopper} from './commands/attempt_stopper.js';
 import {GracefulShutdown} from './commands/graceful_shutdown.js';
+import {HeartbeatReplies} from './commands/heartbeat_replies.js';
 import {QueryAttempts} from './commands/query_attempts.js';
 import {RoomMaker} from './commands/room_maker.js';
 import {ServeRequests} from './commands/serve_requests.js';
@@ -85,6 +84,7 @@
   private readonly loop: AgentLoop;
   private readonly directory: EntryDirectory;
   private readonly heartbeats: HeartbeatSender;
+  private readonly replies: HeartbeatReplies;
   private readonly closer: AttemptCloser;
   private readonly stopper: AttemptStopper;
   private readonly monitor: WorkerMonitor;
@@ -113,6 +113,12 @@
     this.stopper = new AttemptStopper(context, this.closer);
     this.monitor = new WorkerMonitor(context, this.closer);
     this.leaseKeeper = new LeaseKeeper(context, this.stopper);
+    this.replies = new HeartbeatReplies(
+      context,
+      this.directory,
+      this.heartbeats,
+      this.leaseKeeper,
+    );
     this.reports = new ReportSender(context, this.directory, this.closer);
     this.roomMaker = new RoomMaker(context, this.stopper);
     this.starter = new AttemptStarter(
@@ -124,13 +130,15 @@
     const {metrics: registry = new Metrics()} = options;
     const metrics = new AgentMetrics(registry);
     observeVm(registry, context);
+    const protection = newProtection(options, context, this.stopper);
     this.starts = new StartAttempts(
       context,
       this.heartbeats,
       this.starter,
       metrics,
+      protection,
     );
-    this.service = newService(options, context, this.stopper, metrics);
+    this.service = newService(options, context, protection, metrics);
   }
 
   /** Begins to talk to the worker and the entries. */
@@ -193,7 +201,7 @@
 
   private react(event: AgentEvent): void {
     if (event.type === 'tick') this.tick(event.now);
-    else this.takeInReply(event.reply, event.sentAt);
+    else this.replies.takeIn(event.reply, event.sentAt);
   }
 
   private tick(now: number): void {
@@ -208,33 +216,6 @@
     this.alarms.tick(now);
   }
 
-  private takeInReply(reply: HeartbeatReply, sentAt: number): void {
-    const {clock, settings} = this.options;
-    const now = clock.now();
-    this.directory.takeIn(reply.entries, now);
-    for (const document of reply.settings) this.apply(document);
-    // Counted from the sending, since the reply took an unknown time.
-    settings.confirm(reply.settingsRevision, sentAt, reply.settingsAgeMillis);
-    const {entryId} = reply;
-    const endsAt = sentAt + reply.leaseMillis;
-    const leases = reply.leases.map(lease => ({...lease, entryId, endsAt}));
-    this.leaseKeeper.takeIn(leases, now);
-    this.heartbeats.noteConfirmation();
-  }
-
-  private apply(document: SettingsDocument): void {
-    const {logger, settings} = this.options;
-    const {branch, revision} = document;
-    const result = settings.apply(document);
-    if (result === 'older') return;
-    if (result === 'applied') {
-      logger.event(Events.SETTINGS_APPLIED, {branch, revision});
-      return;
-    }
-    const faults = result.faults.map(fault => fault.message).join('; ');
-    logger.event(Events.SETTINGS_REJECTED, {branch, revision, faults});
-  }
-
   private buildHeartbeat() {
     const {executorConfiguration} = this.options;
     const teams = executorConfiguration ? [executorConfiguration.team] : [];
@@ -275,21 +256,28 @@
   };
 }
 
-function newService(
-  options: AgentOptions,
+function newProtection(
+  {executorConfiguration, tailPolicy = new TailGuard()}: AgentOptions,
   context: AgentContext,
   stopper: AttemptStopper,
+): TailProtection | undefined {
+  if (!executorConfiguration) return undefined;
+  const {service} = executorConfiguration;
+  return new TailProtection(context, service, tailPolicy, stopper);
+}
+
+function newService(
+  {executorConfiguration, executor}: AgentOptions,
+  context: AgentContext,
+  protection: TailProtection | undefined,
   metrics: AgentMetrics,
 ): ServeRequests | undefined {
-  const {executorConfiguration, executor} = options;
-  if (!executorConfiguration || !executor) return undefined;
-  const {tailPolicy = new TailGuard()} = options;
-  const {service} = executorConfiguration;
+  if (!executorConfiguration || !executor || !protection) return undefined;
   return new ServeRequests(
     context,
     executorConfiguration,
     executor,
-    new TailProtection(context, service, tailPolicy, stopper),
+    protection,
     metrics,
   );
 }
--- /dev/null
+++ b/src/agent/commands/heartbeat_replies.ts
@@ -0,0 +1,44 @@
+import {Events} from '../../observability/events.js';
+import type {HeartbeatReply} from '../../protocol/generated/burdockmoor.js';
+import type {SettingsDocument} from '../../settings/settings_types.js';
+import type {AgentContext} from '../agent_context.js';
+import type {EntryDirectory} from '../entry_directory.js';
+import type {HeartbeatSender} from '../heartbeat_sender.js';
+import type {LeaseKeeper} from '../lease_keeper.js';
+
+/** Takes in what entries answer to heartbeats: entries, settings, leases. */
+export class HeartbeatReplies {
+  constructor(
+    private readonly context: AgentContext,
+    private readonly directory: EntryDirectory,
+    private readonly heartbeats: HeartbeatSender,
+    private readonly leaseKeeper: LeaseKeeper,
+  ) {}
+
+  /** All ages are counted from the sending: the reply took some time. */
+  takeIn(reply: HeartbeatReply, sentAt: number): void {
+    const {clock, settings} = this.context;
+    const now = clock.now();
+    this.directory.takeIn(reply.entries, now);
+    for (const document of reply.settings) this.apply(document);
+    settings.confirm(reply.settingsRevision, sentAt, reply.settingsAgeMillis);
+    const {entryId} = reply;
+    const endsAt = sentAt + reply.leaseMillis;
+    const leases = reply.leases.map(lease => ({...lease, entryId, endsAt}));
+    this.leaseKeeper.takeIn(leases, now);
+    this.heartbeats.noteConfirmation();
+  }
+
+  private apply(document: SettingsDocument): void {
+    const {logger, settings} = this.context;
+    const {branch, revision} = document;
+    const result = settings.apply(document);
+    if (result === 'older') return;
+    if (result === 'applied') {
+      logger.event(Events.SETTINGS_APPLIED, {branch, revision});
+      return;
+    }
+    const faults = result.faults.map(fault => fault.message).join('; ');
+    logger.event(Events.SETTINGS_REJECTED, {branch, revision, faults});
+  }
+}
--- a/src/agent/commands/start_attempts.ts
+++ b/src/agent/commands/start_attempts.ts
@@ -13,6 +13,7 @@
 import type {AgentContext} from '../agent_context.js';
 import type {AgentMetrics} from '../agent_metrics.js';
 import type {AttemptStarter} from './attempt_starter.js';
+import type {TailProtection} from '../tail_protection.js';
 import type {HeartbeatSender} from '../heartbeat_sender.js';
 import {
   areSettingsFresh,
@@ -38,6 +39,7 @@
     private readonly heartbeats: HeartbeatSender,
     private readonly starter: AttemptStarter,
     private readonly metrics: AgentMetrics,
+    private readonly protection?: TailProtection,
   ) {}
 
   async execute(request: StartAttemptsRequest): Promise<StartAttemptsReply> {
@@ -65,6 +67,7 @@
       checkSender(this.context, request) ??
       checkClosed(this.context, start.name) ??
       checkVm(this.context, request) ??
+      this.checkService(start) ??
       (await this.starter.start(request, start));
     if (!refusal) {
       this.metrics.startsAccepted.increment();
@@ -80,6 +83,20 @@
     };
   }
 
+  /** Whether the service on this VM can bear the task beside it. */
+  private checkService(start: CheckedStart): Refusal | undefined {
+    if (!this.protection) return undefined;
+    const {kind, size, urgent, evictable} = start;
+    const {milliprocessors} = size;
+    const key = attemptKey(start.name);
+    const task = {key, kind, milliprocessors, urgent, evictable};
+    if (this.protection.admits({...task, share: 1, lostMillis: 0})) {
+      return undefined;
+    }
+    const reason = `the service can't bear a task of kind ${kind} now`;
+    return {code: ResultCodes.TAIL_PROTECTED, reason};
+  }
+
   /** A repeat of a refused start must not run: the owner believes the no. */
   private noteRefusal(start: CheckedStart, {code, reason}: Refusal): void {
     const {closed, clock, logger} = this.context;
--- a/src/agent/tail_protection.ts
+++ b/src/agent/tail_protection.ts
@@ -49,6 +49,11 @@
       .map(({kind, slowdown}) => ({service, taskKind: kind, slowdown}));
   }
 
+  /** Whether the service can bear the task beside it. */
+  admits(newcomer: GuardedTask): boolean {
+    return this.policy.admits(newcomer, this.view(this.context.clock.now()));
+  }
+
   tick(now: number): void {
     if (now < this.nextDecisionAt) return;
     this.nextDecisionAt = now + DECISION_PERIOD_MILLIS;
@@ -62,7 +67,7 @@
     const {attempts, ledger, settings} = this.context;
     const tasks: GuardedTask[] = [];
     for (const attempt of attempts.all()) {
-      if (attempt.phase !== AttemptPhase.RUNNING) continue;
+      if (attempt.phase === AttemptPhase.ENDED) continue;
       tasks.push(guardedTask(attempt, now));
     }
     return {
@@ -85,6 +90,7 @@
   private carryOut(action: GuardAction): void {
     const attempt = this.context.attempts.getByKey(action.key);
     if (!attempt || this.underWay.has(attempt.key)) return;
+    if (attempt.phase !== AttemptPhase.RUNNING) return;
     if (action.type === GuardActionType.EVICT) {
       const {key} = attempt;
       const {reason} = action;
--- a/src/decisions/eviction/answer_window.ts
+++ b/src/decisions/eviction/answer_window.ts
@@ -35,6 +35,11 @@
     this.oldestMillis = oldestMillis;
   }
 
+  /** Answers that the tail is taken from. */
+  get count(): number {
+    return this.answers.length;
+  }
+
   observe(answerMillis: number, now: number): void {
     this.answers.push({answeredAt: now, answerMillis});
     this.known = undefined;
--- a/src/decisions/eviction/interference_estimator.ts
+++ b/src/decisions/eviction/interference_estimator.ts
@@ -58,7 +58,7 @@
     if (count === 0) return;
     this.sampleVariance +=
       SAMPLE_VARIANCE_SMOOTHING * (varianceOfLog - this.sampleVariance);
-    const variance = Math.max(this.sampleVariance, LEAST_SAMPLE_VARIANCE);
+    const variance = this.varianceOfLog;
     if (!this.hasBaseline) this.means[0] = meanLog;
     this.hasBaseline = true;
     const loads = meanLoads(first, last);
@@ -69,6 +69,11 @@
     this.update(meanLog, noise, loads);
   }
 
+  /** Variance of the logarithm of one service time. */
+  get varianceOfLog(): number {
+    return Math.max(this.sampleVariance, LEAST_SAMPLE_VARIANCE);
+  }
+
   /** Growth of the logarithm of service times by a full load of the kind. */
   effect(kind: string): number {
     const index = this.kinds.indexOf(kind, 1);
--- a/src/decisions/eviction/tail_guard.ts
+++ b/src/decisions/eviction/tail_guard.ts
@@ -17,8 +17,15 @@
 /** Part of its deviation by which an effect is taken to be larger. */
 const CAUTION = 0.25;
 
+/** Part of the budget that decides on larger shares: the rest is hysteresis. */
+const RAISE_PART = 0.85;
+
 /** A task's share grows by one step at most in this time. */
-const RAISE_PERIOD_MILLIS = 1_000;
+const RAISE_PERIOD_MILLIS = 2_000;
+
+/** A task of a known kind is admitted if it may use at least so much. */
+const ADMIT_SHARE = 0.5;
+const KNOWN_DEVIATION = 0.5;
 
 /** A task that may use no more for so long had better run elsewhere. */
 const EVICT_SHARE = 0.35;
@@ -83,6 +90,15 @@
     return slowdowns;
   }
 
+  admits(newcomer: GuardedTask, view: GuardView): boolean {
+    if (view.targetMillis <= 0 || newcomer.urgent) return true;
+    // Kinds become known only by running.
+    if (this.estimator.deviation(newcomer.kind) > KNOWN_DEVIATION) return true;
+    const tasks = this.weigh({...view, tasks: [...view.tasks, newcomer]});
+    const shares = allocateShares(tasks, this.budget.slowdown);
+    return (shares.get(newcomer.key) ?? 1) >= ADMIT_SHARE;
+  }
+
   decide(view: GuardView, now: number): GuardAction[] {
     this.learn(view, now);
     const tasks = this.weigh(view);
@@ -90,7 +106,15 @@
     const {targetMillis} = view;
     if (slowdown - this.slowdown > NOTABLE_CHANGE) this.settle(now);
     const tailMillis = this.settled.tailMillis(now);
-    this.budget.update({tailMillis, targetMillis, slowdown});
+    const answers = this.settled.count;
+    const {varianceOfLog} = this.estimator;
+    this.budget.update({
+      tailMillis,
+      answers,
+      varianceOfLog,
+      targetMillis,
+      slowdown,
+    });
     const actions = this.share(tasks, now);
     const evictions = this.evict(tasks, now);
     const changed = withShares(view.tasks, actions);
@@ -145,16 +169,19 @@
   }
 
   private share(tasks: readonly WeighedTask[], now: number): GuardAction[] {
-    const shares = allocateShares(tasks, this.budget.slowdown);
+    const {slowdown} = this.budget;
+    const largest = allocateShares(tasks, slowdown);
+    const safe = allocateShares(tasks, RAISE_PART * slowdown);
     const actions: GuardAction[] = [];
     for (const {task} of tasks) {
-      const wanted = shares.get(task.key) ?? 1;
-      if (wanted < task.share) {
+      const limit = largest.get(task.key) ?? 1;
+      if (limit < task.share) {
         this.raisedAt.set(task.key, now);
-        actions.push(throttle(task, wanted, 'the service needs its answers'));
+        actions.push(throttle(task, limit, 'the service needs its answers'));
         continue;
       }
-      if (wanted === task.share || !this.mayRaise(task, now)) continue;
+      const wanted = safe.get(task.key) ?? 1;
+      if (wanted <= task.share || !this.mayRaise(task, now)) continue;
       this.raisedAt.set(task.key, now);
       const raised = Math.min(wanted, nextShare(task.share));
       actions.push(throttle(task, raised, 'the service meets its target'));
--- a/src/decisions/eviction/tail_policy.ts
+++ b/src/decisions/eviction/tail_policy.ts
@@ -60,6 +60,8 @@
   observe(answer: ServiceAnswer, now: number): void;
   /** The service's 99th percentile now, in milliseconds; 0 while unknown. */
   tailMillis(now: number): number;
+  /** Whether the newcomer may start beside the tasks of the view. */
+  admits(newcomer: GuardedTask, view: GuardView): boolean;
   /** Called at a steady period. */
   decide(view: GuardView, now: number): GuardAction[];
   slowdowns(): KindSlowdown[];
--- a/src/observability/result_codes.ts
+++ b/src/observability/result_codes.ts
@@ -164,7 +164,7 @@
     317,
     'TAIL_PROTECTED',
     409,
-    'The task was evicted because a service missed its tail target.',
+    'Refused or evicted: a service would miss its tail target.',
   ),
   DISPLACED: code(
     318,
--- a/tests/agent/serve_requests.test.ts
+++ b/tests/agent/serve_requests.test.ts
@@ -1,4 +1,10 @@
 import test from 'ava';
+import {TailGuard} from '../../src/decisions/eviction/tail_guard.js';
+import type {
+  GuardAction,
+  TailPolicy,
+} from '../../src/decisions/eviction/tail_policy.js';
+import {AttemptOutcome} from '../../src/decisions/job_types.js';
 import {ResultCodes} from '../../src/observability/result_codes.js';
 import type {ServeRequest} from '../../src/protocol/generated/burdockmoor.js';
 import {ServeOutcome} from '../../src/protocol/links.js';
@@ -8,8 +14,9 @@
 class ServiceFixture extends AgentFixture {
   readonly executor: FakeExecutor;
 
-  constructor() {
+  constructor(policy: Partial<TailPolicy> = {}) {
     super(clock => ({
+      tailPolicy: Object.assign(new TailGuard(), policy),
       executor: new FakeExecutor(clock),
       executorConfiguration: {
         service: 'rounds',
@@ -148,3 +155,27 @@
   t.is((await fixture.finish(open)).outcome, ServeOutcome.ANSWERED);
   await fixture.finish(stopped);
 });
+
+test('should start no task that the service could not bear', async t => {
+  const fixture = new ServiceFixture({admits: () => false});
+  await fixture.begin();
+  const refused = await fixture.start(1);
+  t.is(refused.resultCode, ResultCodes.TAIL_PROTECTED.number);
+  t.deepEqual(fixture.worker.startCalls, []);
+});
+
+test('should throttle and evict as the tail policy decides', async t => {
+  const actions: GuardAction[] = [];
+  const fixture = new ServiceFixture({decide: () => actions.splice(0)});
+  await fixture.begin();
+  await fixture.start(1);
+  const key = 'depot/route-build/1/1';
+  const [taskId] = fixture.worker.running();
+  actions.push({type: 'throttle', key, share: 0.2, reason: 'test'});
+  await fixture.pass(1_000);
+  t.is(fixture.worker.shares.get(taskId), 0.2);
+  actions.push({type: 'evict', key, reason: 'test'});
+  await fixture.pass(1_000);
+  t.deepEqual(fixture.worker.running(), []);
+  t.is(fixture.entry.reports[0].outcome, AttemptOutcome.EVICTED);
+});
