--- a/src/decisions/jobs/shard_state.ts
+++ b/src/decisions/jobs/shard_state.ts
@@ -6,6 +6,8 @@
 import {ReadyQueue} from '../placement/ready_queue.js';
 import {PeakSizeLearner} from '../placement/size_learner.js';
 import type {SizeLearner} from '../placement/size_learner.js';
+import {AdaptiveClaims} from '../placement/room_claims.js';
+import type {RoomClaims} from '../placement/room_claims.js';
 import {Spread} from '../placement/spread.js';
 import {TeamLedger} from '../placement/team_ledger.js';
 import {VmTable} from '../placement/vm_table.js';
@@ -13,7 +15,7 @@
 import {TaskBackoff} from '../recovery/task_backoff.js';
 import {WorkerQuarantine} from '../recovery/worker_quarantine.js';
 import type {WorkerJudge} from '../recovery/worker_quarantine.js';
-import {DelayQueue} from './delay_queue.js';
+import {KeyHeap} from './key_heap.js';
 import type {JobBook} from './job_book.js';
 import type {JobState} from './job_state.js';
 import {OpenAttempts} from './open_attempts.js';
@@ -61,10 +63,13 @@
   readonly learner: SizeLearner;
   readonly judge: WorkerJudge;
   readonly pacer: StartPacer;
+  readonly claims: RoomClaims;
 }
 
 export interface ShardSchedulerOptions {
   readonly shard: number;
+  /** How many shards there are; they share the VMs. */
+  readonly shards?: number;
   readonly random: Random;
   readonly limits?: Partial<ShardLimits>;
   readonly policies?: Partial<ShardPolicies>;
@@ -92,10 +97,12 @@
   readonly attempts = new OpenAttempts();
   readonly vms = new VmTable();
   readonly ready = new ReadyQueue();
-  readonly delayed = new DelayQueue<DelayedTask>();
+  /** Tasks that back off, by the time at which they are ready again. */
+  readonly delayed = new KeyHeap<DelayedTask>();
   readonly ledger = new TeamLedger();
   readonly spread = new Spread();
   readonly interference = new InterferenceTable();
+  readonly claims: RoomClaims;
   readonly backoff: TaskBackoff;
   readonly placer: Placer;
   readonly learner: SizeLearner;
@@ -112,10 +119,11 @@
     readonly durableBook: JobBook,
     options: ShardSchedulerOptions,
   ) {
-    const {shard, policies = {}} = options;
+    const {shard, shards = 1, random, policies = {}} = options;
     this.limits = {...DEFAULT_SHARD_LIMITS, ...options.limits};
     this.records = new RecordQueue(book, durableBook);
-    this.backoff = new TaskBackoff(options.random);
+    this.claims = policies.claims ?? new AdaptiveClaims(random, shard, shards);
+    this.backoff = new TaskBackoff(random);
     this.learner = policies.learner ?? new PeakSizeLearner();
     this.judge = policies.judge ?? new WorkerQuarantine();
     this.pacer = policies.pacer ?? new StartPacer();
--- a/src/decisions/placement/best_fit_placer.ts
+++ b/src/decisions/placement/best_fit_placer.ts
@@ -1,9 +1,11 @@
+import {hashOf} from '../../utilities/text_hash.js';
 import type {InterferenceTable} from './interference_table.js';
 import type {PlacementChoice, PlacementTask, Placer} from './placer.js';
-import {mayStartOn} from './placer.js';
+import {PlacementObstacle, mayStartOn} from './placer.js';
 import type {Spread} from './spread.js';
 import type {VmState} from './vm_table.js';
 
+const HASH_RANGE = 2 ** 32;
 const ACCELERATOR_PENALTY = 4;
 const SPREAD_PENALTY = 1;
 
@@ -28,7 +30,6 @@
   private readonly spread: Spread;
   private readonly shard: number;
   private readonly preferenceWeight: number;
-  private readonly preferences = new Map<string, number>();
 
   constructor(options: BestFitPlacerOptions) {
     this.interference = options.interference;
@@ -41,21 +42,33 @@
     task: PlacementTask,
     vms: readonly VmState[],
     now: number,
-  ): PlacementChoice | undefined {
+  ): PlacementChoice | PlacementObstacle {
     let best: VmState | undefined;
     let bestCost = Infinity;
+    let room = false;
     for (const vm of vms) {
       if (!mayStartOn(task, vm, now)) continue;
+      room = true;
       const cost = this.cost(task, vm);
       if (cost >= bestCost) continue;
       best = vm;
       bestCost = cost;
     }
-    if (!best) return undefined;
+    if (!best) {
+      return room ? PlacementObstacle.HARMFUL : PlacementObstacle.NO_ROOM;
+    }
+    best.unseenSlowdown += this.interference.addedSlowdown(
+      task.taskKind,
+      best,
+      shareOf(task, best),
+    );
     return {vm: best, reason: `best fit, cost ${bestCost.toFixed(2)}`};
   }
 
   private cost(task: PlacementTask, vm: VmState): number {
+    if (!task.urgent && !task.overdue && this.isHarmful(task, vm)) {
+      return Infinity;
+    }
     let cost = leftoverShare(task, vm);
     cost += this.interference.penalty(task.taskKind, vm);
     if (task.size.accelerators === 0 && vm.freeAccelerators > 0) {
@@ -64,16 +77,17 @@
     if (task.watcher) {
       cost += SPREAD_PENALTY * this.spread.crowding(task.team, vm.view);
     }
-    return cost + this.preferenceWeight * this.preference(vm.view.vm);
+    return cost + this.preferenceWeight * this.preference(vm);
   }
 
-  private preference(vm: string): number {
-    let preference = this.preferences.get(vm);
-    if (preference === undefined) {
-      preference = hashShare(`${this.shard}/${vm}`);
-      this.preferences.set(vm, preference);
-    }
-    return preference;
+  private isHarmful(task: PlacementTask, vm: VmState): boolean {
+    const share = shareOf(task, vm);
+    return this.interference.wouldBeLate(task.taskKind, vm, share);
+  }
+
+  private preference(vm: VmState): number {
+    vm.preference ??= hashOf(`${this.shard}/${vm.view.vm}`) / HASH_RANGE;
+    return vm.preference;
   }
 }
 
@@ -89,14 +103,7 @@
   return (processors + memory) / 2;
 }
 
-const FNV_OFFSET = 0x811c9dc5;
-const FNV_PRIME = 0x01000193;
-
-/** A number from 0 to 1 that depends on nothing but the text (FNV-1a). */
-function hashShare(text: string): number {
-  let hash = FNV_OFFSET;
-  for (let index = 0; index < text.length; index++) {
-    hash = Math.imul(hash ^ text.charCodeAt(index), FNV_PRIME);
-  }
-  return (hash >>> 0) / 2 ** 32;
+/** Share of the VM's processors that the task takes. */
+function shareOf(task: PlacementTask, vm: VmState): number {
+  return task.size.milliprocessors / vm.view.capacity.milliprocessors;
 }
--- a/src/decisions/placement/placer.ts
+++ b/src/decisions/placement/placer.ts
@@ -12,6 +12,10 @@
   readonly watcher: boolean;
   /** VMs on which it failed before. */
   readonly avoid: readonly string[];
+  /** Has waited so long that services may suffer from it. */
+  readonly overdue: boolean;
+  /** How often agents refused it since it last ran. */
+  readonly refusals: number;
 }
 
 export interface PlacementChoice {
@@ -19,15 +23,27 @@
   readonly reason: string;
 }
 
+/** Why no VM was picked. */
+export const PlacementObstacle = {
+  NO_ROOM: 'no usable VM has room for its size',
+  /** There is room, but only beside services that would answer too late. */
+  HARMFUL: 'where there is room, services would be late beside its kind',
+} as const;
+export type PlacementObstacle =
+  (typeof PlacementObstacle)[keyof typeof PlacementObstacle];
+
 /** Picks the VM for a task. */
 export interface Placer {
   choose(
     task: PlacementTask,
     vms: readonly VmState[],
     now: number,
-  ): PlacementChoice | undefined;
+  ): PlacementChoice | PlacementObstacle;
 }
 
+/** Room for so many tasks of the size is enough for several shards. */
+const PLENTY = 3;
+
 /** Whether the task may start on the VM right now. */
 export function mayStartOn(
   task: PlacementTask,
@@ -39,6 +55,16 @@
   if (size.milliprocessors > vm.freeMilliprocessors) return false;
   if (size.memoryMegabytes > vm.freeMemoryMegabytes) return false;
   if (size.accelerators > vm.freeAccelerators) return false;
+  if (vm.leftToOthers && !task.urgent && isContested(size, vm)) return false;
   if (vm.heldUntil > now && vm.heldFor !== task.job) return false;
   return !task.avoid.includes(vm.view.vm);
 }
+
+/** Other shards may fill what is free before a start arrives. */
+function isContested(size: Resources, vm: VmState): boolean {
+  const plenty =
+    vm.freeMilliprocessors >= PLENTY * size.milliprocessors &&
+    vm.freeMemoryMegabytes >= PLENTY * size.memoryMegabytes &&
+    vm.freeAccelerators >= PLENTY * size.accelerators;
+  return !plenty && !vm.ownRoomHolds(size);
+}
--- a/src/decisions/placement/room_keeper.ts
+++ b/src/decisions/placement/room_keeper.ts
@@ -4,9 +4,10 @@
 import type {JobState} from '../jobs/job_state.js';
 import type {OpenAttempt} from '../jobs/open_attempts.js';
 import type {ShardState} from '../jobs/shard_state.js';
+import type {ReadyJob} from './ready_queue.js';
 import type {VmState} from './vm_table.js';
 
-const URGENT_HOLD_MILLIS = 3000;
+const URGENT_HOLD_MILLIS = 2000;
 const URGENT_HOLDS_PER_DECISION = 4;
 const STARVING_MILLIS = 60_000;
 const STARVING_HOLD_MILLIS = 60_000;
@@ -23,7 +24,6 @@
  * ones off the VM with the most room.
  */
 export class RoomKeeper {
-  private readonly blockedSince = new Map<string, number>();
   private readonly holds = new Map<string, VmState>();
   private urgentHolds = 0;
 
@@ -41,24 +41,32 @@
     return this.holds.has(job.key);
   }
 
-  /** One of the job's tasks was placed. */
-  placed(job: JobState): void {
-    this.blockedSince.delete(job.key);
-    const vm = this.holds.get(job.key);
-    if (!vm) return;
-    vm.heldUntil = 0;
+  /** One of the job's tasks was placed: the room kept there is used. */
+  placed(ready: ReadyJob, on: VmState): void {
+    const {job} = ready;
+    ready.blockedSince = undefined;
+    if (this.holds.get(job.key) !== on) return;
+    on.heldUntil = 0;
     this.holds.delete(job.key);
   }
 
+  /** Agents refused the job's next task: what looks free is not. */
+  refused(job: JobState, size: Resources, now: number): void {
+    const {urgentPatienceMillis} = this.state.limits;
+    const urgent =
+      job.specification.urgency === Urgency.URGENT &&
+      urgentPatienceMillis < Infinity;
+    if (urgent && !this.holds.has(job.key)) this.makeRoom(job, size, now);
+  }
+
   /** No VM has room for the job's next task. */
-  blocked(job: JobState, size: Resources, now: number): void {
-    const since = this.blockedSince.get(job.key) ?? now;
-    this.blockedSince.set(job.key, since);
-    if (this.holds.has(job.key)) return;
-    const waited = now - since;
+  blocked(ready: ReadyJob, size: Resources, now: number): void {
+    ready.blockedSince ??= now;
+    const waited = now - ready.blockedSince;
+    const {job} = ready;
     if (job.specification.urgency === Urgency.URGENT) {
-      const patience = this.state.limits.urgentPatienceMillis;
-      if (waited >= patience) this.makeRoom(job, size, now);
+      if (waited < this.state.limits.urgentPatienceMillis) return;
+      if (!this.holds.has(job.key)) this.makeRoom(job, size, now);
     } else if (waited >= STARVING_MILLIS && this.holds.size === 0) {
       this.keepRoom(job, size, now);
     }
@@ -79,7 +87,7 @@
   private cheapestPlan(size: Resources, now: number): Plan | undefined {
     let best: Plan | undefined;
     for (const vm of this.state.vms.vms) {
-      if (!vm.usable || vm.heldUntil > now) continue;
+      if (!vm.usable || vm.refused || vm.heldUntil > now) continue;
       if (!fitsInto(size, vm.view.capacity)) continue;
       const moved = this.attemptsToMove(vm, size);
       if (!moved) continue;
--- a/src/decisions/routing/service_router.ts
+++ b/src/decisions/routing/service_router.ts
@@ -6,18 +6,20 @@
 import type {RoutingPolicy} from './routing_policy.js';
 import {ServiceUpstreams} from './service_upstreams.js';
 import type {UpstreamReport} from './upstream_report.js';
+import {HealthState} from './upstream_health.js';
 import {UpstreamState} from './upstream_state.js';
 
 const DEFAULT_RETRY_BUDGET_SHARE = 0.1;
-const DEFAULT_MAXIMUM_EJECTED_SHARE = 0.3;
+const DEFAULT_MAXIMUM_EJECTED_SHARE = 0.4;
 const DEFAULT_CROSSING_MILLIS = 3;
 /** Round trip within a failure domain. */
 const LOCAL_ROUND_TRIP_MILLIS = 0.5;
 const NO_UPSTREAM_RETRY_AFTER_MILLIS = 500;
 const LEAST_RETRY_AFTER_MILLIS = 5;
 const REMOVALS_KEPT = 20;
-/** Hedges start no sooner than this. */
-const LEAST_HEDGE_DELAY_MILLIS = 2;
+/** Hedges start no sooner than this: a silent upstream shows by then. */
+const LEAST_HEDGE_DELAY_MILLIS = 110;
+const HEDGE_DELAY_FACTOR = 2;
 
 export interface ServiceRouterOptions {
   readonly ownFailureDomain: string;
@@ -111,7 +113,7 @@
   /** Takes in a report; the first one makes the upstream known. */
   applyReport(report: UpstreamReport, now: number): void {
     const service = this.serviceFor(report.service, now);
-    const known = service.upstreams.get(report.agentId);
+    const known = service.find(report.agentId);
     if (known && known.failureDomain === report.failureDomain) {
       known.applyReport(report, now);
       return;
@@ -120,7 +122,7 @@
     const roundTripMillis = isLocal
       ? LOCAL_ROUND_TRIP_MILLIS
       : this.crossingMillis;
-    const upstream = new UpstreamState(report, isLocal, roundTripMillis);
+    const upstream = new UpstreamState(report, isLocal, roundTripMillis, now);
     upstream.isAvoided = this.avoidedDomains.has(report.failureDomain);
     service.add(upstream, now);
   }
@@ -128,8 +130,8 @@
   /** Forgets an agent in all services; the dump shows the reason. */
   removeUpstream(agentId: string, reason: string, now: number): void {
     for (const [name, service] of this.byService) {
-      if (!service.upstreams.delete(agentId)) continue;
-      if (service.upstreams.size === 0) this.byService.delete(name);
+      if (!service.remove(agentId)) continue;
+      if (service.all().length === 0) this.byService.delete(name);
       this.removals.push({agentId, service: name, reason, removedAt: now});
     }
     this.removals.splice(0, this.removals.length - REMOVALS_KEPT);
@@ -139,7 +141,7 @@
   setAvoidedDomains(domains: ReadonlySet<string>): void {
     this.avoidedDomains = new Set(domains);
     for (const service of this.byService.values()) {
-      for (const upstream of service.upstreams.values()) {
+      for (const upstream of service.all()) {
         upstream.isAvoided = domains.has(upstream.failureDomain);
       }
     }
@@ -184,7 +186,7 @@
     now: number,
   ): void {
     const service = this.byService.get(serviceName);
-    const upstream = service?.upstreams.get(agentId);
+    const upstream = service?.find(agentId);
     if (!service || !upstream) return;
     if (outcome === 'unknown' || failed) {
       upstream.failed(now);
@@ -203,17 +205,22 @@
   /** How long to wait for an answer before a hedge; undefined: not at all. */
   hedgeDelayMillis(serviceName: string, now: number): number | undefined {
     const service = this.byService.get(serviceName);
-    if (!service || service.upstreams.size < 2) return undefined;
-    if (!service.hasSpareSlot(now)) return undefined;
+    if (!service || service.all().length < 2) return undefined;
+    if (!service.hasWellUpstream(now)) return undefined;
     const quantile = service.answerTimes.value();
     if (quantile === undefined) return undefined;
-    return Math.max(LEAST_HEDGE_DELAY_MILLIS, quantile);
+    return Math.max(LEAST_HEDGE_DELAY_MILLIS, HEDGE_DELAY_FACTOR * quantile);
   }
 
-  /** Spends the budget on a hedge, only while slots are free. */
-  mayHedge(serviceName: string, now: number): boolean {
+  /**
+   * Spends the budget on a hedge: only while slots are free, and only when the
+   * agent that has the request is in doubt. A request that takes long is as
+   * long elsewhere; a second run of it would just take another slot.
+   */
+  mayHedge(serviceName: string, now: number, agentId?: string): boolean {
     const service = this.byService.get(serviceName);
     if (!service?.hasSpareSlot(now)) return false;
+    if (!service.isInDoubt(agentId, now)) return false;
     return service.retryBudget.spend(now);
   }
 
@@ -225,8 +232,7 @@
   dump(now: number): Record<string, unknown> {
     const services: Record<string, unknown> = {};
     for (const [name, service] of this.byService) {
-      const upstreams = [...service.upstreams.values()];
-      services[name] = upstreams.map(upstream => upstream.dump(now));
+      services[name] = service.all().map(upstream => upstream.dump(now));
     }
     return {
       policy: this.policy.name,
@@ -236,6 +242,19 @@
     };
   }
 
+  /** Upstreams that get no requests but probes, by service. */
+  ejected(now: number): Map<string, string[]> {
+    const ejected = new Map<string, string[]>();
+    for (const [name, service] of this.byService) {
+      const out = service.all().filter(upstream => isOut(upstream, now));
+      ejected.set(
+        name,
+        out.map(upstream => upstream.agentId),
+      );
+    }
+    return ejected;
+  }
+
   private serviceFor(name: string, now: number): ServiceUpstreams {
     let service = this.byService.get(name);
     if (!service) {
@@ -246,6 +265,11 @@
   }
 }
 
+function isOut(upstream: UpstreamState, now: number): boolean {
+  const health = upstream.healthAt(now);
+  return health === HealthState.EJECTED || health === HealthState.PROBING;
+}
+
 function chosen(upstream: UpstreamState, reason: RouteReason): RouteChoice {
   return {kind: 'chosen', agentId: upstream.agentId, reason};
 }
--- a/tests/history/workload.ts
+++ b/tests/history/workload.ts
@@ -1,13 +1,16 @@
 import type {ApiAnswer} from '../../src/entry/http/api_types.js';
 import {SERVICE, SERVICE_TEAM} from './virtual_vm.js';
-import type {VirtualCall} from './virtual_entry.js';
+import type {VirtualCall, VirtualEntry} from './virtual_entry.js';
 import type {VirtualFleet} from './virtual_fleet.js';
 
 const REQUEST_PERIOD_MILLIS = 200;
 const REQUEST_DEADLINE_MILLIS = 1_000;
 const SUBMIT_PERIOD_MILLIS = 2_500;
 const CHECK_PERIOD_MILLIS = 2_000;
-const TEAMS = ['depot', 'lab'] as const;
+const SHOW_TRIALS = 10;
+const TEAMS = ['depot', 'lab', 'yard'] as const;
+/** So tight a target that the agents throttle and evict. */
+const TEAM_TEXT = `[service ${SERVICE}]\ntarget_tail_milliseconds = 40\n`;
 const FLEET_TEXT = '[leases]\ntask_lease_seconds = 6\n';
 
 interface JobPlan {
@@ -44,20 +47,26 @@
       headers: {'if-match': '0', 'x-author': 'operator'},
       body: FLEET_TEXT,
     });
+    await this.call({
+      method: 'PUT',
+      path: `/v1/settings/${SERVICE_TEAM}`,
+      headers: {'if-match': '0', 'x-author': 'operator'},
+      body: TEAM_TEXT,
+    });
   }
 
   /** Begins all the work; operators act at their times from now. */
   begin(): void {
     this.requestNext();
     this.submitNext();
-    const {vms, entries} = this.fleet;
+    const {vms} = this.fleet;
     this.after(1_000, () => this.openWatcher());
     this.after(6_000, () => this.setDomain('out'));
     this.after(6_001, () => this.raceOperators());
     this.after(14_000, () => this.setDomain('in'));
     this.after(9_000, () => this.cancelWave());
     this.after(17_000, () => this.restart(vms[0]));
-    this.after(22_000, () => this.restart(entries[1]));
+    this.after(22_000, () => this.restart(this.busiestEntry()));
   }
 
   /** Sends and submits nothing more, and closes the watchers. */
@@ -75,10 +84,14 @@
     return true;
   }
 
-  /** Records how the jobs stand. */
+  /** Records how the jobs stand; asks again while a shard changes hands. */
   async recordEnds(): Promise<void> {
     for (const job of [...this.jobs, ...this.watchers]) {
-      const found = await this.show(job);
+      let found = await this.show(job);
+      for (let trial = 0; trial < SHOW_TRIALS && !found; trial++) {
+        await this.pause(CHECK_PERIOD_MILLIS);
+        found = await this.show(job);
+      }
       this.fleet.history.record({
         type: 'jobAtEnd',
         team: job.team,
@@ -172,17 +185,15 @@
         path: `/v1/teams/${team}/${kind}`,
         body: JSON.stringify({...fields, name}),
       });
-      if (answer && answer.status < 300) return;
-      await new Promise<void>(resolve =>
-        this.fleet.clock.schedule(CHECK_PERIOD_MILLIS, resolve),
-      );
+      if (isDone(answer)) return;
+      await this.pause(CHECK_PERIOD_MILLIS);
     }
   }
 
   private close(watcher: JobPlan): void {
     const path = `/v1/teams/${watcher.team}/watchers/${watcher.name}/close`;
     void this.call({method: 'POST', path}).then(answer => {
-      if (answer && answer.status < 300) return;
+      if (isDone(answer)) return;
       this.after(CHECK_PERIOD_MILLIS, () => this.close(watcher));
     });
   }
@@ -197,7 +208,7 @@
   private setDomain(direction: 'out' | 'in'): void {
     const path = `/v1/failure-domains/gabes/${direction}`;
     void this.call({method: 'POST', path}).then(answer => {
-      if (answer && answer.status < 300) return;
+      if (isDone(answer)) return;
       this.after(CHECK_PERIOD_MILLIS, () => this.setDomain(direction));
     });
   }
@@ -223,6 +234,17 @@
     });
   }
 
+  /** The entry that owns most shards. */
+  private busiestEntry(): VirtualEntry {
+    const living = this.fleet.entries.filter(entry => entry.alive);
+    const candidates = living.length > 0 ? living : this.fleet.entries;
+    let busiest = candidates[0];
+    for (const entry of candidates) {
+      if (entry.ownedShards() > busiest.ownedShards()) busiest = entry;
+    }
+    return busiest;
+  }
+
   private async show(
     job: JobPlan,
   ): Promise<{phase: string; closed: boolean; text: string} | undefined> {
@@ -239,11 +261,21 @@
     return this.fleet.pickEntry().call(call);
   }
 
+  private pause(delayMillis: number): Promise<void> {
+    return new Promise(resolve =>
+      this.fleet.clock.schedule(delayMillis, resolve),
+    );
+  }
+
   private after(delayMillis: number, action: () => void): void {
     this.fleet.clock.schedule(delayMillis, action);
   }
 }
 
+function isDone(answer: ApiAnswer | undefined): boolean {
+  return answer !== undefined && answer.status >= 200 && answer.status < 300;
+}
+
 function outcomeOf(
   answer: ApiAnswer | undefined,
 ): 'answered' | 'notRun' | 'unknown' {
--- a/tests/observability/console_logger.test.ts
+++ b/tests/observability/console_logger.test.ts
@@ -1,6 +1,7 @@
 import test from 'ava';
 import {ConsoleLogger} from '../../src/observability/console_logger.js';
 import {Events} from '../../src/observability/events.js';
+import {Metrics} from '../../src/observability/metrics.js';
 
 class TextOutput {
   text = '';
@@ -19,7 +20,9 @@
     output,
     wallTime: () => 0,
   });
-  logger.event(Events.WORKER_LOST, {address: 'http://127.0.0.1:1'});
+  const fields = {address: 'http://127.0.0.1:1', process: 'not this one'};
+  logger.event(Events.WORKER_LOST, fields);
+  t.true(output.text.startsWith('{"time":"1970'));
   t.deepEqual(JSON.parse(output.text), {
     time: '1970-01-01T00:00:00.000Z',
     level: 'error',
@@ -41,11 +44,19 @@
 });
 
 test('should leave out lower levels but count them, repeated ones too', t => {
+  const metrics = new Metrics();
   const output = new TextOutput();
-  const logger = new ConsoleLogger({processId: 'a', output, level: 'warn'});
-  for (let index = 0; index < 20; index++) logger.event(Events.STORE_SLOW);
+  const logger = new ConsoleLogger({
+    processId: 'a',
+    output,
+    level: 'warn',
+    metrics,
+  });
+  for (let index = 0; index < 20; index++)
+    logger.event(Events.STORE_UNREACHABLE);
   logger.event(Events.STORE_BACK);
   t.is(output.text.trim().split('\n').length, 20);
-  t.is(logger.countsByNumber().get(5002), 20);
+  t.is(logger.countsByNumber().get(5000), 20);
   t.is(logger.countsByNumber().get(5001), 1);
+  t.regex(metrics.render(), /events_total{event="STORE_BACK".*} 1/);
 });
--- a/tests/stand_ins/store_stand_in.ts
+++ b/tests/stand_ins/store_stand_in.ts
@@ -1,4 +1,5 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
+import type {Socket} from 'node:net';
 import type {SwapResult} from '../../src/platform/store.js';
 import {encodeText} from '../../src/platform/store_messages.js';
 import {TokenBucket} from '../../src/platform/token_bucket.js';
@@ -36,6 +37,8 @@
   readonly key: string;
   readonly range_end?: string;
   readonly limit?: string;
+  readonly sort_order?: string;
+  readonly sort_target?: string;
 }
 
 interface TransactionRequest {
@@ -85,11 +88,11 @@
     return Object.fromEntries(this.counts);
   }
 
-  setFaults(faults: Partial<StoreFaults>): void {
+  setFaults(faults: Partial<StoreFaults>, caller?: Socket): void {
     Object.assign(this.faults, faults);
     const {down, callsPerSecond} = this.faults;
     this.bucket = callsPerSecond > 0 ? this.openBucket() : undefined;
-    if (down) this.listener.destroyConnections();
+    if (down) this.listener.destroyConnections({except: caller});
   }
 
   async close(): Promise<void> {
@@ -127,7 +130,9 @@
   }
 
   private control(path: string, body: Buffer, response: ServerResponse): void {
-    if (path === '/control/faults') this.setFaults(parseJson(body));
+    if (path === '/control/faults') {
+      this.setFaults(parseJson(body), response.socket ?? undefined);
+    }
     if (path === '/control/lapse-leases') this.table.lapseAllLeases();
     if (path === '/control/compact') this.table.compact();
     replyJson(response, 200, {faults: this.faults, counts: this.callCounts()});
@@ -181,6 +186,7 @@
     const one = this.table.get(first);
     const single = one ? [one] : [];
     const all = request.range_end ? this.table.range(first, end) : single;
+    if (isNewestFirst(request)) all.sort((a, b) => b.revision - a.revision);
     const limit = Number(request.limit ?? 0) || Infinity;
     const kvs = all.slice(0, limit).map(found => ({
       key: encodeText(found.key),
@@ -270,6 +276,10 @@
   return Buffer.from(encoded, 'base64').toString();
 }
 
+function isNewestFirst(request: RangeRequest): boolean {
+  return request.sort_order === 'DESCEND' && request.sort_target === 'MOD';
+}
+
 /** An end of a single zero byte means that there is none. */
 function readRange(request: RangeRequest): {first: string; end?: string} {
   const end = decode(request.range_end ?? '');
