--- a/bench/scenarios.ts
+++ b/bench/scenarios.ts
@@ -1,6 +1,7 @@
 import {evictionScenarios} from './eviction/eviction_scenarios.js';
 import type {MicroBenchmark, Scenario} from './scenario.js';
 import {batchScenarios} from './batch/batch_scenarios.js';
+import {placementMicroBenchmarks} from './micro/placement_micro_benchmarks.js';
 import {routingMicroBenchmarks} from './micro/routing_micro_benchmarks.js';
 import {serviceScenarios} from './service/service_scenarios.js';
 
@@ -13,4 +14,5 @@
 
 export const microBenchmarks: readonly MicroBenchmark[] = [
   ...routingMicroBenchmarks,
+  ...placementMicroBenchmarks,
 ];
