Let callers in once an entry knows its agents; let them go before it stops

It now listens for callers once it has started and no new agent came for a heartbeat's time, at most 5 s later, so that a balancer goes on using the others. An entry that stops answers with connection: close from then on, so that fewer callers' connections are idle when it closes them.

--- a/src/daemon/entry_role.ts
+++ b/src/daemon/entry_role.ts
@@ -19,13 +19,17 @@
 import {readOrExit} from './settings_exit.js';
 
 const RANDOM_SEED_BOUND = 2 ** 31;
+const READY_DEADLINE_MILLIS = 5_000;
+const READY_POLL_MILLIS = 50;
 
 /** An entry with its servers, wired from its settings. */
 class EntryRole implements RunningRole {
+  private readonly clock = new SystemClock();
   private readonly entry: EntryProcess;
   private readonly store: BudgetedStore;
   private readonly processServer: GrpcServer;
   private readonly callerServer: ApiServer;
+  private stopping = false;
 
   constructor(
     private readonly settings: EntryProcessSettings,
@@ -33,7 +37,7 @@
     metrics: Metrics,
   ) {
     const {process: identity, listen, advertise, store, tls} = settings;
-    const clock = new SystemClock();
+    const {clock} = this;
     this.store = new BudgetedStore({
       store: new HttpStore({
         endpoints: store.endpoints.map(hostOf),
@@ -79,6 +83,9 @@
     const {callers, processes} = listen;
     this.processServer.serveEntry(this.entry);
     await this.processServer.listen(`${processes.host}:${processes.port}`);
+    await this.entry.start();
+    await this.untilAgentsAreKnown();
+    if (this.stopping) return;
     await this.callerServer.listen(callers.host, callers.port);
     this.logger.event(Events.PROCESS_STARTED, {
       role: 'entry',
@@ -86,15 +93,27 @@
       callers: `${callers.host}:${callers.port}`,
       processes: `${processes.host}:${processes.port}`,
     });
-    await this.entry.start();
   }
 
   async stop(reason: string): Promise<void> {
+    this.stopping = true;
+    this.callerServer.drain();
     await this.entry.stop(reason);
     await Promise.all([this.callerServer.close(), this.processServer.close()]);
     this.entry.dispose(reason);
     this.store.close(reason);
   }
+
+  /** Callers are let in once their requests can be passed on. */
+  private async untilAgentsAreKnown(): Promise<void> {
+    const deadline = this.clock.now() + READY_DEADLINE_MILLIS;
+    while (!this.stopping && this.clock.now() < deadline) {
+      if (this.entry.knowsAgents()) return;
+      await new Promise<void>(resolve =>
+        this.clock.schedule(READY_POLL_MILLIS, resolve),
+      );
+    }
+  }
 }
 
 /** Runs an entry until a signal stops it. */
--- a/src/entry/agents/agent_directory.ts
+++ b/src/entry/agents/agent_directory.ts
@@ -24,6 +24,7 @@
 /** The agents that report to this entry, and the links to them. */
 export class AgentDirectory {
   private readonly agents = new Map<string, AgentRecord>();
+  private newestSince = Infinity;
 
   constructor(private readonly links: LinkFactory) {}
 
@@ -39,6 +40,11 @@
     return this.agents.size;
   }
 
+  /** How long the agents have been the same; -Infinity while there is none. */
+  unchangedMillis(now: number): number {
+    return now - this.newestSince;
+  }
+
   /**
    * Takes in a heartbeat. An older one that was overtaken by a newer one of
    * the same run changes nothing.
@@ -46,6 +52,7 @@
   note(heartbeat: HeartbeatRequest, now: number): boolean {
     const known = this.agents.get(heartbeat.agentId);
     if (known && isOvertaken(heartbeat, known.heartbeat)) return false;
+    if (!known) this.newestSince = now;
     const sameAddress = known?.heartbeat.address === heartbeat.address;
     if (known && !sameAddress) known.link.close('the agent moved');
     const link =
--- a/src/entry/entry_process.ts
+++ b/src/entry/entry_process.ts
@@ -208,6 +208,12 @@
     await this.refreshMembership();
   }
 
+  /** Whether all agents that are there have probably been heard. */
+  knowsAgents(): boolean {
+    const unchanged = this.agents.unchangedMillis(this.options.clock.now());
+    return unchanged > this.settings.fleet.heartbeatMillis;
+  }
+
   /** Graceful shutdown: hands over the shards, then leaves the roster. */
   async stop(reason: string): Promise<void> {
     const {logger} = this.options;
--- a/src/entry/http/api_server.ts
+++ b/src/entry/http/api_server.ts
@@ -45,6 +45,11 @@
     });
   }
 
+  /** From now on each answer ends its connection, so that callers go. */
+  drain(): void {
+    this.closing = true;
+  }
+
   /** Lets calls in progress end, then closes; open ones are cut after a while. */
   close(): Promise<void> {
     this.closing = true;
