--- a/tests/history/virtual_executor.ts
+++ b/tests/history/virtual_executor.ts
@@ -11,11 +11,13 @@
 import type {ProcessClock} from './process_clock.js';
 import type {StepHooks} from './step_hooks.js';
 
-const MEAN_RUN_MILLIS = 20;
+const MEAN_RUN_MILLIS = 15;
 
 /** How the VM's executor behaves; its state outlives the agent beside it. */
 export interface ExecutorMachine {
   readonly vm: string;
+  /** Tasks that run on the VM and slow the executor down. */
+  readonly tasksBeside: () => number;
   /** Answers come after the deadline of their request. */
   late: boolean;
   /** Requests are taken and never answered. */
@@ -63,7 +65,8 @@
 
   private run(requestId: string, deadlineMillis: number): Promise<void> {
     const {vm, late, silent} = this.machine;
-    const usual = this.random.exponential(MEAN_RUN_MILLIS);
+    const slowdown = 1 + this.machine.tasksBeside();
+    const usual = this.random.exponential(slowdown * MEAN_RUN_MILLIS);
     const runMillis = late ? 2 * deadlineMillis : usual;
     this.history.record({type: 'executorBegin', vm, requestId});
     return new Promise(resolve => {
--- a/tests/history/virtual_vm.ts
+++ b/tests/history/virtual_vm.ts
@@ -176,7 +176,13 @@
       onRecord: record => this.observe(record),
     });
     this.path = {machine, cut: false};
-    this.executor = {vm: id, late: false, silent: false, refusing: false};
+    this.executor = {
+      vm: id,
+      tasksBeside: () => machine.runningKinds().length,
+      late: false,
+      silent: false,
+      refusing: false,
+    };
   }
 
   private observe(record: WorkerRecord): void {
--- a/tests/history/workload.ts
+++ b/tests/history/workload.ts
@@ -3,7 +3,7 @@
 import type {VirtualCall, VirtualEntry} from './virtual_entry.js';
 import type {VirtualFleet} from './virtual_fleet.js';
 
-const REQUEST_PERIOD_MILLIS = 200;
+const REQUEST_PERIOD_MILLIS = 100;
 const REQUEST_DEADLINE_MILLIS = 1_000;
 const SUBMIT_PERIOD_MILLIS = 2_500;
 const CHECK_PERIOD_MILLIS = 2_000;
