Tell a stall by half of the running requests, not by their mean age

One request of a hundred times the usual length raised the mean age for its whole life, and a healthy executor looked slow.

--- a/src/decisions/admission/holding_time.ts
+++ b/src/decisions/admission/holding_time.ts
@@ -6,7 +6,7 @@
 const WARM_UP_REQUESTS = 1 / SMOOTHING;
 /** Long holding times, for which a queued request must still have time. */
 const LONG_QUANTILE = 0.95;
-/** Running requests this many times older than usual show a stall. */
+/** Half of the requests this many times older than usual show a stall. */
 const STALL_FACTOR = 4;
 
 /**
@@ -16,7 +16,6 @@
 export class HoldingTime {
   private smoothedMillis = 0;
   private endedRequests = 0;
-  private startTimeSum = 0;
   private readonly longTimes = new QuantileTracker(LONG_QUANTILE);
   private latestTime = 0;
 
@@ -25,13 +24,7 @@
     this.latestTime = Math.max(this.latestTime, now);
   }
 
-  started(now: number): void {
-    this.observe(now);
-    this.startTimeSum += now;
-  }
-
-  ended(startedAt: number, heldMillis: number): void {
-    this.startTimeSum -= startedAt;
+  ended(heldMillis: number): void {
     this.endedRequests++;
     this.longTimes.add(heldMillis);
     const weight =
@@ -46,10 +39,13 @@
     return this.longTimes.value() ?? 0;
   }
 
-  /** Expected holding time with the number of requests running; 0: unknown. */
-  expectedMillis(running: number): number {
-    if (running === 0) return this.smoothedMillis;
-    const meanAgeMillis = this.latestTime - this.startTimeSum / running;
-    return Math.max(this.smoothedMillis, meanAgeMillis / STALL_FACTOR);
+  /**
+   * Expected holding time; 0: unknown. Half of the running requests, if any,
+   * began by the time given. One request that runs on says nothing.
+   */
+  expectedMillis(halfStartedBy: number | undefined): number {
+    if (halfStartedBy === undefined) return this.smoothedMillis;
+    const ageMillis = this.latestTime - halfStartedBy;
+    return Math.max(this.smoothedMillis, ageMillis / STALL_FACTOR);
   }
 }
--- a/src/decisions/admission/slot_queue.ts
+++ b/src/decisions/admission/slot_queue.ts
@@ -48,7 +48,7 @@
   private slots: number;
   private connections: number;
   private stopping = false;
-  /** Start time by request id. */
+  /** Start time by request id, the oldest first. */
   private readonly running = new Map<string, number>();
   /** In order of arrival. */
   private readonly waiting = new Map<string, SlotItem<T>>();
@@ -89,11 +89,7 @@
    * milliseconds. An id that doesn't run frees no slot.
    */
   release(id: string, heldMillis: number, now: number): SlotRelease<T> {
-    const startedAt = this.running.get(id);
-    if (startedAt !== undefined) {
-      this.running.delete(id);
-      this.holdingTime.ended(startedAt, heldMillis);
-    }
+    if (this.running.delete(id)) this.holdingTime.ended(heldMillis);
     this.holdingTime.observe(now);
     const expired = this.expire(now);
     return {run: this.startWaiting(now), expired};
@@ -149,7 +145,7 @@
 
   /** Smoothed time that a request holds a slot; 0 while unknown. */
   get serviceMillis(): number {
-    return this.holdingTime.expectedMillis(this.running.size);
+    return this.holdingTime.expectedMillis(this.halfStartedBy());
   }
 
   /** Expected time until a request that arrives now gets a slot. */
@@ -160,6 +156,17 @@
     return (ahead * this.serviceMillis) / this.slots;
   }
 
+  /** When more than half of at least two running requests had begun. */
+  private halfStartedBy(): number | undefined {
+    if (this.running.size < 2) return undefined;
+    let left = Math.floor(this.running.size / 2);
+    for (const startedAt of this.running.values()) {
+      if (left === 0) return startedAt;
+      left--;
+    }
+    return undefined;
+  }
+
   private hasFreeSlot(): boolean {
     return this.waiting.size === 0 && this.running.size < this.slots;
   }
@@ -183,7 +190,7 @@
 
   private start(id: string, now: number): void {
     this.running.set(id, now);
-    this.holdingTime.started(now);
+    this.holdingTime.observe(now);
   }
 
   private startWaiting(now: number): Array<SlotItem<T>> {
