--- a/src/entry/entry_process.ts
+++ b/src/entry/entry_process.ts
@@ -188,6 +188,7 @@
     );
     this.alarms = new EntryAlarms({
       agents: this.agents,
+      router: this.router,
       statuses: this.statuses,
       shards: this.shards,
       settings: this.settings,
@@ -207,6 +208,12 @@
     await this.refreshMembership();
   }
 
+  /** Whether all agents that are there have probably been heard. */
+  knowsAgents(): boolean {
+    const unchanged = this.agents.unchangedMillis(this.options.clock.now());
+    return unchanged > this.settings.fleet.heartbeatMillis;
+  }
+
   /** Graceful shutdown: hands over the shards, then leaves the roster. */
   async stop(reason: string): Promise<void> {
     const {logger} = this.options;
@@ -294,7 +301,8 @@
         shard: owner.shard,
         epoch: owner.epoch,
         commits: owner.commitCount,
-        ...owner.scheduler.counts(now),
+        ...owner.scheduler.counts(),
+        quarantinedVms: owner.scheduler.quarantinedVms(now),
       })),
       agents: [...this.agents.all()].map(agent => ({
         agentId: agent.agentId,
--- a/src/observability/result_codes.ts
+++ b/src/observability/result_codes.ts
@@ -164,7 +164,7 @@
     317,
     'TAIL_PROTECTED',
     409,
-    'The task was evicted because a service missed its tail target.',
+    'Refused or evicted: a service would miss its tail target.',
   ),
   DISPLACED: code(
     318,
@@ -210,4 +210,10 @@
     504,
     'The store did not say whether the change was made.',
   ),
+  PROCESS_UNREACHABLE: code(
+    504,
+    'PROCESS_UNREACHABLE',
+    502,
+    'The other process does not answer.',
+  ),
 } as const;
