--- a/bench/batch/batch_metrics.ts
+++ b/bench/batch/batch_metrics.ts
@@ -7,6 +7,8 @@
   finishedWork = 0;
   /** Processor work that was done and then thrown away. */
   wastedWork = 0;
+  /** JSON bytes of the records that the logs took. */
+  logBytes = 0;
   startedAttempts = 0;
   refusedStarts = 0;
   /** Starts of tasks that ran elsewhere at that moment. */
--- a/bench/batch/compare_batch.ts
+++ b/bench/batch/compare_batch.ts
@@ -2,12 +2,9 @@
 import type {PolicySet} from './batch_simulation.js';
 import {quantile} from './batch_metrics.js';
 import type {BatchMetrics} from './batch_metrics.js';
-import {drawJobs} from './batch_scenarios.js';
-import type {
-  BatchScenario,
-  FleetSize,
-  ScenarioPlan,
-} from './batch_scenarios.js';
+import {drawJobs} from './batch_plans.js';
+import type {FleetSize, ScenarioPlan} from './batch_plans.js';
+import type {BatchScenario} from './batch_scenarios.js';
 import type {ScenarioResult, ScenarioRow} from '../scenario.js';
 
 const PROCESSOR_SECOND = 1e6;
@@ -87,6 +84,7 @@
       lost: metrics.lostAttempts,
       doubled: metrics.doubledStarts,
       'refused %': (PERCENT * refusedStarts) / sent,
+      'log B/task': metrics.logBytes / Math.max(1, metrics.finishedTasks),
       'wait p50 ms': quantile(metrics.normalWaits, 0.5),
       'urgent p99': quantile(metrics.urgentWaits, 0.99),
     },
--- a/bench/batch/simulated_entry.ts
+++ b/bench/batch/simulated_entry.ts
@@ -99,6 +99,7 @@
       this.appending = false;
       if (this.killed) return;
       this.log.push(...records);
+      this.metrics.logBytes += JSON.stringify(records).length;
       this.scheduler.acknowledge();
       this.send(this.clock.now());
       this.append();
--- a/bench/batch/simulated_vm.ts
+++ b/bench/batch/simulated_vm.ts
@@ -11,7 +11,6 @@
 import type {VmView} from '../../src/decisions/placement/vm_table.js';
 import type {Clock, Timer} from '../../src/utilities/clock.js';
 import {
-  NO_RESOURCES,
   addResources,
   fitsInto,
   subtractResources,
@@ -19,14 +18,20 @@
 import type {Resources} from '../../src/utilities/resources.js';
 import type {BatchMetrics} from './batch_metrics.js';
 import type {TracedJob} from './batch_trace.js';
+import {
+  MEMORY_GROWTH_SHARE,
+  excess,
+  taskOf,
+  usedBy,
+  workOf,
+} from './running_task.js';
+import type {RunningTask} from './running_task.js';
+import {LaggedSamples} from './lagged_samples.js';
 
 const BASE_TAIL_MILLIS = 20;
 const TARGET_TAIL_MILLIS = 40;
-const REPORT_LAG_SECONDS = 5;
 const BLACK_HOLE_MILLIS = 100;
 const CHECKPOINT_MILLIS = 300;
-/** Share of its run after which a task reaches its full memory. */
-const MEMORY_GROWTH_SHARE = 0.3;
 
 export interface SimulatedVmOptions {
   readonly vm: string;
@@ -37,17 +42,6 @@
   readonly serviceSize: Resources;
 }
 
-interface RunningTask {
-  readonly key: string;
-  readonly shard: number;
-  readonly order: StartOrder;
-  readonly job: TracedJob;
-  readonly totalMillis: number;
-  readonly resumedMillis: number;
-  doneMillis: number;
-  stopping: boolean;
-}
-
 /** A VM, its worker and its agent: it runs what it admits, at the speed left. */
 export class SimulatedVm {
   incarnation = 1;
@@ -64,8 +58,7 @@
   private readonly running = new Map<string, RunningTask>();
   private advancedAt = 0;
   private timer: Timer | undefined;
-  private readonly usedHistory: Resources[] = [];
-  private readonly tailHistory: number[] = [];
+  private readonly samples = new LaggedSamples();
   private committed: Resources;
 
   constructor(
@@ -133,7 +126,7 @@
     this.alive = false;
     this.timer?.cancel();
     for (const task of this.running.values()) {
-      this.metrics.wastedWork += this.workOf(task);
+      this.metrics.wastedWork += workOf(task);
       this.metrics.lostAttempts++;
       this.metrics.taskEnds(taskOf(task));
     }
@@ -151,8 +144,7 @@
   /** Samples usage and tail, which reports show later. */
   sample(): void {
     this.advance();
-    this.usedHistory.push(this.used());
-    this.tailHistory.push(this.tailMillis());
+    this.samples.add({used: this.used(), tailMillis: this.tailMillis()});
     if (!this.alive) return;
     this.metrics.serviceSeconds++;
     this.metrics.serviceTails.push(this.tailMillis());
@@ -163,7 +155,7 @@
 
   view(): VmView {
     const {vm, failureDomain, rack, capacity, service} = this.options;
-    const sample = this.usedHistory.length - 1 - REPORT_LAG_SECONDS;
+    const {used, tailMillis} = this.samples.reported;
     return {
       vm,
       incarnation: String(this.incarnation),
@@ -172,18 +164,12 @@
       rack,
       capacity,
       committed: this.committed,
-      used: this.usedHistory[sample] ?? NO_RESOURCES,
+      used,
       draining: false,
       stopping: false,
       recovering: false,
       runningAttempts: this.running.size,
-      services: [
-        {
-          service,
-          tailMillis: this.tailHistory[sample] ?? 0,
-          targetMillis: TARGET_TAIL_MILLIS,
-        },
-      ],
+      services: [{service, tailMillis, targetMillis: TARGET_TAIL_MILLIS}],
       interference: this.interference(),
     };
   }
@@ -314,34 +300,10 @@
     } else if (outcome === AttemptOutcome.EVICTED) {
       metrics.evictions++;
     } else {
-      metrics.wastedWork += this.workOf(task);
+      metrics.wastedWork += workOf(task);
       if (outcome === AttemptOutcome.FAILED) metrics.failedAttempts++;
     }
   }
-
-  private workOf(task: RunningTask): number {
-    return task.doneMillis * task.job.truth.used.milliprocessors;
-  }
-}
-
-function taskOf({order}: RunningTask): string {
-  const {team, job, task} = order.name;
-  return `${team}/${job}/${task}`;
-}
-
-function usedBy(task: RunningTask): Resources {
-  const {used, declared} = task.job.truth;
-  const grown = task.doneMillis >= task.totalMillis * MEMORY_GROWTH_SHARE;
-  if (grown) return used;
-  const memoryMegabytes = Math.min(
-    used.memoryMegabytes,
-    declared.memoryMegabytes,
-  );
-  return {...used, memoryMegabytes};
-}
-
-function excess(task: RunningTask): number {
-  return usedBy(task).memoryMegabytes - task.order.size.memoryMegabytes;
 }
 
 function refusal(name: AttemptName, resultCode: number): StartOutcome {
--- a/src/decisions/jobs/shard_scheduler.ts
+++ b/src/decisions/jobs/shard_scheduler.ts
@@ -2,7 +2,6 @@
   FleetSettings,
   TeamSettings,
 } from '../../settings/settings_types.js';
-import {NO_RESOURCES, addResources} from '../../utilities/resources.js';
 import {LogRecordType, attemptKey} from '../job_types.js';
 import type {
   AttemptName,
@@ -11,19 +10,19 @@
   JobSpecification,
   LogRecord,
 } from '../job_types.js';
+import {FleetCensus} from '../placement/fleet_census.js';
 import {PlacementRound} from '../placement/placement_round.js';
 import type {VmView} from '../placement/vm_table.js';
 import {Evacuation} from '../recovery/evacuation.js';
 import {LossDetector} from '../recovery/loss_detector.js';
+import {TakeOver} from '../recovery/take_over.js';
 import {AgentAnswers} from './agent_answers.js';
 import {AttemptLifecycle} from './attempt_lifecycle.js';
 import {JobBook} from './job_book.js';
 import {JobCommands} from './job_commands.js';
 import {JobQueries} from './job_queries.js';
 import {TaskPhase} from './job_state.js';
-import type {JobState} from './job_state.js';
 import {MessagePlanner} from './message_planner.js';
-import {OpenAttempt} from './open_attempts.js';
 import type {
   ChangeResult,
   JobExplanation,
@@ -61,6 +60,7 @@
   private readonly losses: LossDetector;
   private readonly evacuation: Evacuation;
   private readonly placement: PlacementRound;
+  private readonly census: FleetCensus;
   private nextCheckAt = -Infinity;
 
   constructor(
@@ -75,6 +75,7 @@
     this.queries = new JobQueries(this.state);
     this.losses = new LossDetector(this.state, this.lifecycle);
     this.evacuation = new Evacuation(this.state, this.lifecycle);
+    this.census = new FleetCensus(this.state);
     this.placement = new PlacementRound(this.state, this.lifecycle);
   }
 
@@ -107,7 +108,7 @@
   ): void {
     const type = LogRecordType.TAKEN_OVER;
     this.state.records.append({type, entryId, epoch, wallTime});
-    for (const job of this.state.book.jobs.values()) this.resume(job, now);
+    new TakeOver(this.state, this.lifecycle).run(now);
   }
 
   get epoch(): number {
@@ -275,53 +276,14 @@
     return this.queries.dump(now);
   }
 
-  private resume(job: JobState, now: number): void {
-    const {team, name: jobName} = job.specification;
-    for (const [index, task] of job.tasks.entries()) {
-      if (task.phase === TaskPhase.WAITING) this.state.ready.add(job, index);
-      if (task.phase !== TaskPhase.OPEN) continue;
-      const {attempts} = task;
-      const name = {team, job: jobName, task: index, attempt: attempts};
-      const size = job.reservedSize(task);
-      const renewedUntil = now + this.state.limits.earlierOwnerGraceMillis;
-      const attempt = new OpenAttempt(
-        name,
-        job,
-        task,
-        size,
-        renewedUntil,
-        true,
-      );
-      attempt.durable = true;
-      attempt.queried = true;
-      this.lifecycle.track(attempt);
-      if (job.cancelReason === undefined) continue;
-      this.state.attempts.stop(attempt, job.cancelReason, false);
-    }
-  }
-
   /** What need not be looked at with every decision. */
   private checkFleet(now: number, wallTime: number): void {
     this.nextCheckAt = now + FLEET_CHECK_MILLIS;
-    this.refreshFleet(now);
+    this.census.run(now);
     this.losses.run(now, wallTime);
     this.commands.removeOld(now, wallTime);
   }
 
-  private refreshFleet(now: number): void {
-    const {attempts, ledger, limits, vms} = this.state;
-    let capacity = NO_RESOURCES;
-    for (const vm of [...vms.vms]) {
-      const silent = now - vm.answeredAt;
-      if (silent > limits.vmForgottenMillis && !attempts.isOn(vm.view.vm)) {
-        vms.remove(vm.view.vm);
-        continue;
-      }
-      capacity = addResources(capacity, vm.view.capacity);
-    }
-    ledger.setCapacity(capacity);
-  }
-
   private wakeDelayed(now: number): void {
     const {delayed, ready} = this.state;
     for (;;) {
