--- a/tests/docs/pages.test.ts
+++ b/tests/docs/pages.test.ts
@@ -15,7 +15,8 @@
 
 for (const [file, render] of generatedPages) {
   test(`should have committed ${file} as the code gives it`, t => {
-    t.is(readFileSync(file, 'utf8'), render(), 'run `npm run docs`');
+    const isCurrent = readFileSync(file, 'utf8') === render();
+    t.true(isCurrent, 'run `npm run docs` and commit the pages');
   });
 }
 
