Measure the footprint of one entry and one agent

measure:footprint starts one entry and one agent of the daemon with stand-ins and light peers that only send heartbeats and take starts, and samples resident memory, processor time, bytes through counting relays, and store calls. measure_recovery fills one shard and reads it back.

--- a/bench/fleet/child_process.ts
+++ b/bench/fleet/child_process.ts
@@ -30,6 +30,11 @@
     return this.isUp;
   }
 
+  /** Undefined before the first start. */
+  get processId(): number | undefined {
+    return this.child?.pid;
+  }
+
   start(): void {
     const {file, words, logFile} = this.command;
     const log = openSync(logFile, 'a');
--- /dev/null
+++ b/bench/footprint/measure_footprint.ts
@@ -0,0 +1,213 @@
+import type {EntryApi} from '../fleet/entry_api.js';
+import {pause} from '../fleet/wait_until.js';
+import {FootprintFleet} from './footprint_fleet.js';
+import type {Counters} from './footprint_fleet.js';
+import {JobSource} from './job_source.js';
+import {fitStraightLine} from './straight_line.js';
+
+/**
+ * Usage: npm run measure:footprint [-- --json]. Prints what one entry and one
+ * agent use idle and at several sizes, with the slopes. Bounded in time and in
+ * the number of processes; everything is on loopback.
+ */
+const SETTLE_MILLIS = 5_000;
+const WINDOW_MILLIS = 8_000;
+const AGENT_STEPS = [50, 50, 100, 200];
+const START_RATES = [20, 50, 70];
+const AGENTS_UNDER_STARTS = 100;
+const BRANCH_COUNTS = [100, 400];
+const LONG_TASKS = 24;
+const LONG_RUN_MILLIS = 600_000;
+const MILLIS_A_SECOND = 1_000;
+
+/** What was used in one window; rates are a second. */
+interface Measurement {
+  readonly point: string;
+  readonly x: number;
+  readonly entryCorePercent: number;
+  readonly entryMegabytes: number;
+  readonly agentCorePercent: number;
+  readonly agentMegabytes: number;
+  readonly agentBytes: number;
+  readonly startBytes: number;
+  readonly storeBytes: number;
+  readonly writes: number;
+  readonly reads: number;
+  readonly leaseCalls: number;
+  readonly watches: number;
+  readonly starts: number;
+}
+
+type Column = Exclude<keyof Measurement, 'point' | 'x'>;
+
+class FootprintRun {
+  private readonly measurements = new Map<string, Measurement[]>();
+
+  async run(): Promise<void> {
+    await this.withFleet(fleet => this.measureAgents(fleet));
+    await this.withFleet(fleet => this.measureStarts(fleet));
+  }
+
+  print(json: boolean): void {
+    const series = Object.fromEntries(this.measurements);
+    if (json) return console.log(JSON.stringify({series, lines: this.lines()}));
+    for (const [name, measurements] of this.measurements) {
+      console.log(`\n${name}`);
+      console.table(measurements.map(rounded));
+    }
+    console.log('\nslopes: least squares; residual: the largest distance');
+    console.table(this.lines());
+  }
+
+  private async withFleet(
+    measure: (fleet: FootprintFleet) => Promise<void>,
+  ): Promise<void> {
+    const fleet = await FootprintFleet.start();
+    try {
+      await measure(fleet);
+    } finally {
+      await fleet.close();
+    }
+  }
+
+  private async measureAgents(fleet: FootprintFleet): Promise<void> {
+    await this.measure(fleet, 'agents', 'idle', 1);
+    await this.runTasksOnAgent(fleet);
+    let agents = 1;
+    for (const step of AGENT_STEPS) {
+      await fleet.addSimulatedAgents(step);
+      agents += step;
+      await this.measure(fleet, 'agents', `${agents} agents`, agents);
+    }
+  }
+
+  /** Loads the one agent of the daemon as each would be at the target. */
+  private async runTasksOnAgent(fleet: FootprintFleet): Promise<void> {
+    const source = new JobSource(fleet.api);
+    const load = source.run(1, SETTLE_MILLIS + WINDOW_MILLIS);
+    await this.measure(fleet, 'one agent', '1 start a second', 1);
+    await load;
+    await fleet.api.post('/v1/teams/team-0/jobs', {
+      name: 'long-tasks',
+      tasks: LONG_TASKS,
+      milliprocessors: 100,
+      memoryMegabytes: 100,
+      expectedRunMillis: LONG_RUN_MILLIS,
+      payload: JSON.stringify({runMillis: LONG_RUN_MILLIS}),
+    });
+    await this.measure(fleet, 'one agent', `${LONG_TASKS} tasks`, LONG_TASKS);
+    await fleet.api.post('/v1/teams/team-0/jobs/long-tasks/cancel');
+  }
+
+  private async measureStarts(fleet: FootprintFleet): Promise<void> {
+    await fleet.addSimulatedAgents(AGENTS_UNDER_STARTS);
+    await this.measure(fleet, 'branches', 'no branch', 0);
+    await this.measure(fleet, 'starts', 'no starts', 0);
+    const source = new JobSource(fleet.api);
+    for (const rate of START_RATES) {
+      const load = source.run(rate, SETTLE_MILLIS + WINDOW_MILLIS);
+      await this.measure(fleet, 'starts', `${rate} asked`, rate);
+      await load;
+    }
+    console.error(`${source.refused} submissions were refused`);
+    let branches = 0;
+    for (const count of BRANCH_COUNTS) {
+      for (; branches < count; branches++) await putBranch(fleet.api, branches);
+      await this.measure(fleet, 'branches', `${count} branches`, count);
+    }
+  }
+
+  private async measure(
+    fleet: FootprintFleet,
+    series: string,
+    point: string,
+    x: number,
+  ): Promise<void> {
+    await pause(SETTLE_MILLIS);
+    const before = await fleet.counters();
+    await pause(WINDOW_MILLIS);
+    const after = await fleet.counters();
+    const found = this.measurements.get(series) ?? [];
+    found.push(compare(before, after, point, x));
+    this.measurements.set(series, found);
+    console.error(`measured ${series}: ${point}`);
+  }
+
+  private lines(): object[] {
+    const found: object[] = [];
+    const columns: Column[] = [
+      'entryCorePercent',
+      'entryMegabytes',
+      'agentBytes',
+      'startBytes',
+      'storeBytes',
+      'writes',
+      'reads',
+    ];
+    for (const [series, measurements] of this.measurements) {
+      if (measurements.length < 3) continue;
+      for (const column of columns) {
+        const line = fitStraightLine(
+          measurements.map(each => ({x: each.x, y: each[column]})),
+        );
+        found.push({series, column, ...rounded(line)});
+      }
+    }
+    return found;
+  }
+}
+
+async function putBranch(api: EntryApi, number: number): Promise<void> {
+  const text = '[quota]\nrunning_tasks = 200\n';
+  await api.putSettings(`branch-${number}`, text, 0);
+}
+
+function compare(
+  before: Counters,
+  after: Counters,
+  point: string,
+  x: number,
+): Measurement {
+  const seconds = (after.atMillis - before.atMillis) / MILLIS_A_SECOND;
+  const calls = (paths: readonly string[]) =>
+    paths.reduce((total, path) => {
+      const from = before.storeCalls[path] ?? 0;
+      return total + (after.storeCalls[path] ?? 0) - from;
+    }, 0) / seconds;
+  const corePercent = (role: 'entry' | 'agent') => {
+    const used = after[role].processorSeconds - before[role].processorSeconds;
+    return (100 * used) / seconds;
+  };
+  return {
+    point,
+    x,
+    entryCorePercent: corePercent('entry'),
+    entryMegabytes: after.entry.residentMegabytes,
+    agentCorePercent: corePercent('agent'),
+    agentMegabytes: after.agent.residentMegabytes,
+    agentBytes: (after.agentBytes - before.agentBytes) / seconds,
+    startBytes: (after.startBytes - before.startBytes) / seconds,
+    storeBytes: (after.storeBytes - before.storeBytes) / seconds,
+    writes: calls(['/v3/kv/txn', '/v3/kv/put', '/v3/kv/deleterange']),
+    reads: calls(['/v3/kv/range']),
+    leaseCalls: calls([
+      '/v3/lease/grant',
+      '/v3/lease/keepalive',
+      '/v3/lease/revoke',
+    ]),
+    watches: calls(['/v3/watch']),
+    starts: (after.starts - before.starts) / seconds,
+  };
+}
+
+function rounded<Row extends object>(row: Row): object {
+  const entries = Object.entries(row).map(([name, value]) => [
+    name,
+    typeof value === 'number' ? Number(value.toPrecision(3)) : value,
+  ]);
+  return Object.fromEntries(entries) as object;
+}
+
+const run = new FootprintRun();
+await run.run();
+run.print(process.argv.includes('--json'));
--- /dev/null
+++ b/bench/footprint/measure_recovery.ts
@@ -0,0 +1,194 @@
+import {ShardScheduler} from '../../src/decisions/jobs/shard_scheduler.js';
+import {JobKind} from '../../src/decisions/job_types.js';
+import {ShardLog} from '../../src/entry/shards/shard_log.js';
+import {SettlingStore} from '../../src/platform/settling_store.js';
+import {Urgency} from '../../src/settings/settings_types.js';
+import {SystemClock} from '../../src/utilities/clock.js';
+import {Random} from '../../src/utilities/random.js';
+import {MemoryStore} from '../../tests/stand_ins/memory_store.js';
+
+/**
+ * Usage: node build/bench/footprint/measure_recovery.js. Fills one shard with
+ * running tasks, keeps it as a snapshot with a log after it, and reads it back
+ * as a new owner does. The store is in this process and answers at once.
+ */
+const TASK_COUNTS = [875, 3_500, 14_000];
+const TASKS_A_JOB = 35;
+const VMS = 600;
+const ROUND_MILLIS = 500;
+const MAXIMUM_ROUNDS = 1_000;
+const APPEND_DEADLINE_MILLIS = 5_000;
+const VALUE_LIMIT_CHARACTERS = 1_000_000;
+const SHARD = 0;
+
+/** The life of one shard from its first job to its recovery. */
+class ShardRecovery {
+  private readonly clock = new SystemClock();
+  private readonly random = new Random(1);
+  private readonly store = new MemoryStore({clock: this.clock});
+  private readonly log = this.openLog();
+  private readonly scheduler = new ShardScheduler({
+    shard: SHARD,
+    random: this.random,
+  });
+  private now = 0;
+
+  constructor(private readonly tasks: number) {}
+
+  async measure(): Promise<object> {
+    await this.log.read();
+    this.scheduler.tookOver('entry-1', 1, this.now, this.now);
+    await this.commit();
+    this.submitJobs();
+    const placed = await this.placeAll();
+    const text = this.scheduler.snapshot();
+    await this.log.saveSnapshot(text);
+    const appends = await this.appendUntilSnapshotIsDue();
+    return {
+      tasks: this.tasks,
+      placed,
+      snapshotCharacters: text.length,
+      charactersATask: Math.round(text.length / this.tasks),
+      shareOfValueLimit: round(text.length / VALUE_LIMIT_CHARACTERS),
+      appends,
+      ...(await this.recover()),
+    };
+  }
+
+  private openLog(): ShardLog {
+    const {store, clock, random} = this;
+    const settling = new SettlingStore({store, clock, random});
+    return new ShardLog(SHARD, store, settling);
+  }
+
+  private submitJobs(): void {
+    const jobs = Math.ceil(this.tasks / TASKS_A_JOB);
+    for (let number = 0; number < jobs; number++) this.submit(`job-${number}`);
+  }
+
+  private submit(name: string): void {
+    this.scheduler.submit(
+      {
+        team: `team-${name}`,
+        name,
+        kind: JobKind.BATCH,
+        urgency: Urgency.NORMAL,
+        taskKind: 'batch',
+        size: {milliprocessors: 100, memoryMegabytes: 100, accelerators: 0},
+        taskCount: TASKS_A_JOB,
+        expectedRunMillis: 600_000,
+        payload: JSON.stringify({runMillis: 600_000}),
+        idempotent: true,
+        maximumFailures: 3,
+      },
+      this.now,
+      Date.now(),
+    );
+  }
+
+  /** Resolves to the number of tasks placed. */
+  private async placeAll(): Promise<number> {
+    let placed = 0;
+    for (let round = 0; round < MAXIMUM_ROUNDS; round++) {
+      this.hearAllVms();
+      this.scheduler.decide(this.now, Date.now());
+      await this.commit();
+      for (const due of this.scheduler.startsDue(this.now)) {
+        const results = due.starts.map(({name}) => ({
+          name,
+          accepted: true,
+          resultCode: 0,
+          reason: '',
+        }));
+        placed += results.length;
+        this.scheduler.noteStartResults(due.vm, results, this.now, Date.now());
+      }
+      await this.commit();
+      if (this.scheduler.counts().openAttempts >= this.tasks) break;
+      this.now += ROUND_MILLIS;
+    }
+    return placed;
+  }
+
+  private hearAllVms(): void {
+    const capacity = {
+      milliprocessors: 64_000,
+      memoryMegabytes: 250_000,
+      accelerators: 2,
+    };
+    const nothing = {milliprocessors: 0, memoryMegabytes: 0, accelerators: 0};
+    for (let number = 0; number < VMS; number++) {
+      const view = {
+        vm: `vm-${number}`,
+        incarnation: `00000000-0000-4000-8000-${String(number).padStart(12, '0')}`,
+        failureDomain: `domain-${number % 6}`,
+        region: `region-${number % 2}`,
+        rack: `rack-${Math.floor(number / 3)}`,
+        capacity,
+        committed: nothing,
+        used: nothing,
+        draining: false,
+        stopping: false,
+        recovering: false,
+        runningAttempts: 0,
+        services: [],
+        interference: [],
+      };
+      this.scheduler.noteVm(view, this.now, Date.now());
+    }
+  }
+
+  private async appendUntilSnapshotIsDue(): Promise<number> {
+    let appends = 0;
+    while (!this.log.snapshotIsDue) {
+      this.submit(`later-${appends++}`);
+      await this.commit();
+    }
+    return appends;
+  }
+
+  /** Snapshots as they fall due, as the owner of a shard does. */
+  private async commit(): Promise<void> {
+    const records = this.scheduler.takeRecords();
+    if (records.length === 0) return;
+    if (this.log.isFull) await this.log.saveSnapshot(this.scheduler.snapshot());
+    await this.log.append(records, APPEND_DEADLINE_MILLIS);
+    this.scheduler.acknowledge();
+  }
+
+  private async recover(): Promise<object> {
+    const callsBefore = this.store.callCount();
+    const started = process.cpuUsage();
+    const startedAt = performance.now();
+    const replay = await this.openLog().read();
+    const readMillis = performance.now() - startedAt;
+    const restored = ShardScheduler.restore(replay.snapshot, {
+      shard: SHARD,
+      random: this.random,
+    });
+    for (const record of replay.records) restored.replay(record);
+    restored.tookOver('entry-2', this.log.next, this.now, this.now);
+    const {user, system} = process.cpuUsage(started);
+    return {
+      storeCalls: this.store.callCount() - callsBefore,
+      records: replay.records.length,
+      logCharacters: JSON.stringify(replay.records).length,
+      readMillis: round(readMillis),
+      recoveryMillis: round(performance.now() - startedAt),
+      processorMillis: round((user + system) / 1_000),
+      openAttempts: restored.counts().openAttempts,
+    };
+  }
+}
+
+function round(value: number): number {
+  return Number(value.toPrecision(3));
+}
+
+const rows: object[] = [];
+for (const tasks of TASK_COUNTS) {
+  rows.push(await new ShardRecovery(tasks).measure());
+}
+if (process.argv.includes('--json')) console.log(JSON.stringify(rows));
+else for (const row of rows) console.log(row);
+process.exit(0);
--- /dev/null
+++ b/bench/footprint/simulated_agent.ts
@@ -0,0 +1,147 @@
+import type {
+  AttemptName,
+  HeartbeatReply,
+  HeartbeatRequest,
+  StartAttemptsRequest,
+} from '../../src/protocol/generated/burdockmoor.js';
+import type {EntryLink} from '../../src/protocol/links.js';
+import type {Random} from '../../src/utilities/random.js';
+
+const FIRST_PERIOD_MILLIS = 1_000;
+const PERIOD_JITTER = 0.2;
+const REPORT_AGAIN_MILLIS = 1_000;
+const CAPACITY = {
+  milliprocessors: 64_000,
+  memoryMegabytes: 250_000,
+  accelerators: 2,
+};
+const EXECUTOR = {
+  service: 'rounds',
+  team: 'asantewaa',
+  slots: 8,
+  inFlight: 1,
+  queued: 0,
+  serviceMillis: 5.5,
+  tailMillis: 9.5,
+  draining: false,
+  unavailable: false,
+};
+const NOTHING = {milliprocessors: 0, memoryMegabytes: 0, accelerators: 0};
+
+export interface SimulatedAgentOptions {
+  readonly agentId: string;
+  readonly address: string;
+  readonly failureDomain: string;
+  readonly link: EntryLink;
+  readonly random: Random;
+}
+
+/**
+ * An agent reduced to its messages: heartbeats at the period that the entry
+ * asks for, and tasks that do nothing until their expected run time is over.
+ */
+export class SimulatedAgent {
+  heartbeats = 0;
+  starts = 0;
+  private sequence = 0;
+  private settingsRevision = 0;
+  private running = 0;
+
+  constructor(private readonly options: SimulatedAgentOptions) {}
+
+  start(): void {
+    const {random} = this.options;
+    setTimeout(() => void this.beat(), random.unit() * FIRST_PERIOD_MILLIS);
+  }
+
+  /** Begins the attempts; each ends by a report once its time is over. */
+  begin(request: StartAttemptsRequest): void {
+    for (const {name, expectedRunMillis} of request.starts) {
+      this.starts++;
+      this.running++;
+      setTimeout(() => {
+        this.running--;
+        void this.report(request.shard, name!, expectedRunMillis);
+      }, expectedRunMillis);
+    }
+  }
+
+  private async beat(): Promise<void> {
+    let period = FIRST_PERIOD_MILLIS;
+    try {
+      const reply = await this.options.link.heartbeat(this.heartbeat());
+      this.heartbeats++;
+      period = reply.nextHeartbeatMillis;
+      this.noteSettings(reply);
+    } catch {
+      // The next heartbeat tries again.
+    }
+    const {random} = this.options;
+    setTimeout(() => void this.beat(), random.jitter(period, PERIOD_JITTER));
+  }
+
+  private noteSettings(reply: HeartbeatReply): void {
+    this.settingsRevision = Math.max(
+      this.settingsRevision,
+      reply.settingsRevision,
+    );
+  }
+
+  private heartbeat(): HeartbeatRequest {
+    const {agentId, address, failureDomain} = this.options;
+    return {
+      agentId,
+      incarnation: `run-of-${agentId}-0000-4000-8000-000000000000`,
+      failureDomain,
+      region: 'region-1',
+      rack: `rack-${agentId}`,
+      address,
+      sequence: ++this.sequence,
+      agentTime: Math.round(performance.now()),
+      capacity: CAPACITY,
+      committed: NOTHING,
+      executors: [EXECUTOR],
+      settingsRevision: this.settingsRevision,
+      branches: ['fleet'],
+      draining: false,
+      runningAttempts: this.running,
+      interference: [],
+      used: NOTHING,
+      stopping: false,
+      recovering: false,
+    };
+  }
+
+  private async report(
+    shard: number,
+    name: AttemptName,
+    ranMillis: number,
+  ): Promise<void> {
+    const {agentId, link} = this.options;
+    const report = {
+      name,
+      outcome: 'finished',
+      checkpoint: '',
+      result: 'done',
+      reason: '',
+      resultCode: 0,
+      ranMillis,
+      used: NOTHING,
+    };
+    try {
+      const reply = await link.reportAttempts({
+        agentId,
+        incarnation: `run-of-${agentId}-0000-4000-8000-000000000000`,
+        shard,
+        reports: [report],
+      });
+      if (reply.recorded.length > 0) return;
+    } catch {
+      // Reported again below.
+    }
+    setTimeout(
+      () => void this.report(shard, name, ranMillis),
+      REPORT_AGAIN_MILLIS,
+    );
+  }
+}
