--- a/src/entry/entry_process.ts
+++ b/src/entry/entry_process.ts
@@ -132,7 +132,12 @@
       roster: this.roster,
       lease: this.lease,
       agents: this.agents,
-      dispatcher: new AttemptDispatcher(this.agents, clock, logger),
+      dispatcher: new AttemptDispatcher(
+        this.agents,
+        this.settings,
+        clock,
+        logger,
+      ),
       clock,
       random,
       logger,
--- a/src/entry/shards/attempt_dispatcher.ts
+++ b/src/entry/shards/attempt_dispatcher.ts
@@ -1,5 +1,6 @@
 import {Events} from '../../observability/events.js';
 import type {Logger} from '../../observability/logger.js';
+import type {SettingsView} from '../../settings/settings_view.js';
 import {messageOf} from '../../utilities/base_error.js';
 import type {Clock} from '../../utilities/clock.js';
 import type {AgentDirectory, AgentRecord} from '../agents/agent_directory.js';
@@ -20,6 +21,7 @@
 
   constructor(
     private readonly agents: AgentDirectory,
+    private readonly settings: SettingsView,
     private readonly clock: Clock,
     private readonly logger: Logger,
   ) {}
@@ -77,7 +79,7 @@
       shard: owner.shard,
       epoch: owner.epoch,
       agentTime: agent.heartbeat.agentTime,
-      settingsRevision: 0,
+      settingsRevision: this.settings.revision,
       starts: [...due.starts],
     });
     if (owner.dropped) return;
