--- a/tests/docs/pages.test.ts
+++ b/tests/docs/pages.test.ts
@@ -8,7 +8,7 @@
 const LINK = /\]\(([^)#]+)(?:#[^)]*)?\)/g;
 const PAGES = [
   'README.md',
-  ...readdirSync('docs')
+  ...readdirSync('docs', {recursive: true, encoding: 'utf8'})
     .filter(name => name.endsWith('.md'))
     .map(name => join('docs', name)),
 ];
@@ -40,5 +40,6 @@
 
 test('should link every page of docs from the README', t => {
   const readme = readFileSync('README.md', 'utf8');
-  for (const page of PAGES.slice(1)) t.true(readme.includes(page), page);
+  const unlinked = PAGES.slice(1).filter(page => !readme.includes(page));
+  t.deepEqual(unlinked, []);
 });
