Keep Node's flags in the first line of the daemon

The flags stood only in the bench's launcher, so a daemon that was started by its name ran without them. Now the program's first line has them, and the bench reads them from there.

The footprint run fits processor time and bytes against heartbeats a second, and counts starts on the agent of the daemon as well.

--- a/bench/fleet/child_process.ts
+++ b/bench/fleet/child_process.ts
@@ -1,8 +1,9 @@
 import {spawn} from 'node:child_process';
 import type {ChildProcess} from 'node:child_process';
 import {closeSync, openSync} from 'node:fs';
+import {readDaemonFlags} from './daemon_flags.js';
 
-const NODE_OPTIONS = ['--max-semi-space-size=1', '--optimize-for-size'];
+const NODE_FLAGS = readDaemonFlags();
 
 export interface ProcessCommand {
   readonly name: string;
@@ -38,7 +39,7 @@
   start(): void {
     const {file, words, logFile} = this.command;
     const log = openSync(logFile, 'a');
-    const child = spawn(process.execPath, [...NODE_OPTIONS, file, ...words], {
+    const child = spawn(process.execPath, [...NODE_FLAGS, file, ...words], {
       stdio: ['ignore', log, log],
     });
     closeSync(log);
--- a/bench/footprint/footprint_fleet.ts
+++ b/bench/footprint/footprint_fleet.ts
@@ -29,6 +29,14 @@
   readonly storeBytes: number;
   /** Calls by path. */
   readonly storeCalls: Readonly<Record<string, number>>;
+  /** Answered to the light peers. */
+  readonly heartbeats: number;
+  /** Of tasks, on the light peers and on the agent of the daemon. */
+  readonly starts: number;
+}
+
+interface PeerCounts {
+  readonly heartbeats: number;
   readonly starts: number;
 }
 
@@ -73,6 +81,8 @@
       worker,
       '--id',
       'agent-1',
+      '--records',
+      fleet.recordsFile,
     ]);
     fleet.run('executor', `${STAND_INS}/executor_main.js`, [
       '--listen',
@@ -143,6 +153,10 @@
     const {counts} = await this.store.post<{
       counts: Readonly<Record<string, number>>;
     }>('/control/counts');
+    const names = [...this.processes.keys()];
+    const peers = names
+      .filter(name => name.startsWith('peers'))
+      .map(name => this.countsOf(name));
     return {
       atMillis: performance.now(),
       entry: this.usage('entry'),
@@ -151,7 +165,8 @@
       startBytes: sum(this.startRelays.map(relay => relay.bytes)),
       storeBytes: this.storeRelay.bytes,
       storeCalls: counts,
-      starts: sum([...this.processes.keys()].map(name => this.startsOf(name))),
+      heartbeats: sum(peers.map(peer => peer.heartbeats)),
+      starts: sum(peers.map(peer => peer.starts)) + this.startsOnWorker(),
     };
   }
 
@@ -186,12 +201,22 @@
     return readProcessUsage(this.processes.get(name)!.processId!);
   }
 
-  /** Starts that the peers of a process printed last. */
-  private startsOf(name: string): number {
-    if (!name.startsWith('peers')) return 0;
-    const lines = readFileSync(this.logFile(name), 'utf8').trim().split('\n');
+  /** What the peers of a process printed last. */
+  private countsOf(name: string): PeerCounts {
+    const lines = readFileSync(this.logFile(name), 'utf8').split('\n');
     const last = lines.findLast(line => line.startsWith('{"heartbeats"'));
-    return last ? (JSON.parse(last) as {starts: number}).starts : 0;
+    if (!last) return {heartbeats: 0, starts: 0};
+    return JSON.parse(last) as PeerCounts;
+  }
+
+  private startsOnWorker(): number {
+    const text = readFileSync(this.recordsFile, 'utf8');
+    return text.split('\n').filter(line => line.includes('"type":"start"'))
+      .length;
+  }
+
+  private get recordsFile(): string {
+    return path.join(this.folder, 'worker.records');
   }
 
   private runDaemon(role: string, lines: readonly string[]): void {
--- a/bench/footprint/measure_footprint.ts
+++ b/bench/footprint/measure_footprint.ts
@@ -23,7 +23,8 @@
 /** What was used in one window; rates are a second. */
 interface Measurement {
   readonly point: string;
-  readonly x: number;
+  readonly agents: number;
+  readonly branches: number;
   readonly entryCorePercent: number;
   readonly entryMegabytes: number;
   readonly agentCorePercent: number;
@@ -35,10 +36,31 @@
   readonly reads: number;
   readonly leaseCalls: number;
   readonly watches: number;
+  readonly heartbeats: number;
   readonly starts: number;
 }
 
-type Column = Exclude<keyof Measurement, 'point' | 'x'>;
+type Column = Exclude<keyof Measurement, 'point'>;
+
+/** What is fitted against what, in which series. */
+const LINES: ReadonlyArray<readonly [string, Column, readonly Column[]]> = [
+  ['agents', 'heartbeats', ['entryCorePercent', 'agentBytes']],
+  ['agents', 'agents', ['entryMegabytes', 'heartbeats']],
+  [
+    'starts',
+    'starts',
+    [
+      'entryCorePercent',
+      'entryMegabytes',
+      'agentBytes',
+      'startBytes',
+      'storeBytes',
+      'writes',
+      'reads',
+    ],
+  ],
+  ['branches', 'branches', ['entryCorePercent', 'entryMegabytes', 'reads']],
+];
 
 class FootprintRun {
   private readonly measurements = new Map<string, Measurement[]>();
@@ -71,13 +93,16 @@
   }
 
   private async measureAgents(fleet: FootprintFleet): Promise<void> {
-    await this.measure(fleet, 'agents', 'idle', 1);
+    await this.measure(fleet, 'agents', 'idle', {agents: 1, branches: 0});
     await this.runTasksOnAgent(fleet);
     let agents = 1;
     for (const step of AGENT_STEPS) {
       await fleet.addSimulatedAgents(step);
       agents += step;
-      await this.measure(fleet, 'agents', `${agents} agents`, agents);
+      await this.measure(fleet, 'agents', `${agents} agents`, {
+        agents,
+        branches: 0,
+      });
     }
   }
 
@@ -85,7 +110,10 @@
   private async runTasksOnAgent(fleet: FootprintFleet): Promise<void> {
     const source = new JobSource(fleet.api);
     const load = source.run(1, SETTLE_MILLIS + WINDOW_MILLIS);
-    await this.measure(fleet, 'one agent', '1 start a second', 1);
+    await this.measure(fleet, 'one agent', '1 start a second', {
+      agents: 1,
+      branches: 0,
+    });
     await load;
     await fleet.api.post('/v1/teams/team-0/jobs', {
       name: 'long-tasks',
@@ -95,25 +123,32 @@
       expectedRunMillis: LONG_RUN_MILLIS,
       payload: JSON.stringify({runMillis: LONG_RUN_MILLIS}),
     });
-    await this.measure(fleet, 'one agent', `${LONG_TASKS} tasks`, LONG_TASKS);
+    await this.measure(fleet, 'one agent', `${LONG_TASKS} tasks`, {
+      agents: 1,
+      branches: 0,
+    });
     await fleet.api.post('/v1/teams/team-0/jobs/long-tasks/cancel');
   }
 
   private async measureStarts(fleet: FootprintFleet): Promise<void> {
     await fleet.addSimulatedAgents(AGENTS_UNDER_STARTS);
-    await this.measure(fleet, 'branches', 'no branch', 0);
-    await this.measure(fleet, 'starts', 'no starts', 0);
+    const agents = 1 + AGENTS_UNDER_STARTS;
+    let branches = 0;
+    await this.measure(fleet, 'branches', 'no branch', {agents, branches});
+    await this.measure(fleet, 'starts', 'no starts', {agents, branches});
     const source = new JobSource(fleet.api);
     for (const rate of START_RATES) {
       const load = source.run(rate, SETTLE_MILLIS + WINDOW_MILLIS);
-      await this.measure(fleet, 'starts', `${rate} asked`, rate);
+      await this.measure(fleet, 'starts', `${rate} asked`, {agents, branches});
       await load;
     }
     console.error(`${source.refused} submissions were refused`);
-    let branches = 0;
     for (const count of BRANCH_COUNTS) {
       for (; branches < count; branches++) await putBranch(fleet.api, branches);
-      await this.measure(fleet, 'branches', `${count} branches`, count);
+      await this.measure(fleet, 'branches', `${count} branches`, {
+        agents,
+        branches,
+      });
     }
   }
 
@@ -121,36 +156,27 @@
     fleet: FootprintFleet,
     series: string,
     point: string,
-    x: number,
+    size: {agents: number; branches: number},
   ): Promise<void> {
     await pause(SETTLE_MILLIS);
     const before = await fleet.counters();
     await pause(WINDOW_MILLIS);
     const after = await fleet.counters();
     const found = this.measurements.get(series) ?? [];
-    found.push(compare(before, after, point, x));
+    found.push(compare(before, after, point, size));
     this.measurements.set(series, found);
     console.error(`measured ${series}: ${point}`);
   }
 
   private lines(): object[] {
     const found: object[] = [];
-    const columns: Column[] = [
-      'entryCorePercent',
-      'entryMegabytes',
-      'agentBytes',
-      'startBytes',
-      'storeBytes',
-      'writes',
-      'reads',
-    ];
-    for (const [series, measurements] of this.measurements) {
-      if (measurements.length < 3) continue;
+    for (const [series, x, columns] of LINES) {
+      const measurements = this.measurements.get(series) ?? [];
       for (const column of columns) {
         const line = fitStraightLine(
-          measurements.map(each => ({x: each.x, y: each[column]})),
+          measurements.map(each => ({x: each[x], y: each[column]})),
         );
-        found.push({series, column, ...rounded(line)});
+        found.push({series, column, against: x, ...rounded(line)});
       }
     }
     return found;
@@ -166,7 +192,7 @@
   before: Counters,
   after: Counters,
   point: string,
-  x: number,
+  size: {agents: number; branches: number},
 ): Measurement {
   const seconds = (after.atMillis - before.atMillis) / MILLIS_A_SECOND;
   const calls = (paths: readonly string[]) =>
@@ -180,7 +206,7 @@
   };
   return {
     point,
-    x,
+    ...size,
     entryCorePercent: corePercent('entry'),
     entryMegabytes: after.entry.residentMegabytes,
     agentCorePercent: corePercent('agent'),
@@ -196,6 +222,7 @@
       '/v3/lease/revoke',
     ]),
     watches: calls(['/v3/watch']),
+    heartbeats: (after.heartbeats - before.heartbeats) / seconds,
     starts: (after.starts - before.starts) / seconds,
   };
 }
--- a/src/daemon/burdockmoord.ts
+++ b/src/daemon/burdockmoord.ts
@@ -1,4 +1,4 @@
-#!/usr/bin/env node
+#!/usr/bin/env -S node --max-semi-space-size=1 --optimize-for-size
 /** The daemon: runs one role from one settings file until it is told to stop. */
 import {defineCommand, runMain} from 'citty';
 import {runAgent} from './agent_role.js';
