--- a/src/entry/entry_process.ts
+++ b/src/entry/entry_process.ts
@@ -125,6 +125,7 @@
     });
     this.shards = new ShardManager({
       entryId,
+      shardCount: options.shardCount,
       store,
       settling,
       settings: this.settings,
--- a/src/entry/requests/request_forwarder.ts
+++ b/src/entry/requests/request_forwarder.ts
@@ -15,6 +15,8 @@
 import {HOP_HEADERS} from './hop_headers.js';
 
 const MAXIMUM_TRIES = 3;
+const SERVER_ERROR = 500;
+const HEDGE_DUE = Symbol('a second try is due');
 const DEFAULT_RETRY_AFTER_MILLIS = 500;
 
 /** A caller's request, its headers read and checked. */
@@ -96,7 +98,7 @@
       const now = this.clock.now();
       if (last && !this.mayTryAgain(request, last, now, deadlineAt)) break;
       if (last) this.observer.onRetry(request, last.reason);
-      const result = await this.tryOnce(request, deadlineAt - now, tried);
+      const result = await this.tryHedged(request, deadlineAt, tried);
       if (!result) break;
       if (result.outcome === ServeOutcome.ANSWERED) return result;
       if (result.outcome === ServeOutcome.UNKNOWN) mayHaveRun = true;
@@ -116,6 +118,41 @@
     return safe && this.router.mayRetry(request.service, now);
   }
 
+  /** One try, and a second beside it when the first takes suspiciously long. */
+  private async tryHedged(
+    request: CallerRequest,
+    deadlineAt: number,
+    tried: Set<string>,
+  ): Promise<TryResult | undefined> {
+    const {service, idempotent} = request;
+    const startedAt = this.clock.now();
+    const known = new Set(tried);
+    const first = this.tryOnce(request, deadlineAt - startedAt, tried);
+    const delayMillis = this.router.hedgeDelayMillis(service, startedAt);
+    if (!idempotent || delayMillis === undefined) return first;
+    if (startedAt + delayMillis >= deadlineAt) return first;
+    const early = await this.withinDelay(first, delayMillis);
+    if (early !== HEDGE_DUE) return early;
+    const now = this.clock.now();
+    const [agentId] = [...tried].filter(name => !known.has(name));
+    if (!this.router.mayHedge(service, now, agentId)) return first;
+    this.observer.onRetry(request, 'the answer takes long');
+    return bestOf(first, this.tryOnce(request, deadlineAt - now, tried));
+  }
+
+  private withinDelay(
+    first: Promise<TryResult | undefined>,
+    delayMillis: number,
+  ): Promise<TryResult | undefined | typeof HEDGE_DUE> {
+    return new Promise(resolve => {
+      const timer = this.clock.schedule(delayMillis, () => resolve(HEDGE_DUE));
+      void first.then(result => {
+        timer.cancel();
+        resolve(result);
+      });
+    });
+  }
+
   /** Undefined when no agent is left to try. */
   private async tryOnce(
     request: CallerRequest,
@@ -142,7 +179,11 @@
     this.router.ended(
       choice.agentId,
       service,
-      {outcome: result.outcome, answerMillis: now - chosenAt},
+      {
+        outcome: result.outcome,
+        answerMillis: now - chosenAt,
+        failed: (result.reply?.status ?? 0) >= SERVER_ERROR,
+      },
       now,
     );
     this.noteReport(choice.agentId, result.reply, now);
@@ -200,6 +241,21 @@
   }
 }
 
+/** The first whole answer of two tries; otherwise what is known at the end. */
+async function bestOf(
+  first: Promise<TryResult | undefined>,
+  second: Promise<TryResult | undefined>,
+): Promise<TryResult | undefined> {
+  const earlier = await Promise.race([first, second]);
+  if (earlier?.outcome === ServeOutcome.ANSWERED) return earlier;
+  const results = await Promise.all([first, second]);
+  for (const outcome of [ServeOutcome.ANSWERED, ServeOutcome.UNKNOWN]) {
+    const found = results.find(result => result?.outcome === outcome);
+    if (found) return found;
+  }
+  return results[0] ?? results[1];
+}
+
 /** Accepts an answer only when it belongs to the request. */
 function readReply(request: CallerRequest, reply: ServeReply): TryResult {
   if (reply.requestId !== request.requestId) {
--- a/src/entry/shards/shard_log.ts
+++ b/src/entry/shards/shard_log.ts
@@ -1,4 +1,9 @@
 import {randomUUID} from 'node:crypto';
+import {
+  decodeRecords,
+  encodeRecords,
+} from '../../decisions/jobs/record_codec.js';
+import type {EncodedRecords} from '../../decisions/jobs/record_codec.js';
 import type {LogRecord} from '../../decisions/job_types.js';
 import {ABSENT_REVISION} from '../../platform/store.js';
 import type {Store, StoredValue} from '../../platform/store.js';
@@ -25,7 +30,7 @@
 interface LogSlot {
   readonly sequence: number;
   readonly nonce: string;
-  readonly records: readonly LogRecord[];
+  readonly records: EncodedRecords;
 }
 
 /** The log was written to faster than it could be read. */
@@ -103,7 +108,7 @@
     for (const slot of slots) {
       if (slot.sequence < this.nextSequence) continue;
       if (slot.sequence > this.nextSequence) return undefined;
-      for (const record of slot.records) records.push(record);
+      for (const record of decodeRecords(slot.records)) records.push(record);
       this.nextSequence++;
     }
     return records;
@@ -120,7 +125,11 @@
     deadlineMillis: number,
   ): Promise<void> {
     const sequence = this.nextSequence;
-    const slot: LogSlot = {sequence, nonce: randomUUID(), records};
+    const slot: LogSlot = {
+      sequence,
+      nonce: randomUUID(),
+      records: encodeRecords(records),
+    };
     const index = sequence % RING_SLOTS;
     const result = await this.writer.swap(
       this.slotKey(index),
--- a/src/entry/shards/shard_manager.ts
+++ b/src/entry/shards/shard_manager.ts
@@ -20,6 +20,7 @@
 
 export interface ShardManagerOptions {
   readonly entryId: string;
+  readonly shardCount: number;
   readonly store: Store;
   readonly settling: SettlingStore;
   readonly settings: SettingsView;
@@ -191,9 +192,9 @@
   }
 
   private createScheduler(shard: number, snapshot: string): ShardScheduler {
-    const {random, outageGraceMillis} = this.options;
+    const {random, outageGraceMillis, shardCount} = this.options;
     const limits = {earlierOwnerGraceMillis: outageGraceMillis};
-    const options = {shard, random, limits};
+    const options = {shard, shards: shardCount, random, limits};
     const scheduler =
       snapshot === ''
         ? new ShardScheduler(options)
--- a/src/settings/branch_schemas.ts
+++ b/src/settings/branch_schemas.ts
@@ -131,13 +131,13 @@
         {
           description:
             "Share of a service's upstreams that may be ejected at a time.",
-          example: '30',
+          example: '40',
         },
         0,
         90,
       ),
-      30,
-      '30',
+      40,
+      '40',
     ),
   },
 );
--- a/tests/history/store_observer.ts
+++ b/tests/history/store_observer.ts
@@ -1,5 +1,6 @@
 import {LogRecordType} from '../../src/decisions/job_types.js';
-import type {LogRecord} from '../../src/decisions/job_types.js';
+import {decodeRecords} from '../../src/decisions/jobs/record_codec.js';
+import type {EncodedRecords} from '../../src/decisions/jobs/record_codec.js';
 import {parseFleetSettings} from '../../src/settings/settings_branches.js';
 import type {TableEntry} from '../stand_ins/store_table.js';
 import type {History} from './history.js';
@@ -21,8 +22,8 @@
   }
 
   private observeLog(value: string): void {
-    const {records} = JSON.parse(value) as {records: LogRecord[]};
-    for (const record of records) {
+    const {records} = JSON.parse(value) as {records: EncodedRecords};
+    for (const record of decodeRecords(records)) {
       if (record.type !== LogRecordType.CLOSED) continue;
       const {team, job, task, attempt} = record.name;
       this.history.record({
