--- a/src/decisions/eviction/answer_window.ts
+++ b/src/decisions/eviction/answer_window.ts
@@ -6,7 +6,7 @@
 }
 
 /** Fewer answers say nothing of a tail. */
-const TOO_FEW_ANSWERS = 20;
+const TOO_FEW_ANSWERS = 5;
 
 export interface AnswerWindowOptions {
   /** Answers of this time count. */
--- a/src/decisions/eviction/tail_guard.ts
+++ b/src/decisions/eviction/tail_guard.ts
@@ -31,6 +31,9 @@
 const EVICT_SHARE = 0.35;
 const EVICT_AFTER_MILLIS = 3_000;
 
+/** It is checkpointed earlier, so that its eviction finds little to keep. */
+const CHECKPOINT_AFTER_MILLIS = 1_000;
+
 /** A checkpoint this recent need not be taken again before an eviction. */
 const RECENT_CHECKPOINT_MILLIS = 5_000;
 
@@ -197,17 +200,30 @@
   /** Checkpoints, then evicts, the most harmful task, one at a time. */
   private evict(tasks: readonly WeighedTask[], now: number): GuardAction[] {
     for (const {task} of tasks) this.noteShare(task, now);
-    // What one eviction brings has to show before the next.
-    if (now - this.evictedAt < EVICT_AFTER_MILLIS) return [];
-    const worst = mostHarmful(tasks.filter(each => this.mayEvict(each, now)));
-    if (!worst) return [];
-    const {key, lostMillis} = worst.task;
     const reason = 'throttling was not enough for the service';
-    if (lostMillis > RECENT_CHECKPOINT_MILLIS) {
-      return [{type: GuardActionType.CHECKPOINT, key, reason}];
+    const actions: GuardAction[] = [];
+    const stale = mostHarmful(
+      tasks.filter(each => this.needsCheckpoint(each, now)),
+    );
+    // Evicting takes a checkpoint itself where this one fails.
+    if (stale) {
+      const {key} = stale.task;
+      actions.push({type: GuardActionType.CHECKPOINT, key, reason});
     }
+    // What one eviction brings has to show before the next.
+    if (now - this.evictedAt < EVICT_AFTER_MILLIS) return actions;
+    const worst = mostHarmful(tasks.filter(each => this.mayEvict(each, now)));
+    if (!worst) return actions;
     this.evictedAt = now;
-    return [{type: GuardActionType.EVICT, key, reason}];
+    actions.push({type: GuardActionType.EVICT, key: worst.task.key, reason});
+    return actions;
+  }
+
+  private needsCheckpoint({task}: WeighedTask, now: number): boolean {
+    if (!task.evictable || task.urgent) return false;
+    if (task.lostMillis <= RECENT_CHECKPOINT_MILLIS) return false;
+    const since = this.throttledSince.get(task.key);
+    return since !== undefined && now - since >= CHECKPOINT_AFTER_MILLIS;
   }
 
   private noteShare({key, share}: GuardedTask, now: number): void {
