--- a/bench/footprint/footprint_fleet.ts
+++ b/bench/footprint/footprint_fleet.ts
@@ -16,6 +16,7 @@
 const STAND_INS = 'tests/stand_ins';
 const READY_MILLIS = 20_000;
 const POLL_MILLIS = 200;
+const DEFAULT_WRITES_PER_SECOND = 200;
 
 /** All counters at one moment; they only grow. */
 export interface Counters {
@@ -60,7 +61,10 @@
     this.relays.push(entryRelay, storeRelay);
   }
 
-  static async start(): Promise<FootprintFleet> {
+  static async start(
+    options: {writesPerSecond?: number} = {},
+  ): Promise<FootprintFleet> {
+    const {writesPerSecond = DEFAULT_WRITES_PER_SECOND} = options;
     const [store, callers, processes, agent, worker, executor] =
       await findFreeAddresses(6);
     const storeRelay = new CountingRelay(store);
@@ -102,6 +106,7 @@
       `processes = ${entryAddress}`,
       '[store]',
       `endpoints = http://${storeAddress}`,
+      `writes_per_second = ${writesPerSecond}`,
     ]);
     fleet.runDaemon('agent', [
       '[process]',
