--- a/src/entry/shards/shard_manager.ts
+++ b/src/entry/shards/shard_manager.ts
@@ -13,7 +13,6 @@
 import type {EntryRoster} from '../membership/entry_roster.js';
 import type {StoreLeaseKeeper} from '../membership/store_lease_keeper.js';
 import type {AttemptDispatcher} from './attempt_dispatcher.js';
-import {LeaseLengths} from './lease_lengths.js';
 import type {ShardClaims} from './shard_claims.js';
 import {ShardLog} from './shard_log.js';
 import {ShardOwner} from './shard_owner.js';
@@ -40,8 +39,6 @@
 export class ShardManager {
   private readonly ownersByShard = new Map<number, ShardOwner>();
   private readonly takingOver = new Set<number>();
-  private readonly leaseLengths = new LeaseLengths();
-  private countedLeaseMillis = 0;
   private leaseHeldAt = -Infinity;
   private stopping = false;
 
@@ -90,7 +87,6 @@
 
   /** Passes on settings that have changed. */
   applySettings(): void {
-    this.countLeases();
     for (const owner of this.ownersByShard.values()) {
       this.applySettingsTo(owner.scheduler);
     }
@@ -99,8 +95,6 @@
   /** Decides what is due, and sends what follows from durable decisions. */
   decide(): void {
     const {clock, dispatcher} = this.options;
-    const longestMillis = this.leaseLengths.longestMillis(clock.now());
-    if (longestMillis !== this.countedLeaseMillis) this.applySettings();
     for (const owner of this.ownersByShard.values()) {
       owner.scheduler.decide(clock.now(), clock.wallTime());
       owner.scheduleCommit();
@@ -199,23 +193,13 @@
       snapshot === ''
         ? new ShardScheduler(options)
         : ShardScheduler.restore(snapshot, options);
-    this.countLeases();
     this.applySettingsTo(scheduler);
     return scheduler;
   }
 
-  /** Leases granted before a change of their length may still be held. */
-  private countLeases(): void {
-    const now = this.options.clock.now();
-    const {taskLeaseMillis} = this.options.settings.fleet;
-    this.leaseLengths.change(taskLeaseMillis, now);
-    this.countedLeaseMillis = this.leaseLengths.longestMillis(now);
-  }
-
   private applySettingsTo(scheduler: ShardScheduler): void {
     const {settings} = this.options;
-    const taskLeaseMillis = this.countedLeaseMillis;
-    scheduler.setFleet({...settings.fleet, taskLeaseMillis});
+    scheduler.setFleet(settings.fleet);
     for (const branch of settings.branches()) {
       scheduler.setTeam(settings.team(branch));
     }
