Reset connections to a process that died in the virtual network

Cause: a call to a killed process stayed silent until its deadline, when no time was left for a second try, so the proof of 'at most once' passed without its guard (the check for idempotence before a retry).

--- a/tests/history/virtual_network.ts
+++ b/tests/history/virtual_network.ts
@@ -118,6 +118,9 @@
           settle(() => reject(refused));
           return;
         }
+        void target.clock.death.then(() =>
+          this.reset(call, target, settle, reject),
+        );
         target.clock.run(() =>
           this.serve(call, target, settle, resolve, reject),
         );
@@ -125,6 +128,20 @@
     });
   }
 
+  /** The machine of a process that died tells so to those that wait for it. */
+  private reset<Reply>(
+    call: Call<Reply>,
+    target: NetworkNode,
+    settle: (action: () => void) => void,
+    reject: (error: Error) => void,
+  ): void {
+    this.clock.schedule(LATENCY_MILLIS, () => {
+      if (this.lostMachines.has(call.address)) return;
+      if (this.isCut(target.id, call.from.id)) return;
+      settle(() => reject(lost(call, 'connection reset', false)));
+    });
+  }
+
   private serve<Reply>(
     call: Call<Reply>,
     target: NetworkNode,
