--- a/bench/footprint/measure_recovery.ts
+++ b/bench/footprint/measure_recovery.ts
@@ -8,7 +8,7 @@
 import {MemoryStore} from '../../tests/stand_ins/memory_store.js';
 
 /**
- * Usage: node build/bench/footprint/measure_recovery.js. Fills one shard with
+ * Usage: npm run measure:recovery [-- --json]. Fills one shard with
  * running tasks, keeps it as a snapshot with a log after it, and reads it back
  * as a new owner does. The store is in this process and answers at once.
  */
