--- a/bench/footprint/footprint_fleet.ts
+++ b/bench/footprint/footprint_fleet.ts
@@ -17,6 +17,8 @@
 const READY_MILLIS = 20_000;
 const POLL_MILLIS = 200;
 const DEFAULT_WRITES_PER_SECOND = 200;
+/** What one of six entries owns of the default number of shards. */
+const SHARDS_OF_ONE_IN_SIX = 2;
 
 /** All counters at one moment; they only grow. */
 export interface Counters {
@@ -107,6 +109,8 @@
       '[store]',
       `endpoints = http://${storeAddress}`,
       `writes_per_second = ${writesPerSecond}`,
+      '[shards]',
+      `count = ${SHARDS_OF_ONE_IN_SIX}`,
     ]);
     fleet.runDaemon('agent', [
       '[process]',
