--- a/src/entry/shards/shard_manager.ts
+++ b/src/entry/shards/shard_manager.ts
@@ -170,6 +170,8 @@
         createScheduler: snapshot => this.createScheduler(shard, snapshot),
         clock,
         logger,
+        // An append outlasts the outage that the task leases outlast.
+        appendDeadlineMillis: this.options.outageGraceMillis,
         observer: {
           onCommitted: committed => dispatcher.dispatch(committed),
           onDropped: dropped => this.forget(dropped),
--- a/src/entry/shards/shard_owner.ts
+++ b/src/entry/shards/shard_owner.ts
@@ -7,8 +7,12 @@
 import {DeposedError} from './shard_log.js';
 import type {ShardLog} from './shard_log.js';
 
-const COMMIT_DELAY_MILLIS = 20;
-const APPEND_DEADLINE_MILLIS = 30_000;
+/** Records of a calm shard wait so long for others to join them. */
+const CALM_COMMIT_DELAY_MILLIS = 20;
+/** Those of a busy shard: fewer appends carry more records. */
+const BUSY_COMMIT_DELAY_MILLIS = 100;
+/** A shard is calm when its last append is longer ago. */
+const CALM_AFTER_MILLIS = 500;
 const TAKE_OVER_DEADLINE_MILLIS = 10_000;
 const TAKE_OVER_TRIALS = 5;
 
@@ -22,6 +26,18 @@
   onDropped(owner: ShardOwner, reason: string): void;
 }
 
+export interface ShardOwnerOptions {
+  readonly log: ShardLog;
+  readonly entryId: string;
+  /** Makes a scheduler from a snapshot; from nothing if it is empty. */
+  readonly createScheduler: (snapshot: string) => ShardScheduler;
+  readonly clock: Clock;
+  readonly logger: Logger;
+  readonly observer: ShardOwnerObserver;
+  /** How long an append is tried before the shard is dropped. */
+  readonly appendDeadlineMillis: number;
+}
+
 interface Waiter {
   readonly resolve: () => void;
   readonly reject: (error: Error) => void;
@@ -33,35 +49,38 @@
  * durable. A lost race drops the whole scheduler; nothing is rolled back.
  */
 export class ShardOwner {
+  readonly shard: number;
+  private readonly log: ShardLog;
+  private readonly clock: Clock;
+  private readonly logger: Logger;
+  private readonly observer: ShardOwnerObserver;
+  private readonly appendDeadlineMillis: number;
   private waiting: Waiter[] = [];
   private commitTimer: Timer | undefined;
   private appending = false;
   private droppedReason: string | undefined;
   private commits = 0;
+  private committedAt = -Infinity;
 
   private constructor(
-    readonly shard: number,
     readonly epoch: number,
     readonly scheduler: ShardScheduler,
-    private readonly log: ShardLog,
-    private readonly clock: Clock,
-    private readonly logger: Logger,
-    private readonly observer: ShardOwnerObserver,
-  ) {}
+    options: ShardOwnerOptions,
+  ) {
+    this.log = options.log;
+    this.shard = options.log.shard;
+    this.clock = options.clock;
+    this.logger = options.logger;
+    this.observer = options.observer;
+    this.appendDeadlineMillis = options.appendDeadlineMillis;
+  }
 
   /**
    * Replays the log and appends the take-over, which fences earlier owners.
    *
    * @throws DeposedError when other writers kept winning the race.
    */
-  static async takeOver(options: {
-    log: ShardLog;
-    entryId: string;
-    createScheduler: (snapshot: string) => ShardScheduler;
-    clock: Clock;
-    logger: Logger;
-    observer: ShardOwnerObserver;
-  }): Promise<ShardOwner> {
+  static async takeOver(options: ShardOwnerOptions): Promise<ShardOwner> {
     const {log, clock, logger} = options;
     for (let trial = 0; trial < TAKE_OVER_TRIALS; trial++) {
       const replay = await log.read();
@@ -82,15 +101,7 @@
         epoch,
         records: replay.records.length,
       });
-      return new ShardOwner(
-        log.shard,
-        epoch,
-        scheduler,
-        log,
-        clock,
-        logger,
-        options.observer,
-      );
+      return new ShardOwner(epoch, scheduler, options);
     }
     throw new DeposedError(
       `Shard ${log.shard} was not taken over in ${TAKE_OVER_TRIALS} trials.`,
@@ -122,12 +133,17 @@
   scheduleCommit(): void {
     if (this.dropped || this.appending || this.commitTimer) return;
     if (!this.scheduler.hasRecords) return;
-    this.commitTimer = this.clock.schedule(COMMIT_DELAY_MILLIS, () => {
+    this.commitTimer = this.clock.schedule(this.commitDelayMillis(), () => {
       this.commitTimer = undefined;
       void this.commit();
     });
   }
 
+  private commitDelayMillis(): number {
+    const calm = this.clock.now() - this.committedAt > CALM_AFTER_MILLIS;
+    return calm ? CALM_COMMIT_DELAY_MILLIS : BUSY_COMMIT_DELAY_MILLIS;
+  }
+
   /** Lets go of the shard; whoever waits learns that the outcome is unknown. */
   drop(reason: string): void {
     if (this.dropped) return;
@@ -162,11 +178,12 @@
   /** Appends what is queued, and saves a snapshot when one is due. */
   private async appendTaken(): Promise<void> {
     const records = this.scheduler.takeRecords();
-    await this.log.append(records, APPEND_DEADLINE_MILLIS);
+    await this.log.append(records, this.appendDeadlineMillis);
     if (this.dropped) return;
     this.scheduler.acknowledge();
     logRecordEvents(records, this.scheduler, this.logger);
     this.commits++;
+    this.committedAt = this.clock.now();
     this.observer.onCommitted(this);
     if (this.log.snapshotIsDue) await this.trySnapshot();
   }
