Split the request forwarder by job

It held the caller's types, the choice of an agent, the hedge and the writing of answers in 330 lines.

--- a/src/entry/requests/caller_request_reader.ts
+++ b/src/entry/requests/caller_request_reader.ts
@@ -4,8 +4,8 @@
 import type {ApiCall} from '../http/api_types.js';
 import {checkName} from '../http/job_submission.js';
 import {HOP_HEADERS} from './hop_headers.js';
-import {newRequestId} from './request_forwarder.js';
-import type {CallerRequest} from './request_forwarder.js';
+import {newRequestId} from './caller_request.js';
+import type {CallerRequest} from './caller_request.js';
 
 const DEFAULT_DEADLINE_MILLIS = 5_000;
 const MAXIMUM_DEADLINE_MILLIS = 60_000;
--- a/src/entry/requests/request_metrics.ts
+++ b/src/entry/requests/request_metrics.ts
@@ -1,6 +1,7 @@
 import type {Metrics} from '../../observability/metrics.js';
 import type {ServeOutcome} from '../../protocol/links.js';
-import type {CallerRequest, RequestObserver} from './request_forwarder.js';
+import type {CallerRequest} from './caller_request.js';
+import type {RequestObserver} from './request_observer.js';
 
 /** Counts and times service requests. */
 export class RequestMetrics implements RequestObserver {
