Split the entry process by job

Each is now a module: entry_parts, entry_loop, entry_api, entry_membership, settings_applier and entry_dump.

--- /dev/null
+++ b/src/entry/entry_api.ts
@@ -0,0 +1,76 @@
+import {Events} from '../observability/events.js';
+import {messageOf} from '../utilities/base_error.js';
+import {JobCommands} from './commands/job_commands.js';
+import {SettingsCommands} from './commands/settings_commands.js';
+import type {EntryParts} from './entry_parts.js';
+import type {EntryProcessOptions} from './entry_process_options.js';
+import {ApiRouter} from './http/api_router.js';
+import {answerOfError} from './http/api_types.js';
+import type {ApiAnswer, ApiCall} from './http/api_types.js';
+import {dumpEntry} from './queries/entry_dump.js';
+import {JobQueries} from './queries/job_queries.js';
+import {OperatorQueries} from './queries/operator_queries.js';
+import {readCallerRequest} from './requests/caller_request_reader.js';
+
+/** The HTTP API of an entry: the commands, the queries and the services. */
+export class EntryApi {
+  private readonly router = new ApiRouter();
+
+  constructor(
+    private readonly options: EntryProcessOptions,
+    private readonly parts: EntryParts,
+  ) {
+    this.addCommands();
+    this.addQueries();
+    this.addServices();
+  }
+
+  /** Answers a call; never rejects. */
+  async call(call: ApiCall): Promise<ApiAnswer> {
+    try {
+      return await this.router.handle(call);
+    } catch (error) {
+      const answer = answerOfError(error);
+      if (answer.status === 500) {
+        const {logger} = this.options;
+        const path = call.target;
+        const reason = messageOf(error);
+        logger.event(Events.UNEXPECTED_FAULT, {path, reason});
+      }
+      return answer;
+    }
+  }
+
+  private addCommands(): void {
+    const {clock, logger} = this.options;
+    const {access, settings, branches, follower} = this.parts;
+    new JobCommands(access, settings, clock).addRoutes(this.router);
+    new SettingsCommands(branches, settings, logger, () =>
+      follower.refresh(),
+    ).addRoutes(this.router);
+  }
+
+  private addQueries(): void {
+    const {record, metrics, clock} = this.options;
+    const {access, branches, settings, agents, router, statuses} = this.parts;
+    new JobQueries(access).addRoutes(this.router);
+    new OperatorQueries({
+      entryId: record.entryId,
+      branches,
+      settings,
+      agents,
+      router,
+      statuses,
+      metrics,
+      clock,
+      dumpState: () => dumpEntry(this.options, this.parts),
+    }).addRoutes(this.router);
+  }
+
+  private addServices(): void {
+    const {forwarder, settings} = this.parts;
+    this.router.add('*', '/v1/services/:service/**', async (call, {service}) =>
+      forwarder.forward(readCallerRequest(call, service, settings)),
+    );
+  }
+}
--- /dev/null
+++ b/src/entry/membership/entry_membership.ts
@@ -0,0 +1,95 @@
+import {Events} from '../../observability/events.js';
+import type {Logger} from '../../observability/logger.js';
+import type {Store} from '../../platform/store.js';
+import {messageOf} from '../../utilities/base_error.js';
+import type {Clock} from '../../utilities/clock.js';
+import {ShardClaims} from '../shards/shard_claims.js';
+import {EntryRoster} from './entry_roster.js';
+import type {EntryRecord} from './entry_roster.js';
+import {StoreLeaseKeeper} from './store_lease_keeper.js';
+
+export interface EntryMembershipOptions {
+  readonly record: EntryRecord;
+  readonly shardCount: number;
+  readonly store: Store;
+  readonly clock: Clock;
+  readonly logger: Logger;
+}
+
+/**
+ * This entry's place among the entries: its lease, its record in the roster,
+ * and what the store tells of the other entries and their shards.
+ */
+export class EntryMembership {
+  readonly roster: EntryRoster;
+  readonly claims: ShardClaims;
+  readonly lease: StoreLeaseKeeper;
+  private registering = false;
+  private refreshing = false;
+  private leaving = false;
+
+  constructor(private readonly options: EntryMembershipOptions) {
+    const {record, shardCount, store, clock, logger} = options;
+    this.roster = new EntryRoster(store);
+    this.claims = new ShardClaims(store, record.entryId, shardCount);
+    this.lease = new StoreLeaseKeeper(store, clock, logger, {
+      onLeaseGranted: () => void this.register(),
+      onLeaseLost: () => this.claims.forgetOwn(),
+    });
+  }
+
+  /** Whether this entry has begun a graceful shutdown. */
+  get stopping(): boolean {
+    return this.leaving;
+  }
+
+  /**
+   * Reads the roster and the claims. Never rejects; false when an earlier
+   * refresh is still under way.
+   */
+  async refresh(): Promise<boolean> {
+    if (this.refreshing) return false;
+    this.refreshing = true;
+    try {
+      if (!this.roster.registered) await this.register();
+      await this.roster.refresh();
+      await this.claims.refresh(this.options.clock.now());
+    } catch {
+      // The settings follower reports that the store can't be reached.
+    } finally {
+      this.refreshing = false;
+    }
+    return true;
+  }
+
+  /** Tells the other entries that this one stops. Never rejects. */
+  async announceStop(): Promise<void> {
+    this.leaving = true;
+    await this.register();
+  }
+
+  /** Gives the lease back, and the record with it. Never rejects. */
+  async leave(): Promise<void> {
+    try {
+      await this.lease.release();
+    } catch (error) {
+      const reason = messageOf(error);
+      this.options.logger.event(Events.STORE_UNREACHABLE, {reason});
+    }
+  }
+
+  private async register(): Promise<void> {
+    const leaseId = this.lease.currentLeaseId;
+    if (leaseId === undefined || this.registering) return;
+    this.registering = true;
+    try {
+      const record = {...this.options.record, stopping: this.leaving};
+      await this.roster.register(record, leaseId);
+    } catch (error) {
+      const reason = messageOf(error);
+      this.options.logger.event(Events.REGISTRATION_FAILED, {reason});
+    } finally {
+      this.registering = false;
+    }
+  }
+}
--- /dev/null
+++ b/src/entry/queries/entry_dump.ts
@@ -0,0 +1,47 @@
+import type {EntryParts} from '../entry_parts.js';
+import type {EntryProcessOptions} from '../entry_process_options.js';
+
+/** The state of an entry, for operators who ask what it holds. */
+export function dumpEntry(
+  options: EntryProcessOptions,
+  parts: EntryParts,
+): unknown {
+  const {record, clock, store} = options;
+  const {settings, membership, router} = parts;
+  const now = clock.now();
+  return {
+    process: record,
+    role: 'entry',
+    stopping: membership.stopping,
+    storeLeaseHolds: membership.lease.holds(),
+    settings: {
+      revision: settings.revision,
+      confirmedAgeMillis: settings.confirmedAgeMillis(now),
+      branches: settings.branches(),
+    },
+    entries: membership.roster.all(),
+    shards: dumpShards(parts, now),
+    agents: dumpAgents(parts, now),
+    routing: router.dump(now),
+    storeCalls: 'counts' in store ? (store.counts as () => unknown)() : {},
+    memory: process.memoryUsage(),
+  };
+}
+
+function dumpShards({shards}: EntryParts, now: number): readonly object[] {
+  return [...shards.owned.values()].map(owner => ({
+    shard: owner.shard,
+    epoch: owner.epoch,
+    commits: owner.commitCount,
+    ...owner.scheduler.counts(),
+    quarantinedVms: owner.scheduler.quarantinedVms(now),
+  }));
+}
+
+function dumpAgents({agents}: EntryParts, now: number): readonly object[] {
+  return [...agents.all()].map(agent => ({
+    agentId: agent.agentId,
+    silentMillis: Math.round(now - agent.heardAt),
+    heartbeat: agent.heartbeat,
+  }));
+}
--- /dev/null
+++ b/src/entry/settings_applier.ts
@@ -0,0 +1,30 @@
+import type {ServiceRouter} from '../decisions/routing/service_router.js';
+import type {SettingsView} from '../settings/settings_view.js';
+import type {Clock} from '../utilities/clock.js';
+import type {EntryAlarms} from './alarms/entry_alarms.js';
+import type {ServiceLimits} from './requests/service_limits.js';
+import type {ShardManager} from './shards/shard_manager.js';
+
+export interface SettingsApplierOptions {
+  readonly settings: SettingsView;
+  readonly alarms: EntryAlarms;
+  readonly shards: ShardManager;
+  readonly router: ServiceRouter;
+  readonly limits: ServiceLimits;
+  readonly clock: Clock;
+}
+
+/** Passes settings that have just come in force to the parts that heed them. */
+export class SettingsApplier {
+  constructor(private readonly options: SettingsApplierOptions) {}
+
+  apply(): void {
+    const {settings, alarms, shards, router, limits, clock} = this.options;
+    const {fleet} = settings;
+    alarms.noteSettings();
+    shards.applySettings();
+    router.setAvoidedDomains(fleet.failureDomainsOut);
+    router.setLimits(fleet);
+    limits.apply(settings, clock.now());
+  }
+}
