--- a/src/daemon/agent_role.ts
+++ b/src/daemon/agent_role.ts
@@ -1,29 +1,25 @@
-import {randomInt, randomUUID} from 'node:crypto';
+import {randomUUID} from 'node:crypto';
 import type {Server} from 'node:http';
 import {AgentProcess} from '../agent/agent_process.js';
-import {ConsoleLogger} from '../observability/console_logger.js';
-import {Events} from '../observability/events.js';
 import type {Logger} from '../observability/logger.js';
-import {Metrics} from '../observability/metrics.js';
+import type {Metrics} from '../observability/metrics.js';
 import {HttpExecutor} from '../platform/http_executor.js';
 import {HttpWorker} from '../platform/http_worker.js';
 import type {Executor} from '../platform/executor.js';
 import type {Worker} from '../platform/worker.js';
 import {GrpcLinkFactory} from '../protocol/grpc_links.js';
-import {GrpcServer} from '../protocol/grpc_server.js';
+import type {GrpcServer} from '../protocol/grpc_server.js';
 import {readAgentSettings} from '../settings/process_settings.js';
 import type {AgentProcessSettings} from '../settings/process_settings.js';
 import {SettingsView} from '../settings/settings_view.js';
 import {SystemClock} from '../utilities/clock.js';
-import {Random} from '../utilities/random.js';
-import {logUncaught, stopOnSignals} from './process_runner.js';
-import type {RunningRole} from './process_runner.js';
 import {hostOf} from './host_of.js';
+import {createProcessServer, createRandom} from './process_parts.js';
+import {runRole} from './process_runner.js';
+import type {RunningRole} from './process_runner.js';
 import {readOrExit} from './settings_exit.js';
 import {createStateServer} from './state_server.js';
 
-const RANDOM_SEED_BOUND = 2 ** 31;
-
 /** An agent with its servers, wired from its settings. */
 class AgentRole implements RunningRole {
   private readonly agent: AgentProcess;
@@ -63,16 +59,11 @@
       links: new GrpcLinkFactory({security: tls}),
       settings: new SettingsView(),
       clock: new SystemClock(),
-      random: new Random(randomInt(RANDOM_SEED_BOUND)),
+      random: createRandom(),
       logger,
       metrics,
     });
-    this.processServer = new GrpcServer(
-      {
-        onFault: reason => logger.event(Events.UNEXPECTED_FAULT, {reason}),
-      },
-      {security: tls},
-    );
+    this.processServer = createProcessServer(logger, tls);
     this.stateServer = createStateServer({
       metrics,
       dumpState: async () => (await this.agent.dumpState()).json,
@@ -99,14 +90,8 @@
 /** Runs an agent until a signal stops it. */
 export async function runAgent(file: string): Promise<void> {
   const settings = readOrExit(() => readAgentSettings(file));
-  const metrics = new Metrics();
-  const logger = new ConsoleLogger({
-    processId: settings.process.id,
-    metrics,
-    ...settings.logs,
-  });
-  logUncaught(logger);
-  const role = new AgentRole(settings, logger, metrics);
-  stopOnSignals(role, logger);
-  await role.start();
+  await runRole(
+    settings,
+    (logger, metrics) => new AgentRole(settings, logger, metrics),
+  );
 }
--- a/src/daemon/entry_role.ts
+++ b/src/daemon/entry_role.ts
@@ -1,24 +1,22 @@
-import {randomInt, randomUUID} from 'node:crypto';
+import {randomUUID} from 'node:crypto';
 import {EntryProcess} from '../entry/entry_process.js';
 import {ApiServer} from '../entry/http/api_server.js';
-import {ConsoleLogger} from '../observability/console_logger.js';
 import {Events} from '../observability/events.js';
 import type {Logger} from '../observability/logger.js';
-import {Metrics} from '../observability/metrics.js';
+import type {Metrics} from '../observability/metrics.js';
 import {BudgetedStore} from '../platform/budgeted_store.js';
 import {HttpStore} from '../platform/http_store.js';
 import {GrpcLinkFactory} from '../protocol/grpc_links.js';
-import {GrpcServer} from '../protocol/grpc_server.js';
+import type {GrpcServer} from '../protocol/grpc_server.js';
 import {readEntrySettings} from '../settings/process_settings.js';
 import type {EntryProcessSettings} from '../settings/process_settings.js';
 import {SystemClock} from '../utilities/clock.js';
-import {Random} from '../utilities/random.js';
-import {logUncaught, stopOnSignals} from './process_runner.js';
-import type {RunningRole} from './process_runner.js';
 import {hostOf} from './host_of.js';
+import {createProcessServer, createRandom} from './process_parts.js';
+import {runRole} from './process_runner.js';
+import type {RunningRole} from './process_runner.js';
 import {readOrExit} from './settings_exit.js';
 
-const RANDOM_SEED_BOUND = 2 ** 31;
 const READY_DEADLINE_MILLIS = 5_000;
 const READY_POLL_MILLIS = 50;
 
@@ -63,16 +61,11 @@
       store: this.store,
       links: new GrpcLinkFactory({security: tls}),
       clock,
-      random: new Random(randomInt(RANDOM_SEED_BOUND)),
+      random: createRandom(),
       logger,
       metrics,
     });
-    this.processServer = new GrpcServer(
-      {
-        onFault: reason => logger.event(Events.UNEXPECTED_FAULT, {reason}),
-      },
-      {security: tls},
-    );
+    this.processServer = createProcessServer(logger, tls);
     this.callerServer = new ApiServer(call => this.entry.call(call), {
       bodyLimitBytes: settings.limits.bodyBytes,
     });
@@ -119,14 +112,8 @@
 /** Runs an entry until a signal stops it. */
 export async function runEntry(file: string): Promise<void> {
   const settings = readOrExit(() => readEntrySettings(file));
-  const metrics = new Metrics();
-  const logger = new ConsoleLogger({
-    processId: settings.process.id,
-    metrics,
-    ...settings.logs,
-  });
-  logUncaught(logger);
-  const role = new EntryRole(settings, logger, metrics);
-  stopOnSignals(role, logger);
-  await role.start();
+  await runRole(
+    settings,
+    (logger, metrics) => new EntryRole(settings, logger, metrics),
+  );
 }
--- /dev/null
+++ b/src/daemon/process_parts.ts
@@ -0,0 +1,27 @@
+/** Parts that every role builds in the same way. */
+import {randomInt} from 'node:crypto';
+import {Events} from '../observability/events.js';
+import type {Logger} from '../observability/logger.js';
+import {GrpcServer} from '../protocol/grpc_server.js';
+import type {TransportSecurityFiles} from '../protocol/transport_security.js';
+import {Random} from '../utilities/random.js';
+
+const RANDOM_SEED_BOUND = 2 ** 31;
+
+/** A generator with a seed that differs from run to run. */
+export function createRandom(): Random {
+  return new Random(randomInt(RANDOM_SEED_BOUND));
+}
+
+/** The server for the system's other processes; it logs unexpected faults. */
+export function createProcessServer(
+  logger: Logger,
+  security: TransportSecurityFiles | undefined,
+): GrpcServer {
+  return new GrpcServer(
+    {
+      onFault: reason => logger.event(Events.UNEXPECTED_FAULT, {reason}),
+    },
+    {security},
+  );
+}
--- a/src/daemon/process_runner.ts
+++ b/src/daemon/process_runner.ts
@@ -1,17 +1,42 @@
+import {ConsoleLogger} from '../observability/console_logger.js';
 import {Events} from '../observability/events.js';
 import type {Logger} from '../observability/logger.js';
+import {Metrics} from '../observability/metrics.js';
+import type {
+  AgentProcessSettings,
+  EntryProcessSettings,
+} from '../settings/process_settings.js';
 import {messageOf} from '../utilities/base_error.js';
 
 const STOP_DEADLINE_MILLIS = 20_000;
 
 /** A role that runs until it is stopped. */
 export interface RunningRole {
+  /** Resolves when the role serves. */
+  start(): Promise<void>;
   /** Resolves when the graceful shutdown is over. */
   stop(reason: string): Promise<void>;
 }
 
+/** Starts a role, and runs it until a signal stops it. */
+export async function runRole(
+  settings: AgentProcessSettings | EntryProcessSettings,
+  createRole: (logger: Logger, metrics: Metrics) => RunningRole,
+): Promise<void> {
+  const metrics = new Metrics();
+  const logger = new ConsoleLogger({
+    processId: settings.process.id,
+    metrics,
+    ...settings.logs,
+  });
+  logUncaught(logger);
+  const role = createRole(logger, metrics);
+  stopOnSignals(role, logger);
+  await role.start();
+}
+
 /** Stops the role gracefully on SIGTERM or SIGINT, then ends the process. */
-export function stopOnSignals(role: RunningRole, logger: Logger): void {
+function stopOnSignals(role: RunningRole, logger: Logger): void {
   let stopping = false;
   const stop = (signal: string): void => {
     if (stopping) return;
@@ -40,7 +65,7 @@
 }
 
 /** Logs what nothing caught; the process goes on with what it holds. */
-export function logUncaught(logger: Logger): void {
+function logUncaught(logger: Logger): void {
   const log = (error: unknown): void =>
     logger.event(Events.UNEXPECTED_FAULT, {
       reason: error instanceof Error ? error.stack : messageOf(error),
