Split the simulated VM of the batch bench

What the tasks use and do to the service is VmLoad now, and BatchMetrics counts the ends of attempts itself.

--- a/bench/batch/batch_metrics.ts
+++ b/bench/batch/batch_metrics.ts
@@ -1,3 +1,7 @@
+import {AttemptOutcome} from '../../src/decisions/job_types.js';
+import {workOf} from './running_task.js';
+import type {RunningTask} from './running_task.js';
+
 /** What one run came to. */
 export class BatchMetrics {
   finishedTasks = 0;
@@ -37,6 +41,20 @@
     this.runningTasks.delete(task);
   }
 
+  /** Counts what an attempt that ended came to. */
+  attemptEnds(task: RunningTask, outcome: AttemptOutcome): void {
+    if (outcome === AttemptOutcome.FINISHED) {
+      this.finishedTasks++;
+      this.finishedWork +=
+        task.totalMillis * task.job.truth.used.milliprocessors;
+    } else if (outcome === AttemptOutcome.EVICTED) {
+      this.evictions++;
+    } else {
+      this.wastedWork += workOf(task);
+      if (outcome === AttemptOutcome.FAILED) this.failedAttempts++;
+    }
+  }
+
   get wastedShare(): number {
     const all = this.finishedWork + this.wastedWork;
     return all === 0 ? 0 : this.wastedWork / all;
--- a/bench/batch/batch_plans.ts
+++ b/bench/batch/batch_plans.ts
@@ -3,7 +3,7 @@
 import type {SimulationOptions} from './batch_simulation.js';
 import {drawTrace} from './batch_trace.js';
 import type {TaskKindTruth, TraceOptions, TracedJob} from './batch_trace.js';
-import type {SimulatedVmOptions} from './simulated_vm.js';
+import type {SimulatedVmOptions} from './simulated_vm_options.js';
 
 /** Fleets and work of the batch scenarios. */
 
--- a/bench/batch/batch_simulation.ts
+++ b/bench/batch/batch_simulation.ts
@@ -15,7 +15,7 @@
 import type {TracedJob} from './batch_trace.js';
 import {SimulatedEntry} from './simulated_entry.js';
 import {SimulatedVm} from './simulated_vm.js';
-import type {SimulatedVmOptions} from './simulated_vm.js';
+import type {SimulatedVmOptions} from './simulated_vm_options.js';
 
 const HEARTBEAT_MILLIS = 1000;
 const REPORT_MILLIS = 50;
--- a/bench/batch/simulated_vm.ts
+++ b/bench/batch/simulated_vm.ts
@@ -18,30 +18,16 @@
 import type {Resources} from '../../src/utilities/resources.js';
 import type {BatchMetrics} from './batch_metrics.js';
 import type {TracedJob} from './batch_trace.js';
-import {
-  MEMORY_GROWTH_SHARE,
-  excess,
-  taskOf,
-  usedBy,
-  workOf,
-} from './running_task.js';
+import {MEMORY_GROWTH_SHARE, taskOf, usedBy, workOf} from './running_task.js';
 import type {RunningTask} from './running_task.js';
 import {LaggedSamples} from './lagged_samples.js';
+import type {SimulatedVmOptions} from './simulated_vm_options.js';
+import {VmLoad} from './vm_load.js';
 
-const BASE_TAIL_MILLIS = 20;
 const TARGET_TAIL_MILLIS = 40;
 const BLACK_HOLE_MILLIS = 100;
 const CHECKPOINT_MILLIS = 300;
 
-export interface SimulatedVmOptions {
-  readonly vm: string;
-  readonly failureDomain: string;
-  readonly rack: string;
-  readonly capacity: Resources;
-  readonly service: string;
-  readonly serviceSize: Resources;
-}
-
 /** A VM, its worker and its agent: it runs what it admits, at the speed left. */
 export class SimulatedVm {
   incarnation = 1;
@@ -56,6 +42,7 @@
   /** Milliprocessor milliseconds done by tasks so far. */
   doneWork = 0;
   private readonly running = new Map<string, RunningTask>();
+  private readonly load: VmLoad;
   private advancedAt = 0;
   private timer: Timer | undefined;
   private readonly samples = new LaggedSamples();
@@ -67,6 +54,7 @@
     private readonly metrics: BatchMetrics,
   ) {
     this.committed = options.serviceSize;
+    this.load = new VmLoad(options, this.running);
   }
 
   start(shard: number, order: StartOrder, job: TracedJob): StartOutcome {
@@ -144,11 +132,14 @@
   /** Samples usage and tail, which reports show later. */
   sample(): void {
     this.advance();
-    this.samples.add({used: this.used(), tailMillis: this.tailMillis()});
+    this.samples.add({
+      used: this.load.used(),
+      tailMillis: this.load.tailMillis(),
+    });
     if (!this.alive) return;
     this.metrics.serviceSeconds++;
-    this.metrics.serviceTails.push(this.tailMillis());
-    if (this.tailMillis() > TARGET_TAIL_MILLIS) {
+    this.metrics.serviceTails.push(this.load.tailMillis());
+    if (this.load.tailMillis() > TARGET_TAIL_MILLIS) {
       this.metrics.lateServiceSeconds++;
     }
   }
@@ -170,50 +161,13 @@
       recovering: false,
       runningAttempts: this.running.size,
       services: [{service, tailMillis, targetMillis: TARGET_TAIL_MILLIS}],
-      interference: this.interference(),
+      interference: this.load.interference(),
     };
   }
 
-  private interference() {
-    const kinds = new Map<string, number>();
-    for (const {job} of this.running.values()) {
-      const {taskKind, slowdowns} = job.truth;
-      kinds.set(taskKind, slowdowns.get(this.options.service) ?? 1);
-    }
-    const {service} = this.options;
-    return [...kinds].map(([taskKind, slowdown]) => {
-      return {service, taskKind, slowdown};
-    });
-  }
-
-  private used(): Resources {
-    let used = this.options.serviceSize;
-    for (const task of this.running.values()) {
-      used = addResources(used, usedBy(task));
-    }
-    return used;
-  }
-
-  private tailMillis(): number {
-    let slowdown = 1;
-    const {capacity, service} = this.options;
-    for (const {job} of this.running.values()) {
-      const {slowdowns, used} = job.truth;
-      const share = used.milliprocessors / capacity.milliprocessors;
-      slowdown += ((slowdowns.get(service) ?? 1) - 1) * share;
-    }
-    return BASE_TAIL_MILLIS * slowdown * this.overload() ** 2;
-  }
-
-  /** How much longer everything takes, 1 while the processors suffice. */
-  private overload(): number {
-    const {milliprocessors} = this.options.capacity;
-    return Math.max(1, this.used().milliprocessors / milliprocessors);
-  }
-
   private advance(): void {
     const now = this.clock.now();
-    const progress = (now - this.advancedAt) / this.overload();
+    const progress = (now - this.advancedAt) / this.load.overload();
     this.advancedAt = now;
     if (!this.alive || progress <= 0) return;
     for (const task of this.running.values()) {
@@ -233,7 +187,7 @@
       least = Math.min(least, next - task.doneMillis);
     }
     if (least === Infinity) return;
-    const delay = Math.max(1, least * this.overload());
+    const delay = Math.max(1, least * this.load.overload());
     this.timer = this.clock.schedule(delay, () => this.progress());
   }
 
@@ -250,11 +204,8 @@
   /** The worker kills what is furthest over its reservation. */
   private killForMemory(): void {
     const {memoryMegabytes} = this.options.capacity;
-    while (this.used().memoryMegabytes > memoryMegabytes) {
-      let worst: RunningTask | undefined;
-      for (const task of this.running.values()) {
-        if (!worst || excess(task) > excess(worst)) worst = task;
-      }
+    while (this.load.used().memoryMegabytes > memoryMegabytes) {
+      const worst = this.load.furthestOver();
       if (!worst) return;
       this.end(worst, AttemptOutcome.FAILED);
     }
@@ -269,43 +220,31 @@
   private end(task: RunningTask, outcome: AttemptOutcome): void {
     if (!this.running.has(task.key)) return;
     this.advance();
-    const used = usedBy(task);
     this.running.delete(task.key);
     this.metrics.taskEnds(taskOf(task));
     this.committed = subtractResources(this.committed, task.order.size);
-    const {name} = task.order;
-    const evicted = outcome === AttemptOutcome.EVICTED;
-    const report: AttemptReport = {
-      name,
-      outcome,
-      checkpoint: evicted ? String(Math.max(0.001, task.doneMillis)) : '',
-      result: '',
-      reason: '',
-      resultCode:
-        outcome === AttemptOutcome.FAILED ? ResultCodes.TASK_FAILED.number : 0,
-      ranMillis: task.doneMillis - task.resumedMillis,
-      used,
-    };
+    const report = reportOf(task, outcome);
     this.unrecorded.set(task.key, {shard: task.shard, report});
-    this.count(task, outcome);
+    this.metrics.attemptEnds(task, outcome);
     this.reschedule();
   }
-
-  private count(task: RunningTask, outcome: AttemptOutcome): void {
-    const {metrics} = this;
-    if (outcome === AttemptOutcome.FINISHED) {
-      metrics.finishedTasks++;
-      metrics.finishedWork +=
-        task.totalMillis * task.job.truth.used.milliprocessors;
-    } else if (outcome === AttemptOutcome.EVICTED) {
-      metrics.evictions++;
-    } else {
-      metrics.wastedWork += workOf(task);
-      if (outcome === AttemptOutcome.FAILED) metrics.failedAttempts++;
-    }
-  }
 }
 
 function refusal(name: AttemptName, resultCode: number): StartOutcome {
   return {name, accepted: false, resultCode, reason: 'refused'};
 }
+
+function reportOf(task: RunningTask, outcome: AttemptOutcome): AttemptReport {
+  const evicted = outcome === AttemptOutcome.EVICTED;
+  return {
+    name: task.order.name,
+    outcome,
+    checkpoint: evicted ? String(Math.max(0.001, task.doneMillis)) : '',
+    result: '',
+    reason: '',
+    resultCode:
+      outcome === AttemptOutcome.FAILED ? ResultCodes.TASK_FAILED.number : 0,
+    ranMillis: task.doneMillis - task.resumedMillis,
+    used: usedBy(task),
+  };
+}
