Join repeated code of the entry and say what public parts do

- Claiming and replaying a shard ran under two copies of the same guard.
- Calls passed on between entries were turned into messages and back in two places; forwarded_calls.ts holds both directions.
- One retry-after, one message limit and one type of failure options stand where several did; a job command waited twice for the same commit.
- The remark that a log is intact after an outage held only while no other entry had written to it: it says now what happens otherwise.

--- a/src/entry/agents/agent_directory.ts
+++ b/src/entry/agents/agent_directory.ts
@@ -47,7 +47,7 @@
 
   /**
    * Takes in a heartbeat. An older one that was overtaken by a newer one of
-   * the same run changes nothing.
+   * the same run changes nothing, and gives false.
    */
   note(heartbeat: HeartbeatRequest, now: number): boolean {
     const known = this.agents.get(heartbeat.agentId);
@@ -87,14 +87,15 @@
     }
   }
 
-  private filter(accepts: (agent: AgentRecord) => boolean): AgentRecord[] {
-    return [...this.agents.values()].filter(accepts);
-  }
-
+  /** Closes the links and forgets all agents. */
   close(reason: string): void {
     for (const agent of this.agents.values()) agent.link.close(reason);
     this.agents.clear();
   }
+
+  private filter(accepts: (agent: AgentRecord) => boolean): AgentRecord[] {
+    return [...this.agents.values()].filter(accepts);
+  }
 }
 
 /** What schedulers see of the VM. */
--- a/src/entry/commands/job_commands.ts
+++ b/src/entry/commands/job_commands.ts
@@ -3,7 +3,7 @@
 import type {SettingsView} from '../../settings/settings_view.js';
 import type {Clock} from '../../utilities/clock.js';
 import {messageOf} from '../../utilities/base_error.js';
-import {apiError, jsonAnswer} from '../http/api_types.js';
+import {RETRY_AFTER_MILLIS, apiError, jsonAnswer} from '../http/api_types.js';
 import type {ApiAnswer, ApiCall} from '../http/api_types.js';
 import type {ApiRouter} from '../http/api_router.js';
 import {
@@ -16,7 +16,6 @@
 import type {ShardOwner} from '../shards/shard_owner.js';
 
 const DURABLE_DEADLINE_MILLIS = 5_000;
-const RETRY_AFTER_MILLIS = 1_000;
 const CREATED = 201;
 const MAXIMUM_REASON_CHARACTERS = 200;
 
@@ -136,17 +135,23 @@
     });
   }
 
-  /** Resolves once what was decided is recorded; answers at once otherwise. */
+  /**
+   * Resolves once what was decided is recorded.
+   *
+   * @throws ApiError when the shard is dropped or the store is late: the
+   * outcome is then unknown.
+   */
   private async makeDurable(owner: ShardOwner): Promise<void> {
+    const durable = owner.durable();
     const late = new Promise<never>((_resolve, reject) => {
       const timer = this.clock.schedule(DURABLE_DEADLINE_MILLIS, () =>
         reject(outcomeUnknown('the store has not answered yet')),
       );
       const cancel = (): void => timer.cancel();
-      owner.durable().then(cancel, cancel);
+      durable.then(cancel, cancel);
     });
     try {
-      await Promise.race([owner.durable(), late]);
+      await Promise.race([durable, late]);
     } catch (error) {
       if (!(error instanceof ShardDroppedError)) throw error;
       throw outcomeUnknown(messageOf(error));
--- a/src/entry/commands/settings_commands.ts
+++ b/src/entry/commands/settings_commands.ts
@@ -9,7 +9,7 @@
 import type {SettingsFault} from '../../settings/settings_fault.js';
 import {FLEET_BRANCH} from '../../settings/settings_types.js';
 import type {SettingsView} from '../../settings/settings_view.js';
-import {apiError, jsonAnswer} from '../http/api_types.js';
+import {RETRY_AFTER_MILLIS, apiError, jsonAnswer} from '../http/api_types.js';
 import type {ApiAnswer, ApiCall} from '../http/api_types.js';
 import type {ApiRouter} from '../http/api_router.js';
 import {checkName} from '../http/job_submission.js';
@@ -19,7 +19,6 @@
   SettingsBranchesStore,
 } from '../settings_branches_store.js';
 
-const RETRY_AFTER_MILLIS = 1_000;
 const EDIT_TRIALS = 5;
 const MAXIMUM_TEXT_BYTES = 65_536;
 
--- a/src/entry/entry_process.ts
+++ b/src/entry/entry_process.ts
@@ -15,8 +15,8 @@
 import {createEntryParts} from './entry_parts.js';
 import type {EntryParts} from './entry_parts.js';
 import type {EntryProcessOptions} from './entry_process_options.js';
-import {decodeSegments} from './http/api_server.js';
 import type {ApiAnswer, ApiCall} from './http/api_types.js';
+import {apiCallOf, forwardReplyOf} from './http/forwarded_calls.js';
 import {dumpEntry} from './queries/entry_dump.js';
 
 /**
@@ -84,20 +84,7 @@
 
   /** Answers a call of the HTTP API that another entry has passed on. */
   async forwardCall(request: ForwardCallRequest): Promise<ForwardCallReply> {
-    const [path, queryText = ''] = request.path.split('?', 2);
-    const answer = await this.call({
-      method: request.method,
-      target: request.path,
-      segments: decodeSegments(path),
-      query: new URLSearchParams(queryText),
-      headers: new Map(request.headers.map(({name, value}) => [name, value])),
-      body: request.body,
-    });
-    return {
-      status: answer.status,
-      headers: answer.headers.map(([name, value]) => ({name, value})),
-      body: Buffer.from(answer.body),
-    };
+    return forwardReplyOf(await this.call(apiCallOf(request)));
   }
 
   /** The state of this process, for operators. */
--- a/src/entry/http/api_server.ts
+++ b/src/entry/http/api_server.ts
@@ -12,6 +12,7 @@
 /** Answers calls; rejections become numbered results. */
 export type ApiHandler = (call: ApiCall) => Promise<ApiAnswer>;
 
+/** Limits of an ApiServer. */
 export interface ApiServerOptions {
   readonly bodyLimitBytes: number;
 }
@@ -84,9 +85,14 @@
   }
 
   private async handle(request: IncomingMessage): Promise<ApiAnswer> {
-    const call = parseTarget(request);
+    const target = readTarget(request.url ?? '/');
     const body = await this.readBody(request);
-    return this.handler({...call, body});
+    return this.handler({
+      ...target,
+      method: request.method ?? 'GET',
+      headers: readHeaders(request),
+      body,
+    });
   }
 
   private async readBody(request: IncomingMessage): Promise<Uint8Array> {
@@ -106,19 +112,25 @@
   }
 }
 
-function parseTarget(request: IncomingMessage): Omit<ApiCall, 'body'> {
-  const target = request.url ?? '/';
+/**
+ * Reads the path and query of a call as they were sent.
+ *
+ * @throws ApiError when the path is not valid percent-encoding.
+ */
+export function readTarget(
+  target: string,
+): Pick<ApiCall, 'target' | 'segments' | 'query'> {
   const [path, queryText = ''] = target.split('?', 2);
   return {
-    method: request.method ?? 'GET',
     target,
     segments: decodeSegments(path),
     query: new URLSearchParams(queryText),
-    headers: readHeaders(request),
   };
 }
 
 /**
+ * The segments of a path, decoded.
+ *
  * @throws ApiError when the path is not valid percent-encoding.
  */
 export function decodeSegments(path: string): string[] {
--- a/src/entry/http/api_types.ts
+++ b/src/entry/http/api_types.ts
@@ -1,3 +1,4 @@
+import {ResultCodes} from '../../observability/result_codes.js';
 import type {ResultCode} from '../../observability/result_codes.js';
 import {
   StoreBudgetError,
@@ -5,7 +6,6 @@
 } from '../../platform/platform_errors.js';
 import {LinkError} from '../../protocol/link_error.js';
 import {BaseError, messageOf} from '../../utilities/base_error.js';
-import {ResultCodes} from '../../observability/result_codes.js';
 
 /** A call of the HTTP API, its body read whole. */
 export interface ApiCall {
@@ -20,6 +20,7 @@
   readonly body: Uint8Array;
 }
 
+/** The whole answer to a call. */
 export interface ApiAnswer {
   readonly status: number;
   readonly headers: ReadonlyArray<readonly [name: string, value: string]>;
@@ -37,15 +38,22 @@
 });
 
 const MILLIS_A_SECOND = 1_000;
-const RETRY_AFTER_MILLIS = 1_000;
+/** When a caller may come back after a refusal that a wait may mend. */
+export const RETRY_AFTER_MILLIS = 1_000;
+
+/** What a failure tells besides its code and message. */
+export interface FailureOptions {
+  /** Further fields of the answer's body. */
+  readonly details?: Readonly<Record<string, unknown>>;
+  /** When the caller may come back; without it no such header is sent. */
+  readonly retryAfterMillis?: number;
+}
 
+/** An error that ends a call with the numbered result. */
 export function apiError(
   resultCode: ResultCode,
   message: string,
-  options: {
-    details?: Readonly<Record<string, unknown>>;
-    retryAfterMillis?: number;
-  } = {},
+  options: FailureOptions = {},
 ): Error {
   const {details = {}, retryAfterMillis} = options;
   return new ApiError(message, {
@@ -53,6 +61,7 @@
   });
 }
 
+/** An answer with a JSON body, of status 200 unless told otherwise. */
 export function jsonAnswer(
   value: unknown,
   options: {
@@ -72,10 +81,7 @@
 export function failureAnswer(
   resultCode: ResultCode,
   message: string,
-  options: {
-    details?: Readonly<Record<string, unknown>>;
-    retryAfterMillis?: number;
-  } = {},
+  options: FailureOptions = {},
 ): ApiAnswer {
   const {details = {}, retryAfterMillis} = options;
   const headers: Array<readonly [string, string]> = [
--- /dev/null
+++ b/src/entry/http/forwarded_calls.ts
@@ -0,0 +1,55 @@
+/** Calls of the HTTP API as entries pass them on to each other. */
+import type {
+  ForwardCallReply,
+  ForwardCallRequest,
+  Header,
+} from '../../protocol/generated/burdockmoor.js';
+import {readTarget} from './api_server.js';
+import type {ApiAnswer, ApiCall} from './api_types.js';
+
+/** The message for a call, with the further headers. */
+export function forwardRequestOf(
+  call: ApiCall,
+  furtherHeaders: ReadonlyArray<readonly [name: string, value: string]>,
+): ForwardCallRequest {
+  return {
+    method: call.method,
+    path: call.target,
+    headers: headerFieldsOf([...call.headers, ...furtherHeaders]),
+    body: Buffer.from(call.body),
+  };
+}
+
+/** The call that a message brings. */
+export function apiCallOf(request: ForwardCallRequest): ApiCall {
+  return {
+    ...readTarget(request.path),
+    method: request.method,
+    headers: new Map(request.headers.map(({name, value}) => [name, value])),
+    body: request.body,
+  };
+}
+
+/** The message for an answer. */
+export function forwardReplyOf(answer: ApiAnswer): ForwardCallReply {
+  return {
+    status: answer.status,
+    headers: headerFieldsOf(answer.headers),
+    body: Buffer.from(answer.body),
+  };
+}
+
+/** The answer that a message brings. */
+export function apiAnswerOf(reply: ForwardCallReply): ApiAnswer {
+  return {
+    status: reply.status,
+    headers: reply.headers.map(({name, value}) => [name, value] as const),
+    body: reply.body,
+  };
+}
+
+function headerFieldsOf(
+  headers: ReadonlyArray<readonly [name: string, value: string]>,
+): Header[] {
+  return headers.map(([name, value]) => ({name, value}));
+}
--- a/src/entry/membership/entry_membership.ts
+++ b/src/entry/membership/entry_membership.ts
@@ -8,6 +8,7 @@
 import type {EntryRecord} from './entry_roster.js';
 import {StoreLeaseKeeper} from './store_lease_keeper.js';
 
+/** The entry's own record, and what its membership works with. */
 export interface EntryMembershipOptions {
   readonly record: EntryRecord;
   readonly shardCount: number;
--- a/src/entry/membership/entry_roster.ts
+++ b/src/entry/membership/entry_roster.ts
@@ -23,6 +23,11 @@
 
   constructor(private readonly store: Store) {}
 
+  /** Whether this run has registered itself. */
+  get registered(): boolean {
+    return this.ownRevision > 0;
+  }
+
   find(entryId: string): EntryRecord | undefined {
     return this.entries.get(entryId);
   }
@@ -47,10 +52,6 @@
     this.entries.set(record.entryId, record);
   }
 
-  get registered(): boolean {
-    return this.ownRevision > 0;
-  }
-
   /** Reads the list anew. */
   async refresh(): Promise<void> {
     const listed = await this.store.list(ENTRIES_PREFIX);
--- a/src/entry/settings_applier.ts
+++ b/src/entry/settings_applier.ts
@@ -5,6 +5,7 @@
 import type {ServiceLimits} from './requests/service_limits.js';
 import type {ShardManager} from './shards/shard_manager.js';
 
+/** The settings in force, and the parts that heed them. */
 export interface SettingsApplierOptions {
   readonly settings: SettingsView;
   readonly alarms: EntryAlarms;
@@ -18,6 +19,7 @@
 export class SettingsApplier {
   constructor(private readonly options: SettingsApplierOptions) {}
 
+  /** To be called after each change of the settings in force. */
   apply(): void {
     const {settings, alarms, shards, router, limits, clock} = this.options;
     const {fleet} = settings;
--- a/src/entry/settings_branches_store.ts
+++ b/src/entry/settings_branches_store.ts
@@ -19,6 +19,7 @@
   readonly stored?: StoredBranch;
 }
 
+/** What a write of a branch came to. */
 export type BranchChange =
   | {readonly kind: 'written'; readonly content: BranchContent}
   | {readonly kind: 'conflict'; readonly content: BranchContent}
--- a/src/entry/settings_record.ts
+++ b/src/entry/settings_record.ts
@@ -22,6 +22,7 @@
   readonly history: readonly BranchVersion[];
 }
 
+/** Reads a value of the store that `StoredBranch` describes. */
 export function readStoredBranch(value: string): StoredBranch {
   return JSON.parse(value) as StoredBranch;
 }
--- a/src/entry/shards/shard_access.ts
+++ b/src/entry/shards/shard_access.ts
@@ -2,15 +2,15 @@
 import type {EntryLink, LinkFactory} from '../../protocol/links.js';
 import {LinkError} from '../../protocol/link_error.js';
 import {messageOf} from '../../utilities/base_error.js';
-import {apiError} from '../http/api_types.js';
+import {RETRY_AFTER_MILLIS, apiError} from '../http/api_types.js';
 import type {ApiAnswer, ApiCall} from '../http/api_types.js';
+import {apiAnswerOf, forwardRequestOf} from '../http/forwarded_calls.js';
 import type {EntryRoster} from '../membership/entry_roster.js';
 import {shardOfTeam} from './shard_assignment.js';
 import type {ShardClaims} from './shard_claims.js';
 import type {ShardOwner} from './shard_owner.js';
 
 const FORWARD_DEADLINE_MILLIS = 8_000;
-const RETRY_AFTER_MILLIS = 1_000;
 /** Marks a call that another entry passed on, so that it goes no further. */
 export const FORWARDED_HEADER = 'x-forwarded-by-entry';
 
@@ -41,6 +41,7 @@
     return this.forward(call, shard);
   }
 
+  /** Closes the links to the other entries. */
   close(reason: string): void {
     for (const link of this.links.values()) link.close(reason);
     this.links.clear();
@@ -68,22 +69,13 @@
   }
 
   private async send(call: ApiCall, address: string): Promise<ApiAnswer> {
-    const headers = [...call.headers].map(([name, value]) => ({name, value}));
-    headers.push({name: FORWARDED_HEADER, value: this.options.entryId});
-    const reply = await this.linkTo(address).forwardCall(
-      {
-        method: call.method,
-        path: call.target,
-        headers,
-        body: Buffer.from(call.body),
-      },
-      FORWARD_DEADLINE_MILLIS,
+    const request = forwardRequestOf(call, [
+      [FORWARDED_HEADER, this.options.entryId],
+    ]);
+    const link = this.linkTo(address);
+    return apiAnswerOf(
+      await link.forwardCall(request, FORWARD_DEADLINE_MILLIS),
     );
-    return {
-      status: reply.status,
-      headers: reply.headers.map(({name, value}) => [name, value] as const),
-      body: reply.body,
-    };
   }
 
   private linkTo(address: string): EntryLink {
--- a/src/entry/shards/shard_claims.ts
+++ b/src/entry/shards/shard_claims.ts
@@ -40,6 +40,7 @@
     private readonly shardCount: number,
   ) {}
 
+  /** Id of the entry that owns the shard, if any. */
   ownerOf(shard: number): string | undefined {
     return this.owners.get(shard)?.entryId;
   }
@@ -89,11 +90,6 @@
     return {claim, handOver, keep};
   }
 
-  /** A run of this entry that is no more left its record behind. */
-  private isOfEarlierRun(shard: number): boolean {
-    return this.ownerOf(shard) === this.entryId && !this.isOwn(shard);
-  }
-
   /**
    * Claims a free shard, or one of an earlier run of this entry, under the
    * lease; false when someone was faster. The record keeps entries from racing;
@@ -132,6 +128,11 @@
   forgetOwn(): void {
     this.ownNonces.clear();
   }
+
+  /** A run of this entry that is no more left its record behind. */
+  private isOfEarlierRun(shard: number): boolean {
+    return this.ownerOf(shard) === this.entryId && !this.isOwn(shard);
+  }
 }
 
 function ownerKey(shard: number): string {
--- a/src/entry/shards/shard_manager.ts
+++ b/src/entry/shards/shard_manager.ts
@@ -17,6 +17,7 @@
 import {ShardLog} from './shard_log.js';
 import {ShardOwner} from './shard_owner.js';
 
+/** The parts that a ShardManager works with. */
 export interface ShardManagerOptions {
   readonly entryId: string;
   readonly shardCount: number;
@@ -69,7 +70,7 @@
     const entryIds = living.map(entry => entry.entryId);
     const plan = claims.plan(entryIds, clock.now());
     for (const shard of plan.handOver) await this.handOver(shard);
-    for (const shard of plan.claim) await this.takeOver(shard);
+    for (const shard of plan.claim) await this.claim(shard);
     for (const shard of plan.keep) await this.reopen(shard);
   }
 
@@ -110,15 +111,14 @@
     }
   }
 
+  /** Drops owners whose shard the store says belongs to another entry. */
   private dropLost(): void {
-    const {claims, lease} = this.options;
+    const {claims, lease, entryId} = this.options;
     if (!lease.holds()) return;
     for (const [shard, owner] of this.ownersByShard) {
       const ownerId = claims.ownerOf(shard);
-      const foreign = ownerId !== undefined && !claims.isOwn(shard);
-      if (foreign && ownerId !== this.options.entryId) {
-        owner.drop(`entry ${ownerId} owns it`);
-      }
+      if (ownerId === undefined || ownerId === entryId) continue;
+      owner.drop(`entry ${ownerId} owns it`);
     }
   }
 
@@ -126,36 +126,37 @@
     for (const owner of [...this.ownersByShard.values()]) owner.drop(reason);
   }
 
-  private async takeOver(shard: number): Promise<void> {
-    const {claims, lease, logger} = this.options;
+  /** Claims a shard, and replays it unless its owner is still here. */
+  private async claim(shard: number): Promise<void> {
+    const {claims, lease} = this.options;
     const leaseId = lease.currentLeaseId;
-    if (leaseId === undefined || this.takingOver.has(shard)) return;
-    this.takingOver.add(shard);
-    try {
+    if (leaseId === undefined) return;
+    await this.takeOver(shard, async () => {
       const claimed = await claims.claim(shard, leaseId);
-      // After an outage the log of a shard still owned is intact: go on.
+      // An owner that outlived an outage goes on with what it holds. If another
+      // entry has written to the log meanwhile, its next append drops it.
       if (claimed && !this.ownersByShard.has(shard)) await this.open(shard);
-    } catch (error) {
-      logger.event(Events.SHARD_REPLAY_FAILED, {
-        shard,
-        reason: messageOf(error),
-      });
-    } finally {
-      this.takingOver.delete(shard);
-    }
+    });
   }
 
   /** Replays a shard whose claim is still held but whose owner was dropped. */
   private async reopen(shard: number): Promise<void> {
-    if (this.ownersByShard.has(shard) || this.takingOver.has(shard)) return;
+    if (this.ownersByShard.has(shard)) return;
+    await this.takeOver(shard, () => this.open(shard));
+  }
+
+  /** Runs one step for a shard at a time, and logs when it fails. */
+  private async takeOver(
+    shard: number,
+    step: () => Promise<void>,
+  ): Promise<void> {
+    if (this.takingOver.has(shard)) return;
     this.takingOver.add(shard);
     try {
-      await this.open(shard);
+      await step();
     } catch (error) {
-      this.options.logger.event(Events.SHARD_REPLAY_FAILED, {
-        shard,
-        reason: messageOf(error),
-      });
+      const reason = messageOf(error);
+      this.options.logger.event(Events.SHARD_REPLAY_FAILED, {shard, reason});
     } finally {
       this.takingOver.delete(shard);
     }
--- a/src/protocol/grpc_channel.ts
+++ b/src/protocol/grpc_channel.ts
@@ -8,6 +8,7 @@
   ServiceError,
 } from '@grpc/grpc-js';
 import {LinkError} from './link_error.js';
+import {MAXIMUM_MESSAGE_BYTES} from './message_limits.js';
 
 const SILENT_CALLS_BEFORE_REPLACEMENT = 2;
 const NEVER_CONNECTED = /^(No connection established|Name resolution failed)/;
@@ -20,7 +21,7 @@
   'grpc.keepalive_timeout_ms': 3_000,
   'grpc.initial_reconnect_backoff_ms': 100,
   'grpc.max_reconnect_backoff_ms': 2_000,
-  'grpc.max_receive_message_length': 16 * 1024 * 1024,
+  'grpc.max_receive_message_length': MAXIMUM_MESSAGE_BYTES,
 };
 
 type ClientConstructor<Stub extends Client> = new (
--- a/src/protocol/grpc_server.ts
+++ b/src/protocol/grpc_server.ts
@@ -21,6 +21,7 @@
   checkStartAttempts,
   checkStopAttempts,
 } from './message_checks.js';
+import {MAXIMUM_MESSAGE_BYTES} from './message_limits.js';
 import {serverCredentials} from './transport_security.js';
 import type {TransportSecurityFiles} from './transport_security.js';
 
@@ -58,7 +59,7 @@
 /** Serves one role's handlers to other processes. */
 export class GrpcServer {
   private readonly server = new Server({
-    'grpc.max_receive_message_length': 16 * 1024 * 1024,
+    'grpc.max_receive_message_length': MAXIMUM_MESSAGE_BYTES,
   });
 
   constructor(
--- a/src/protocol/links.ts
+++ b/src/protocol/links.ts
@@ -19,8 +19,8 @@
 } from './generated/burdockmoor.js';
 
 /**
- * The calls between processes. Each rejects with a LinkError when no reply came
- * in time; the call may then have taken effect, unless the error says that it
+ * Calls to one entry. Each call of a link rejects with a LinkError when no reply
+ * came in time; it may then have taken effect, unless the error says that it
  * was not sent. Tests put fakes in the place of the gRPC links.
  */
 export interface EntryLink {
@@ -34,6 +34,7 @@
   close(reason: string): void;
 }
 
+/** Calls to one agent; they fail as those of an `EntryLink` do. */
 export interface AgentLink {
   serve(request: ServeRequest): Promise<ServeReply>;
   startAttempts(request: StartAttemptsRequest): Promise<StartAttemptsReply>;
@@ -57,6 +58,7 @@
 /** What an agent answers; the gRPC server and the test fakes call it. */
 export type AgentHandlers = Omit<AgentLink, 'close'>;
 
+/** What is known of a request at its end. */
 export const ServeOutcome = {
   /** The whole answer is here. */
   ANSWERED: 'answered',
--- a/src/protocol/message_checks.ts
+++ b/src/protocol/message_checks.ts
@@ -1,7 +1,4 @@
-/**
- * Checks of received messages at the edge, so that handlers can rely on them.
- * Each throws an InvalidMessageError that names the field.
- */
+/** Checks of received messages at the edge, so that handlers rely on them. */
 import type {
   AttemptName,
   ExchangePeersRequest,
@@ -19,6 +16,7 @@
 const MAXIMUM_ITEMS = 10_000;
 const CONTROL_CHARACTERS = /\p{Cc}/u;
 
+/** @throws InvalidMessageError that names the field at fault. */
 export function checkHeartbeat(request: HeartbeatRequest): void {
   requireName('agent_id', request.agentId);
   requireName('incarnation', request.incarnation);
@@ -33,6 +31,7 @@
   }
 }
 
+/** @throws InvalidMessageError that names the field at fault. */
 export function checkReportAttempts(request: ReportAttemptsRequest): void {
   requireName('agent_id', request.agentId);
   requireName('incarnation', request.incarnation);
@@ -40,15 +39,18 @@
   for (const report of request.reports) requireAttempt(report.name);
 }
 
+/** @throws InvalidMessageError that names the field at fault. */
 export function checkForwardCall(request: ForwardCallRequest): void {
   requireName('method', request.method);
   if (!request.path.startsWith('/')) reject('path', 'does not begin with /');
 }
 
+/** @throws InvalidMessageError that names the field at fault. */
 export function checkExchangePeers(request: ExchangePeersRequest): void {
   requireName('entry_id', request.entryId);
 }
 
+/** @throws InvalidMessageError that names the field at fault. */
 export function checkServe(request: ServeRequest): void {
   requireName('request_id', request.requestId);
   requireName('service', request.service);
@@ -56,6 +58,7 @@
   if (!request.path.startsWith('/')) reject('path', 'does not begin with /');
 }
 
+/** @throws InvalidMessageError that names the field at fault. */
 export function checkStartAttempts(request: StartAttemptsRequest): void {
   requireName('incarnation', request.incarnation);
   requireCount('starts', request.starts);
@@ -65,11 +68,13 @@
   }
 }
 
+/** @throws InvalidMessageError that names the field at fault. */
 export function checkStopAttempts(request: StopAttemptsRequest): void {
   requireCount('stops', request.stops);
   for (const stop of request.stops) requireAttempt(stop.name);
 }
 
+/** @throws InvalidMessageError that names the field at fault. */
 export function checkQueryAttempts(request: QueryAttemptsRequest): void {
   requireCount('names', request.names);
   for (const name of request.names) requireAttempt(name);
