Number the answers to calls that the HTTP parser refuses

Cause: a call that Node's parser hands no request for (a control character in a header, a bad length or chunk, headers over 16 KB, CONNECT, bytes that are not HTTP), one with an unknown "expect" and one without a host got Node's own bare answer, or none, without a result code.

When an earlier call on the same connection still runs, the connection is cut without an answer, since the caller would take the 400 for the answer to the call that runs.

--- a/import_rules.js
+++ b/import_rules.js
@@ -53,6 +53,7 @@
       'node:http',
       'node:https',
       'node:net',
+      'node:stream',
       'node:fs',
     ],
   },
--- a/src/entry/http/api_server.ts
+++ b/src/entry/http/api_server.ts
@@ -4,6 +4,7 @@
 import {ResultCodes} from '../../observability/result_codes.js';
 import {answerOfError, apiError} from './api_types.js';
 import type {ApiAnswer, ApiCall} from './api_types.js';
+import {UnparsedCalls} from './unparsed_calls.js';
 
 const HEADERS_TIMEOUT_MILLIS = 10_000;
 const REQUEST_TIMEOUT_MILLIS = 60_000;
@@ -19,6 +20,7 @@
 /** The HTTP/1.1 server of an entry. */
 export class ApiServer {
   private readonly server: Server;
+  private readonly unparsed: UnparsedCalls;
   private closing = false;
 
   constructor(
@@ -29,9 +31,16 @@
       {
         headersTimeout: HEADERS_TIMEOUT_MILLIS,
         requestTimeout: REQUEST_TIMEOUT_MILLIS,
+        // Checked here, so that the answer has its number.
+        requireHostHeader: false,
       },
       (request, response) => void this.answer(request, response),
     );
+    this.server.on(
+      'checkExpectation',
+      (request, response) => void this.answer(request, response),
+    );
+    this.unparsed = new UnparsedCalls(this.server);
   }
 
   /** Listens and resolves to the port; port 0 takes a free one. */
@@ -84,9 +93,16 @@
   }
 
   private async handle(request: IncomingMessage): Promise<ApiAnswer> {
+    checkHost(request);
     const call = parseTarget(request);
     const body = await this.readBody(request);
-    return this.handler({...call, body});
+    const {socket} = request;
+    this.unparsed.begin(socket);
+    try {
+      return await this.handler({...call, body});
+    } finally {
+      this.unparsed.end(socket);
+    }
   }
 
   private async readBody(request: IncomingMessage): Promise<Uint8Array> {
@@ -106,6 +122,11 @@
   }
 }
 
+function checkHost({headers, httpVersion}: IncomingMessage): void {
+  if (headers.host !== undefined || httpVersion === '1.0') return;
+  throw apiError(ResultCodes.BAD_REQUEST, 'Header host is missing.');
+}
+
 function parseTarget(request: IncomingMessage): Omit<ApiCall, 'body'> {
   const target = request.url ?? '/';
   const [path, queryText = ''] = target.split('?', 2);
