--- a/tests/history/faults.ts
+++ b/tests/history/faults.ts
@@ -12,8 +12,6 @@
 const STORE_SLOW_MILLIS = 15_000;
 const STORE_EXTRA_DELAY_MILLIS = 900;
 const BROKEN_MILLIS = 10_000;
-/** Longer than any call waits, so that a message is late and not just slow. */
-const SILENT_AGE_MILLIS = 0;
 
 /** What a fault is done to. */
 export interface FaultTarget {
@@ -95,7 +93,7 @@
   },
   'connections silent': target => {
     const {fleet, entry, vm} = target;
-    const until = fleet.clock.now() - SILENT_AGE_MILLIS;
+    const until = fleet.clock.now();
     const {silentUntil} = fleet.network;
     silentUntil.set(`${entry.options.id}>${vm.options.id}`, until);
     silentUntil.set(`${vm.options.id}>${entry.options.id}`, until);
--- a/tests/history/virtual_network.ts
+++ b/tests/history/virtual_network.ts
@@ -1,7 +1,5 @@
 import type {
-  AgentHandlers,
   AgentLink,
-  EntryHandlers,
   EntryLink,
   LinkFactory,
 } from '../../src/protocol/links.js';
@@ -229,6 +227,3 @@
     props: {notSent},
   });
 }
-
-/** For type checks only: what nodes serve. */
-export type NodeHandlers = EntryHandlers | AgentHandlers;
