Type what a try came to, and join calls of the command-line tool

An answered try carried result code INTERNAL and a reason that nobody read, since one shape stood for answers and failures; it is a union now.

--- a/src/cli/domain_commands.ts
+++ b/src/cli/domain_commands.ts
@@ -1,5 +1,5 @@
-import type {FailureDomain, SettingsBranch} from './api_types.js';
-import {showChange} from './settings_change.js';
+import type {FailureDomain} from './api_types.js';
+import {changeFleet} from './settings_change.js';
 import {waitOptionsOf} from './settings_commands.js';
 import {formatTable} from './table.js';
 import {WAIT_ARGUMENTS, defineToolCommand} from './tool_command.js';
@@ -58,12 +58,8 @@
     },
     async run(session, args) {
       const path = `${PATH}/${encodeURIComponent(args.domain)}/${name}`;
-      const headers = {'x-author': session.author};
-      const branch = await session.client.change<SettingsBranch>('POST', path, {
-        headers,
-      });
       const what = `Failure domain ${args.domain} ${done}`;
-      await showChange(session, branch, what, waitOptionsOf(args));
+      await changeFleet(session, path, what, waitOptionsOf(args));
     },
   });
 }
--- a/src/cli/job_commands.ts
+++ b/src/cli/job_commands.ts
@@ -4,15 +4,16 @@
 import {
   NAME_ARGUMENT,
   TEAM_ARGUMENT,
-  collectionPath,
   endCommand,
   explainCommand,
   listCommand,
   showCommand,
+  showUntilEnd,
+  submitWork,
   workPath,
 } from './work_commands.js';
 import type {WorkKind} from './work_commands.js';
-import {formatJob, throwUnlessEndedAs, waitForEnd} from './work_output.js';
+import {formatJob} from './work_output.js';
 import {SUBMISSION_ARGUMENTS, submissionOf} from './work_submission.js';
 
 /** `burdockmoor job …` */
@@ -57,22 +58,11 @@
     ...WAIT_ARGUMENTS,
   },
   async run(session, args) {
-    const body = JSON.stringify(submissionOf(args.name, args));
-    const collection = collectionPath(JOB, args.team);
-    const headers = {'content-type': 'application/json'};
-    const submitted = await session.client.change<Job>('POST', collection, {
-      headers,
-      body,
-    });
-    const options = waitOptionsOf(args);
-    if (!options.wait) {
-      session.show(submitted, formatJob(submitted));
-      return;
-    }
+    const body = submissionOf(args.name, args);
+    const submitted = await submitWork(session, JOB, args.team, body);
     const path = workPath(JOB, args.team, args.name);
-    const ended = await waitForEnd(session, path, options.timeoutSeconds);
-    session.show(ended, formatJob(ended));
-    throwUnlessEndedAs(ended, 'finished');
+    const options = waitOptionsOf(args);
+    await showUntilEnd(session, submitted, path, 'finished', options);
   },
 });
 
--- a/src/cli/settings_change.ts
+++ b/src/cli/settings_change.ts
@@ -61,6 +61,20 @@
   return JSON.parse(answer.text) as SettingsBranch;
 }
 
+/** Makes a call that changes the fleet branch, and shows what became of it. */
+export async function changeFleet(
+  session: ToolSession,
+  path: string,
+  what: string,
+  options: WaitOptions,
+): Promise<void> {
+  const headers = {'x-author': session.author};
+  const branch = await session.client.change<SettingsBranch>('POST', path, {
+    headers,
+  });
+  await showChange(session, branch, what, options);
+}
+
 /** Shows an accepted change, after the wait if one was asked for. */
 export async function showChange(
   session: ToolSession,
--- a/src/cli/vm_commands.ts
+++ b/src/cli/vm_commands.ts
@@ -1,5 +1,5 @@
-import type {SettingsBranch, Vm} from './api_types.js';
-import {showChange} from './settings_change.js';
+import type {Vm} from './api_types.js';
+import {changeFleet} from './settings_change.js';
 import {waitOptionsOf} from './settings_commands.js';
 import {formatTable, orHyphen} from './table.js';
 import {WAIT_ARGUMENTS, defineToolCommand} from './tool_command.js';
@@ -72,16 +72,8 @@
     },
     async run(session, args) {
       const path = `${PATH}/${encodeURIComponent(args.vm)}/${name}`;
-      const headers = {'x-author': session.author};
-      const branch = await session.client.change<SettingsBranch>('POST', path, {
-        headers,
-      });
-      await showChange(
-        session,
-        branch,
-        `VM ${args.vm} ${done}`,
-        waitOptionsOf(args),
-      );
+      const what = `VM ${args.vm} ${done}`;
+      await changeFleet(session, path, what, waitOptionsOf(args));
     },
   });
 }
--- a/src/cli/watcher_commands.ts
+++ b/src/cli/watcher_commands.ts
@@ -1,13 +1,12 @@
-import type {Job} from './api_types.js';
 import {defineToolCommand} from './tool_command.js';
 import {
   NAME_ARGUMENT,
   TEAM_ARGUMENT,
-  collectionPath,
   endCommand,
   explainCommand,
   listCommand,
   showCommand,
+  submitWork,
 } from './work_commands.js';
 import type {WorkKind} from './work_commands.js';
 import {formatJob} from './work_output.js';
@@ -34,13 +33,8 @@
     'burdockmoor watcher open asantewaa freezer-van-7 --processors 0.1 --memory-megabytes 64',
   args: {team: TEAM_ARGUMENT, name: NAME_ARGUMENT, ...SUBMISSION_ARGUMENTS},
   async run(session, args) {
-    const body = JSON.stringify(submissionOf(args.name, args));
-    const path = collectionPath(WATCHER, args.team);
-    const headers = {'content-type': 'application/json'};
-    const opened = await session.client.change<Job>('POST', path, {
-      headers,
-      body,
-    });
+    const body = submissionOf(args.name, args);
+    const opened = await submitWork(session, WATCHER, args.team, body);
     session.show(opened, formatJob(opened));
   },
 });
--- a/src/cli/work_commands.ts
+++ b/src/cli/work_commands.ts
@@ -1,4 +1,5 @@
 import type {Job, JobExplanation} from './api_types.js';
+import type {WaitOptions} from './settings_change.js';
 import {waitOptionsOf} from './settings_commands.js';
 import {
   WAIT_ARGUMENTS,
@@ -6,6 +7,7 @@
   wholeNumber,
 } from './tool_command.js';
 import type {ToolCommand} from './tool_command.js';
+import type {ToolSession} from './tool_session.js';
 import {
   formatExplanation,
   formatJob,
@@ -39,7 +41,7 @@
   required: true,
 } as const;
 
-export function collectionPath(kind: WorkKind, team: string): string {
+function collectionPath(kind: WorkKind, team: string): string {
   return `/v1/teams/${encodeURIComponent(team)}/${kind.collection}`;
 }
 
@@ -104,6 +106,36 @@
   });
 }
 
+/** Submits what the body describes, or finds it as submitted before. */
+export function submitWork(
+  session: ToolSession,
+  kind: WorkKind,
+  team: string,
+  body: object,
+): Promise<Job> {
+  return session.client.change<Job>('POST', collectionPath(kind, team), {
+    headers: {'content-type': 'application/json'},
+    body: JSON.stringify(body),
+  });
+}
+
+/** Shows a change; after a wait for the end, throws unless it ended so. */
+export async function showUntilEnd(
+  session: ToolSession,
+  changed: Job,
+  path: string,
+  ending: Parameters<typeof throwUnlessEndedAs>[1],
+  options: WaitOptions,
+): Promise<void> {
+  if (!options.wait) {
+    session.show(changed, formatJob(changed));
+    return;
+  }
+  const ended = await waitForEnd(session, path, options.timeoutSeconds);
+  session.show(ended, formatJob(ended));
+  throwUnlessEndedAs(ended, ending);
+}
+
 /** `job cancel` and `watcher close`. */
 export function endCommand(kind: WorkKind): ToolCommand {
   return defineToolCommand({
@@ -129,13 +161,7 @@
         {body},
       );
       const options = waitOptionsOf(args);
-      if (!options.wait) {
-        session.show(changed, formatJob(changed));
-        return;
-      }
-      const ended = await waitForEnd(session, path, options.timeoutSeconds);
-      session.show(ended, formatJob(ended));
-      throwUnlessEndedAs(ended, 'cancelled');
+      await showUntilEnd(session, changed, path, 'cancelled', options);
     },
   });
 }
--- a/src/entry/requests/caller_answer.ts
+++ b/src/entry/requests/caller_answer.ts
@@ -1,36 +1,46 @@
+import type {ServeReply} from '../../protocol/generated/burdockmoor.js';
 import {ServeOutcome} from '../../protocol/links.js';
 import {failureAnswer} from '../http/api_types.js';
 import type {ApiAnswer} from '../http/api_types.js';
 import type {CallerRequest} from './caller_request.js';
 import {HOP_HEADERS} from './hop_headers.js';
-import type {TryResult} from './try_result.js';
+import type {FailedTry, TryResult} from './try_result.js';
 
 const DEFAULT_RETRY_AFTER_MILLIS = 500;
 
 /** The final answer of the API to a request that came to this result. */
 export function toAnswer(request: CallerRequest, result: TryResult): ApiAnswer {
-  const idHeader = ['x-request-id', request.requestId] as const;
-  const {reply, outcome, code, reason} = result;
-  if (outcome === ServeOutcome.ANSWERED && reply) {
-    const headers = reply.headers
-      .filter(header => !HOP_HEADERS.has(header.name.toLowerCase()))
-      .map(header => [header.name, header.value] as const);
-    return {
-      status: reply.status,
-      headers: [...headers, idHeader, ['x-outcome', outcome]],
-      body: reply.body,
-    };
-  }
+  const answer =
+    result.outcome === ServeOutcome.ANSWERED
+      ? passedOn(result.reply)
+      : failureOf(request, result);
+  const {headers} = answer;
+  return {
+    ...answer,
+    headers: [
+      ...headers,
+      ['x-request-id', request.requestId],
+      ['x-outcome', result.outcome],
+    ],
+  };
+}
+
+function passedOn(reply: ServeReply): ApiAnswer {
+  const headers = reply.headers
+    .filter(header => !HOP_HEADERS.has(header.name.toLowerCase()))
+    .map(header => [header.name, header.value] as const);
+  return {status: reply.status, headers, body: reply.body};
+}
+
+/** Only a request that did not run is told when to come back. */
+function failureOf(request: CallerRequest, result: FailedTry): ApiAnswer {
+  const {outcome, code, reason} = result;
   const retryAfterMillis =
     outcome === ServeOutcome.NOT_RUN
       ? result.retryAfterMillis || DEFAULT_RETRY_AFTER_MILLIS
       : undefined;
-  const answer = failureAnswer(code, `${code.meaning} (${reason})`, {
+  return failureAnswer(code, `${code.meaning} (${reason})`, {
     details: {outcome, requestId: request.requestId},
     retryAfterMillis,
   });
-  return {
-    ...answer,
-    headers: [...answer.headers, idHeader, ['x-outcome', outcome]],
-  };
 }
--- a/src/entry/requests/caller_request_reader.ts
+++ b/src/entry/requests/caller_request_reader.ts
@@ -18,6 +18,7 @@
   'PUT',
   'DELETE',
 ]);
+
 /**
  * Reads a service request from a call of `/v1/services/<service>/<path>`.
  *
--- a/src/entry/requests/request_forwarder.ts
+++ b/src/entry/requests/request_forwarder.ts
@@ -10,7 +10,7 @@
 import {HedgedTry} from './hedged_try.js';
 import type {RequestObserver} from './request_observer.js';
 import {notRun, unknown} from './try_result.js';
-import type {TryResult} from './try_result.js';
+import type {FailedTry, TryResult} from './try_result.js';
 import {UpstreamTry} from './upstream_try.js';
 
 const MAXIMUM_TRIES = 3;
@@ -62,7 +62,7 @@
   ): Promise<TryResult> {
     const deadlineAt = startedAt + request.deadlineMillis;
     const tried = new Set<string>();
-    let last: TryResult | undefined;
+    let last: FailedTry | undefined;
     let mayHaveRun = false;
     for (let trial = 0; trial < MAXIMUM_TRIES; trial++) {
       const now = this.clock.now();
@@ -79,7 +79,7 @@
 
   private mayTryAgain(
     request: CallerRequest,
-    last: TryResult,
+    last: FailedTry,
     now: number,
     deadlineAt: number,
   ): boolean {
@@ -91,9 +91,9 @@
   /** An earlier try that may have run makes the whole request unknown. */
   private finalFailure(
     request: CallerRequest,
-    last: TryResult | undefined,
+    last: FailedTry | undefined,
     mayHaveRun: boolean,
-  ): TryResult {
+  ): FailedTry {
     if (!last) return notRun(ResultCodes.DEADLINE_PASSED, 'no time left', 0);
     if (!mayHaveRun || last.outcome === ServeOutcome.UNKNOWN) return last;
     return unknown(
--- a/src/entry/requests/try_result.ts
+++ b/src/entry/requests/try_result.ts
@@ -4,26 +4,37 @@
 import {ServeOutcome} from '../../protocol/links.js';
 import type {CallerRequest} from './caller_request.js';
 
-/** What one try on one agent came to. */
-export interface TryResult {
-  readonly outcome: ServeOutcome;
+/** A try that brought the whole answer. */
+export interface AnsweredTry {
+  readonly outcome: typeof ServeOutcome.ANSWERED;
+  readonly reply: ServeReply;
+}
+
+/** A try that brought no answer, and why. */
+export interface FailedTry {
+  readonly outcome: typeof ServeOutcome.NOT_RUN | typeof ServeOutcome.UNKNOWN;
   readonly code: ResultCode;
   readonly reason: string;
+  /** When another try may do better; 0 while nothing is known of that. */
   readonly retryAfterMillis: number;
+  /** What the agent said, if it said anything. */
   readonly reply?: ServeReply;
 }
 
-/** A try that has certainly not run; `retryAfterMillis` of 0 says nothing. */
+/** What one try on one agent came to. */
+export type TryResult = AnsweredTry | FailedTry;
+
+/** A try that has certainly not run. */
 export function notRun(
   code: ResultCode,
   reason: string,
   retryAfterMillis: number,
-): TryResult {
+): FailedTry {
   return {outcome: ServeOutcome.NOT_RUN, code, reason, retryAfterMillis};
 }
 
 /** A try that may have run. */
-export function unknown(reason: string): TryResult {
+export function unknown(reason: string): FailedTry {
   return {
     outcome: ServeOutcome.UNKNOWN,
     code: ResultCodes.OUTCOME_UNKNOWN,
@@ -41,13 +52,8 @@
     return unknown(`the answer belongs to request ${reply.requestId}`);
   }
   const {outcome, reason, retryAfterMillis} = reply;
-  if (outcome === ServeOutcome.ANSWERED) {
-    const code = ResultCodes.INTERNAL;
-    return {outcome, code, reason, retryAfterMillis, reply};
-  }
-  if (outcome !== ServeOutcome.NOT_RUN) {
-    return {...unknown(reason), reply};
-  }
+  if (outcome === ServeOutcome.ANSWERED) return {outcome, reply};
+  if (outcome !== ServeOutcome.NOT_RUN) return {...unknown(reason), reply};
   const code = codeOf(reply.resultCode) ?? ResultCodes.NO_UPSTREAM;
   return {outcome, code, reason, retryAfterMillis, reply};
 }
