Answer a forwarded call with a badly encoded path as 400

Cause: forwardCall decoded the path outside the part that turns errors into numbered answers, so that a path like /%ff became a gRPC INTERNAL error and an UNEXPECTED_FAULT in the log.

--- a/src/entry/entry_process.ts
+++ b/src/entry/entry_process.ts
@@ -273,15 +273,7 @@
   }
 
   async forwardCall(request: ForwardCallRequest): Promise<ForwardCallReply> {
-    const [path, queryText = ''] = request.path.split('?', 2);
-    const answer = await this.call({
-      method: request.method,
-      target: request.path,
-      segments: decodeSegments(path),
-      query: new URLSearchParams(queryText),
-      headers: new Map(request.headers.map(({name, value}) => [name, value])),
-      body: request.body,
-    });
+    const answer = await this.callForwarded(request).catch(answerOfError);
     return {
       status: answer.status,
       headers: answer.headers.map(([name, value]) => ({name, value})),
@@ -321,6 +313,19 @@
     };
   }
 
+  /** Rejects with an ApiError when the path is badly encoded. */
+  private async callForwarded(request: ForwardCallRequest): Promise<ApiAnswer> {
+    const [path, queryText = ''] = request.path.split('?', 2);
+    return this.call({
+      method: request.method,
+      target: request.path,
+      segments: decodeSegments(path),
+      query: new URLSearchParams(queryText),
+      headers: new Map(request.headers.map(({name, value}) => [name, value])),
+      body: request.body,
+    });
+  }
+
   private createTickers(): ReadonlyArray<Ticker<EntryTick>> {
     const {clock} = this.options;
     return [
