--- a/src/entry/entry_process.ts
+++ b/src/entry/entry_process.ts
@@ -15,6 +15,7 @@
 import {createEntryParts} from './entry_parts.js';
 import type {EntryParts} from './entry_parts.js';
 import type {EntryProcessOptions} from './entry_process_options.js';
+import {answerOfError} from './http/api_types.js';
 import type {ApiAnswer, ApiCall} from './http/api_types.js';
 import {apiCallOf, forwardReplyOf} from './http/forwarded_calls.js';
 import {dumpEntry} from './queries/entry_dump.js';
@@ -84,11 +85,17 @@
 
   /** Answers a call of the HTTP API that another entry has passed on. */
   async forwardCall(request: ForwardCallRequest): Promise<ForwardCallReply> {
-    return forwardReplyOf(await this.call(apiCallOf(request)));
+    const answer = await this.callForwarded(request).catch(answerOfError);
+    return forwardReplyOf(answer);
   }
 
   /** The state of this process, for operators. */
   dumpState(): unknown {
     return dumpEntry(this.options, this.parts);
   }
+
+  /** Rejects with an ApiError when the path is badly encoded. */
+  private async callForwarded(request: ForwardCallRequest): Promise<ApiAnswer> {
+    return this.call(apiCallOf(request));
+  }
 }
