--- a/src/entry/agents/agent_directory.ts
+++ b/src/entry/agents/agent_directory.ts
@@ -28,14 +28,17 @@
 
   constructor(private readonly links: LinkFactory) {}
 
+  /** The agent as last heard, however long ago that was. */
   find(agentId: string): AgentRecord | undefined {
     return this.agents.get(agentId);
   }
 
+  /** All agents, silent ones too. */
   all(): Iterable<AgentRecord> {
     return this.agents.values();
   }
 
+  /** How many agents there are, silent ones too. */
   get size(): number {
     return this.agents.size;
   }
--- a/src/entry/agents/heartbeat_responder.ts
+++ b/src/entry/agents/heartbeat_responder.ts
@@ -31,6 +31,7 @@
     },
   ) {}
 
+  /** Takes the heartbeat in and answers it; it needs no call to the store. */
   answer(request: HeartbeatRequest): HeartbeatReply {
     const {agents, settings, clock} = this.options;
     const now = clock.now();
--- a/src/entry/agents/report_recorder.ts
+++ b/src/entry/agents/report_recorder.ts
@@ -13,6 +13,7 @@
     private readonly clock: Clock,
   ) {}
 
+  /** Resolves once the log holds the reports, or the shard is lost here. */
   async record(request: ReportAttemptsRequest): Promise<ReportAttemptsReply> {
     const owner = this.owned.get(request.shard);
     if (!owner || owner.dropped) return {recorded: [], notOwner: true};
--- a/src/entry/alarms/ejection_alarms.ts
+++ b/src/entry/alarms/ejection_alarms.ts
@@ -15,6 +15,7 @@
     private readonly logger: Logger,
   ) {}
 
+  /** To be called every second or so. */
   check(now: number): void {
     const ejected = new Map<string, ReadonlySet<string>>();
     for (const [service, vms] of this.router.ejected(now)) {
--- a/src/entry/alarms/quarantine_alarms.ts
+++ b/src/entry/alarms/quarantine_alarms.ts
@@ -13,6 +13,7 @@
 
   constructor(private readonly logger: Logger) {}
 
+  /** To be called every second or so. */
   check(owners: Iterable<QuarantiningOwner>, now: number): void {
     const quarantined = new Map<number, ReadonlySet<string>>();
     for (const {shard, scheduler} of owners) {
--- a/src/entry/alarms/upstream_alarms.ts
+++ b/src/entry/alarms/upstream_alarms.ts
@@ -32,6 +32,7 @@
     private readonly logger: Logger,
   ) {}
 
+  /** To be called every second or so. */
   check(now: number): void {
     const silent = new Set(this.agents.silent(now).map(agent => agent.agentId));
     const open = new Map<string, boolean>();
--- a/src/entry/entry_loop.ts
+++ b/src/entry/entry_loop.ts
@@ -45,6 +45,7 @@
     await this.refreshMembership();
   }
 
+  /** Ends the ticking; what is under way goes on. */
   dispose(): void {
     for (const ticker of this.tickers) ticker.dispose();
   }
--- a/src/entry/http/job_submission.ts
+++ b/src/entry/http/job_submission.ts
@@ -38,6 +38,7 @@
     }
   }
 
+  /** A name as `NAME` allows it. */
   name(field: string, absent?: string): string {
     const value = this.fields[field] ?? absent;
     if (typeof value === 'string' && NAME.test(value)) return value;
@@ -58,6 +59,7 @@
     return '';
   }
 
+  /** A whole number between the bounds, both included. */
   whole(field: string, from: number, to: number, absent: number): number {
     const value = this.fields[field] ?? absent;
     const fits =
--- a/src/entry/membership/entry_roster.ts
+++ b/src/entry/membership/entry_roster.ts
@@ -28,10 +28,12 @@
     return this.ownRevision > 0;
   }
 
+  /** The entry of this id, if it lived when the list was read. */
   find(entryId: string): EntryRecord | undefined {
     return this.entries.get(entryId);
   }
 
+  /** All entries, this one and those that stop included. */
   all(): readonly EntryRecord[] {
     return [...this.entries.values()];
   }
--- a/src/entry/membership/peer_exchange.ts
+++ b/src/entry/membership/peer_exchange.ts
@@ -46,6 +46,7 @@
     );
   }
 
+  /** Answers the question of another entry with the settings that it lacks. */
   answer(request: ExchangePeersRequest): ExchangePeersReply {
     const {settings, entryId, statuses, clock} = this.options;
     const now = clock.now();
@@ -59,6 +60,7 @@
     };
   }
 
+  /** Closes the links to the other entries. */
   close(reason: string): void {
     for (const {link} of this.links.values()) link.close(reason);
     this.links.clear();
--- a/src/entry/membership/process_statuses.ts
+++ b/src/entry/membership/process_statuses.ts
@@ -30,10 +30,12 @@
     private readonly isServing: (entryId: string) => boolean,
   ) {}
 
+  /** Takes in what another entry told of itself. */
   notePeer(entryId: string, settingsRevision: number, now: number): void {
     this.peers.set(entryId, {settingsRevision, heardAt: now});
   }
 
+  /** This entry, the other entries, and the agents that report here. */
   all(now: number): ProcessStatus[] {
     const statuses: ProcessStatus[] = [this.ownStatus()];
     for (const [processId, peer] of this.peers) {
--- a/src/entry/shards/shard_log.ts
+++ b/src/entry/shards/shard_log.ts
@@ -71,6 +71,7 @@
     return this.nextSequence;
   }
 
+  /** Whether enough was appended since the last snapshot. */
   get snapshotIsDue(): boolean {
     const appended = this.nextSequence - 1 - this.snapshotSequence;
     return appended >= SNAPSHOT_AFTER_APPENDS;
--- a/src/entry/shards/shard_owner.ts
+++ b/src/entry/shards/shard_owner.ts
@@ -97,10 +97,12 @@
     );
   }
 
+  /** Whether the shard was let go of; an owner never takes it up again. */
   get dropped(): boolean {
     return this.droppedReason !== undefined;
   }
 
+  /** Group commits since the take-over. */
   get commitCount(): number {
     return this.commits;
   }
--- a/src/protocol/grpc_channel.ts
+++ b/src/protocol/grpc_channel.ts
@@ -78,6 +78,7 @@
     });
   }
 
+  /** Closes the connection; no call may follow. */
   close(): void {
     this.closed = true;
     this.stub.close();
--- a/src/protocol/grpc_server.ts
+++ b/src/protocol/grpc_server.ts
@@ -67,6 +67,7 @@
     private readonly options: {security?: TransportSecurityFiles} = {},
   ) {}
 
+  /** Adds the calls of an entry; to be called before `listen`. */
   serveEntry(handlers: EntryHandlers): void {
     const {observer} = this;
     const implementation: EntryServiceServer = {
@@ -94,6 +95,7 @@
     this.server.addService(EntryServiceService, implementation);
   }
 
+  /** Adds the calls of an agent; to be called before `listen`. */
   serveAgent(handlers: AgentHandlers): void {
     const {observer} = this;
     const implementation: AgentServiceServer = {
