Register again whenever the roster does not show this run as it is

Cause: an entry registered once counted as registered for good. A registration that failed under a new lease, or a stop announced while one was under way, was never made up for: the entry went on unseen, or was seen as staying. The roster that is read every second now decides. Found by reading; the tests were not run against the code before.

--- a/src/entry/membership/entry_membership.ts
+++ b/src/entry/membership/entry_membership.ts
@@ -52,8 +52,8 @@
     if (this.refreshing) return false;
     this.refreshing = true;
     try {
-      if (!this.roster.registered) await this.register();
       await this.roster.refresh();
+      if (!this.isListed()) await this.register();
       await this.claims.refresh(this.options.clock.now());
     } catch {
       // The settings follower reports that the store can't be reached.
@@ -79,6 +79,13 @@
     }
   }
 
+  /** Whether the roster shows this run of the entry as it is now. */
+  private isListed(): boolean {
+    const {entryId, nonce} = this.options.record;
+    const listed = this.roster.find(entryId);
+    return listed?.nonce === nonce && listed.stopping === this.leaving;
+  }
+
   private async register(): Promise<void> {
     const leaseId = this.lease.currentLeaseId;
     if (leaseId === undefined || this.registering) return;
--- a/src/entry/membership/entry_roster.ts
+++ b/src/entry/membership/entry_roster.ts
@@ -19,15 +19,9 @@
 /** The entries that live, as the store last told. */
 export class EntryRoster {
   private readonly entries = new Map<string, EntryRecord>();
-  private ownRevision = 0;
 
   constructor(private readonly store: Store) {}
 
-  /** Whether this run has registered itself. */
-  get registered(): boolean {
-    return this.ownRevision > 0;
-  }
-
   /** The entry of this id, if it lived when the list was read. */
   find(entryId: string): EntryRecord | undefined {
     return this.entries.get(entryId);
@@ -50,7 +44,6 @@
       {leaseId},
     );
     if (!result.succeeded) return;
-    this.ownRevision = result.revision;
     this.entries.set(record.entryId, record);
   }
 
