Fuzz every gRPC message of entries and agents

Each call gets 300 messages from a fixed seed: random bytes, drawn messages whole, cut, or with a byte changed. A call must end with a reply, INTERNAL (undecodable) or INVALID_ARGUMENT, the handlers must report no fault, and a job or a running task from before must still be there.

Messages of a newer owner (shard 1, epoch over 5) are left out for the agent: it has to obey them, and the first run lost the kept task ("the lease of the task lapsed") until they were left out. That this was the cause is concluded from the run with the filter passing; nothing else changed.

--- /dev/null
+++ b/tests/fuzz/grpc_messages.test.ts
@@ -0,0 +1,265 @@
+import {Client, credentials, status} from '@grpc/grpc-js';
+import type {ServiceDefinition} from '@grpc/grpc-js';
+import test from 'ava';
+import fc from 'fast-check';
+import {
+  AgentServiceService,
+  EntryServiceService,
+  HeartbeatRequest,
+} from '../../src/protocol/generated/burdockmoor.js';
+import {GrpcServer} from '../../src/protocol/grpc_server.js';
+import {AgentFixture, TASK_SIZE} from '../agent/fixtures/agent_fixture.js';
+import {FakeExecutor} from '../agent/fixtures/fake_executor.js';
+import {jobStatus, startEntry} from './entry_fixture.js';
+
+/** A reply, a message that can't be decoded, and one with a bad field. */
+const ANSWERED: ReadonlySet<number> = new Set([
+  status.OK,
+  status.INTERNAL,
+  status.INVALID_ARGUMENT,
+]);
+
+const text = fc.oneof(
+  fc.constantFrom('', 'vm-1', 'depot', 'kept', 'run-1', 'tema', 'finished'),
+  fc.constantFrom('__proto__', 'a'.repeat(300), '/v1/vms', '/%ff', 'GET'),
+  fc.string({unit: 'binary'}),
+);
+const small = fc.constantFrom(0, 1, 2, 5, 7, 2 ** 32 - 1);
+const large = fc.oneof(small, fc.constant(Number.MAX_SAFE_INTEGER));
+const real = fc.oneof(fc.constantFrom(0, 1, NaN, -1, Infinity), fc.double());
+const size = fc.option(
+  fc.record({
+    milliprocessors: small,
+    memoryMegabytes: small,
+    accelerators: small,
+  }),
+  {nil: undefined},
+);
+const flag = fc.boolean();
+const address = fc.constantFrom(
+  ...['127.0.0.1:1', '', ':', '::', '[::1', 'a b', 'x://y', '%', '#', '1:2:3'],
+);
+const several = <T>(item: fc.Arbitrary<T>) => fc.array(item, {maxLength: 3});
+const wholeName = fc.record({
+  ...{team: text, job: text, task: small, attempt: small},
+});
+const name = fc.option(wholeName, {nil: undefined});
+const header = fc.record({name: text, value: text});
+const executor = fc.record({
+  ...{service: text, team: text, slots: small, inFlight: small, queued: small},
+  ...{serviceMillis: real, tailMillis: real, draining: flag},
+  unavailable: flag,
+});
+const report = fc.record({
+  ...{name, outcome: text, checkpoint: text, result: text, reason: text},
+  ...{resultCode: small, ranMillis: large, used: size},
+});
+const start = fc.record({
+  ...{name, kind: text, size, urgent: flag, payload: text, checkpoint: text},
+  ...{expectedRunMillis: large, watcher: flag, evictable: flag},
+});
+/** Shard 1 has an owner, whose epoch is 5; a higher one would fence it. */
+const owner = fc.oneof(
+  fc.record({shard: fc.constant(1), epoch: fc.constantFrom(0, 4, 5)}),
+  fc.record({shard: fc.constantFrom(0, 2, 2 ** 32 - 1), epoch: large}),
+);
+const withOwner = <T extends object>(fields: fc.Arbitrary<T>) =>
+  fc.tuple(owner, fields).map(([first, second]) => ({...first, ...second}));
+
+/** Well-formed messages with drawn fields, by the name of the call. */
+const MESSAGES: Readonly<Record<string, fc.Arbitrary<object>>> = {
+  heartbeat: fc.record({
+    ...{agentId: text, incarnation: text, failureDomain: text, region: text},
+    ...{rack: text, address, sequence: large, agentTime: large},
+    ...{capacity: size, committed: size, executors: several(executor)},
+    ...{settingsRevision: large, branches: several(text), draining: flag},
+    ...{runningAttempts: small, used: size, stopping: flag, recovering: flag},
+    interference: several(
+      fc.record({service: text, taskKind: text, slowdown: real}),
+    ),
+  }),
+  reportAttempts: fc.record({
+    ...{agentId: text, incarnation: text, shard: small},
+    reports: several(report),
+  }),
+  forwardCall: fc.record({
+    ...{method: text, path: text, headers: several(header)},
+    body: fc.uint8Array(),
+  }),
+  exchangePeers: fc.record({
+    ...{entryId: text, settingsRevision: large, settingsAgeMillis: small},
+  }),
+  serve: fc.record({
+    ...{requestId: text, service: text, team: text, method: text, path: text},
+    ...{headers: several(header), body: fc.uint8Array()},
+    ...{deadlineMillis: fc.nat(5_000), idempotent: flag},
+  }),
+  startAttempts: withOwner(
+    fc.record({
+      ...{agentId: text, incarnation: text, agentTime: large},
+      ...{settingsRevision: small, starts: several(start)},
+    }),
+  ),
+  stopAttempts: withOwner(
+    fc.record({
+      stops: several(fc.record({name, checkpoint: flag, reason: text})),
+    }),
+  ),
+  queryAttempts: withOwner(fc.record({names: several(wholeName)})),
+  dumpState: fc.constant({}),
+};
+
+/** Calls a server with bytes; resolves to the gRPC status, 0 for a reply. */
+class RawClient {
+  readonly faults: string[] = [];
+  readonly server = new GrpcServer({
+    onFault: message => void this.faults.push(message),
+  });
+  private client!: Client;
+
+  async start(): Promise<void> {
+    const port = await this.server.listen('127.0.0.1:0');
+    this.client = new Client(`127.0.0.1:${port}`, credentials.createInsecure());
+  }
+
+  call(service: ServiceDefinition, method: string, bytes: Uint8Array) {
+    const {path, responseDeserialize} = service[method];
+    return new Promise<number>(resolve =>
+      this.client.makeUnaryRequest(
+        path,
+        (value: Uint8Array) => Buffer.from(value),
+        responseDeserialize,
+        bytes,
+        {deadline: Date.now() + 20_000},
+        error => resolve(error?.code ?? 0),
+      ),
+    );
+  }
+
+  async close(): Promise<void> {
+    this.client.close();
+    await this.server.close();
+  }
+}
+
+/** Random bytes, or a drawn message whole, cut or with a byte changed. */
+function bytesFor(service: ServiceDefinition, method: string) {
+  const whole = MESSAGES[method].map(drawn =>
+    Uint8Array.from(service[method].requestSerialize(drawn)),
+  );
+  const broken = fc.tuple(whole, fc.nat(), fc.nat(255), flag);
+  return fc.oneof(
+    {arbitrary: whole, weight: 3},
+    fc.uint8Array({maxLength: 200}),
+    broken.map(([bytes, at, value, cut]) => {
+      const index = at % (bytes.length + 1);
+      if (cut) return bytes.slice(0, index);
+      const changed = Uint8Array.from(bytes);
+      changed.fill(value, index, index + 1);
+      return changed;
+    }),
+  );
+}
+
+/** Whether the message is that of a newer owner, whom the agent must obey. */
+function isNewerOwner(
+  service: ServiceDefinition,
+  method: string,
+  bytes: Uint8Array,
+): boolean {
+  try {
+    const message = service[method].requestDeserialize(Buffer.from(bytes));
+    const {shard, epoch} = message as {shard?: number; epoch?: number};
+    return shard === 1 && epoch !== undefined && epoch > 5;
+  } catch {
+    return false;
+  }
+}
+
+/** Calls every method; gives the statuses seen, to show what was reached. */
+async function callAll(
+  client: RawClient,
+  service: ServiceDefinition,
+  seed: number,
+): Promise<Map<string, Set<number>>> {
+  const seen = new Map<string, Set<number>>();
+  for (const method of Object.keys(service)) {
+    const statuses = new Set<number>();
+    seen.set(method, statuses);
+    const property = fc.asyncProperty(
+      bytesFor(service, method).filter(
+        bytes => !isNewerOwner(service, method, bytes),
+      ),
+      async bytes => {
+        const code = await client.call(service, method, bytes);
+        statuses.add(code);
+        if (client.faults.length > 0) throw new Error(client.faults.pop());
+        return ANSWERED.has(code);
+      },
+    );
+    await fc.assert(property, {seed, numRuns: 300});
+  }
+  return seen;
+}
+
+test('should answer any message to an entry', async t => {
+  const entry = await startEntry();
+  const client = new RawClient();
+  client.server.serveEntry(entry);
+  await client.start();
+  t.is(await jobStatus(entry, 'POST', 'kept'), 201);
+  const seen = await callAll(client, EntryServiceService, 21);
+  for (const [method, codes] of seen) t.true(codes.has(status.OK), method);
+  t.is(await jobStatus(entry, 'GET', 'kept'), 200);
+  t.is(await jobStatus(entry, 'POST', 'later'), 201);
+  for (const path of ['/v1/vms', '/v1/services', '/v1/state', '/metrics']) {
+    const headers: never[] = [];
+    const call = {method: 'GET', path, headers, body: Buffer.of()};
+    t.is((await entry.forwardCall(call)).status, 200, path);
+  }
+  const none = HeartbeatRequest.decode(new Uint8Array());
+  const size = {milliprocessors: 1, memoryMegabytes: 1, accelerators: 0};
+  const good = HeartbeatRequest.encode({
+    ...{...none, agentId: 'good', incarnation: 'run-1', failureDomain: 'tema'},
+    ...{address: '127.0.0.1:1', capacity: size, committed: size},
+  });
+  const service = EntryServiceService;
+  t.is(await client.call(service, 'heartbeat', good.finish()), status.OK);
+  await client.close();
+  await entry.stop('the test ends');
+  entry.dispose('the test ends');
+});
+
+test('should answer any message to an agent', async t => {
+  const fixture = new AgentFixture(clock => ({
+    executor: new FakeExecutor(clock),
+    executorConfiguration: {
+      ...{service: 'depot', team: 'depot', slots: 2, connections: 8},
+      reserved: TASK_SIZE,
+    },
+  }));
+  const client = new RawClient();
+  client.server.serveAgent(fixture.agent);
+  await client.start();
+  await fixture.begin();
+  t.true((await fixture.start(0, {evictable: false})).accepted);
+  const running = fixture.worker.running();
+  let done = false;
+  const calls = callAll(client, AgentServiceService, 22).finally(
+    () => (done = true),
+  );
+  while (!done) {
+    await fixture.pass(50);
+    await new Promise(resolve => setImmediate(resolve));
+  }
+  const seen = await calls;
+  for (const [method, codes] of seen) t.true(codes.has(status.OK), method);
+  await fixture.pass(20_000);
+  t.true(fixture.worker.running().includes(running[0]), 'lost');
+  const later = await fixture.start(1);
+  t.true(later.accepted, later.reason);
+  const reply = await fixture.agent.dumpState();
+  t.notThrows(() => JSON.parse(reply.json));
+  await client.close();
+  fixture.agent.kill();
+});
