--- a/src/protocol/message_checks.ts
+++ b/src/protocol/message_checks.ts
@@ -13,6 +13,7 @@
 import {InvalidMessageError} from './invalid_message_error.js';
 
 const MAXIMUM_NAME_LENGTH = 200;
+const MAXIMUM_DEADLINE_MILLIS = 3_600_000;
 const MAXIMUM_ITEMS = 10_000;
 const CONTROL_CHARACTERS = /\p{Cc}/u;
 
@@ -28,6 +29,11 @@
   requireCount('interference', request.interference);
   for (const executor of request.executors) {
     requireName('executors.service', executor.service);
+    requireMeasure('executors.service_millis', executor.serviceMillis);
+    requireMeasure('executors.tail_millis', executor.tailMillis);
+  }
+  for (const {slowdown} of request.interference) {
+    requireMeasure('interference.slowdown', slowdown);
   }
 }
 
@@ -56,6 +62,9 @@
   requireName('service', request.service);
   requireName('method', request.method);
   if (!request.path.startsWith('/')) reject('path', 'does not begin with /');
+  if (request.deadlineMillis > MAXIMUM_DEADLINE_MILLIS) {
+    reject('deadline_millis', `is over ${MAXIMUM_DEADLINE_MILLIS}`);
+  }
 }
 
 /** @throws InvalidMessageError that names the field at fault. */
@@ -95,6 +104,12 @@
   if (CONTROL_CHARACTERS.test(value)) reject(field, 'has control characters');
 }
 
+function requireMeasure(field: string, value: number): void {
+  if (!Number.isFinite(value) || value < 0) {
+    reject(field, 'is not a finite number from 0 up');
+  }
+}
+
 function requirePresent(field: string, value: unknown): void {
   if (value === undefined) reject(field, 'is missing');
 }
