--- a/tests/processes/platform_kills.test.ts
+++ b/tests/processes/platform_kills.test.ts
@@ -21,3 +21,13 @@
   await night.finish(night.otherEntry());
   await night.checkCounts();
 });
+
+test.serial('should keep all work when an executor is killed', async t => {
+  const night = await NightFixture.open(t);
+  const executor = `${night.watcherVm()}-executor`;
+  await night.fleet.kill(executor);
+  night.fleet.restart(executor);
+  await night.finish(night.otherEntry());
+  t.is(night.watcherRuns().length, 1);
+  await night.checkCounts();
+});
