--- a/tests/stand_ins/executor_stand_in.ts
+++ b/tests/stand_ins/executor_stand_in.ts
@@ -3,7 +3,12 @@
 import {SystemClock} from '../../src/utilities/clock.js';
 import type {Clock} from '../../src/utilities/clock.js';
 import {Random} from '../../src/utilities/random.js';
-import {HttpListener, parseJson, replyJson} from './http_listener.js';
+import {
+  HttpListener,
+  interceptCall,
+  parseJson,
+  replyJson,
+} from './http_listener.js';
 import {InterferenceModel} from './interference.js';
 
 const DEFAULT_SLOTS = 8;
@@ -117,13 +122,8 @@
     response: ServerResponse,
   ): void {
     const path = request.url ?? '';
-    if (path.startsWith('/control/')) {
-      return this.control(path, body, response);
-    }
-    if (this.faults.down) {
-      request.socket.destroy();
-      return;
-    }
+    const control = () => this.control(path, body, response);
+    if (interceptCall(request, {down: this.faults.down, control})) return;
     this.received++;
     if (this.silentSockets.has(request.socket)) return;
     if (path === '/health') {
--- a/tests/stand_ins/store_stand_in.ts
+++ b/tests/stand_ins/store_stand_in.ts
@@ -6,7 +6,12 @@
 import {messageOf} from '../../src/utilities/base_error.js';
 import {SystemClock} from '../../src/utilities/clock.js';
 import type {Clock} from '../../src/utilities/clock.js';
-import {HttpListener, parseJson, replyJson} from './http_listener.js';
+import {
+  HttpListener,
+  interceptCall,
+  parseJson,
+  replyJson,
+} from './http_listener.js';
 import {StoreTable} from './store_table.js';
 import type {TableEntry} from './store_table.js';
 import {StoreWatchStream} from './store_watch_stream.js';
@@ -113,13 +118,8 @@
     response: ServerResponse,
   ): void {
     const path = request.url ?? '';
-    if (path.startsWith('/control/')) {
-      return this.control(path, body, response);
-    }
-    if (this.faults.down) {
-      request.socket.destroy();
-      return;
-    }
+    const control = () => this.control(path, body, response);
+    if (interceptCall(request, {down: this.faults.down, control})) return;
     this.counts.set(path, (this.counts.get(path) ?? 0) + 1);
     if (this.bucket && !this.bucket.tryTake(this.clock.now())) {
       return replyJson(response, 429, {message: 'too many requests'});
--- a/tests/stand_ins/worker_stand_in.ts
+++ b/tests/stand_ins/worker_stand_in.ts
@@ -6,7 +6,12 @@
 import {SystemClock} from '../../src/utilities/clock.js';
 import type {Clock} from '../../src/utilities/clock.js';
 import type {Resources} from '../../src/utilities/resources.js';
-import {HttpListener, parseJson, replyJson} from './http_listener.js';
+import {
+  HttpListener,
+  interceptCall,
+  parseJson,
+  replyJson,
+} from './http_listener.js';
 import type {InterferenceModel} from './interference.js';
 import {WorkerMachine} from './worker_machine.js';
 import type {WorkerRecord} from './worker_records.js';
@@ -81,13 +86,8 @@
     response: ServerResponse,
   ): void {
     const path = request.url ?? '';
-    if (path.startsWith('/control/')) {
-      return this.control(path, body, response);
-    }
-    if (this.faults.down) {
-      request.socket.destroy();
-      return;
-    }
+    const control = () => this.control(path, body, response);
+    if (interceptCall(request, {down: this.faults.down, control})) return;
     const answer = () => void this.answer(path, body, response);
     if (this.faults.delayMillis === 0) return answer();
     this.clock.schedule(this.faults.delayMillis, answer);
