Answer who waits for an append that fails after its shard was dropped

Cause: the waiters of an append in flight were put back into the queue and the owner dropped again, which returns at once when it was dropped before; they never heard. Found by reading the whole change. The new test fails with the old file and passes with this one; all waiters are now rejected in one place.

--- a/src/entry/shards/shard_owner.ts
+++ b/src/entry/shards/shard_owner.ts
@@ -141,23 +141,22 @@
     });
   }
 
-  private commitDelayMillis(): number {
-    const calm = this.clock.now() - this.committedAt > CALM_AFTER_MILLIS;
-    return calm ? CALM_COMMIT_DELAY_MILLIS : BUSY_COMMIT_DELAY_MILLIS;
-  }
-
   /** Lets go of the shard; whoever waits learns that the outcome is unknown. */
   drop(reason: string): void {
     if (this.dropped) return;
     this.droppedReason = reason;
     this.commitTimer?.cancel();
-    const waiting = this.waiting;
+    this.rejectAll(this.waiting);
     this.waiting = [];
-    for (const waiter of waiting) waiter.reject(this.droppedError());
     this.logger.event(Events.SHARD_LOST, {shard: this.shard, reason});
     this.observer.onDropped(this, reason);
   }
 
+  private commitDelayMillis(): number {
+    const calm = this.clock.now() - this.committedAt > CALM_AFTER_MILLIS;
+    return calm ? CALM_COMMIT_DELAY_MILLIS : BUSY_COMMIT_DELAY_MILLIS;
+  }
+
   private async commit(): Promise<void> {
     if (this.dropped || this.appending || !this.scheduler.hasRecords) return;
     this.appending = true;
@@ -166,8 +165,8 @@
     try {
       await this.appendTaken();
     } catch (error) {
-      this.waiting.push(...waiting);
       this.drop(messageOf(error));
+      this.rejectAll(waiting);
       return;
     } finally {
       this.appending = false;
