List store prefixes and tell the settings' age in one place each

The paging loop of the settings follower and of the shard log were the same, as were two computations of the age that messages carry; a default that nothing used and an unread field go. Behaviour stays.

--- a/src/daemon/agent_role.ts
+++ b/src/daemon/agent_role.ts
@@ -30,7 +30,7 @@
 
   constructor(
     private readonly settings: AgentProcessSettings,
-    private readonly logger: Logger,
+    logger: Logger,
     metrics: Metrics,
   ) {
     const {process: identity, listen, advertise, executor, tls} = settings;
--- a/src/entry/agents/heartbeat_responder.ts
+++ b/src/entry/agents/heartbeat_responder.ts
@@ -8,6 +8,7 @@
 import type {Clock} from '../../utilities/clock.js';
 import type {EntryRoster} from '../membership/entry_roster.js';
 import type {ShardManager} from '../shards/shard_manager.js';
+import {settingsAgeMillis} from '../settings_age.js';
 import type {AgentDirectory, AgentRecord} from './agent_directory.js';
 import {upstreamReportOf} from './upstream_messages.js';
 
@@ -36,14 +37,13 @@
     const {agents, settings, clock} = this.options;
     const now = clock.now();
     if (agents.note(request, now)) this.spread(agents.find(request.agentId)!);
-    const ageMillis = Math.min(settings.confirmedAgeMillis(now), 2 ** 32 - 1);
     return {
       entryId: this.options.entryId,
       agentTime: request.agentTime,
       leases: this.leases(),
       leaseMillis: settings.fleet.taskLeaseMillis,
       settingsRevision: settings.revision,
-      settingsAgeMillis: Math.ceil(ageMillis),
+      settingsAgeMillis: settingsAgeMillis(settings, now),
       settings: settings.documentsNewerThan(
         request.settingsRevision,
         request.branches,
--- a/src/entry/membership/peer_exchange.ts
+++ b/src/entry/membership/peer_exchange.ts
@@ -6,11 +6,10 @@
 import type {SettingsView} from '../../settings/settings_view.js';
 import type {SettingsDocument} from '../../settings/settings_types.js';
 import type {Clock} from '../../utilities/clock.js';
+import {settingsAgeMillis} from '../settings_age.js';
 import type {EntryRoster} from './entry_roster.js';
 import type {ProcessStatuses} from './process_statuses.js';
 
-const MAXIMUM_AGE_MILLIS = 2 ** 32 - 1;
-
 interface PeerLink {
   readonly address: string;
   readonly link: EntryLink;
@@ -54,7 +53,7 @@
     return {
       entryId,
       settingsRevision: settings.revision,
-      settingsAgeMillis: this.ageMillis(),
+      settingsAgeMillis: settingsAgeMillis(settings, clock.now()),
       settings: settings.documentsNewerThan(request.settingsRevision),
       processes: [],
     };
@@ -75,7 +74,7 @@
       const reply = await this.linkTo(peerId, address).exchangePeers({
         entryId,
         settingsRevision: settings.revision,
-        settingsAgeMillis: this.ageMillis(),
+        settingsAgeMillis: settingsAgeMillis(settings, clock.now()),
       });
       statuses.notePeer(peerId, reply.settingsRevision, clock.now());
       if (reply.settingsRevision < settings.revision) return;
@@ -89,13 +88,6 @@
     }
   }
 
-  private ageMillis(): number {
-    const age = this.options.settings.confirmedAgeMillis(
-      this.options.clock.now(),
-    );
-    return Math.ceil(Math.min(age, MAXIMUM_AGE_MILLIS));
-  }
-
   private linkTo(peerId: string, address: string): EntryLink {
     const known = this.links.get(peerId);
     if (known?.address === address) return known.link;
--- a/src/entry/settings_follower.ts
+++ b/src/entry/settings_follower.ts
@@ -1,5 +1,6 @@
 import {Events} from '../observability/events.js';
 import type {Logger} from '../observability/logger.js';
+import {listAll} from '../platform/list_all.js';
 import type {Store, StoredValue} from '../platform/store.js';
 import {SettingsView} from '../settings/settings_view.js';
 import type {SettingsDocument} from '../settings/settings_types.js';
@@ -10,12 +11,6 @@
 const BRANCHES_A_PAGE = 100;
 const READ_TRIALS = 5;
 
-/** All branches, and the store's revision when the first page was read. */
-interface BranchListing {
-  readonly documents: SettingsDocument[];
-  readonly revision: number;
-}
-
 /**
  * Keeps the settings in force equal to the store's. One small read a second
  * finds changes and confirms that there are none; a watch would need that read
@@ -73,8 +68,12 @@
    */
   private async readAll(sentAt: number): Promise<void> {
     for (let trial = 0; trial < READ_TRIALS; trial++) {
-      const listing = await this.readPages();
-      const {documents, revision} = listing;
+      const {values, revision} = await listAll(
+        this.store,
+        SETTINGS_PREFIX,
+        BRANCHES_A_PAGE,
+      );
+      const documents = values.map(toDocument);
       if (documents.some(document => document.revision > revision)) continue;
       documents.sort((left, right) => left.revision - right.revision);
       this.apply(documents);
@@ -85,22 +84,6 @@
     }
   }
 
-  private async readPages(): Promise<BranchListing> {
-    const documents: SettingsDocument[] = [];
-    let revision: number | undefined;
-    let afterKey: string | undefined;
-    for (;;) {
-      const page = await this.store.list(SETTINGS_PREFIX, {
-        afterKey,
-        limit: BRANCHES_A_PAGE,
-      });
-      revision ??= page.revision;
-      for (const stored of page.values) documents.push(toDocument(stored));
-      if (!page.more) return {documents, revision};
-      afterKey = page.values.at(-1)?.key;
-    }
-  }
-
   private applyOne(document: SettingsDocument): boolean {
     const result = this.view.apply(document);
     if (result === 'older') return false;
--- a/src/entry/shards/shard_log.ts
+++ b/src/entry/shards/shard_log.ts
@@ -7,6 +7,7 @@
 import type {LogRecord} from '../../decisions/job_types.js';
 import {ABSENT_REVISION} from '../../platform/store.js';
 import type {Store, StoredValue} from '../../platform/store.js';
+import {listAll} from '../../platform/list_all.js';
 import {SettledOutcome} from '../../platform/settling_store.js';
 import type {SettlingStore} from '../../platform/settling_store.js';
 import {BaseError} from '../../utilities/base_error.js';
@@ -160,17 +161,8 @@
   }
 
   private async readSlots(): Promise<LogSlot[]> {
-    const slots: LogSlot[] = [];
-    let afterKey: string | undefined;
-    for (;;) {
-      const page = await this.store.list(this.prefix, {
-        afterKey,
-        limit: LIST_LIMIT,
-      });
-      for (const stored of page.values) slots.push(this.readSlot(stored));
-      if (!page.more) break;
-      afterKey = page.values.at(-1)?.key;
-    }
+    const listing = await listAll(this.store, this.prefix, LIST_LIMIT);
+    const slots = listing.values.map(stored => this.readSlot(stored));
     return slots.sort((left, right) => left.sequence - right.sequence);
   }
 
--- a/src/settings/settings_branches.ts
+++ b/src/settings/settings_branches.ts
@@ -102,15 +102,6 @@
   return teamOf(team, new CheckedSettings(new Map()));
 }
 
-/** What holds for a service that its team's branch doesn't mention. */
-export function defaultServiceSettings(
-  name: string,
-  team: string,
-): ServiceSettings {
-  const defaults = new CheckedSettings(new Map());
-  return serviceOf(name, team, defaults.section(serviceSection));
-}
-
 function fleetOf(checked: CheckedSettings): FleetSettings {
   const domains = checked.namedSections(failureDomainSection);
   const vms = checked.namedSections(vmSection);
