Open the tests' agents and shards in one call, and give them the one worker

Cause: each test of an agent or a shard wrote its opening anew, and the agent's tests had a worker of their own beside the stand-in's machine. FakeWorker is now that machine with a silent path and lost starts. A task's result is what the machine gives ("done ID"), compared whole as before.

--- a/tests/agent/graceful_shutdown.test.ts
+++ b/tests/agent/graceful_shutdown.test.ts
@@ -7,8 +7,7 @@
 import {AgentFixture} from './fixtures/agent_fixture.js';
 
 test('should stay until the entry has heard that it stops', async t => {
-  const fixture = new AgentFixture();
-  await fixture.begin();
+  const fixture = await AgentFixture.begun();
   fixture.entry.replyDelayMillis = 300;
   let stopped = false;
   void fixture.agent.stop('planned').then(() => (stopped = true));
@@ -20,8 +19,7 @@
 });
 
 test('should not wait for ever for an entry that is silent', async t => {
-  const fixture = new AgentFixture();
-  await fixture.begin();
+  const fixture = await AgentFixture.begun();
   fixture.entry.silent = true;
   let stopped = false;
   void fixture.agent.stop('planned').then(() => (stopped = true));
--- a/tests/agent/leases.test.ts
+++ b/tests/agent/leases.test.ts
@@ -10,21 +10,19 @@
 import {LEASE_MILLIS} from './fixtures/fake_entry.js';
 
 test('should keep a task alive for as long as its owner answers', async t => {
-  const fixture = new AgentFixture();
-  await fixture.begin();
+  const fixture = await AgentFixture.begun();
   await fixture.start(1);
   await fixture.pass(6 * LEASE_MILLIS);
-  t.is(fixture.worker.running().length, 1);
+  t.is(fixture.worker.runningIds().length, 1);
 });
 
 test('should checkpoint and stop a task before its lease ends', async t => {
-  const fixture = new AgentFixture();
-  await fixture.begin();
+  const fixture = await AgentFixture.begun();
   await fixture.start(1);
   const startedAt = fixture.clock.now();
   fixture.entry.ownsShard = false;
   await fixture.pass(LEASE_MILLIS);
-  t.deepEqual(fixture.worker.running(), []);
+  t.deepEqual(fixture.worker.runningIds(), []);
   t.true(fixture.clock.now() <= startedAt + LEASE_MILLIS);
   fixture.entry.ownsShard = true;
   await fixture.pass(3_000);
@@ -34,8 +32,7 @@
 });
 
 test('should call a task lost that it could not checkpoint in time', async t => {
-  const fixture = new AgentFixture();
-  await fixture.begin();
+  const fixture = await AgentFixture.begun();
   await fixture.start(1, {evictable: false});
   fixture.entry.ownsShard = false;
   await fixture.pass(LEASE_MILLIS + 1_000);
@@ -45,8 +42,7 @@
 });
 
 test('should count a lease from the sending, however late the reply', async t => {
-  const fixture = new AgentFixture();
-  await fixture.begin();
+  const fixture = await AgentFixture.begun();
   await fixture.start(1);
   const startedAt = fixture.clock.now();
   // Answered in time, but each reply takes nearly the whole lease.
@@ -54,63 +50,59 @@
   await fixture.pass(1_500);
   fixture.entry.silent = true;
   await fixture.pass(LEASE_MILLIS + 500);
-  t.deepEqual(fixture.worker.running(), []);
+  t.deepEqual(fixture.worker.runningIds(), []);
   t.true(fixture.clock.now() <= startedAt + LEASE_MILLIS + 2_000);
 });
 
 test('should adopt what runs after a restart, under a new lease', async t => {
-  const fixture = new AgentFixture();
-  await fixture.begin();
+  const fixture = await AgentFixture.begun();
   await fixture.start(1, {size: VM_SIZE});
   await fixture.restart();
   const query = {shard: 1, epoch: 5, names: [nameOf(1)]};
   t.true((await fixture.agent.queryAttempts(query)).states[0].running);
   t.is((await fixture.start(2)).resultCode, ResultCodes.NO_CAPACITY.number);
   await fixture.pass(3 * LEASE_MILLIS);
-  t.is(fixture.worker.running().length, 1);
+  t.is(fixture.worker.runningIds().length, 1);
 });
 
 test('should let an adopted task lapse when no owner is heard', async t => {
-  const fixture = new AgentFixture();
-  await fixture.begin();
+  const fixture = await AgentFixture.begun();
   await fixture.start(1);
   fixture.entry.ownsShard = false;
   await fixture.restart();
   await fixture.pass(LEASE_MILLIS);
-  t.deepEqual(fixture.worker.running(), []);
+  t.deepEqual(fixture.worker.runningIds(), []);
 });
 
 test('should report after a restart what ended meanwhile', async t => {
-  const fixture = new AgentFixture();
-  await fixture.begin();
+  const fixture = await AgentFixture.begun();
   await fixture.start(1);
   fixture.agent.kill();
-  fixture.worker.finish(fixture.worker.running()[0], 'the answer');
+  const [taskId] = fixture.worker.runningIds();
+  fixture.worker.finish(taskId);
   await fixture.restart();
   await fixture.pass(1_000);
   t.is(fixture.entry.reports[0].outcome, AttemptOutcome.FINISHED);
-  t.is(fixture.entry.reports[0].result, 'the answer');
+  t.is(fixture.entry.reports[0].result, `done ${taskId}`);
 });
 
 test('should report an end until the log of the shard holds it', async t => {
-  const fixture = new AgentFixture();
-  await fixture.begin();
+  const fixture = await AgentFixture.begun();
   await fixture.start(1);
   fixture.entry.recordsReports = false;
-  fixture.worker.finish(fixture.worker.running()[0]);
+  fixture.worker.finish(fixture.worker.runningIds()[0]);
   await fixture.pass(3_000);
-  t.is(fixture.worker.tasks.size, 1);
+  t.is((await fixture.worker.status()).tasks.length, 1);
   fixture.entry.recordsReports = true;
   await fixture.pass(2_000);
   t.is(fixture.entry.reports.length, 1);
-  t.is(fixture.worker.tasks.size, 0);
+  t.is((await fixture.worker.status()).tasks.length, 0);
 });
 
 test('should call a task lost that a replaced worker does not know', async t => {
-  const fixture = new AgentFixture();
-  await fixture.begin();
+  const fixture = await AgentFixture.begun();
   await fixture.start(1);
-  fixture.worker.tasks.clear();
+  fixture.worker.replace();
   await fixture.pass(3_000);
   t.deepEqual(fixture.entry.reports, []);
   await fixture.pass(LEASE_MILLIS);
@@ -118,8 +110,7 @@
 });
 
 test('should give up the tasks of a worker that stays silent', async t => {
-  const fixture = new AgentFixture();
-  await fixture.begin();
+  const fixture = await AgentFixture.begun();
   await fixture.start(1);
   fixture.worker.silent = true;
   await fixture.pass(4 * LEASE_MILLIS);
@@ -137,8 +128,7 @@
 });
 
 test('should checkpoint, report and announce when it stops', async t => {
-  const fixture = new AgentFixture();
-  await fixture.begin();
+  const fixture = await AgentFixture.begun();
   await fixture.start(1);
   const stopped = fixture.agent.stop('replaced');
   const refused = await fixture.start(2);
@@ -146,12 +136,11 @@
   await fixture.finish(stopped);
   t.true(fixture.entry.heartbeats.at(-1)!.stopping);
   t.is(fixture.entry.reports[0].outcome, AttemptOutcome.EVICTED);
-  t.deepEqual(fixture.worker.running(), []);
+  t.deepEqual(fixture.worker.runningIds(), []);
 });
 
 test('should report a cancelled task as cancelled', async t => {
-  const fixture = new AgentFixture();
-  await fixture.begin();
+  const fixture = await AgentFixture.begun();
   await fixture.start(1);
   const stop = {name: nameOf(1), checkpoint: false, reason: 'cancelled'};
   await fixture.agent.stopAttempts({shard: 1, epoch: 5, stops: [stop]});
@@ -160,8 +149,7 @@
 });
 
 test('should stop a task that runs although it was reported as ended', async t => {
-  const fixture = new AgentFixture();
-  await fixture.begin();
+  const fixture = await AgentFixture.begun();
   const query = {shard: 1, epoch: 5, names: [nameOf(1)]};
   await fixture.agent.queryAttempts(query);
   await fixture.worker.start({
@@ -171,5 +159,5 @@
     leaseExpiresAt: Infinity,
   });
   await fixture.pass(2_000);
-  t.deepEqual(fixture.worker.running(), []);
+  t.deepEqual(fixture.worker.runningIds(), []);
 });
--- a/tests/agent/serve_requests.test.ts
+++ b/tests/agent/serve_requests.test.ts
@@ -46,8 +46,7 @@
 }
 
 test('should bring each request its own whole answer', async t => {
-  const fixture = new ServiceFixture();
-  await fixture.begin();
+  const fixture = await ServiceFixture.begun();
   const calls = ['a', 'b', 'c'].map(id => fixture.request(id));
   const replies = await fixture.finish(Promise.all(calls));
   for (const reply of replies) {
@@ -57,8 +56,7 @@
 });
 
 test('should refuse at once what cannot be answered in time', async t => {
-  const fixture = new ServiceFixture();
-  await fixture.begin();
+  const fixture = await ServiceFixture.begun();
   const first = ['a', 'b', 'c', 'd'].map(id => fixture.request(id));
   await fixture.finish(Promise.all(first));
   fixture.executor.serviceMillis = 5_000;
@@ -74,8 +72,7 @@
 });
 
 test('should say not run the moment a deadline passes in the queue', async t => {
-  const fixture = new ServiceFixture();
-  await fixture.begin();
+  const fixture = await ServiceFixture.begun();
   fixture.executor.serviceMillis = 5_000;
   void fixture.request('a', {deadlineMillis: 60_000});
   void fixture.request('b', {deadlineMillis: 60_000});
@@ -90,16 +87,14 @@
 });
 
 test('should say unknown when the executor may have run it', async t => {
-  const fixture = new ServiceFixture();
-  await fixture.begin();
+  const fixture = await ServiceFixture.begun();
   fixture.executor.silent = true;
   const reply = await fixture.finish(fixture.request('a'));
   t.is(reply.outcome, ServeOutcome.UNKNOWN);
 });
 
 test('should say not run when nothing was sent', async t => {
-  const fixture = new ServiceFixture();
-  await fixture.begin();
+  const fixture = await ServiceFixture.begun();
   fixture.executor.unreachable = true;
   const reply = await fixture.finish(fixture.request('a'));
   t.is(reply.outcome, ServeOutcome.NOT_RUN);
@@ -107,8 +102,7 @@
 });
 
 test('should take itself out while the executor fails its probes', async t => {
-  const fixture = new ServiceFixture();
-  await fixture.begin();
+  const fixture = await ServiceFixture.begun();
   fixture.executor.silent = true;
   await fixture.pass(5_000);
   t.true(fixture.entry.heartbeats.at(-1)!.executors[0].unavailable);
@@ -122,8 +116,7 @@
 });
 
 test('should run a repeated request once when it is not idempotent', async t => {
-  const fixture = new ServiceFixture();
-  await fixture.begin();
+  const fixture = await ServiceFixture.begun();
   const once = {idempotent: false, method: 'POST'};
   const calls = [fixture.request('a', once), fixture.request('a', once)];
   const replies = await fixture.finish(Promise.all(calls));
@@ -133,8 +126,7 @@
 });
 
 test('should run two requests that only share an id', async t => {
-  const fixture = new ServiceFixture();
-  await fixture.begin();
+  const fixture = await ServiceFixture.begun();
   const once = {idempotent: false, method: 'POST'};
   const calls = [
     fixture.request('a', {...once, body: Buffer.from('one')}),
@@ -145,8 +137,7 @@
 });
 
 test('should finish its requests and take no others when it stops', async t => {
-  const fixture = new ServiceFixture();
-  await fixture.begin();
+  const fixture = await ServiceFixture.begun();
   const open = fixture.request('a');
   const stopped = fixture.agent.stop('replaced');
   const refused = await fixture.request('b');
@@ -157,8 +148,7 @@
 });
 
 test('should start no task that the service could not bear', async t => {
-  const fixture = new ServiceFixture({admits: () => false});
-  await fixture.begin();
+  const fixture = await ServiceFixture.begun({admits: () => false});
   const refused = await fixture.start(1);
   t.is(refused.resultCode, ResultCodes.TAIL_PROTECTED.number);
   t.deepEqual(fixture.worker.startCalls, []);
@@ -166,16 +156,15 @@
 
 test('should throttle and evict as the tail policy decides', async t => {
   const actions: GuardAction[] = [];
-  const fixture = new ServiceFixture({decide: () => actions.splice(0)});
-  await fixture.begin();
+  const fixture = await ServiceFixture.begun({decide: () => actions.splice(0)});
   await fixture.start(1);
   const key = 'depot/route-build/1/1';
-  const [taskId] = fixture.worker.running();
+  const [taskId] = fixture.worker.runningIds();
   actions.push({type: 'throttle', key, share: 0.2, reason: 'test'});
   await fixture.pass(1_000);
   t.is(fixture.worker.shares.get(taskId), 0.2);
   actions.push({type: 'evict', key, reason: 'test'});
   await fixture.pass(1_000);
-  t.deepEqual(fixture.worker.running(), []);
+  t.deepEqual(fixture.worker.runningIds(), []);
   t.is(fixture.entry.reports[0].outcome, AttemptOutcome.EVICTED);
 });
--- a/tests/agent/starts.test.ts
+++ b/tests/agent/starts.test.ts
@@ -9,33 +9,29 @@
 } from './fixtures/agent_fixture.js';
 
 test('should start a task, and once only when the start is repeated', async t => {
-  const fixture = new AgentFixture();
-  await fixture.begin();
+  const fixture = await AgentFixture.begun();
   const first = await fixture.start(1);
   const second = await fixture.start(1);
   t.true(first.accepted && second.accepted);
   t.is(fixture.worker.startCalls.length, 1);
-  t.is(fixture.worker.running().length, 1);
+  t.is(fixture.worker.runningIds().length, 1);
 });
 
 test('should refuse a start of a deposed owner', async t => {
-  const fixture = new AgentFixture();
-  await fixture.begin();
+  const fixture = await AgentFixture.begun();
   const result = await fixture.start(1, {}, {epoch: 4});
   t.is(result.resultCode, ResultCodes.OLD_EPOCH.number);
   t.deepEqual(fixture.worker.startCalls, []);
 });
 
 test('should refuse a start that is meant for an earlier run', async t => {
-  const fixture = new AgentFixture();
-  await fixture.begin();
+  const fixture = await AgentFixture.begun();
   const result = await fixture.start(1, {}, {incarnation: 'run-0'});
   t.is(result.resultCode, ResultCodes.OTHER_INCARNATION.number);
 });
 
 test('should refuse a start that was delayed on its way', async t => {
-  const fixture = new AgentFixture();
-  await fixture.begin();
+  const fixture = await AgentFixture.begun();
   const request = fixture.startRequest(1);
   await fixture.pass(6_000);
   const reply = await fixture.finish(fixture.agent.startAttempts(request));
@@ -44,8 +40,7 @@
 });
 
 test('should keep its word when a refused start is repeated', async t => {
-  const fixture = new AgentFixture();
-  await fixture.begin();
+  const fixture = await AgentFixture.begun();
   fixture.settings.fleet = {
     ...fixture.settings.fleet,
     drainedVms: new Set(['vm-1']),
@@ -61,8 +56,7 @@
 });
 
 test('should refuse a start in a failure domain that is out', async t => {
-  const fixture = new AgentFixture();
-  await fixture.begin();
+  const fixture = await AgentFixture.begun();
   fixture.settings.fleet = {
     ...fixture.settings.fleet,
     failureDomainsOut: new Set(['domain-1']),
@@ -72,8 +66,7 @@
 });
 
 test('should ask for the settings and wait before it starts a task', async t => {
-  const fixture = new AgentFixture();
-  await fixture.begin();
+  const fixture = await AgentFixture.begun();
   fixture.entry.confirmsSettings = false;
   await fixture.pass(5_000);
   fixture.entry.confirmsSettings = true;
@@ -85,8 +78,7 @@
 });
 
 test('should start nothing while the settings stay unconfirmed', async t => {
-  const fixture = new AgentFixture();
-  await fixture.begin();
+  const fixture = await AgentFixture.begun();
   fixture.entry.confirmsSettings = false;
   await fixture.pass(5_000);
   const result = await fixture.start(1);
@@ -103,8 +95,7 @@
 });
 
 test('should never admit more than the VM holds', async t => {
-  const fixture = new AgentFixture();
-  await fixture.begin();
+  const fixture = await AgentFixture.begun();
   const calls = [1, 2, 3, 4, 5, 6].map(task => fixture.start(task));
   const results = await Promise.all(calls);
   t.is(results.filter(result => result.accepted).length, 4);
@@ -122,8 +113,7 @@
 });
 
 test('should report a start that the worker refused as not run', async t => {
-  const fixture = new AgentFixture();
-  await fixture.begin();
+  const fixture = await AgentFixture.begun();
   fixture.worker.refusesStarts = true;
   const result = await fixture.start(1);
   t.is(result.resultCode, ResultCodes.WORKER_REFUSED.number);
@@ -132,30 +122,27 @@
 });
 
 test('should find out by status that a start without a reply runs', async t => {
-  const fixture = new AgentFixture();
-  await fixture.begin();
+  const fixture = await AgentFixture.begun();
   fixture.worker.losesNextStartReply = true;
   t.true((await fixture.start(1, {size: VM_SIZE})).accepted);
   await fixture.pass(3_000);
-  t.is(fixture.worker.running().length, 1);
+  t.is(fixture.worker.runningIds().length, 1);
   t.false((await fixture.start(2)).accepted);
-  fixture.worker.finish(fixture.worker.running()[0]);
+  fixture.worker.finish(fixture.worker.runningIds()[0]);
   await fixture.pass(2_000);
   t.is(fixture.entry.reports[0].outcome, AttemptOutcome.FINISHED);
 });
 
 test('should ask again for a start that got lost on its way', async t => {
-  const fixture = new AgentFixture();
-  await fixture.begin();
+  const fixture = await AgentFixture.begun();
   fixture.worker.losesNextStart = true;
   t.true((await fixture.start(1)).accepted);
   await fixture.pass(3_000);
-  t.is(fixture.worker.running().length, 1);
+  t.is(fixture.worker.runningIds().length, 1);
 });
 
 test('should close for good the attempts that a query finds unknown', async t => {
-  const fixture = new AgentFixture();
-  await fixture.begin();
+  const fixture = await AgentFixture.begun();
   const request = fixture.startRequest(1);
   const query = {shard: 1, epoch: 6, names: [nameOf(1)]};
   const answer = await fixture.agent.queryAttempts(query);
@@ -166,8 +153,7 @@
 });
 
 test('should obey no earlier owner after a query', async t => {
-  const fixture = new AgentFixture();
-  await fixture.begin();
+  const fixture = await AgentFixture.begun();
   await fixture.start(1);
   const query = {shard: 1, epoch: 6, names: [nameOf(1)]};
   const answer = await fixture.agent.queryAttempts(query);
@@ -177,12 +163,11 @@
   const stop = {name: nameOf(1), checkpoint: false, reason: 'cancelled'};
   const stopped = {shard: 1, epoch: 5, stops: [stop]};
   t.false((await fixture.agent.stopAttempts(stopped)).accepted);
-  t.is(fixture.worker.running().length, 1);
+  t.is(fixture.worker.runningIds().length, 1);
 });
 
 test('should evict the task with the least work lost for an urgent one', async t => {
-  const fixture = new AgentFixture();
-  await fixture.begin();
+  const fixture = await AgentFixture.begun();
   await fixture.start(1, {evictable: false});
   await fixture.start(2);
   await fixture.pass(1_000);
@@ -198,11 +183,10 @@
 });
 
 test('should evict nothing when that would not make enough room', async t => {
-  const fixture = new AgentFixture();
-  await fixture.begin();
+  const fixture = await AgentFixture.begun();
   await fixture.start(1);
   const size = {...TASK_SIZE, accelerators: 2};
   const result = await fixture.start(2, {urgent: true, size});
   t.is(result.resultCode, ResultCodes.NO_CAPACITY.number);
-  t.is(fixture.worker.running().length, 1);
+  t.is(fixture.worker.runningIds().length, 1);
 });
--- a/tests/fuzz/grpc_messages.test.ts
+++ b/tests/fuzz/grpc_messages.test.ts
@@ -154,7 +154,7 @@
   await client.start();
   await fixture.begin();
   t.true((await fixture.start(0, {evictable: false})).accepted);
-  const running = fixture.worker.running();
+  const running = fixture.worker.runningIds();
   let done = false;
   const calls = callAll(client, AgentServiceService, 22).finally(
     () => (done = true),
@@ -166,7 +166,7 @@
   const seen = await calls;
   for (const [method, codes] of seen) t.true(codes.has(status.OK), method);
   await fixture.pass(20_000);
-  t.true(fixture.worker.running().includes(running[0]), 'lost');
+  t.true(fixture.worker.runningIds().includes(running[0]), 'lost');
   const later = await fixture.start(1);
   t.true(later.accepted, later.reason);
   const reply = await fixture.agent.dumpState();
--- a/tests/jobs/random_schedules.test.ts
+++ b/tests/jobs/random_schedules.test.ts
@@ -21,18 +21,15 @@
   AttemptOutcome.EVICTED,
 ] as const;
 
+/** Actions by weight. */
+const ACTIONS = [
+  ...(['submit', 'submit', 'cancel', 'advance', 'advance', 'advance'] as const),
+  ...(['advance', 'silence', 'end', 'report', 'loseReplies'] as const),
+  ...(['refuse', 'replace', 'takeOver'] as const),
+] as const;
+
 interface Step {
-  readonly action:
-    | 'submit'
-    | 'cancel'
-    | 'advance'
-    | 'silence'
-    | 'end'
-    | 'report'
-    | 'loseReplies'
-    | 'refuse'
-    | 'replace'
-    | 'takeOver';
+  readonly action: (typeof ACTIONS)[number];
   readonly choice: number;
 }
 
@@ -198,22 +195,7 @@
 
 const steps = fastCheck.array(
   fastCheck.record({
-    action: fastCheck.constantFrom<Step['action'][]>(
-      'submit',
-      'submit',
-      'cancel',
-      'advance',
-      'advance',
-      'advance',
-      'advance',
-      'silence',
-      'end',
-      'report',
-      'loseReplies',
-      'refuse',
-      'replace',
-      'takeOver',
-    ),
+    action: fastCheck.constantFrom(...ACTIONS),
     choice: fastCheck.integer({min: 0, max: 100}),
   }),
   {minLength: 20, maxLength: 150},
--- a/tests/jobs/shard_fixture.ts
+++ b/tests/jobs/shard_fixture.ts
@@ -1,3 +1,4 @@
+import type {StartOutcome} from '../../src/decisions/jobs/scheduler_types.js';
 import {ShardScheduler} from '../../src/decisions/jobs/shard_scheduler.js';
 import type {ShardSchedulerOptions} from '../../src/decisions/jobs/shard_state.js';
 import {AttemptOutcome, JobKind} from '../../src/decisions/job_types.js';
@@ -80,6 +81,14 @@
     this.scheduler.tookOver('entry', 1, this.now, this.now);
   }
 
+  /** One VM and one job of small tasks; nothing is decided yet. */
+  static submitted(changes: Partial<JobSpecification> = {}): ShardFixture {
+    const fixture = new ShardFixture();
+    fixture.heartbeat(view('vm1'));
+    fixture.scheduler.submit(specification(changes), 0, 0);
+    return fixture;
+  }
+
   commit(): void {
     this.log.push(...this.scheduler.takeRecords());
     this.scheduler.acknowledge();
@@ -99,11 +108,11 @@
   }
 
   accept(vm: string, ...names: AttemptName[]): void {
-    this.answer(vm, names, true, 0);
+    this.answer(vm, names, {accepted: true, resultCode: 0});
   }
 
   refuse(vm: string, name: AttemptName, resultCode = 304): void {
-    this.answer(vm, [name], false, resultCode);
+    this.answer(vm, [name], {accepted: false, resultCode});
   }
 
   report(vm: string, ...reports: AttemptReport[]): void {
@@ -127,12 +136,9 @@
   private answer(
     vm: string,
     names: AttemptName[],
-    accepted: boolean,
-    resultCode: number,
+    answer: Pick<StartOutcome, 'accepted' | 'resultCode'>,
   ): void {
-    const results = names.map(name => {
-      return {name, accepted, resultCode, reason: ''};
-    });
+    const results = names.map(name => ({name, reason: '', ...answer}));
     this.scheduler.noteStartResults(vm, results, this.now, this.now);
   }
 }
--- a/tests/jobs/shard_scheduler.test.ts
+++ b/tests/jobs/shard_scheduler.test.ts
@@ -3,9 +3,7 @@
 import {ShardFixture, report, specification, view} from './shard_fixture.js';
 
 test('should send no start before the log holds its placement', t => {
-  const fixture = new ShardFixture();
-  fixture.heartbeat(view('vm1'));
-  fixture.scheduler.submit(specification(), 0, 0);
+  const fixture = ShardFixture.submitted();
   fixture.scheduler.decide(0, 0);
   t.deepEqual(fixture.scheduler.startsDue(0), []);
   fixture.scheduler.takeRecords();
@@ -31,9 +29,7 @@
 });
 
 test('should repeat a start until the agent confirms it', t => {
-  const fixture = new ShardFixture();
-  fixture.heartbeat(view('vm1'));
-  fixture.scheduler.submit(specification(), 0, 0);
+  const fixture = ShardFixture.submitted();
   const [{name}] = fixture.step();
   t.is(fixture.step(10).length, 0);
   t.is(fixture.step(300).length, 1);
@@ -42,9 +38,7 @@
 });
 
 test('should change nothing on a repeated report', t => {
-  const fixture = new ShardFixture();
-  fixture.heartbeat(view('vm1'));
-  fixture.scheduler.submit(specification(), 0, 0);
+  const fixture = ShardFixture.submitted();
   const [{name}] = fixture.step();
   const finished = report(name, AttemptOutcome.FINISHED, {result: 'r'});
   fixture.report('vm1', finished);
@@ -57,9 +51,7 @@
 });
 
 test('should place a task anew only after the lease of a silent VM', t => {
-  const fixture = new ShardFixture();
-  fixture.heartbeat(view('vm1'));
-  fixture.scheduler.submit(specification(), 0, 0);
+  const fixture = ShardFixture.submitted();
   const [{name}] = fixture.step();
   fixture.accept('vm1', name);
   fixture.now = 11_900;
@@ -72,9 +64,7 @@
 });
 
 test('should hold a lost task that is not idempotent, and explain it', t => {
-  const fixture = new ShardFixture();
-  fixture.heartbeat(view('vm1'));
-  fixture.scheduler.submit(specification({idempotent: false}), 0, 0);
+  const fixture = ShardFixture.submitted({idempotent: false});
   const [{name}] = fixture.step();
   fixture.now = 20_000;
   fixture.heartbeat(view('vm2'));
@@ -88,9 +78,7 @@
 });
 
 test('should resume an evicted task from its checkpoint', t => {
-  const fixture = new ShardFixture();
-  fixture.heartbeat(view('vm1'));
-  fixture.scheduler.submit(specification({idempotent: false}), 0, 0);
+  const fixture = ShardFixture.submitted({idempotent: false});
   const [{name}] = fixture.step();
   fixture.report('vm1', report(name, AttemptOutcome.EVICTED));
   fixture.scheduler.decide(0, 0);
@@ -101,9 +89,7 @@
 });
 
 test('should ask before it believes the refusal of a repeated start', t => {
-  const fixture = new ShardFixture();
-  fixture.heartbeat(view('vm1'));
-  fixture.scheduler.submit(specification({idempotent: false}), 0, 0);
+  const fixture = ShardFixture.submitted({idempotent: false});
   const [{name}] = fixture.step();
   fixture.step(300);
   fixture.refuse('vm1', name);
@@ -118,9 +104,7 @@
 });
 
 test('should count an attempt as lost that a restarted agent forgot', t => {
-  const fixture = new ShardFixture();
-  fixture.heartbeat(view('vm1'));
-  fixture.scheduler.submit(specification({idempotent: false}), 0, 0);
+  const fixture = ShardFixture.submitted({idempotent: false});
   const [{name}] = fixture.step();
   fixture.accept('vm1', name);
   fixture.heartbeat(view('vm1', {incarnation: '2'}));
@@ -132,9 +116,7 @@
 });
 
 test('should fail a task after the failures it may have', t => {
-  const fixture = new ShardFixture();
-  fixture.heartbeat(view('vm1'));
-  fixture.scheduler.submit(specification({maximumFailures: 1}), 0, 0);
+  const fixture = ShardFixture.submitted({maximumFailures: 1});
   const [{name}] = fixture.step();
   fixture.report('vm1', report(name, AttemptOutcome.FAILED));
   fixture.now = 40_000;
@@ -146,9 +128,7 @@
 });
 
 test('should cancel in one record and stop what was sent', t => {
-  const fixture = new ShardFixture();
-  fixture.heartbeat(view('vm1'));
-  fixture.scheduler.submit(specification({taskCount: 100}), 0, 0);
+  const fixture = ShardFixture.submitted({taskCount: 100});
   const starts = fixture.step();
   fixture.accept('vm1', ...starts.map(({name}) => name));
   t.is(fixture.scheduler.cancel('depot', 'build', 'x', 0, 0).kind, 'changed');
@@ -204,9 +184,7 @@
 });
 
 test('should remove old jobs, but not held ones', t => {
-  const fixture = new ShardFixture();
-  fixture.heartbeat(view('vm1'));
-  fixture.scheduler.submit(specification(), 0, 0);
+  const fixture = ShardFixture.submitted();
   const held = specification({name: 'held', idempotent: false});
   fixture.scheduler.submit(held, 0, 0);
   const starts = fixture.step();
@@ -221,9 +199,7 @@
 });
 
 test('should let a held job be cancelled, and removed later', t => {
-  const fixture = new ShardFixture();
-  fixture.heartbeat(view('vm1'));
-  fixture.scheduler.submit(specification({idempotent: false}), 0, 0);
+  const fixture = ShardFixture.submitted({idempotent: false});
   fixture.step();
   fixture.step(20_000);
   const result = fixture.scheduler.cancel('depot', 'build', 'did run', 0, 0);
--- a/tests/placement/placement.test.ts
+++ b/tests/placement/placement.test.ts
@@ -92,9 +92,7 @@
 });
 
 test('should move a normal task off for an urgent one without room', t => {
-  const fixture = new ShardFixture();
-  fixture.heartbeat(view('vm1'));
-  fixture.scheduler.submit(specification({taskCount: 4}), 0, 0);
+  const fixture = ShardFixture.submitted({taskCount: 4});
   const names = fixture.step().map(({name}) => name);
   fixture.accept('vm1', ...names);
   const urgent = specification({name: 'now', urgency: 'urgent'});
--- a/tests/recovery/recovery.test.ts
+++ b/tests/recovery/recovery.test.ts
@@ -52,9 +52,7 @@
 });
 
 test('should not send a placement whose domain went out meanwhile', t => {
-  const fixture = new ShardFixture();
-  fixture.heartbeat(view('vm1'));
-  fixture.scheduler.submit(specification(), 0, 0);
+  const fixture = ShardFixture.submitted();
   fixture.scheduler.decide(0, 0);
   fixture.scheduler.takeRecords();
   fixture.scheduler.setFleet(fleet({failureDomainsOut: new Set(['a'])}));
--- a/tests/stand_ins/worker_machine.ts
+++ b/tests/stand_ins/worker_machine.ts
@@ -40,7 +40,7 @@
   /** While true, everything that starts fails at once. */
   failsEverything = false;
   readonly records: WorkerRecord[] = [];
-  private readonly runs = new Map<string, WorkerTaskRun>();
+  protected readonly runs = new Map<string, WorkerTaskRun>();
   private readonly interference: InterferenceModel;
   private readonly leaseCheck: {timer?: Timer} = {};
   private closed = false;
@@ -59,6 +59,10 @@
     return this.running().map(run => run.start.kind);
   }
 
+  runningIds(): string[] {
+    return this.running().map(run => run.start.id);
+  }
+
   async status(): Promise<WorkerStatus> {
     return {
       workerTime: this.workerTime(),
@@ -127,7 +131,7 @@
     for (const run of this.running()) run.finish(WorkerTaskState.LAPSED);
   }
 
-  private find(id: string): WorkerTaskRun {
+  protected find(id: string): WorkerTaskRun {
     const run = this.runs.get(id);
     if (run) return run;
     throw new WorkerRefusedError(`no task ${id}`);
@@ -137,7 +141,7 @@
     return [...this.runs.values()].filter(run => run.running);
   }
 
-  private complete(run: WorkerTaskRun): void {
+  protected complete(run: WorkerTaskRun): void {
     const {fail} = run.nature;
     if (fail) this.end(run, WorkerTaskState.FAILED, fail);
     else this.end(run, WorkerTaskState.FINISHED);
--- a/tests/stand_ins/worker_task_run.ts
+++ b/tests/stand_ins/worker_task_run.ts
@@ -15,10 +15,6 @@
   readonly fail?: string;
 }
 
-interface Checkpoint {
-  readonly doneMillis: number;
-}
-
 export interface WorkerTaskRunOptions {
   readonly start: WorkerTaskStart;
   readonly clock: Clock;
@@ -45,10 +41,11 @@
 
   constructor(private readonly options: WorkerTaskRunOptions) {
     this.start = options.start;
-    this.nature = parseNature(options.start.payload);
+    this.nature = parseOr<TaskNature>(options.start.payload, {});
     this.leaseExpiresAt = options.start.leaseExpiresAt;
     this.checkpointText = options.start.checkpoint;
-    this.doneMillis = parseCheckpoint(options.start.checkpoint).doneMillis;
+    const {doneMillis} = parseOr(options.start.checkpoint, {doneMillis: 0});
+    this.doneMillis = doneMillis;
     this.startedAt = options.clock.now();
     this.updatedAt = this.startedAt;
     this.scheduleEnd();
@@ -127,14 +124,11 @@
   }
 }
 
-function parseNature(payload: string): TaskNature {
+/** Payloads and checkpoints that aren't of this kind are taken as empty. */
+function parseOr<Value extends object>(text: string, otherwise: Value): Value {
   try {
-    return JSON.parse(payload) as TaskNature;
+    return {...otherwise, ...(JSON.parse(text) as Value)};
   } catch {
-    return {};
+    return otherwise;
   }
 }
-
-function parseCheckpoint(text: string): Checkpoint {
-  return text === '' ? {doneMillis: 0} : (JSON.parse(text) as Checkpoint);
-}
