Take control calls, faults and late answers of the stand-ins in one class

Cause: the stand-ins of the store, the worker and the executor each had their own listening, closing, setting of faults and answering of control calls; the store in memory had a watch that nothing opens (its HTTP stand-in's watch stays, and the tests of it).

--- a/tests/stand_ins/executor_stand_in.ts
+++ b/tests/stand_ins/executor_stand_in.ts
@@ -1,14 +1,10 @@
-import type {IncomingMessage, ServerResponse} from 'node:http';
+import type {IncomingMessage} from 'node:http';
 import type {Socket} from 'node:net';
-import {SystemClock} from '../../src/utilities/clock.js';
 import type {Clock} from '../../src/utilities/clock.js';
 import {Random} from '../../src/utilities/random.js';
-import {
-  HttpListener,
-  interceptCall,
-  parseJson,
-  replyJson,
-} from './http_listener.js';
+import {replyJson} from './http_listener.js';
+import {HttpStandIn} from './http_stand_in.js';
+import type {StandInCall} from './http_stand_in.js';
 import {InterferenceModel} from './interference.js';
 
 const DEFAULT_SLOTS = 8;
@@ -51,60 +47,34 @@
   readonly onRun?: (run: ExecutorRun) => void;
 }
 
-interface WaitingRequest {
-  readonly request: IncomingMessage;
-  readonly body: Buffer;
-  readonly response: ServerResponse;
-}
-
 /**
  * An executor for tests: runs as many requests at a time as it has slots and
  * echoes them. The request's path may say how long it runs (`?runMillis=`).
  */
-export class ExecutorStandIn {
-  readonly faults: ExecutorFaults = {
-    down: false,
-    slowdown: 1,
-    silentShare: 0,
-    cutShare: 0,
-    crossedShare: 0,
-  };
+export class ExecutorStandIn extends HttpStandIn<ExecutorFaults> {
   readonly runs: ExecutorRun[] = [];
   /** Requests that arrived, those on silent connections included. */
   received = 0;
-  private readonly clock: Clock;
   private readonly random: Random;
   private readonly interference: InterferenceModel;
   private readonly slots: number;
-  private readonly listener: HttpListener;
-  private readonly waiting: WaitingRequest[] = [];
+  private readonly waiting: StandInCall[] = [];
   private silentSockets = new WeakSet<Socket>();
   private running = 0;
 
   constructor(private readonly options: ExecutorStandInOptions) {
-    this.clock = options.clock ?? new SystemClock();
+    const shares = {silentShare: 0, cutShare: 0, crossedShare: 0};
+    const {connections = DEFAULT_CONNECTIONS} = options;
+    super({down: false, slowdown: 1, ...shares}, {...options, connections});
     this.random = new Random(options.seed ?? 1);
     this.interference = options.interference ?? new InterferenceModel();
     this.slots = options.slots ?? DEFAULT_SLOTS;
-    this.listener = new HttpListener({
-      handle: (request, body, response) => this.handle(request, body, response),
-      maximumConnections: options.connections ?? DEFAULT_CONNECTIONS,
-    });
-  }
-
-  listen(address?: string): Promise<string> {
-    return this.listener.listen(address);
   }
 
   connectionCount(): number {
     return this.listener.sockets.size;
   }
 
-  setFaults(faults: Partial<ExecutorFaults>, caller?: Socket): void {
-    Object.assign(this.faults, faults);
-    if (this.faults.down) this.listener.destroyConnections({except: caller});
-  }
-
   /** Connections open now carry nothing any more, and are not closed. */
   silenceConnections(): void {
     for (const socket of this.listener.sockets) {
@@ -112,37 +82,23 @@
     }
   }
 
-  close(): Promise<void> {
-    return this.listener.close();
-  }
-
-  private handle(
-    request: IncomingMessage,
-    body: Buffer,
-    response: ServerResponse,
-  ): void {
-    const path = request.url ?? '';
-    const control = () => this.control(path, body, response);
-    if (interceptCall(request, {down: this.faults.down, control})) return;
+  protected handle(call: StandInCall): void {
     this.received++;
-    if (this.silentSockets.has(request.socket)) return;
-    if (path === '/health') {
-      this.reply(requestIdOf(request), request, Buffer.alloc(0), response);
+    if (this.silentSockets.has(call.request.socket)) return;
+    if (call.path === '/health') {
+      this.reply(requestIdOf(call.request), call);
       return;
     }
-    this.waiting.push({request, body, response});
+    this.waiting.push(call);
     this.runWaiting();
   }
 
-  private control(path: string, body: Buffer, response: ServerResponse): void {
-    if (path === '/control/faults') {
-      this.setFaults(parseJson(body), response.socket ?? undefined);
-    }
-    if (path === '/control/runs') return replyJson(response, 200, this.runs);
-    replyJson(response, 200, {faults: this.faults, runs: this.runs.length});
+  protected control({path, response}: StandInCall): object {
+    if (path === '/control/runs') return this.runs;
     if (path === '/control/silence-connections') {
       response.once('finish', () => this.silenceConnections());
     }
+    return {faults: this.faults, runs: this.runs.length};
   }
 
   private runWaiting(): void {
@@ -153,13 +109,13 @@
     }
   }
 
-  private run({request, body, response}: WaitingRequest): void {
-    const requestId = requestIdOf(request);
+  private run(call: StandInCall): void {
+    const requestId = requestIdOf(call.request);
     this.running++;
-    this.record(requestId, request.method ?? '');
-    this.clock.schedule(this.runMillis(request.url ?? ''), () => {
+    this.record(requestId, call.request.method ?? '');
+    this.clock.schedule(this.runMillis(call.path), () => {
       this.running--;
-      this.answer(requestId, request, body, response);
+      this.answer(requestId, call);
       this.runWaiting();
     });
   }
@@ -186,16 +142,12 @@
     return base * this.faults.slowdown * interfered;
   }
 
-  private answer(
-    requestId: string,
-    request: IncomingMessage,
-    body: Buffer,
-    response: ServerResponse,
-  ): void {
+  private answer(requestId: string, call: StandInCall): void {
     const {silentShare, cutShare, crossedShare} = this.faults;
-    if (this.silentSockets.has(request.socket)) return;
+    if (this.silentSockets.has(call.request.socket)) return;
     if (this.random.unit() < silentShare) return;
     if (this.random.unit() < cutShare) {
+      const {response, body} = call;
       response.writeHead(200, {
         [REQUEST_ID_HEADER]: requestId,
         'content-length': body.length + 100,
@@ -205,29 +157,15 @@
       return;
     }
     const crossed = this.random.unit() < crossedShare;
-    const answered = crossed ? `other-than-${requestId}` : requestId;
-    this.reply(answered, request, body, response);
+    this.reply(crossed ? `other-than-${requestId}` : requestId, call);
   }
 
-  private reply(
-    requestId: string,
-    request: IncomingMessage,
-    body: Buffer,
-    response: ServerResponse,
-  ): void {
-    const text = JSON.stringify({
-      requestId,
-      executor: this.options.id,
-      method: request.method,
-      path: request.url,
-      echo: body.toString(),
-    });
-    response.writeHead(200, {
-      'content-type': 'application/json',
-      'content-length': Buffer.byteLength(text),
-      [REQUEST_ID_HEADER]: requestId,
-    });
-    response.end(text);
+  private reply(requestId: string, call: StandInCall): void {
+    const {path, body, request, response} = call;
+    const {id: executor} = this.options;
+    const echo = {method: request.method, path, echo: body.toString()};
+    const headers = {[REQUEST_ID_HEADER]: requestId};
+    replyJson(response, 200, {requestId, executor, ...echo}, headers);
   }
 }
 
--- a/tests/stand_ins/http_listener.ts
+++ b/tests/stand_ins/http_listener.ts
@@ -68,9 +68,11 @@
   response: ServerResponse,
   status: number,
   value: object,
+  headers: Readonly<Record<string, string>> = {},
 ): void {
   const text = JSON.stringify(value);
   response.writeHead(status, {
+    ...headers,
     'content-type': 'application/json',
     'content-length': Buffer.byteLength(text),
   });
@@ -80,20 +82,3 @@
 export function parseJson<Value>(body: Buffer): Value {
   return JSON.parse(body.length === 0 ? '{}' : body.toString()) as Value;
 }
-
-/**
- * Takes calls that tests make of the stand-in itself, and cuts all others while
- * it is down; true if nothing is left to do.
- */
-export function interceptCall(
-  request: IncomingMessage,
-  options: {readonly down: boolean; readonly control: () => void},
-): boolean {
-  if (request.url?.startsWith('/control/')) {
-    options.control();
-    return true;
-  }
-  if (!options.down) return false;
-  request.socket.destroy();
-  return true;
-}
--- a/tests/stand_ins/memory_store.ts
+++ b/tests/stand_ins/memory_store.ts
@@ -1,17 +1,14 @@
 import {StoreUnavailableError} from '../../src/platform/platform_errors.js';
 import type {
   Store,
-  StoreChange,
   StoredValue,
   StoreLease,
   StoreList,
   StoreWatch,
-  StoreWatcher,
   SwapResult,
 } from '../../src/platform/store.js';
 import type {Clock} from '../../src/utilities/clock.js';
 import {StoreTable} from './store_table.js';
-import type {TableWatcher} from './store_table.js';
 
 const DEFAULT_TIMEOUT_MILLIS = 2_000;
 
@@ -25,8 +22,6 @@
   loseReplies: number;
   /** Calls are lost before they take effect; counts down. */
   loseCalls: number;
-  /** Watches hear nothing and are not ended. */
-  watchesSilent: boolean;
 }
 
 /** What several MemoryStores, each the view of one process, may share. */
@@ -45,12 +40,10 @@
     delayMillis: 0,
     loseReplies: 0,
     loseCalls: 0,
-    watchesSilent: false,
   };
   private readonly clock: Clock;
   private readonly latencyMillis: number;
   private readonly timeoutMillis: number;
-  private readonly watches = new Set<MemoryWatch>();
   private calls = 0;
 
   constructor(options: MemoryStoreOptions) {
@@ -122,37 +115,11 @@
     await this.call(() => this.table.revokeLease(leaseId));
   }
 
-  watch(
-    prefix: string,
-    fromRevision: number,
-    watcher: StoreWatcher,
-  ): StoreWatch {
-    this.calls++;
-    const watch = new MemoryWatch(prefix, watcher, this);
-    this.clock.schedule(this.latencyMillis, () => watch.open(fromRevision));
-    this.watches.add(watch);
-    return watch;
+  watch(): StoreWatch {
+    throw new Error('Entries do not watch.');
   }
 
-  /** Ends all watches of this view. */
-  cutWatches(reason: string): void {
-    for (const watch of [...this.watches]) watch.end(reason);
-  }
-
-  /** Runs when the watch's delivery is due. */
-  deliver(action: () => void): void {
-    const delay = this.latencyMillis + this.faults.delayMillis;
-    this.clock.schedule(delay, action);
-  }
-
-  forgetWatch(watch: MemoryWatch): void {
-    this.watches.delete(watch);
-    this.table.removeWatcher(watch);
-  }
-
-  close(): void {
-    for (const watch of [...this.watches]) watch.close();
-  }
+  close(): void {}
 
   /** Half of the latency on the way there, half on the way back. */
   private async call<Result>(effect: () => Result): Promise<Result> {
@@ -196,42 +163,3 @@
     return new Promise(resolve => this.clock.schedule(delayMillis, resolve));
   }
 }
-
-class MemoryWatch implements StoreWatch, TableWatcher {
-  private ended = false;
-
-  constructor(
-    readonly prefix: string,
-    private readonly watcher: StoreWatcher,
-    private readonly store: MemoryStore,
-  ) {}
-
-  open(fromRevision: number): void {
-    if (this.ended) return;
-    const {table, faults} = this.store;
-    if (faults.down) return this.end('the store is down');
-    const from = fromRevision || table.revision + 1;
-    if (from <= table.compactedRevision) return this.end('compacted');
-    table.addWatcher(this);
-    const missed = table.changesSince(this.prefix, from);
-    if (missed.length > 0) this.notify(missed, table.revision);
-  }
-
-  notify(changes: readonly StoreChange[], revision: number): void {
-    if (this.store.faults.watchesSilent) return;
-    this.store.deliver(() => {
-      if (!this.ended) this.watcher.onChanges(changes, revision);
-    });
-  }
-
-  end(reason: string): void {
-    if (this.ended) return;
-    this.close();
-    this.watcher.onEnd(reason);
-  }
-
-  close(): void {
-    this.ended = true;
-    this.store.forgetWatch(this);
-  }
-}
--- a/tests/stand_ins/store_stand_in.ts
+++ b/tests/stand_ins/store_stand_in.ts
@@ -1,17 +1,13 @@
-import type {IncomingMessage, ServerResponse} from 'node:http';
+import type {ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
 import type {SwapResult} from '../../src/platform/store.js';
 import {encodeText} from '../../src/platform/store_messages.js';
 import {TokenBucket} from '../../src/platform/token_bucket.js';
 import {messageOf} from '../../src/utilities/base_error.js';
-import {SystemClock} from '../../src/utilities/clock.js';
 import type {Clock} from '../../src/utilities/clock.js';
-import {
-  HttpListener,
-  interceptCall,
-  parseJson,
-  replyJson,
-} from './http_listener.js';
+import {parseJson, replyJson} from './http_listener.js';
+import {HttpStandIn} from './http_stand_in.js';
+import type {StandInCall} from './http_stand_in.js';
 import {StoreTable} from './store_table.js';
 import type {TableEntry} from './store_table.js';
 import {StoreWatchStream} from './store_watch_stream.js';
@@ -61,31 +57,16 @@
 }
 
 /** A platform store for tests: the subset of etcd's JSON mapping in use. */
-export class StoreStandIn {
+export class StoreStandIn extends HttpStandIn<StoreFaults> {
   readonly table: StoreTable;
-  readonly faults: StoreFaults = {
-    down: false,
-    delayMillis: 0,
-    callsPerSecond: 0,
-    loseWriteReplies: 0,
-    watchesSilent: false,
-  };
-  private readonly clock: Clock;
-  private readonly listener: HttpListener;
   private readonly counts = new Map<string, number>();
   private readonly watches = new Set<StoreWatchStream>();
   private bucket?: TokenBucket;
 
   constructor(options: StoreStandInOptions = {}) {
-    this.clock = options.clock ?? new SystemClock();
+    const answers = {delayMillis: 0, callsPerSecond: 0, loseWriteReplies: 0};
+    super({down: false, watchesSilent: false, ...answers}, options);
     this.table = new StoreTable(this.clock, options);
-    this.listener = new HttpListener({
-      handle: (request, body, response) => this.handle(request, body, response),
-    });
-  }
-
-  listen(address?: string): Promise<string> {
-    return this.listener.listen(address);
   }
 
   /** Calls by path. */
@@ -93,17 +74,16 @@
     return Object.fromEntries(this.counts);
   }
 
-  setFaults(faults: Partial<StoreFaults>, caller?: Socket): void {
-    Object.assign(this.faults, faults);
-    const {down, callsPerSecond} = this.faults;
-    this.bucket = callsPerSecond > 0 ? this.openBucket() : undefined;
-    if (down) this.listener.destroyConnections({except: caller});
+  override setFaults(faults: Partial<StoreFaults>, caller?: Socket): void {
+    super.setFaults(faults, caller);
+    const limited = this.faults.callsPerSecond > 0;
+    this.bucket = limited ? this.openBucket() : undefined;
   }
 
-  async close(): Promise<void> {
+  override async close(): Promise<void> {
     for (const watch of this.watches) watch.close();
     this.table.dispose();
-    await this.listener.close();
+    await super.close();
   }
 
   private openBucket(): TokenBucket {
@@ -112,33 +92,22 @@
     return new TokenBucket(rate, burst, this.clock.now());
   }
 
-  private handle(
-    request: IncomingMessage,
-    body: Buffer,
-    response: ServerResponse,
-  ): void {
-    const path = request.url ?? '';
-    const control = () => this.control(path, body, response);
-    if (interceptCall(request, {down: this.faults.down, control})) return;
+  protected handle(call: StandInCall): void {
+    const {path, response} = call;
     this.counts.set(path, (this.counts.get(path) ?? 0) + 1);
     if (this.bucket && !this.bucket.tryTake(this.clock.now())) {
       return replyJson(response, 429, {message: 'too many requests'});
     }
-    const answer = () => this.answer(path, body, response);
-    if (this.faults.delayMillis === 0) return answer();
-    this.clock.schedule(this.faults.delayMillis, answer);
+    this.afterDelay(this.faults.delayMillis, () => this.answer(call));
   }
 
-  private control(path: string, body: Buffer, response: ServerResponse): void {
-    if (path === '/control/faults') {
-      this.setFaults(parseJson(body), response.socket ?? undefined);
-    }
+  protected control({path}: StandInCall): object {
     if (path === '/control/lapse-leases') this.table.lapseAllLeases();
     if (path === '/control/compact') this.table.compact();
-    replyJson(response, 200, {faults: this.faults, counts: this.callCounts()});
+    return {faults: this.faults, counts: this.callCounts()};
   }
 
-  private answer(path: string, body: Buffer, response: ServerResponse): void {
+  private answer({path, body, response}: StandInCall): void {
     try {
       if (path === '/v3/watch') return this.watch(parseJson(body), response);
       const reply = this.execute(path, body);
--- a/tests/stand_ins/worker_stand_in.ts
+++ b/tests/stand_ins/worker_stand_in.ts
@@ -1,17 +1,12 @@
-import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
 import {WorkerRefusedError} from '../../src/platform/platform_errors.js';
 import type {WorkerTaskStart} from '../../src/platform/worker.js';
 import {messageOf} from '../../src/utilities/base_error.js';
-import {SystemClock} from '../../src/utilities/clock.js';
 import type {Clock} from '../../src/utilities/clock.js';
 import type {Resources} from '../../src/utilities/resources.js';
-import {
-  HttpListener,
-  interceptCall,
-  parseJson,
-  replyJson,
-} from './http_listener.js';
+import {parseJson, replyJson} from './http_listener.js';
+import {HttpStandIn} from './http_stand_in.js';
+import type {StandInCall} from './http_stand_in.js';
 import type {InterferenceModel} from './interference.js';
 import {WorkerMachine} from './worker_machine.js';
 import type {WorkerRecord} from './worker_records.js';
@@ -41,74 +36,39 @@
 }
 
 /** Serves a WorkerMachine to an agent; its clock is that of the calendar. */
-export class WorkerStandIn {
+export class WorkerStandIn extends HttpStandIn<WorkerFaults> {
   readonly machine: WorkerMachine;
-  readonly faults: WorkerFaults = {
-    down: false,
-    delayMillis: 0,
-    loseReplies: 0,
-    failsEverything: false,
-  };
-  private readonly clock: Clock;
-  private readonly listener: HttpListener;
 
   constructor(options: WorkerStandInOptions) {
-    this.clock = options.clock ?? new SystemClock();
-    const clockOffsetMillis = this.clock.wallTime() - this.clock.now();
-    this.machine = new WorkerMachine({
-      ...options,
-      clock: this.clock,
-      clockOffsetMillis,
-    });
-    this.listener = new HttpListener({
-      handle: (request, body, response) => this.handle(request, body, response),
-    });
+    const replies = {delayMillis: 0, loseReplies: 0};
+    super({down: false, failsEverything: false, ...replies}, options);
+    const {clock} = this;
+    const clockOffsetMillis = clock.wallTime() - clock.now();
+    this.machine = new WorkerMachine({...options, clock, clockOffsetMillis});
   }
 
-  listen(address?: string): Promise<string> {
-    return this.listener.listen(address);
-  }
-
-  setFaults(faults: Partial<WorkerFaults>, caller?: Socket): void {
-    Object.assign(this.faults, faults);
+  override setFaults(faults: Partial<WorkerFaults>, caller?: Socket): void {
+    super.setFaults(faults, caller);
     this.machine.failsEverything = this.faults.failsEverything;
-    if (this.faults.down) this.listener.destroyConnections({except: caller});
   }
 
-  async close(): Promise<void> {
+  override async close(): Promise<void> {
     this.machine.close();
-    await this.listener.close();
+    await super.close();
   }
 
-  private handle(
-    request: IncomingMessage,
-    body: Buffer,
-    response: ServerResponse,
-  ): void {
-    const path = request.url ?? '';
-    const control = () => this.control(path, body, response);
-    if (interceptCall(request, {down: this.faults.down, control})) return;
-    const answer = () => void this.answer(path, body, response);
-    if (this.faults.delayMillis === 0) return answer();
-    this.clock.schedule(this.faults.delayMillis, answer);
+  protected handle(call: StandInCall): void {
+    const {delayMillis} = this.faults;
+    this.afterDelay(delayMillis, () => void this.answer(call));
   }
 
-  private control(path: string, body: Buffer, response: ServerResponse): void {
-    if (path === '/control/faults') {
-      this.setFaults(parseJson(body), response.socket ?? undefined);
-    }
-    if (path === '/control/records') {
-      return replyJson(response, 200, this.machine.records);
-    }
+  protected control({path}: StandInCall): object {
+    if (path === '/control/records') return this.machine.records;
     const runningKinds = this.machine.runningKinds();
-    replyJson(response, 200, {faults: this.faults, runningKinds});
+    return {faults: this.faults, runningKinds};
   }
 
-  private async answer(
-    path: string,
-    body: Buffer,
-    response: ServerResponse,
-  ): Promise<void> {
+  private async answer({path, body, response}: StandInCall): Promise<void> {
     try {
       const reply = await this.execute(path, body);
       if (path !== '/v1/status' && this.faults.loseReplies > 0) {
