Mend what pairs of faults showed: a crossed stop, and a VM that keeps refusing

The id is compared; the next tick asks again. Such a refusal keeps the task off that VM for 10 s; others come first. Ruled out: avoiding a VM after any refusal, which on a small fleet would leave a task waiting although room came free.

Without either guard (trial on the build) its new test fails: graceful_shutdown 'should not take the end of another task', recovery 'should try other VMs first'; with them tests/agent, recovery, jobs pass.

--- a/src/agent/commands/attempt_stopper.ts
+++ b/src/agent/commands/attempt_stopper.ts
@@ -50,6 +50,8 @@
     const checkpoint = attempt.stopIntent?.checkpoint ?? false;
     try {
       const task = await this.callStop(attempt, checkpoint);
+      // A crossed answer tells of another task: the next tick asks again.
+      if (task.id !== attempt.taskId) return;
       if (task.state === WorkerTaskState.RUNNING) return;
       this.closer.close(attempt, endedReport(attempt, task));
     } catch (error) {
--- a/src/decisions/recovery/task_backoff.ts
+++ b/src/decisions/recovery/task_backoff.ts
@@ -16,6 +16,8 @@
 
 const MAXIMUM_AVOIDED = 3;
 const AVOID_MILLIS = 30_000;
+/** A service that can't bear a task's kind seldom can a moment later. */
+const AVOID_SERVICE_MILLIS = 10_000;
 const NOTHING_AVOIDED: readonly string[] = [];
 
 /** How long a task waits after a setback, and which VMs it stays away from. */
@@ -26,9 +28,8 @@
 
   /** The time to wait after the task itself failed. */
   afterFailure(task: string, vm: string, now: number): number {
+    this.avoid(task, vm, now + AVOID_MILLIS);
     const setback = this.setback(task);
-    setback.avoid = [vm, ...setback.avoid].slice(0, MAXIMUM_AVOIDED);
-    setback.avoidUntil = now + AVOID_MILLIS;
     const delay = FAILURE_BACKOFF_MILLIS * 2 ** setback.failures++;
     return this.jittered(delay, LONGEST_FAILURE_BACKOFF_MILLIS);
   }
@@ -43,6 +44,11 @@
     return this.jittered(delay, longest);
   }
 
+  /** The service on the VM can't bear the task: other VMs come first. */
+  notBorneBy(vm: string, task: string, now: number): void {
+    this.avoid(task, vm, now + AVOID_SERVICE_MILLIS);
+  }
+
   avoided(task: string, now: number): readonly string[] {
     const setback = this.setbacks.get(task);
     if (!setback || now >= setback.avoidUntil) return NOTHING_AVOIDED;
@@ -64,6 +70,13 @@
     this.setbacks.delete(task);
   }
 
+  private avoid(task: string, vm: string, until: number): void {
+    const setback = this.setback(task);
+    const others = setback.avoid.filter(other => other !== vm);
+    setback.avoid = [vm, ...others].slice(0, MAXIMUM_AVOIDED);
+    setback.avoidUntil = Math.max(setback.avoidUntil, until);
+  }
+
   private jittered(delayMillis: number, longestMillis: number): number {
     return this.random.jitter(
       Math.min(delayMillis, longestMillis),
--- a/tests/agent/graceful_shutdown.test.ts
+++ b/tests/agent/graceful_shutdown.test.ts
@@ -43,3 +43,19 @@
   t.is(report.reason, 'its failure domain is out');
   t.is(report.outcome, 'evicted');
 });
+
+test('should not take the end of another task for that of its own', async t => {
+  const fixture = await AgentFixture.begun();
+  await fixture.start(1);
+  await fixture.pass(5_000);
+  await fixture.start(2);
+  fixture.worker.crossesStops = true;
+  await fixture.finish(fixture.agent.stop('planned'));
+  const done = new Map<number | undefined, number>();
+  for (const {name, checkpoint} of fixture.entry.reports) {
+    const {doneMillis} = JSON.parse(checkpoint) as {doneMillis: number};
+    done.set(name?.task, doneMillis);
+  }
+  t.is(done.size, 2);
+  t.true(done.get(1)! > 5_000 && done.get(2)! < 5_000);
+});
--- a/tests/recovery/recovery.test.ts
+++ b/tests/recovery/recovery.test.ts
@@ -2,6 +2,7 @@
 import {AttemptOutcome} from '../../src/decisions/job_types.js';
 import {StartPacer} from '../../src/decisions/recovery/start_pacer.js';
 import {WorkerQuarantine} from '../../src/decisions/recovery/worker_quarantine.js';
+import {ResultCodes} from '../../src/observability/result_codes.js';
 import type {FleetSettings} from '../../src/settings/settings_types.js';
 import {ShardFixture, specification, view} from '../jobs/shard_fixture.js';
 
@@ -108,6 +109,17 @@
   t.not(fixture.step()[0].vm, vm);
 });
 
+test('should try other VMs first once a service could not bear a task', t => {
+  const fixture = ShardFixture.submitted();
+  const [{vm, name}] = fixture.step();
+  fixture.refuse(vm, name, ResultCodes.TAIL_PROTECTED.number);
+  fixture.now = 5_000;
+  fixture.heartbeat(view('vm1'));
+  t.deepEqual(fixture.step(), []);
+  fixture.heartbeat(view('vm2'));
+  t.is(fixture.step(100)[0].vm, 'vm2');
+});
+
 test('should pace normal placements but not urgent ones', t => {
   const pacer = new StartPacer({startsPerSecond: 10, burst: 2});
   const fixture = new ShardFixture({policies: {pacer}});
