Refuse malformed replies of the store, and calls that trickle in

Cause: any JSON was taken for a reply of the store (a reply without a revision read as revision 0 or NaN, null threw a TypeError); a caller that sends its headers slowly was looked for only every 30 s and got code 100 with 400. Replies are checked field by field before they are read; what is none of them is StoreUnavailableError, so that a write is settled by reading. A call that does not arrive whole in time (headers 10 s, all 60 s, looked for each second) is answered 408 with the new code 104 CALL_TOO_SLOW. Ruled out: the schema library, which import_rules.js keeps out of src/platform.

--- a/src/cli/exit_codes.ts
+++ b/src/cli/exit_codes.ts
@@ -37,6 +37,7 @@
   [ResultCodes.BAD_REQUEST.number, ExitCodes.REJECTED],
   [ResultCodes.NOT_FOUND.number, ExitCodes.NOT_FOUND],
   [ResultCodes.BODY_TOO_LARGE.number, ExitCodes.REJECTED],
+  [ResultCodes.CALL_TOO_SLOW.number, ExitCodes.NOT_DONE],
   [ResultCodes.METHOD_NOT_ALLOWED.number, ExitCodes.REJECTED],
   [ResultCodes.SETTINGS_INVALID.number, ExitCodes.REJECTED],
   [ResultCodes.SETTINGS_CONFLICT.number, ExitCodes.CONFLICT],
--- a/src/entry/http/api_server.ts
+++ b/src/entry/http/api_server.ts
@@ -8,6 +8,8 @@
 
 const HEADERS_TIMEOUT_MILLIS = 10_000;
 const REQUEST_TIMEOUT_MILLIS = 60_000;
+/** How often connections are looked at for calls that are too slow. */
+const SLOWNESS_CHECK_MILLIS = 1_000;
 const CLOSE_GRACE_MILLIS = 5_000;
 
 /** Answers calls; rejections become numbered results. */
@@ -16,6 +18,11 @@
 /** Limits of an ApiServer. */
 export interface ApiServerOptions {
   readonly bodyLimitBytes: number;
+  /** Time for the headers of a call to arrive. */
+  readonly headersTimeoutMillis?: number;
+  /** Time for a whole call to arrive. */
+  readonly requestTimeoutMillis?: number;
+  readonly slownessCheckMillis?: number;
 }
 
 /** The HTTP/1.1 server of an entry. */
@@ -30,8 +37,10 @@
   ) {
     this.server = createServer(
       {
-        headersTimeout: HEADERS_TIMEOUT_MILLIS,
-        requestTimeout: REQUEST_TIMEOUT_MILLIS,
+        headersTimeout: options.headersTimeoutMillis ?? HEADERS_TIMEOUT_MILLIS,
+        requestTimeout: options.requestTimeoutMillis ?? REQUEST_TIMEOUT_MILLIS,
+        connectionsCheckingInterval:
+          options.slownessCheckMillis ?? SLOWNESS_CHECK_MILLIS,
         // Checked here, so that the answer has its number.
         requireHostHeader: false,
       },
--- a/src/entry/http/unparsed_calls.ts
+++ b/src/entry/http/unparsed_calls.ts
@@ -5,6 +5,9 @@
 import type {ResultCode} from '../../observability/result_codes.js';
 import {failureAnswer} from './api_types.js';
 
+/** What Node says of a call whose headers or body trickle in. */
+const TOO_SLOW = 'ERR_HTTP_REQUEST_TIMEOUT';
+
 /**
  * Answers with a numbered result what the HTTP parser gives no request for, and
  * ends the connection. While an earlier call on the connection still runs,
@@ -14,13 +17,12 @@
   private readonly running = new WeakMap<Duplex, number>();
 
   constructor(server: Server) {
-    server.on('clientError', (error, socket) =>
-      this.refuse(
-        socket,
-        ResultCodes.BAD_REQUEST,
-        `The call is not valid HTTP: ${error.message}.`,
-      ),
-    );
+    server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
+      const {BAD_REQUEST, CALL_TOO_SLOW} = ResultCodes;
+      const invalid = `The call is not valid HTTP: ${error.message}.`;
+      if (error.code !== TOO_SLOW) this.refuse(socket, BAD_REQUEST, invalid);
+      else this.refuse(socket, CALL_TOO_SLOW, CALL_TOO_SLOW.meaning);
+    });
     server.on('connect', (_request, socket) =>
       this.refuse(
         socket,
--- a/src/observability/result_codes.ts
+++ b/src/observability/result_codes.ts
@@ -34,6 +34,12 @@
     405,
     'The path does not take this method.',
   ),
+  CALL_TOO_SLOW: code(
+    104,
+    'CALL_TOO_SLOW',
+    408,
+    'Not run: the call did not arrive whole in time.',
+  ),
   // 2xx: service requests.
   NO_UPSTREAM: code(
     200,
--- a/src/platform/http_executor.ts
+++ b/src/platform/http_executor.ts
@@ -88,7 +88,8 @@
   }
 }
 
-function describeCrossing(
+/** Why an answer isn't the request's own; undefined if it is. */
+export function describeCrossing(
   requestId: string,
   headers: ExecutorAnswer['headers'],
 ): string | undefined {
--- a/src/platform/store_endpoints.ts
+++ b/src/platform/store_endpoints.ts
@@ -4,6 +4,7 @@
 import type {HttpStreamListener} from './http_connections.js';
 import type {HttpAnswer} from './http_exchange.js';
 import {StoreUnavailableError} from './platform_errors.js';
+import {readStoreReply} from './store_replies.js';
 
 const JSON_HEADERS = [['content-type', 'application/json']] as const;
 const STATUS_OK = 200;
@@ -136,7 +137,7 @@
 
 function readReply<Reply>(path: string, answer: HttpAnswer): Reply {
   const text = answer.body.toString();
-  if (answer.status === STATUS_OK) return JSON.parse(text) as Reply;
+  if (answer.status === STATUS_OK) return readStoreReply(path, text) as Reply;
   const lapsed = path.startsWith(LEASE_PATHS) && LEASE_NOT_FOUND.test(text);
   if (lapsed) return {} as Reply;
   throw new StoreUnavailableError(`${path}: ${answer.status} ${text.trim()}`);
