Answer calls that are on their way when an entry stops

Stopping an entry called Server.close(), which destroys connections at rest; a call that lay unread in the receive buffer was reset with them. Closing in the middle of a turn of the loop also reset connections that the kernel had accepted and the process had not.

Ruled out: the agents' stop (a caller only talks to entries) and calls in progress (those were waited for before).

Now the balancer is told first (GET /v1/health answers 503, code 104), the entry serves on for drain_milliseconds, closes after a whole poll, ends connections at rest and reads on. Connections at rest live 75 s in place of Node's 5 s, so that the balancer is the one to close them.

The fuzz of HTTP waits for connections at rest to close, so it sets 5 s, as before.

--- a/src/daemon/entry_role.ts
+++ b/src/daemon/entry_role.ts
@@ -90,9 +90,12 @@
 
   async stop(reason: string): Promise<void> {
     this.stopping = true;
+    this.entry.drain();
     this.callerServer.drain();
+    await this.pause(this.settings.limits.drainMillis);
     await this.entry.stop(reason);
-    await Promise.all([this.callerServer.close(), this.processServer.close()]);
+    await this.callerServer.close();
+    await this.processServer.close();
     this.entry.dispose(reason);
     this.store.close(reason);
   }
@@ -102,11 +105,13 @@
     const deadline = this.clock.now() + READY_DEADLINE_MILLIS;
     while (!this.stopping && this.clock.now() < deadline) {
       if (this.entry.knowsAgents()) return;
-      await new Promise<void>(resolve =>
-        this.clock.schedule(READY_POLL_MILLIS, resolve),
-      );
+      await this.pause(READY_POLL_MILLIS);
     }
   }
+
+  private pause(millis: number): Promise<void> {
+    return new Promise(resolve => this.clock.schedule(millis, resolve));
+  }
 }
 
 /** Runs an entry until a signal stops it. */
--- a/src/entry/entry_api.ts
+++ b/src/entry/entry_api.ts
@@ -8,6 +8,7 @@
 import {answerOfError} from './http/api_types.js';
 import type {ApiAnswer, ApiCall} from './http/api_types.js';
 import {dumpEntry} from './queries/entry_dump.js';
+import {HealthQuery} from './queries/health_query.js';
 import {JobQueries} from './queries/job_queries.js';
 import {OperatorQueries} from './queries/operator_queries.js';
 import {readCallerRequest} from './requests/caller_request_reader.js';
@@ -19,6 +20,7 @@
   constructor(
     private readonly options: EntryProcessOptions,
     private readonly parts: EntryParts,
+    private readonly isDraining: () => boolean,
   ) {
     this.addCommands();
     this.addQueries();
@@ -53,6 +55,7 @@
   private addQueries(): void {
     const {record, metrics, clock} = this.options;
     const {access, branches, settings, agents, router, statuses} = this.parts;
+    new HealthQuery(record.entryId, this.isDraining).addRoutes(this.router);
     new JobQueries(access).addRoutes(this.router);
     new OperatorQueries({
       entryId: record.entryId,
--- a/src/entry/entry_process.ts
+++ b/src/entry/entry_process.ts
@@ -28,10 +28,11 @@
   private readonly parts: EntryParts;
   private readonly api: EntryApi;
   private readonly loop: EntryLoop;
+  private draining = false;
 
   constructor(private readonly options: EntryProcessOptions) {
     this.parts = createEntryParts(options);
-    this.api = new EntryApi(options, this.parts);
+    this.api = new EntryApi(options, this.parts, () => this.draining);
     this.loop = new EntryLoop(this.parts, options.clock, options.logger);
   }
 
@@ -47,9 +48,15 @@
     return unchanged > settings.fleet.heartbeatMillis;
   }
 
+  /** From now on the balancer is told to send callers elsewhere. */
+  drain(): void {
+    this.draining = true;
+  }
+
   /** Graceful shutdown: hands over the shards, then leaves the roster. */
   async stop(reason: string): Promise<void> {
     const {membership, shards} = this.parts;
+    this.draining = true;
     this.options.logger.event(Events.PROCESS_STOPPING, {reason});
     await membership.announceStop();
     await shards.stop();
--- a/src/entry/http/api_server.ts
+++ b/src/entry/http/api_server.ts
@@ -1,13 +1,19 @@
 import {createServer} from 'node:http';
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
+import {Server as NetServer} from 'node:net';
 import type {AddressInfo} from 'node:net';
 import {ResultCodes} from '../../observability/result_codes.js';
 import {answerOfError, apiError} from './api_types.js';
 import type {ApiAnswer, ApiCall} from './api_types.js';
+import {CallerConnections} from './caller_connections.js';
 import {UnparsedCalls} from './unparsed_calls.js';
 
 const HEADERS_TIMEOUT_MILLIS = 10_000;
 const REQUEST_TIMEOUT_MILLIS = 60_000;
+/** Longer than balancers keep a connection at rest, so that they close first. */
+const DEFAULT_KEEP_ALIVE_MILLIS = 75_000;
+/** For the first call of a connection that was opened just before the close. */
+const FIRST_CALL_MILLIS = 1_000;
 const CLOSE_GRACE_MILLIS = 5_000;
 
 /** Answers calls; rejections become numbered results. */
@@ -16,11 +22,14 @@
 /** Limits of an ApiServer. */
 export interface ApiServerOptions {
   readonly bodyLimitBytes: number;
+  /** After this long at rest a connection is closed. */
+  readonly keepAliveMillis?: number;
 }
 
 /** The HTTP/1.1 server of an entry. */
 export class ApiServer {
   private readonly server: Server;
+  private readonly connections: CallerConnections;
   private readonly unparsed: UnparsedCalls;
   private closing = false;
 
@@ -32,6 +41,7 @@
       {
         headersTimeout: HEADERS_TIMEOUT_MILLIS,
         requestTimeout: REQUEST_TIMEOUT_MILLIS,
+        keepAliveTimeout: options.keepAliveMillis ?? DEFAULT_KEEP_ALIVE_MILLIS,
         // Checked here, so that the answer has its number.
         requireHostHeader: false,
       },
@@ -41,6 +51,7 @@
       'checkExpectation',
       (request, response) => void this.answer(request, response),
     );
+    this.connections = new CallerConnections(this.server);
     this.unparsed = new UnparsedCalls(this.server);
   }
 
@@ -60,19 +71,27 @@
     this.closing = true;
   }
 
-  /** Lets calls in progress end, then closes; open ones are cut after a while. */
-  close(): Promise<void> {
+  /**
+   * Ends connections at rest, lets calls in progress end, then closes; what is
+   * open after a while is cut.
+   */
+  async close(): Promise<void> {
     this.closing = true;
+    await pollDone();
+    const closed = this.stopListening();
+    this.connections.endUsed();
+    const timers = [
+      setTimeout(() => this.connections.endUnused(), FIRST_CALL_MILLIS),
+      setTimeout(() => this.server.closeAllConnections(), CLOSE_GRACE_MILLIS),
+    ];
+    await closed;
+    for (const timer of timers) clearTimeout(timer);
+  }
+
+  /** Resolves once all connections have ended; Server.close() would cut them. */
+  private stopListening(): Promise<void> {
     return new Promise(resolve => {
-      const cut = setTimeout(
-        () => this.server.closeAllConnections(),
-        CLOSE_GRACE_MILLIS,
-      );
-      this.server.close(() => {
-        clearTimeout(cut);
-        resolve();
-      });
-      this.server.closeIdleConnections();
+      NetServer.prototype.close.call(this.server, () => resolve());
     });
   }
 
@@ -80,6 +99,11 @@
     request: IncomingMessage,
     response: ServerResponse,
   ): Promise<void> {
+    if (!this.connections.begin(request, response)) {
+      // Read on, so that the connection comes to its end.
+      request.resume();
+      return;
+    }
     const answer = await this.handle(request).catch(answerOfError);
     if (response.destroyed) return;
     response.statusCode = answer.status;
@@ -128,6 +152,14 @@
   }
 }
 
+/**
+ * Resolves when the loop has accepted and read what had come by now: the second
+ * immediate follows a whole poll. Closing before that would reset it.
+ */
+function pollDone(): Promise<void> {
+  return new Promise(resolve => setImmediate(() => setImmediate(resolve)));
+}
+
 function checkHost({headers, httpVersion}: IncomingMessage): void {
   if (headers.host !== undefined || httpVersion === '1.0') return;
   throw apiError(ResultCodes.BAD_REQUEST, 'Header host is missing.');
--- /dev/null
+++ b/src/entry/queries/health_query.ts
@@ -0,0 +1,20 @@
+import {ResultCodes} from '../../observability/result_codes.js';
+import {apiError, jsonAnswer} from '../http/api_types.js';
+import type {ApiRouter} from '../http/api_router.js';
+
+/** Tells the balancer whether to send callers to this entry. */
+export class HealthQuery {
+  constructor(
+    private readonly entryId: string,
+    private readonly isDraining: () => boolean,
+  ) {}
+
+  addRoutes(router: ApiRouter): void {
+    router.add('GET', '/v1/health', async () => {
+      if (this.isDraining()) {
+        throw apiError(ResultCodes.ENTRY_STOPPING, 'The entry shuts down.');
+      }
+      return jsonAnswer({entry: this.entryId, ready: true});
+    });
+  }
+}
--- a/src/observability/result_codes.ts
+++ b/src/observability/result_codes.ts
@@ -34,6 +34,12 @@
     405,
     'The path does not take this method.',
   ),
+  ENTRY_STOPPING: code(
+    104,
+    'ENTRY_STOPPING',
+    503,
+    'The entry shuts down; the balancer is to send callers elsewhere.',
+  ),
   // 2xx: service requests.
   NO_UPSTREAM: code(
     200,
--- a/src/settings/entry_schema.ts
+++ b/src/settings/entry_schema.ts
@@ -117,6 +117,19 @@
     MEBIBYTE,
     '1048576',
   ),
+  drain_milliseconds: optional(
+    integerKey(
+      {
+        description:
+          'How long a stopping entry goes on after the balancer is told; longer than its health check takes.',
+        example: '2000',
+      },
+      0,
+      10_000,
+    ),
+    2_000,
+    '2000',
+  ),
 });
 
 export const ENTRY_SCHEMA: DocumentSchema = {
--- a/src/settings/process_settings.ts
+++ b/src/settings/process_settings.ts
@@ -70,7 +70,10 @@
     readonly timeoutMillis: number;
   };
   readonly shards: {readonly count: number};
-  readonly limits: {readonly bodyBytes: number};
+  readonly limits: {
+    readonly bodyBytes: number;
+    readonly drainMillis: number;
+  };
   readonly tls?: TlsSettings;
   readonly logs: LogSettings;
 }
@@ -128,6 +131,7 @@
   const place = checked.section(entryProcessSection);
   const listen = checked.section(entryListenSection);
   const store = checked.section(storeSection);
+  const limits = checked.section(limitsSection);
   return {
     process: {
       id: place.id,
@@ -146,7 +150,10 @@
       timeoutMillis: store.timeout_milliseconds,
     },
     shards: checked.section(shardsSection),
-    limits: {bodyBytes: checked.section(limitsSection).body_bytes},
+    limits: {
+      bodyBytes: limits.body_bytes,
+      drainMillis: limits.drain_milliseconds,
+    },
     tls: tlsOf(checked),
     logs: checked.section(logsSection),
   };
--- /dev/null
+++ b/tests/entry/api_server.test.ts
@@ -0,0 +1,132 @@
+import {once} from 'node:events';
+import {connect} from 'node:net';
+import type {Socket} from 'node:net';
+import {promisify} from 'node:util';
+import test from 'ava';
+import {ApiServer} from '../../src/entry/http/api_server.js';
+import {jsonAnswer} from '../../src/entry/http/api_types.js';
+
+const nextTick = promisify(process.nextTick);
+const CALL = 'GET /v1/health HTTP/1.1\r\nhost: entry\r\n\r\n';
+
+class ServerFixture {
+  calls = 0;
+  private port = 0;
+  private readonly server = new ApiServer(
+    async () => {
+      this.calls++;
+      return jsonAnswer({});
+    },
+    {bodyLimitBytes: 1_000},
+  );
+
+  static async start(): Promise<ServerFixture> {
+    const fixture = new ServerFixture();
+    fixture.port = await fixture.server.listen('127.0.0.1', 0);
+    return fixture;
+  }
+
+  open(): CallerConnection {
+    const options = {port: this.port, host: '127.0.0.1', allowHalfOpen: true};
+    return new CallerConnection(connect(options));
+  }
+
+  async connect(): Promise<CallerConnection> {
+    const connection = this.open();
+    await connection.opened;
+    return connection;
+  }
+
+  drain(): void {
+    this.server.drain();
+  }
+
+  close(): Promise<void> {
+    return this.server.close();
+  }
+}
+
+class CallerConnection {
+  readonly opened: Promise<unknown>;
+  /** The server sends nothing more; rejects when the connection is reset. */
+  readonly ended: Promise<unknown>;
+  private received = '';
+
+  constructor(private readonly socket: Socket) {
+    this.opened = once(socket, 'connect');
+    this.ended = once(socket, 'end');
+    this.opened.catch(() => undefined);
+    this.ended.catch(() => undefined);
+    socket.setEncoding('utf8');
+    socket.on('data', (text: string) => (this.received += text));
+  }
+
+  send(): void {
+    this.socket.write(CALL);
+  }
+
+  async call(): Promise<void> {
+    this.send();
+    await once(this.socket, 'data');
+  }
+
+  /** The number of answers that came before the server ended the connection. */
+  async countAnswers(): Promise<number> {
+    await this.ended;
+    this.socket.end();
+    return this.received.split('HTTP/1.1 200').length - 1;
+  }
+}
+
+test('should answer a call on a connection at rest while it drains', async t => {
+  const server = await ServerFixture.start();
+  const connection = await server.connect();
+  await connection.call();
+  server.drain();
+  connection.send();
+  t.is(await connection.countAnswers(), 2);
+  await server.close();
+});
+
+test('should answer a call that has come but was not read when it closes', async t => {
+  const server = await ServerFixture.start();
+  const connection = await server.connect();
+  await connection.call();
+  connection.send();
+  const closed = server.close();
+  t.is(await connection.countAnswers(), 2);
+  await closed;
+});
+
+test('should answer a call of a connection not accepted when it closes', async t => {
+  const server = await ServerFixture.start();
+  const connection = server.open();
+  connection.send();
+  await nextTick();
+  const closed = server.close();
+  t.is(await connection.countAnswers(), 1);
+  await closed;
+});
+
+test('should not run a call that comes when its answer can not be sent', async t => {
+  const server = await ServerFixture.start();
+  const connection = await server.connect();
+  await connection.call();
+  const closed = server.close();
+  await connection.ended;
+  connection.send();
+  t.is(await connection.countAnswers(), 1);
+  await closed;
+  t.is(server.calls, 1);
+});
+
+test('should end connections that carry no call', async t => {
+  const server = await ServerFixture.start();
+  const used = await server.connect();
+  await used.call();
+  const unused = await server.connect();
+  const closed = server.close();
+  t.is(await used.countAnswers(), 1);
+  t.is(await unused.countAnswers(), 0);
+  await closed;
+});
--- a/tests/fuzz/http_api.test.ts
+++ b/tests/fuzz/http_api.test.ts
@@ -8,6 +8,7 @@
 import {jobStatus, startEntry} from './entry_fixture.js';
 
 const BODY_LIMIT_BYTES = 20_000;
+const KEEP_ALIVE_MILLIS = 5_000;
 const CODES = new Map(
   Object.values(ResultCodes).map(code => [code.number, code]),
 );
@@ -23,6 +24,7 @@
     const entry = await startEntry();
     const server = new ApiServer(call => entry.call(call), {
       bodyLimitBytes: BODY_LIMIT_BYTES,
+      keepAliveMillis: KEEP_ALIVE_MILLIS,
     });
     const fixture = new HttpFixture(
       entry,
