Run the links with real certificates

TLS between processes was wired and had never run. Tests now sign certificates at run time (selfsigned, a development package) and show that processes of one authority talk, and that strangers and processes without a certificate are refused. Nothing in the product had to change.

--- /dev/null
+++ b/tests/protocol/transport_security.test.ts
@@ -0,0 +1,117 @@
+import {mkdtempSync, rmSync, writeFileSync} from 'node:fs';
+import {tmpdir} from 'node:os';
+import {join} from 'node:path';
+import test from 'ava';
+import type {ExecutionContext} from 'ava';
+import {generate} from 'selfsigned';
+import {SilentLogger} from '../../src/observability/logger.js';
+import {createProcessServer} from '../../src/daemon/process_parts.js';
+import {GrpcLinkFactory} from '../../src/protocol/grpc_links.js';
+import {LinkError} from '../../src/protocol/link_error.js';
+import type {TransportSecurityFiles} from '../../src/protocol/transport_security.js';
+import {startEntry} from '../fuzz/entry_fixture.js';
+
+const HOST = '127.0.0.1';
+const REASON = 'the test ends';
+const QUESTION = {
+  entryId: 'entry-2',
+  settingsRevision: 0,
+  settingsAgeMillis: 0,
+};
+
+/** An authority that signs certificates for processes on this host. */
+class Authority {
+  private constructor(
+    private readonly folder: string,
+    private readonly pair: {readonly cert: string; readonly key: string},
+  ) {}
+
+  static async create(t: ExecutionContext): Promise<Authority> {
+    const folder = mkdtempSync(join(tmpdir(), 'authority-'));
+    t.teardown(() => rmSync(folder, {recursive: true}));
+    const {cert, private: key} = await generate(
+      [{name: 'commonName', value: 'authority'}],
+      {
+        keyType: 'ec',
+        algorithm: 'sha256',
+        extensions: [{name: 'basicConstraints', cA: true, critical: true}],
+      },
+    );
+    return new Authority(folder, {cert, key});
+  }
+
+  async sign(processId: string): Promise<TransportSecurityFiles> {
+    const {cert, private: key} = await generate(
+      [{name: 'commonName', value: processId}],
+      {
+        keyType: 'ec',
+        algorithm: 'sha256',
+        ca: this.pair,
+        extensions: [{name: 'subjectAltName', altNames: [{type: 7, ip: HOST}]}],
+      },
+    );
+    return {
+      certificate: this.write(`${processId}.pem`, cert),
+      key: this.write(`${processId}.key`, key),
+      authority: this.write('authority.pem', this.pair.cert),
+    };
+  }
+
+  private write(name: string, text: string): string {
+    const path = join(this.folder, name);
+    writeFileSync(path, text);
+    return path;
+  }
+}
+
+/** An entry that asks for certificates; its address. */
+async function serveEntry(
+  t: ExecutionContext,
+  security: TransportSecurityFiles,
+): Promise<string> {
+  const entry = await startEntry();
+  const server = createProcessServer(new SilentLogger(), security);
+  server.serveEntry(entry);
+  const port = await server.listen(`${HOST}:0`);
+  t.teardown(async () => {
+    await entry.stop(REASON);
+    await server.close();
+    entry.dispose(REASON);
+  });
+  return `${HOST}:${port}`;
+}
+
+async function ask(
+  t: ExecutionContext,
+  address: string,
+  security?: TransportSecurityFiles,
+): Promise<string> {
+  const link = new GrpcLinkFactory({security}).openEntry(address);
+  t.teardown(() => link.close(REASON));
+  const {entryId} = await link.exchangePeers(QUESTION);
+  return entryId;
+}
+
+test('should talk to a process whose certificate the authority signed', async t => {
+  const authority = await Authority.create(t);
+  const address = await serveEntry(t, await authority.sign('entry-1'));
+  t.is(await ask(t, address, await authority.sign('entry-2')), 'entry-1');
+});
+
+test('should refuse a process that another authority vouches for', async t => {
+  const authority = await Authority.create(t);
+  const other = await Authority.create(t);
+  const own = await authority.sign('entry-1');
+  const address = await serveEntry(t, own);
+  const stranger = await other.sign('entry-2');
+  const trusting = {...stranger, authority: own.authority};
+  const instanceOf = LinkError;
+  await t.throwsAsync(() => ask(t, address, stranger), {instanceOf});
+  await t.throwsAsync(() => ask(t, address, trusting), {instanceOf});
+});
+
+test('should refuse a process without a certificate', async t => {
+  const authority = await Authority.create(t);
+  const address = await serveEntry(t, await authority.sign('entry-1'));
+  await t.throwsAsync(() => ask(t, address), {instanceOf: LinkError});
+});
