Send heartbeats as deltas against what the entry took in

Of these only the load, the clock's reading and the age of the settings change from one heartbeat to the next.

A heartbeat now names the session that the entry gave for this run of the agent, and the sequence number that the entry last acknowledged. It carries the fields that changed at any time since; a field that changed and changed back is sent too, so that a delta fits any state from its base on and lost, repeated and overtaken heartbeats are harmless. Flags, running attempts and the settings' revision are said each time. Sessions are drawn for each run of the agent and of the entry: an entry that doesn't know one takes nothing in, confirms nothing, and gets a full heartbeat at once. Every 65th is full.

Leases, their duration and the entries are a numbered view, sent when it changed against the version that the agent names; each reply names the version whose leases it renews. A view that isn't held renews nothing.

The property fails when deltas leave out changes right after their base, and when overtaken heartbeats are taken in (both tried).

--- a/bench/footprint/simulated_agent.ts
+++ b/bench/footprint/simulated_agent.ts
@@ -1,7 +1,9 @@
+import {EntryAcknowledgement} from '../../src/agent/entry_acknowledgement.js';
+import {HeartbeatDeltas} from '../../src/agent/heartbeat_deltas.js';
+import {HeartbeatRequest} from '../../src/protocol/generated/burdockmoor.js';
 import type {
   AttemptName,
   HeartbeatReply,
-  HeartbeatRequest,
   StartAttemptsRequest,
 } from '../../src/protocol/generated/burdockmoor.js';
 import type {EntryLink} from '../../src/protocol/links.js';
@@ -27,6 +29,7 @@
   draining: false,
   unavailable: false,
 };
+const NO_HEARTBEAT = HeartbeatRequest.decode(new Uint8Array());
 const NOTHING = {milliprocessors: 0, memoryMegabytes: 0, accelerators: 0};
 
 export interface SimulatedAgentOptions {
@@ -44,6 +47,8 @@
 export class SimulatedAgent {
   heartbeats = 0;
   starts = 0;
+  private readonly acknowledged = new EntryAcknowledgement();
+  private readonly deltas = new HeartbeatDeltas();
   private sequence = 0;
   private settingsRevision = 0;
   private running = 0;
@@ -74,9 +79,9 @@
   private async beat(): Promise<void> {
     let period = FIRST_PERIOD_MILLIS;
     try {
-      const reply = await this.options.link.heartbeat(this.heartbeat());
+      const reply = await this.send();
       this.heartbeats++;
-      period = reply.nextHeartbeatMillis;
+      if (!reply.resync) period = reply.nextHeartbeatMillis;
       this.noteSettings(reply);
     } catch {
       // The next heartbeat tries again.
@@ -85,6 +90,17 @@
     setTimeout(() => void this.beat(), random.jitter(period, PERIOD_JITTER));
   }
 
+  /** Sends what a real agent would: a delta wherever the entry has a base. */
+  private async send(): Promise<HeartbeatReply> {
+    const {acknowledged} = this;
+    const request = this.deltas.next(this.heartbeat(), acknowledged.base);
+    acknowledged.noteSent(request);
+    const reply = await this.options.link.heartbeat(request);
+    if (!reply.resync) return acknowledged.complete(request, reply);
+    acknowledged.forget(request);
+    return reply;
+  }
+
   private noteSettings(reply: HeartbeatReply): void {
     this.settingsRevision = Math.max(
       this.settingsRevision,
@@ -95,6 +111,7 @@
   private heartbeat(): HeartbeatRequest {
     const {agentId, address, failureDomain} = this.options;
     return {
+      ...NO_HEARTBEAT,
       agentId,
       incarnation: `run-of-${agentId}-0000-4000-8000-000000000000`,
       failureDomain,
--- a/src/agent/entry_channel.ts
+++ b/src/agent/entry_channel.ts
@@ -8,6 +8,8 @@
 import {messageOf} from '../utilities/base_error.js';
 import type {Clock} from '../utilities/clock.js';
 import type {Random} from '../utilities/random.js';
+import {EntryAcknowledgement} from './entry_acknowledgement.js';
+import type {HeartbeatBase} from './heartbeat_deltas.js';
 import {withReplyDeadline} from './reply_deadline.js';
 
 /** Heartbeats without a reply after which the connection is replaced. */
@@ -33,7 +35,9 @@
 export class EntryChannel {
   /** Id of the entry that last answered; undefined before. */
   entryId: string | undefined;
+  private readonly acknowledged = new EntryAcknowledgement();
   private lastReplyAt = -Infinity;
+  private lastSentAt = -Infinity;
   private dueAt = -Infinity;
   private unanswered = 0;
   private reportedSilent = false;
@@ -50,6 +54,16 @@
     return this.currentLink;
   }
 
+  /** What a heartbeat over this channel may refer to. */
+  get base(): HeartbeatBase | undefined {
+    return this.acknowledged.base;
+  }
+
+  /** When the last heartbeat was sent, and when the next one is due. */
+  get times(): {readonly sentAt: number; readonly dueAt: number} {
+    return {sentAt: this.lastSentAt, dueAt: this.dueAt};
+  }
+
   isHeard(now: number, withinMillis: number): boolean {
     return now - this.lastReplyAt <= withinMillis;
   }
@@ -58,20 +72,28 @@
     return now >= this.dueAt;
   }
 
-  /** Sends a heartbeat and sets when the next one is due. */
-  async beat(request: HeartbeatRequest, periodMillis: number): Promise<void> {
+  /**
+   * Sends a heartbeat and sets when the next one is due. Resolves to whether
+   * the entry took it in or was silent; false when it asks for a full one.
+   */
+  async beat(
+    request: HeartbeatRequest,
+    periodMillis: number,
+  ): Promise<boolean> {
     const {clock, random} = this.options;
-    const sentAt = request.agentTime;
     const link = this.currentLink;
-    this.dueAt = clock.now() + random.jitter(periodMillis, PERIOD_JITTER);
+    this.lastSentAt = clock.now();
+    this.acknowledged.noteSent(request);
+    this.dueAt = this.lastSentAt + random.jitter(periodMillis, PERIOD_JITTER);
     try {
       const answer = link.heartbeat(request);
       const what = `heartbeat to ${this.address}`;
       const deadline = Math.max(periodMillis, 1);
       const reply = await withReplyDeadline(clock, answer, deadline, what);
-      this.noteReply(reply, sentAt);
+      return this.noteReply(request, reply);
     } catch (error) {
       this.noteSilence(link, messageOf(error));
+      return true;
     }
   }
 
@@ -79,21 +101,31 @@
     this.currentLink.close(reason);
   }
 
-  private noteReply(reply: HeartbeatReply, sentAt: number): void {
-    const {clock, logger} = this.options;
-    this.unanswered = 0;
-    this.lastReplyAt = clock.now();
-    this.entryId = reply.entryId;
+  private noteReply(request: HeartbeatRequest, reply: HeartbeatReply): boolean {
+    this.noteHeard();
+    if (reply.resync) {
+      this.acknowledged.forget(request);
+      return false;
+    }
+    const sentAt = request.agentTime;
+    const whole = this.acknowledged.complete(request, reply);
+    if (whole.entryId !== '') this.entryId = whole.entryId;
     if (reply.nextHeartbeatMillis > 0) {
       const {random} = this.options;
       const next = random.jitter(reply.nextHeartbeatMillis, PERIOD_JITTER);
       this.dueAt = sentAt + next;
     }
-    if (this.reportedSilent) {
-      this.reportedSilent = false;
-      logger.event(Events.ENTRY_CONNECTION_BACK, {address: this.address});
-    }
-    this.options.onReply(this, reply, sentAt);
+    this.options.onReply(this, whole, sentAt);
+    return true;
+  }
+
+  private noteHeard(): void {
+    const {clock, logger} = this.options;
+    this.unanswered = 0;
+    this.lastReplyAt = clock.now();
+    if (!this.reportedSilent) return;
+    this.reportedSilent = false;
+    logger.event(Events.ENTRY_CONNECTION_BACK, {address: this.address});
   }
 
   private noteSilence(link: EntryLink, reason: string): void {
--- a/src/agent/heartbeat_sender.ts
+++ b/src/agent/heartbeat_sender.ts
@@ -1,9 +1,12 @@
 import type {HeartbeatRequest} from '../protocol/generated/burdockmoor.js';
 import type {AgentContext} from './agent_context.js';
+import type {EntryChannel} from './entry_channel.js';
 import type {EntryDirectory} from './entry_directory.js';
+import {HeartbeatDeltas} from './heartbeat_deltas.js';
 
 /** Sends heartbeats to every entry that the agent knows. */
 export class HeartbeatSender {
+  private readonly deltas = new HeartbeatDeltas();
   private waiters: Array<() => void> = [];
 
   constructor(
@@ -45,10 +48,14 @@
     for (const resume of waiters) resume();
   }
 
-  private beat(channel: {
-    beat(request: HeartbeatRequest, periodMillis: number): Promise<void>;
-  }): Promise<void> {
-    const period = this.context.settings.fleet.heartbeatMillis;
-    return channel.beat(this.buildRequest(), period);
+  /** Sends a delta if the entry knows its base, else a full heartbeat. */
+  private async beat(channel: EntryChannel): Promise<void> {
+    const {heartbeatMillis} = this.context.settings.fleet;
+    const send = () => {
+      const request = this.deltas.next(this.buildRequest(), channel.base);
+      return channel.beat(request, heartbeatMillis);
+    };
+    const isTakenIn = await send();
+    if (!isTakenIn) await send();
   }
 }
--- a/src/agent/queries/heartbeat_request.ts
+++ b/src/agent/queries/heartbeat_request.ts
@@ -1,6 +1,6 @@
+import {HeartbeatRequest} from '../../protocol/generated/burdockmoor.js';
 import type {
   ExecutorReport,
-  HeartbeatRequest,
   InterferenceSample,
 } from '../../protocol/generated/burdockmoor.js';
 import {FLEET_BRANCH} from '../../settings/settings_types.js';
@@ -9,6 +9,8 @@
 import {isDrained, isRecovering} from '../agent_context.js';
 import type {AgentContext} from '../agent_context.js';
 
+const NOTHING = HeartbeatRequest.decode(new Uint8Array());
+
 /** What a heartbeat says of the service beside the agent. */
 export interface ServiceState {
   readonly executors: ExecutorReport[];
@@ -16,7 +18,7 @@
   readonly teams: readonly string[];
 }
 
-/** The heartbeat that describes the VM at this moment. */
+/** The full heartbeat that describes the VM at this moment. */
 export function heartbeatRequest(
   context: AgentContext,
   service: ServiceState,
@@ -24,13 +26,14 @@
 ): HeartbeatRequest {
   const {identity, ledger, clock, settings, attempts} = context;
   return {
+    ...NOTHING,
     ...identity,
     sequence,
     // Rounded down: a lease counted from it can only be shorter.
     agentTime: Math.floor(clock.now()),
     capacity: ledger.capacity,
     committed: ledger.committed,
-    executors: service.executors,
+    executors: service.executors.map(asSent),
     settingsRevision: settings.revision,
     branches: [FLEET_BRANCH, ...service.teams],
     draining: isDrained(context),
@@ -42,6 +45,13 @@
   };
 }
 
+/** Measures as deltas carry them, so that a full heartbeat says the same. */
+function asSent(executor: ExecutorReport): ExecutorReport {
+  const serviceMillis = Math.fround(executor.serviceMillis);
+  const tailMillis = Math.fround(executor.tailMillis);
+  return {...executor, serviceMillis, tailMillis};
+}
+
 function usedResources(context: AgentContext): Resources {
   let used = NO_RESOURCES;
   for (const task of context.workerStatus?.tasks ?? []) {
--- a/src/entry/agents/agent_directory.ts
+++ b/src/entry/agents/agent_directory.ts
@@ -1,8 +1,10 @@
+import {randomBytes} from 'node:crypto';
 import type {VmView} from '../../decisions/placement/vm_table.js';
 import type {
   HeartbeatRequest,
   Resources as ResourcesMessage,
 } from '../../protocol/generated/burdockmoor.js';
+import {applyDelta, isFull} from '../../protocol/heartbeat_delta.js';
 import type {AgentLink, LinkFactory} from '../../protocol/links.js';
 import {NO_RESOURCES} from '../../utilities/resources.js';
 import type {Resources} from '../../utilities/resources.js';
@@ -12,9 +14,14 @@
 /** After this long without a heartbeat an agent gets no new requests. */
 const SILENT_AFTER_MILLIS = 5_000;
 
+const SESSION_BYTES = 6;
+
 /** One agent as its heartbeats tell. */
 export interface AgentRecord {
   readonly agentId: string;
+  /** Names this run of the agent in this run of the entry. */
+  readonly session: number;
+  /** In full, whatever was sent. */
   readonly heartbeat: HeartbeatRequest;
   /** When the heartbeat came, by this entry's clock. */
   readonly heardAt: number;
@@ -24,6 +31,8 @@
 /** The agents that report to this entry, and the links to them. */
 export class AgentDirectory {
   private readonly agents = new Map<string, AgentRecord>();
+  /** Agents' ids by session. */
+  private readonly sessions = new Map<number, string>();
   private newestSince = Infinity;
 
   constructor(private readonly links: LinkFactory) {}
@@ -48,8 +57,16 @@
     return now - this.newestSince;
   }
 
+  /** The full heartbeat that was meant; undefined if its base isn't known. */
+  complete(request: HeartbeatRequest): HeartbeatRequest | undefined {
+    if (isFull(request)) return request;
+    const agentId = this.sessions.get(request.session);
+    const known = agentId === undefined ? undefined : this.agents.get(agentId);
+    return known && applyDelta(known.heartbeat, request);
+  }
+
   /**
-   * Takes in a heartbeat. An older one that was overtaken by a newer one of
+   * Takes in a full heartbeat. An older one that was overtaken by a newer one of
    * the same run changes nothing, and gives false.
    */
   note(heartbeat: HeartbeatRequest, now: number): boolean {
@@ -64,6 +81,7 @@
         : this.links.openAgent(heartbeat.address);
     this.agents.set(heartbeat.agentId, {
       agentId: heartbeat.agentId,
+      session: this.sessionOf(heartbeat, known),
       heartbeat,
       heardAt: now,
       link,
@@ -87,6 +105,7 @@
       if (now - agent.heardAt < FORGET_AFTER_MILLIS) continue;
       agent.link.close('the agent has been silent for long');
       this.agents.delete(agent.agentId);
+      this.sessions.delete(agent.session);
     }
   }
 
@@ -94,6 +113,19 @@
   close(reason: string): void {
     for (const agent of this.agents.values()) agent.link.close(reason);
     this.agents.clear();
+    this.sessions.clear();
+  }
+
+  /** Each run of an agent has its own; a delta of another run fits nowhere. */
+  private sessionOf(
+    {agentId, incarnation}: HeartbeatRequest,
+    known: AgentRecord | undefined,
+  ): number {
+    if (known?.heartbeat.incarnation === incarnation) return known.session;
+    if (known) this.sessions.delete(known.session);
+    const session = 1 + randomBytes(SESSION_BYTES).readUIntBE(0, SESSION_BYTES);
+    this.sessions.set(session, agentId);
+    return session;
   }
 
   private filter(accepts: (agent: AgentRecord) => boolean): AgentRecord[] {
--- a/src/entry/agents/heartbeat_responder.ts
+++ b/src/entry/agents/heartbeat_responder.ts
@@ -1,15 +1,18 @@
 import type {ServiceRouter} from '../../decisions/routing/service_router.js';
+import {NO_VIEW} from '../../protocol/entry_view.js';
+import {HeartbeatReply} from '../../protocol/generated/burdockmoor.js';
 import type {
-  HeartbeatReply,
   HeartbeatRequest,
   ShardLease,
 } from '../../protocol/generated/burdockmoor.js';
+import {isFull} from '../../protocol/heartbeat_delta.js';
 import type {SettingsView} from '../../settings/settings_view.js';
 import type {Clock} from '../../utilities/clock.js';
 import type {EntryRoster} from '../membership/entry_roster.js';
 import type {ShardManager} from '../shards/shard_manager.js';
 import {settingsAgeMillis} from '../settings_age.js';
 import type {AgentDirectory, AgentRecord} from './agent_directory.js';
+import {EntryViews} from './entry_views.js';
 import {upstreamReportOf} from './upstream_messages.js';
 
 /** Above this rate agents are told to report less often. */
@@ -18,8 +21,16 @@
 const HEARTBEATS_IN_A_LEASE = 4;
 const MILLIS_A_SECOND = 1_000;
 
+/** Nothing was taken in, so neither leases nor settings are confirmed. */
+const RESYNC: HeartbeatReply = {
+  ...HeartbeatReply.decode(new Uint8Array()),
+  resync: true,
+};
+
 /** Answers the heartbeats of agents: leases, settings, the entries. */
 export class HeartbeatResponder {
+  private readonly views = new EntryViews();
+
   constructor(
     private readonly options: {
       readonly entryId: string;
@@ -36,19 +47,19 @@
   answer(request: HeartbeatRequest): HeartbeatReply {
     const {agents, settings, clock} = this.options;
     const now = clock.now();
-    if (agents.note(request, now)) this.spread(agents.find(request.agentId)!);
+    const heartbeat = agents.complete(request);
+    if (!heartbeat) return RESYNC;
+    const {agentId, settingsRevision, branches} = heartbeat;
+    const isNewer = agents.note(heartbeat, now);
+    const agent = agents.find(agentId)!;
+    if (isNewer) this.spread(agent);
     return {
-      entryId: this.options.entryId,
-      agentTime: request.agentTime,
-      leases: this.leases(),
-      leaseMillis: settings.fleet.taskLeaseMillis,
+      ...this.view(request),
+      resync: false,
+      session: isFull(request) ? agent.session : 0,
       settingsRevision: settings.revision,
       settingsAgeMillis: settingsAgeMillis(settings, now),
-      settings: settings.documentsNewerThan(
-        request.settingsRevision,
-        request.branches,
-      ),
-      entries: this.entries(),
+      settings: settings.documentsNewerThan(settingsRevision, branches),
       nextHeartbeatMillis: this.period(),
     };
   }
@@ -63,6 +74,18 @@
     }
   }
 
+  /** The view of now, left out where the agent holds it already. */
+  private view(request: HeartbeatRequest) {
+    const view = this.views.current({
+      entryId: this.options.entryId,
+      leaseMillis: this.options.settings.fleet.taskLeaseMillis,
+      leases: this.leases(),
+      entries: this.entries(),
+    });
+    const isHeld = !isFull(request) && request.viewVersion === view.viewVersion;
+    return isHeld ? {...view, ...NO_VIEW} : view;
+  }
+
   private leases(): ShardLease[] {
     const {shards} = this.options;
     if (!shards.mayRenewTaskLeases()) return [];
--- a/src/protocol/message_checks.ts
+++ b/src/protocol/message_checks.ts
@@ -2,6 +2,7 @@
 import type {
   AttemptName,
   ExchangePeersRequest,
+  ExecutorLoad,
   ForwardCallRequest,
   HeartbeatRequest,
   QueryAttemptsRequest,
@@ -10,6 +11,7 @@
   StartAttemptsRequest,
   StopAttemptsRequest,
 } from './generated/burdockmoor.js';
+import {isChanged, isFull} from './heartbeat_delta.js';
 import {InvalidMessageError} from './invalid_message_error.js';
 
 const MAXIMUM_NAME_LENGTH = 200;
@@ -19,19 +21,18 @@
 
 /** @throws InvalidMessageError that names the field at fault. */
 export function checkHeartbeat(request: HeartbeatRequest): void {
-  requireName('agent_id', request.agentId);
-  requireName('incarnation', request.incarnation);
-  requireName('failure_domain', request.failureDomain);
-  requireName('address', request.address);
-  requirePresent('capacity', request.capacity);
-  requirePresent('committed', request.committed);
+  if (isFull(request)) requireWhole(request);
+  for (const field of ['capacity', 'committed', 'used'] as const) {
+    if (isChanged(request, field)) requirePresent(field, request[field]);
+  }
   requireCount('executors', request.executors);
+  requireCount('loads', request.loads);
   requireCount('interference', request.interference);
   for (const executor of request.executors) {
     requireName('executors.service', executor.service);
-    requireMeasure('executors.service_millis', executor.serviceMillis);
-    requireMeasure('executors.tail_millis', executor.tailMillis);
+    requireLoad('executors', executor);
   }
+  for (const load of request.loads) requireLoad('loads', load);
   for (const {slowdown} of request.interference) {
     requireMeasure('interference.slowdown', slowdown);
   }
@@ -89,6 +90,21 @@
   for (const name of request.names) requireAttempt(name);
 }
 
+/** What a delta may leave out. */
+function requireWhole(request: HeartbeatRequest): void {
+  requireName('agent_id', request.agentId);
+  requireName('incarnation', request.incarnation);
+  requireName('failure_domain', request.failureDomain);
+  requireName('address', request.address);
+  requirePresent('capacity', request.capacity);
+  requirePresent('committed', request.committed);
+}
+
+function requireLoad(field: string, load: ExecutorLoad): void {
+  requireMeasure(`${field}.service_millis`, load.serviceMillis);
+  requireMeasure(`${field}.tail_millis`, load.tailMillis);
+}
+
 function requireAttempt(name: AttemptName | undefined): void {
   if (!name) return reject('name', 'is missing');
   requireName('name.team', name.team);
--- a/tests/fuzz/drawn_messages.ts
+++ b/tests/fuzz/drawn_messages.ts
@@ -8,6 +8,7 @@
 const small = fc.constantFrom(0, 1, 2, 5, 7, 2 ** 32 - 1);
 const large = fc.oneof(small, fc.constant(Number.MAX_SAFE_INTEGER));
 const real = fc.oneof(fc.constantFrom(0, 1, NaN, -1, Infinity), fc.double());
+const single = fc.oneof(fc.constantFrom(0, 1, NaN, -1, Infinity), fc.float());
 const size = fc.option(
   fc.record({
     milliprocessors: small,
@@ -35,6 +36,10 @@
   ...{name, outcome: text, checkpoint: text, result: text, reason: text},
   ...{resultCode: small, ranMillis: large, used: size},
 });
+const load = fc.record({
+  ...{inFlight: small, queued: small},
+  ...{serviceMillis: single, tailMillis: single},
+});
 const start = fc.record({
   ...{name, kind: text, size, urgent: flag, payload: text, checkpoint: text},
   ...{expectedRunMillis: large, watcher: flag, evictable: flag},
@@ -55,6 +60,8 @@
     ...{capacity: size, committed: size, executors: several(executor)},
     ...{settingsRevision: large, branches: several(text), draining: flag},
     ...{runningAttempts: small, used: size, stopping: flag, recovering: flag},
+    ...{session: fc.constantFrom(0, 1), baseDistance: small, changed: small},
+    ...{viewVersion: small, loads: several(load)},
     interference: several(
       fc.record({service: text, taskKind: text, slowdown: real}),
     ),
