Let an entry that starts in a store outage find the others

Cause: an entry learnt of the others from the store's roster alone. One whose VM was replaced during an outage had no settings, no agent ever heard of it, and it answered NO_UPSTREAM to all that the balancer sent it.

It now asks at [peers] addresses, tells who it is, takes settings over, and is named to the agents by those that it asks.

--- a/src/daemon/entry_role.ts
+++ b/src/daemon/entry_role.ts
@@ -58,6 +58,7 @@
         stopping: false,
       },
       shardCount: settings.shards.count,
+      peerAddresses: settings.peers.addresses,
       store: this.store,
       links: new GrpcLinkFactory({security: tls}),
       clock,
--- a/src/entry/agents/heartbeat_responder.ts
+++ b/src/entry/agents/heartbeat_responder.ts
@@ -8,7 +8,7 @@
 import {isFull} from '../../protocol/heartbeat_delta.js';
 import type {SettingsView} from '../../settings/settings_view.js';
 import type {Clock} from '../../utilities/clock.js';
-import type {EntryRoster} from '../membership/entry_roster.js';
+import type {KnownEntries} from '../membership/known_entries.js';
 import type {ShardManager} from '../shards/shard_manager.js';
 import {settingsAgeMillis} from '../settings_age.js';
 import type {AgentDirectory, AgentRecord} from './agent_directory.js';
@@ -38,7 +38,7 @@
       readonly router: ServiceRouter;
       readonly settings: SettingsView;
       readonly shards: ShardManager;
-      readonly roster: EntryRoster;
+      readonly entries: KnownEntries;
       readonly clock: Clock;
     },
   ) {}
@@ -98,7 +98,8 @@
   }
 
   private entries(): HeartbeatReply['entries'] {
-    return this.options.roster.all().map(entry => ({
+    const {entries, clock} = this.options;
+    return entries.all(clock.now()).map(entry => ({
       entryId: entry.entryId,
       address: entry.processAddress,
       failureDomain: entry.failureDomain,
--- a/src/entry/entry_parts.ts
+++ b/src/entry/entry_parts.ts
@@ -8,6 +8,7 @@
 import {EntryAlarms} from './alarms/entry_alarms.js';
 import type {EntryProcessOptions} from './entry_process_options.js';
 import {EntryMembership} from './membership/entry_membership.js';
+import {KnownEntries} from './membership/known_entries.js';
 import {PeerExchange} from './membership/peer_exchange.js';
 import {ProcessStatuses} from './membership/process_statuses.js';
 import {RequestForwarder} from './requests/request_forwarder.js';
@@ -30,6 +31,7 @@
   readonly router: ServiceRouter;
   readonly limiter: RequestLimiter;
   readonly membership: EntryMembership;
+  readonly entries: KnownEntries;
 }
 
 /** The parts that own shards and reach those of other entries. */
@@ -68,6 +70,7 @@
 
 function createBaseParts(options: EntryProcessOptions): BaseParts {
   const {record, store, clock, random, links} = options;
+  const membership = new EntryMembership(options);
   return {
     settings: new SettingsView(),
     settling: new SettlingStore({store, clock, random}),
@@ -77,7 +80,8 @@
       random,
     }),
     limiter: new RequestLimiter(),
-    membership: new EntryMembership(options),
+    membership,
+    entries: new KnownEntries(record, membership.roster),
   };
 }
 
@@ -129,7 +133,7 @@
 ): SettingsParts {
   const {record, store, links, clock, logger} = options;
   const {entryId} = record;
-  const {settings, settling, agents, router, limiter} = base;
+  const {settings, settling, agents, router, limiter, entries} = base;
   const {roster} = base.membership;
   const statuses = new ProcessStatuses(
     entryId,
@@ -158,8 +162,9 @@
     applier.apply(),
   );
   const peers = new PeerExchange({
-    entryId,
-    roster,
+    record,
+    addresses: options.peerAddresses ?? [],
+    entries,
     settings,
     statuses,
     links,
@@ -176,7 +181,7 @@
   shards: ShardManager,
 ): ServingParts {
   const {record, clock, metrics} = options;
-  const {agents, router, limiter, settings, membership} = base;
+  const {agents, router, limiter, settings, entries} = base;
   return {
     heartbeats: new HeartbeatResponder({
       entryId: record.entryId,
@@ -184,7 +189,7 @@
       router,
       settings,
       shards,
-      roster: membership.roster,
+      entries,
       clock,
     }),
     forwarder: new RequestForwarder(
--- a/src/entry/entry_process_options.ts
+++ b/src/entry/entry_process_options.ts
@@ -10,6 +10,8 @@
 export interface EntryProcessOptions {
   readonly record: EntryRecord;
   readonly shardCount: number;
+  /** HOST:PORT each, asked while no other entry is known. */
+  readonly peerAddresses?: readonly string[];
   /** Within its budget of calls. */
   readonly store: Store;
   readonly links: LinkFactory;
--- a/src/entry/membership/peer_exchange.ts
+++ b/src/entry/membership/peer_exchange.ts
@@ -7,7 +7,8 @@
 import type {SettingsDocument} from '../../settings/settings_types.js';
 import type {Clock} from '../../utilities/clock.js';
 import {settingsAgeMillis} from '../settings_age.js';
-import type {EntryRoster} from './entry_roster.js';
+import type {EntryRecord} from './entry_roster.js';
+import type {KnownEntries} from './known_entries.js';
 import type {ProcessStatuses} from './process_statuses.js';
 
 interface PeerLink {
@@ -17,7 +18,8 @@
 
 /**
  * Exchanges settings with the other entries. An entry that can't reach the
- * store gets the newest settings from those that can.
+ * store gets the newest settings from those that can, and one that knows no
+ * other asks at the addresses of its own settings file.
  */
 export class PeerExchange {
   private readonly links = new Map<string, PeerLink>();
@@ -25,8 +27,10 @@
 
   constructor(
     private readonly options: {
-      readonly entryId: string;
-      readonly roster: EntryRoster;
+      readonly record: EntryRecord;
+      /** HOST:PORT each. */
+      readonly addresses: readonly string[];
+      readonly entries: KnownEntries;
       readonly settings: SettingsView;
       readonly statuses: ProcessStatuses;
       readonly links: LinkFactory;
@@ -37,25 +41,25 @@
 
   /** Asks every other entry once; never rejects. */
   async exchange(): Promise<void> {
-    const {roster, entryId} = this.options;
-    const others = roster.all().filter(entry => entry.entryId !== entryId);
-    this.closeLeft(new Set(others.map(entry => entry.entryId)));
-    await Promise.all(
-      others.map(entry => this.ask(entry.entryId, entry.processAddress)),
-    );
+    const targets = this.targets();
+    this.closeLeft(new Set(targets.keys()));
+    const asked = [...targets].map(([id, address]) => this.ask(id, address));
+    await Promise.all(asked);
   }
 
   /** Answers the question of another entry with the settings that it lacks. */
   answer(request: ExchangePeersRequest): ExchangePeersReply {
-    const {settings, entryId, statuses, clock} = this.options;
+    const {settings, record, entries, statuses, clock} = this.options;
     const now = clock.now();
     statuses.notePeer(request.entryId, request.settingsRevision, now);
+    if (request.sender) entries.noteHeard(request.sender, now);
     return {
-      entryId,
+      entryId: record.entryId,
       settingsRevision: settings.revision,
-      settingsAgeMillis: settingsAgeMillis(settings, clock.now()),
+      settingsAgeMillis: settingsAgeMillis(settings, now),
       settings: settings.documentsNewerThan(request.settingsRevision),
       processes: [],
+      entries: [...entries.all(now)],
     };
   }
 
@@ -65,22 +69,31 @@
     this.links.clear();
   }
 
+  /** Addresses to ask, by the id of the entry or, without one, by themselves. */
+  private targets(): Map<string, string> {
+    const {entries, clock, addresses} = this.options;
+    const targets = new Map<string, string>();
+    for (const {entryId, processAddress} of entries.others(clock.now())) {
+      targets.set(entryId, processAddress);
+    }
+    if (targets.size > 0) return targets;
+    for (const address of addresses) targets.set(address, address);
+    return targets;
+  }
+
   private async ask(peerId: string, address: string): Promise<void> {
-    const {settings, entryId, statuses, clock, apply} = this.options;
+    const {settings, record, clock} = this.options;
     if (this.waiting.has(peerId)) return;
     this.waiting.add(peerId);
     const sentAt = clock.now();
     try {
       const reply = await this.linkTo(peerId, address).exchangePeers({
-        entryId,
+        entryId: record.entryId,
         settingsRevision: settings.revision,
-        settingsAgeMillis: settingsAgeMillis(settings, clock.now()),
+        settingsAgeMillis: settingsAgeMillis(settings, sentAt),
+        sender: record,
       });
-      statuses.notePeer(peerId, reply.settingsRevision, clock.now());
-      if (reply.settingsRevision < settings.revision) return;
-      apply(reply.settings);
-      const ageMillis = reply.settingsAgeMillis + (clock.now() - sentAt);
-      settings.confirm(reply.settingsRevision, clock.now(), ageMillis);
+      this.takeIn(reply, sentAt);
     } catch {
       // Peers come and go; the roster tells which are still there.
     } finally {
@@ -88,6 +101,27 @@
     }
   }
 
+  private takeIn(reply: ExchangePeersReply, sentAt: number): void {
+    const {settings, record, statuses, clock, apply} = this.options;
+    // Behind a balancer's address there may be this very entry.
+    if (reply.entryId === record.entryId) return;
+    const now = clock.now();
+    this.noteEntries(reply, now);
+    statuses.notePeer(reply.entryId, reply.settingsRevision, now);
+    if (reply.settingsRevision < settings.revision) return;
+    apply(reply.settings);
+    const ageMillis = reply.settingsAgeMillis + (now - sentAt);
+    settings.confirm(reply.settingsRevision, now, ageMillis);
+  }
+
+  private noteEntries(reply: ExchangePeersReply, now: number): void {
+    const {entries} = this.options;
+    for (const record of reply.entries) {
+      if (record.entryId === reply.entryId) entries.noteHeard(record, now);
+      else entries.noteNamed(record, now);
+    }
+  }
+
   private linkTo(peerId: string, address: string): EntryLink {
     const known = this.links.get(peerId);
     if (known?.address === address) return known.link;
--- a/src/entry/queries/entry_dump.ts
+++ b/src/entry/queries/entry_dump.ts
@@ -7,7 +7,7 @@
   parts: EntryParts,
 ): unknown {
   const {record, clock, store} = options;
-  const {settings, membership, router} = parts;
+  const {settings, membership, router, entries} = parts;
   const now = clock.now();
   return {
     process: record,
@@ -19,7 +19,7 @@
       confirmedAgeMillis: settings.confirmedAgeMillis(now),
       branches: settings.branches(),
     },
-    entries: membership.roster.all(),
+    entries: entries.all(now),
     shards: dumpShards(parts, now),
     agents: dumpAgents(parts, now),
     routing: router.dump(now),
--- a/src/protocol/message_checks.ts
+++ b/src/protocol/message_checks.ts
@@ -55,6 +55,9 @@
 /** @throws InvalidMessageError that names the field at fault. */
 export function checkExchangePeers(request: ExchangePeersRequest): void {
   requireName('entry_id', request.entryId);
+  if (!request.sender) return;
+  requireName('sender.entry_id', request.sender.entryId);
+  requireName('sender.process_address', request.sender.processAddress);
 }
 
 /** @throws InvalidMessageError that names the field at fault. */
--- a/src/settings/entry_schema.ts
+++ b/src/settings/entry_schema.ts
@@ -6,6 +6,7 @@
   tlsSection,
 } from './process_sections.js';
 import {
+  addressListKey,
   httpAddressListKey,
   integerKey,
   optional,
@@ -44,6 +45,21 @@
   },
 );
 
+export const peersSection = defineSection(
+  'peers',
+  'Where the entry finds the others while the store does not tell.',
+  {
+    addresses: optional(
+      addressListKey({
+        description: "The balancer's address for processes, or entries.",
+        example: '10.1.0.10:7070, 10.1.0.11:7070',
+      }),
+      [] as readonly string[],
+      'none',
+    ),
+  },
+);
+
 export const storeSection = defineSection(
   'store',
   "The platform's key-value service. The rates are this process's own.",
@@ -138,6 +154,7 @@
     entryProcessSection,
     entryListenSection,
     entryAdvertiseSection,
+    peersSection,
     storeSection,
     shardsSection,
     limitsSection,
--- a/src/settings/process_settings.ts
+++ b/src/settings/process_settings.ts
@@ -16,6 +16,7 @@
   entryListenSection,
   entryProcessSection,
   limitsSection,
+  peersSection,
   shardsSection,
   storeSection,
 } from './entry_schema.js';
@@ -69,6 +70,8 @@
     readonly readsPerSecond: number;
     readonly timeoutMillis: number;
   };
+  /** `HOST:PORT` each. */
+  readonly peers: {readonly addresses: readonly string[]};
   readonly shards: {readonly count: number};
   readonly limits: {
     readonly bodyBytes: number;
@@ -149,6 +152,7 @@
       readsPerSecond: store.reads_per_second,
       timeoutMillis: store.timeout_milliseconds,
     },
+    peers: checked.section(peersSection),
     shards: checked.section(shardsSection),
     limits: {
       bodyBytes: limits.body_bytes,
--- a/tests/fuzz/drawn_messages.ts
+++ b/tests/fuzz/drawn_messages.ts
@@ -52,6 +52,11 @@
 const withOwner = <T extends object>(fields: fc.Arbitrary<T>) =>
   fc.tuple(owner, fields).map(([first, second]) => ({...first, ...second}));
 
+const entryDescription = fc.record({
+  ...{entryId: text, processAddress: address, callerAddress: address},
+  ...{failureDomain: text, nonce: text, stopping: flag},
+});
+
 /** Well-formed messages with drawn fields, by the name of the call. */
 export const MESSAGES: Readonly<Record<string, fc.Arbitrary<object>>> = {
   heartbeat: fc.record({
@@ -76,6 +81,7 @@
   }),
   exchangePeers: fc.record({
     ...{entryId: text, settingsRevision: large, settingsAgeMillis: small},
+    sender: fc.option(entryDescription, {nil: undefined}),
   }),
   serve: fc.record({
     ...{requestId: text, service: text, team: text, method: text, path: text},
--- a/tests/history/virtual_entry.ts
+++ b/tests/history/virtual_entry.ts
@@ -35,6 +35,7 @@
   readonly random: Random;
   readonly logger: Logger;
   readonly outageGraceMillis: number;
+  readonly peerAddresses?: readonly string[];
 }
 
 /** A call of the HTTP API as a caller or operator makes it. */
@@ -99,6 +100,7 @@
       logger,
       metrics: new Metrics(),
       outageGraceMillis: this.options.outageGraceMillis,
+      peerAddresses: this.options.peerAddresses,
     });
     this.node = {
       id,
--- a/tests/proofs/store_outage.test.ts
+++ b/tests/proofs/store_outage.test.ts
@@ -1,4 +1,5 @@
 import test from 'ava';
+import {VirtualEntry} from '../history/virtual_entry.js';
 import {VirtualFleet} from '../history/virtual_fleet.js';
 
 const BOOT_MILLIS = 8_000;
@@ -41,6 +42,47 @@
   fleet.dispose();
 });
 
+test('should bring an entry that starts in an outage into use, and let go of it', async t => {
+  const fleet = new VirtualFleet(8, {reached: () => {}});
+  await fleet.runUntil(BOOT_MILLIS);
+  void fleet.entries[0].call({
+    method: 'PUT',
+    path: '/v1/settings/depot',
+    headers: {'if-match': '0', 'x-author': 'test'},
+    body: '[quota]\nmemory_megabytes = 70000\n',
+  });
+  await fleet.runUntil(OUTAGE_BEGIN_MILLIS);
+  setDown(fleet, true);
+  const [, known] = fleet.entries;
+  const started = new VirtualEntry({
+    ...known.options,
+    id: 'entry-4',
+    peerAddresses: [known.address],
+  });
+  fleet.entries.push(started);
+  setDown(fleet, true);
+  await fleet.runUntil(OUTAGE_END_MILLIS);
+  const {settings, agents} = dumpOf(started);
+  t.is(settings.revision, dumpOf(known).settings.revision);
+  t.true(settings.revision > 0);
+  t.is(agents.length, fleet.vms.length);
+  started.kill();
+  await fleet.runUntil(LAST_END_MILLIS);
+  const left = dumpOf(known).entries.map(entry => entry.entryId);
+  t.deepEqual(left.sort(), ['entry-1', 'entry-2', 'entry-3']);
+  fleet.dispose();
+});
+
+interface EntryDump {
+  readonly settings: {readonly revision: number};
+  readonly agents: readonly object[];
+  readonly entries: ReadonlyArray<{readonly entryId: string}>;
+}
+
+function dumpOf(entry: VirtualEntry): EntryDump {
+  return entry.entry.dumpState() as EntryDump;
+}
+
 function setDown(fleet: VirtualFleet, down: boolean): void {
   for (const entry of fleet.entries) entry.memory.faults.down = down;
 }
--- a/tests/protocol/transport_security.test.ts
+++ b/tests/protocol/transport_security.test.ts
@@ -17,6 +17,7 @@
   entryId: 'entry-2',
   settingsRevision: 0,
   settingsAgeMillis: 0,
+  sender: undefined,
 };
 
 /** An authority that signs certificates for processes on this host. */
