Carry heartbeats, reports, starts, stops and queries in one stream a link

A unary call costs an HTTP/2 stream, headers and grpc-js's set-up each time.

Calls wait until the peer has opened its end of the stream, so that one that failed while it waited was surely not sent; whatever was written may have arrived. A stream that is silent for as long as a call's deadline gives way to one on a new connection, and calls on it keep their own deadlines. Both ends bound what waits. Service requests stay unary: they carry bodies, and would hold back heartbeats behind them.

Keepalive pings go every 30 s in place of 10 s, since a stream is always active and would send them always; servers ping every 60 s, so that what a silent peer held is freed.

--- a/src/daemon/agent_role.ts
+++ b/src/daemon/agent_role.ts
@@ -56,7 +56,7 @@
       executorConfiguration: executor,
       executor: this.executor,
       worker: this.worker,
-      links: new GrpcLinkFactory({security: tls}),
+      links: new GrpcLinkFactory({security: tls, random: createRandom()}),
       settings: new SettingsView(),
       clock: new SystemClock(),
       random: createRandom(),
@@ -80,7 +80,7 @@
 
   async stop(reason: string): Promise<void> {
     await this.agent.stop(reason);
-    await this.processServer.close();
+    await this.processServer.close(reason);
     this.stateServer.close();
     this.executor?.close(reason);
     this.worker.close(reason);
--- a/src/daemon/entry_role.ts
+++ b/src/daemon/entry_role.ts
@@ -59,7 +59,7 @@
       },
       shardCount: settings.shards.count,
       store: this.store,
-      links: new GrpcLinkFactory({security: tls}),
+      links: new GrpcLinkFactory({security: tls, random: createRandom()}),
       clock,
       random: createRandom(),
       logger,
@@ -92,7 +92,10 @@
     this.stopping = true;
     this.callerServer.drain();
     await this.entry.stop(reason);
-    await Promise.all([this.callerServer.close(), this.processServer.close()]);
+    await Promise.all([
+      this.callerServer.close(),
+      this.processServer.close(reason),
+    ]);
     this.entry.dispose(reason);
     this.store.close(reason);
   }
--- a/src/observability/result_codes.ts
+++ b/src/observability/result_codes.ts
@@ -216,4 +216,10 @@
     502,
     'The other process does not answer.',
   ),
+  PROCESS_TOO_SLOW: code(
+    505,
+    'PROCESS_TOO_SLOW',
+    503,
+    'Not sent: the other process does not keep up with the calls to it.',
+  ),
 } as const;
--- /dev/null
+++ b/src/protocol/call_methods.ts
@@ -0,0 +1,39 @@
+/** The methods whose calls go through a link's stream, with their numbers. */
+import type {MethodDefinition} from '@grpc/grpc-js';
+import {
+  AgentServiceService,
+  EntryServiceService,
+} from './generated/burdockmoor.js';
+
+/** A method as both ends of a stream know it. */
+export interface CallMethod<Request, Reply> {
+  /** Never given to another method of the service. */
+  readonly number: number;
+  readonly name: string;
+  readonly codec: MethodDefinition<Request, Reply>;
+}
+
+function method<Request, Reply>(
+  number: number,
+  name: string,
+  codec: MethodDefinition<Request, Reply>,
+): CallMethod<Request, Reply> {
+  return {number, name, codec};
+}
+
+/** Calls of an agent to an entry. */
+export const EntryMethods = {
+  HEARTBEAT: method(1, 'Heartbeat', EntryServiceService.heartbeat),
+  REPORT_ATTEMPTS: method(
+    2,
+    'ReportAttempts',
+    EntryServiceService.reportAttempts,
+  ),
+} as const;
+
+/** Calls of an entry to an agent. */
+export const AgentMethods = {
+  START_ATTEMPTS: method(1, 'StartAttempts', AgentServiceService.startAttempts),
+  STOP_ATTEMPTS: method(2, 'StopAttempts', AgentServiceService.stopAttempts),
+  QUERY_ATTEMPTS: method(3, 'QueryAttempts', AgentServiceService.queryAttempts),
+} as const;
--- a/src/protocol/grpc_channel.ts
+++ b/src/protocol/grpc_channel.ts
@@ -8,7 +8,9 @@
   ServiceError,
 } from '@grpc/grpc-js';
 import {LinkError} from './link_error.js';
+import type {StreamSource} from './call_stream.js';
 import {MAXIMUM_MESSAGE_BYTES} from './message_limits.js';
+import type {ClientBatchStream} from './stream_session.js';
 
 const SILENT_CALLS_BEFORE_REPLACEMENT = 2;
 const NEVER_CONNECTED = /^(No connection established|Name resolution failed)/;
@@ -17,7 +19,7 @@
   // Each client has connections of its own, so that a new client means a new
   // connection and not the silent one again.
   'grpc.use_local_subchannel_pool': 1,
-  'grpc.keepalive_time_ms': 10_000,
+  'grpc.keepalive_time_ms': 30_000,
   'grpc.keepalive_timeout_ms': 3_000,
   'grpc.initial_reconnect_backoff_ms': 100,
   'grpc.max_reconnect_backoff_ms': 2_000,
@@ -38,11 +40,16 @@
   callback: (error: ServiceError | null, reply: Reply) => void,
 ) => ClientUnaryCall;
 
+/** A generated client whose service has a stream for calls. */
+interface StreamingClient extends Client {
+  streamCalls(): ClientBatchStream;
+}
+
 /**
- * Calls to one address. When calls in a row bring no reply by their deadline,
+ * Unary calls and streams to one address, on one connection. When calls in a row bring no reply by their deadline,
  * the connection counts as silent and a new one takes its place.
  */
-export class GrpcChannel<Stub extends Client> {
+export class GrpcChannel<Stub extends StreamingClient> implements StreamSource {
   private stub: Stub;
   private silentCalls = 0;
   private closed = false;
@@ -50,7 +57,7 @@
 
   constructor(
     private readonly constructorOfStub: ClientConstructor<Stub>,
-    private readonly address: string,
+    readonly address: string,
     private readonly credentials: ChannelCredentials,
   ) {
     this.stub = this.open();
@@ -78,6 +85,20 @@
     });
   }
 
+  openStream(): ClientBatchStream {
+    return this.stub.streamCalls();
+  }
+
+  /** Calls in progress on the present connection may still end there. */
+  replaceConnection(): void {
+    if (this.closed) return;
+    const silent = this.stub;
+    this.silentCalls = 0;
+    this.replacements++;
+    this.stub = this.open();
+    silent.close();
+  }
+
   /** Closes the connection; no call may follow. */
   close(): void {
     this.closed = true;
@@ -100,16 +121,7 @@
     }
     this.silentCalls++;
     if (this.silentCalls < SILENT_CALLS_BEFORE_REPLACEMENT) return;
-    this.replace();
-  }
-
-  private replace(): void {
-    if (this.closed) return;
-    const silent = this.stub;
-    this.silentCalls = 0;
-    this.replacements++;
-    this.stub = this.open();
-    silent.close();
+    this.replaceConnection();
   }
 
   private toLinkError(name: string, error: ServiceError): Error {
--- a/src/protocol/grpc_links.ts
+++ b/src/protocol/grpc_links.ts
@@ -22,6 +22,11 @@
   StopAttemptsReply,
   StopAttemptsRequest,
 } from './generated/burdockmoor.js';
+import {SystemClock} from '../utilities/clock.js';
+import type {Clock} from '../utilities/clock.js';
+import {Random} from '../utilities/random.js';
+import {AgentMethods, EntryMethods} from './call_methods.js';
+import {CallStream} from './call_stream.js';
 import {GrpcChannel} from './grpc_channel.js';
 import type {AgentLink, EntryLink, LinkFactory} from './links.js';
 import {channelCredentials} from './transport_security.js';
@@ -33,29 +38,36 @@
 /** Time for an answer to come back after the request's own deadline. */
 const ANSWER_GRACE_MILLIS = 200;
 
-/** Calls to an entry over gRPC. */
+interface LinkOptions {
+  readonly credentials: ChannelCredentials;
+  readonly clock: Clock;
+  readonly random: Random;
+}
+
+/** Calls to an entry over gRPC; frequent ones go through a stream. */
 class GrpcEntryLink implements EntryLink {
   private readonly channel: GrpcChannel<EntryServiceClient>;
+  private readonly stream: CallStream;
 
-  constructor(address: string, credentials: ChannelCredentials) {
+  constructor(address: string, options: LinkOptions) {
+    const {credentials, clock, random} = options;
     this.channel = new GrpcChannel(EntryServiceClient, address, credentials);
+    this.stream = new CallStream({source: this.channel, clock, random});
   }
 
   heartbeat(request: HeartbeatRequest): Promise<HeartbeatReply> {
-    return this.channel.call(
-      'Heartbeat',
+    return this.stream.call(
+      EntryMethods.HEARTBEAT,
+      request,
       HEARTBEAT_DEADLINE_MILLIS,
-      (stub, metadata, options, callback) =>
-        stub.heartbeat(request, metadata, options, callback),
     );
   }
 
   reportAttempts(request: ReportAttemptsRequest): Promise<ReportAttemptsReply> {
-    return this.channel.call(
-      'ReportAttempts',
+    return this.stream.call(
+      EntryMethods.REPORT_ATTEMPTS,
+      request,
       CONTROL_DEADLINE_MILLIS,
-      (stub, metadata, options, callback) =>
-        stub.reportAttempts(request, metadata, options, callback),
     );
   }
 
@@ -80,17 +92,21 @@
     );
   }
 
-  close(): void {
+  close(reason: string): void {
+    this.stream.close(reason);
     this.channel.close();
   }
 }
 
-/** Calls to an agent over gRPC. */
+/** Calls to an agent over gRPC; a request with its body is a call of its own. */
 class GrpcAgentLink implements AgentLink {
   private readonly channel: GrpcChannel<AgentServiceClient>;
+  private readonly stream: CallStream;
 
-  constructor(address: string, credentials: ChannelCredentials) {
+  constructor(address: string, options: LinkOptions) {
+    const {credentials, clock, random} = options;
     this.channel = new GrpcChannel(AgentServiceClient, address, credentials);
+    this.stream = new CallStream({source: this.channel, clock, random});
   }
 
   serve(request: ServeRequest): Promise<ServeReply> {
@@ -103,29 +119,26 @@
   }
 
   startAttempts(request: StartAttemptsRequest): Promise<StartAttemptsReply> {
-    return this.channel.call(
-      'StartAttempts',
+    return this.stream.call(
+      AgentMethods.START_ATTEMPTS,
+      request,
       START_DEADLINE_MILLIS,
-      (stub, metadata, options, callback) =>
-        stub.startAttempts(request, metadata, options, callback),
     );
   }
 
   stopAttempts(request: StopAttemptsRequest): Promise<StopAttemptsReply> {
-    return this.channel.call(
-      'StopAttempts',
+    return this.stream.call(
+      AgentMethods.STOP_ATTEMPTS,
+      request,
       CONTROL_DEADLINE_MILLIS,
-      (stub, metadata, options, callback) =>
-        stub.stopAttempts(request, metadata, options, callback),
     );
   }
 
   queryAttempts(request: QueryAttemptsRequest): Promise<QueryAttemptsReply> {
-    return this.channel.call(
-      'QueryAttempts',
+    return this.stream.call(
+      AgentMethods.QUERY_ATTEMPTS,
+      request,
       CONTROL_DEADLINE_MILLIS,
-      (stub, metadata, options, callback) =>
-        stub.queryAttempts(request, metadata, options, callback),
     );
   }
 
@@ -138,24 +151,37 @@
     );
   }
 
-  close(): void {
+  close(reason: string): void {
+    this.stream.close(reason);
     this.channel.close();
   }
 }
 
+export interface GrpcLinkFactoryOptions {
+  readonly security?: TransportSecurityFiles;
+  readonly clock?: Clock;
+  /** Varies the times at which streams are opened again. */
+  readonly random?: Random;
+}
+
 /** Opens gRPC links, over TLS when its files are given. */
 export class GrpcLinkFactory implements LinkFactory {
-  private readonly credentials: ChannelCredentials;
+  private readonly options: LinkOptions;
 
-  constructor(options: {security?: TransportSecurityFiles} = {}) {
-    this.credentials = channelCredentials(options.security);
+  constructor(options: GrpcLinkFactoryOptions = {}) {
+    const {
+      security,
+      clock = new SystemClock(),
+      random = new Random(1),
+    } = options;
+    this.options = {credentials: channelCredentials(security), clock, random};
   }
 
   openEntry(address: string): EntryLink {
-    return new GrpcEntryLink(address, this.credentials);
+    return new GrpcEntryLink(address, this.options);
   }
 
   openAgent(address: string): AgentLink {
-    return new GrpcAgentLink(address, this.credentials);
+    return new GrpcAgentLink(address, this.options);
   }
 }
--- a/src/protocol/grpc_server.ts
+++ b/src/protocol/grpc_server.ts
@@ -1,6 +1,9 @@
 import {Server, status} from '@grpc/grpc-js';
 import type {handleUnaryCall} from '@grpc/grpc-js';
 import {messageOf} from '../utilities/base_error.js';
+import {AgentMethods, EntryMethods} from './call_methods.js';
+import {CallStreamResponder} from './call_stream_responder.js';
+import type {ServerBatchStream} from './call_stream_responder.js';
 import {
   AgentServiceService,
   EntryServiceService,
@@ -22,6 +25,8 @@
   checkStopAttempts,
 } from './message_checks.js';
 import {MAXIMUM_MESSAGE_BYTES} from './message_limits.js';
+import {serveCall} from './served_call.js';
+import type {ServedCall} from './served_call.js';
 import {serverCredentials} from './transport_security.js';
 import type {TransportSecurityFiles} from './transport_security.js';
 
@@ -32,27 +37,16 @@
   onFault(message: string): void;
 }
 
-/** Checks a message, then hands it to the handler. */
-function unary<Request, Reply>(
+type Handler<Request, Reply> = (request: Request) => Promise<Reply>;
+
+/** Checks a message before it is handed to the handler. */
+function checked<Request, Reply>(
   check: (request: Request) => void,
-  handle: (request: Request) => Promise<Reply>,
-  observer: GrpcServerObserver,
-): handleUnaryCall<Request, Reply> {
-  return (call, callback) => {
-    const answer = async (): Promise<Reply> => {
-      check(call.request);
-      return handle(call.request);
-    };
-    answer().then(
-      reply => callback(null, reply),
-      (error: unknown) => {
-        const details = messageOf(error);
-        const invalid = error instanceof InvalidMessageError;
-        if (!invalid) observer.onFault(details);
-        const code = invalid ? status.INVALID_ARGUMENT : status.INTERNAL;
-        callback({code, details});
-      },
-    );
+  handle: Handler<Request, Reply>,
+): Handler<Request, Reply> {
+  return async request => {
+    check(request);
+    return handle(request);
   };
 }
 
@@ -60,7 +54,12 @@
 export class GrpcServer {
   private readonly server = new Server({
     'grpc.max_receive_message_length': MAXIMUM_MESSAGE_BYTES,
+    // Frees what a peer holds whose connection went silent.
+    'grpc.keepalive_time_ms': 60_000,
+    'grpc.keepalive_timeout_ms': 10_000,
   });
+  private readonly streams = new Set<CallStreamResponder>();
+  private closing = false;
 
   constructor(
     private readonly observer: GrpcServerObserver,
@@ -69,57 +68,55 @@
 
   /** Adds the calls of an entry; to be called before `listen`. */
   serveEntry(handlers: EntryHandlers): void {
-    const {observer} = this;
+    const heartbeat = checked(checkHeartbeat, request =>
+      handlers.heartbeat(request),
+    );
+    const reportAttempts = checked(checkReportAttempts, request =>
+      handlers.reportAttempts(request),
+    );
+    const forwardCall = checked(checkForwardCall, request =>
+      handlers.forwardCall(request),
+    );
+    const exchangePeers = checked(checkExchangePeers, request =>
+      handlers.exchangePeers(request),
+    );
     const implementation: EntryServiceServer = {
-      heartbeat: unary(
-        checkHeartbeat,
-        request => handlers.heartbeat(request),
-        observer,
-      ),
-      reportAttempts: unary(
-        checkReportAttempts,
-        request => handlers.reportAttempts(request),
-        observer,
-      ),
-      forwardCall: unary(
-        checkForwardCall,
-        request => handlers.forwardCall(request),
-        observer,
-      ),
-      exchangePeers: unary(
-        checkExchangePeers,
-        request => handlers.exchangePeers(request),
-        observer,
-      ),
+      heartbeat: this.unary(heartbeat),
+      reportAttempts: this.unary(reportAttempts),
+      forwardCall: this.unary(forwardCall),
+      exchangePeers: this.unary(exchangePeers),
+      streamCalls: this.streaming([
+        serveCall(EntryMethods.HEARTBEAT, heartbeat),
+        serveCall(EntryMethods.REPORT_ATTEMPTS, reportAttempts),
+      ]),
     };
     this.server.addService(EntryServiceService, implementation);
   }
 
   /** Adds the calls of an agent; to be called before `listen`. */
   serveAgent(handlers: AgentHandlers): void {
-    const {observer} = this;
+    const startAttempts = checked(checkStartAttempts, request =>
+      handlers.startAttempts(request),
+    );
+    const stopAttempts = checked(checkStopAttempts, request =>
+      handlers.stopAttempts(request),
+    );
+    const queryAttempts = checked(checkQueryAttempts, request =>
+      handlers.queryAttempts(request),
+    );
     const implementation: AgentServiceServer = {
-      serve: unary(checkServe, request => handlers.serve(request), observer),
-      startAttempts: unary(
-        checkStartAttempts,
-        request => handlers.startAttempts(request),
-        observer,
-      ),
-      stopAttempts: unary(
-        checkStopAttempts,
-        request => handlers.stopAttempts(request),
-        observer,
-      ),
-      queryAttempts: unary(
-        checkQueryAttempts,
-        request => handlers.queryAttempts(request),
-        observer,
-      ),
-      dumpState: unary(
-        () => {},
-        () => handlers.dumpState(),
-        observer,
+      serve: this.unary(
+        checked(checkServe, request => handlers.serve(request)),
       ),
+      startAttempts: this.unary(startAttempts),
+      stopAttempts: this.unary(stopAttempts),
+      queryAttempts: this.unary(queryAttempts),
+      dumpState: this.unary(() => handlers.dumpState()),
+      streamCalls: this.streaming([
+        serveCall(AgentMethods.START_ATTEMPTS, startAttempts),
+        serveCall(AgentMethods.STOP_ATTEMPTS, stopAttempts),
+        serveCall(AgentMethods.QUERY_ATTEMPTS, queryAttempts),
+      ]),
     };
     this.server.addService(AgentServiceService, implementation);
   }
@@ -136,7 +133,9 @@
   }
 
   /** Lets calls in progress end, then closes; open calls are cut after a while. */
-  close(): Promise<void> {
+  close(reason: string): Promise<void> {
+    this.closing = true;
+    for (const stream of this.streams) stream.close(reason);
     return new Promise(resolve => {
       const cut = setTimeout(() => {
         this.server.forceShutdown();
@@ -148,4 +147,40 @@
       });
     });
   }
+
+  private unary<Request, Reply>(
+    handle: Handler<Request, Reply>,
+  ): handleUnaryCall<Request, Reply> {
+    return (call, callback) => {
+      handle(call.request).then(
+        reply => callback(null, reply),
+        (error: unknown) => {
+          const details = messageOf(error);
+          const invalid = error instanceof InvalidMessageError;
+          if (!invalid) this.observer.onFault(details);
+          const code = invalid ? status.INVALID_ARGUMENT : status.INTERNAL;
+          callback({code, details});
+        },
+      );
+    };
+  }
+
+  private streaming(served: ServedCall[]): (stream: ServerBatchStream) => void {
+    const calls = new Map(served.map(call => [call.number, call]));
+    return stream => {
+      if (this.closing) return refuse(stream);
+      const responder = new CallStreamResponder({
+        stream,
+        calls,
+        onFault: message => this.observer.onFault(message),
+        onEnd: () => this.streams.delete(responder),
+      });
+      this.streams.add(responder);
+    };
+  }
+}
+
+function refuse(stream: ServerBatchStream): void {
+  const details = 'The process is shutting down';
+  stream.emit('error', {code: status.UNAVAILABLE, details});
 }
--- /dev/null
+++ b/src/protocol/open_call.ts
@@ -0,0 +1,64 @@
+import {ResultCodes} from '../observability/result_codes.js';
+import type {ResultCode} from '../observability/result_codes.js';
+import type {Timer} from '../utilities/clock.js';
+import type {SizedItem} from './batch_queue.js';
+import type {Call} from './generated/burdockmoor.js';
+import {LinkError} from './link_error.js';
+import type {StreamSession} from './stream_session.js';
+
+export interface OpenCallOptions {
+  /** Method and address, for messages. */
+  readonly title: string;
+  readonly message: Call;
+  readonly begunAt: number;
+  /** Throws when the reply can't be decoded. */
+  readonly onReply: (reply: Buffer) => void;
+  readonly onError: (error: Error) => void;
+}
+
+/** A call that has no outcome yet. */
+export class OpenCall implements SizedItem {
+  /** Where the call was sent; undefined while it waits. */
+  session: StreamSession | undefined;
+  deadline: Timer | undefined;
+
+  constructor(private readonly options: OpenCallOptions) {}
+
+  get number(): number {
+    return this.options.message.number;
+  }
+
+  get message(): Call {
+    return this.options.message;
+  }
+
+  get bytes(): number {
+    return this.options.message.request.length;
+  }
+
+  get begunAt(): number {
+    return this.options.begunAt;
+  }
+
+  succeed(reply: Buffer): void {
+    this.deadline?.cancel();
+    try {
+      this.options.onReply(reply);
+    } catch {
+      this.fail('the reply could not be decoded');
+    }
+  }
+
+  /** Fails the call; it was not sent when no session ever had it. */
+  fail(
+    reason: string,
+    resultCode: ResultCode = ResultCodes.PROCESS_UNREACHABLE,
+  ): void {
+    this.deadline?.cancel();
+    const notSent = this.session === undefined;
+    const error = new LinkError(`${this.options.title} failed: ${reason}.`, {
+      props: {notSent, resultCode},
+    });
+    this.options.onError(error);
+  }
+}
--- a/tests/fuzz/grpc_messages.test.ts
+++ b/tests/fuzz/grpc_messages.test.ts
@@ -2,11 +2,15 @@
 import type {ServiceDefinition} from '@grpc/grpc-js';
 import test from 'ava';
 import fc from 'fast-check';
+import {AgentMethods, EntryMethods} from '../../src/protocol/call_methods.js';
 import {
   AgentServiceService,
+  CallBatch,
   EntryServiceService,
   HeartbeatRequest,
+  ReplyBatch,
 } from '../../src/protocol/generated/burdockmoor.js';
+import type {Call} from '../../src/protocol/generated/burdockmoor.js';
 import {GrpcServer} from '../../src/protocol/grpc_server.js';
 import {AgentFixture, TASK_SIZE} from '../agent/fixtures/agent_fixture.js';
 import {FakeExecutor} from '../agent/fixtures/fake_executor.js';
@@ -47,17 +51,45 @@
     );
   }
 
+  /** Sends one batch through a stream of its own; counts the replies. */
+  stream(service: ServiceDefinition, bytes: Uint8Array) {
+    const seen = {code: -1, numbers: [] as number[], answered: 0};
+    const stream = this.client.makeBidiStreamRequest(
+      service.streamCalls.path,
+      (value: Uint8Array) => Buffer.from(value),
+      value => ReplyBatch.decode(value),
+      {deadline: Date.now() + 20_000},
+    );
+    stream.on('data', ({replies}: ReplyBatch) => {
+      for (const {number, reply} of replies) {
+        seen.numbers.push(number);
+        if (reply) seen.answered += 1;
+      }
+    });
+    stream.on('error', () => {});
+    stream.on('status', ({code}) => (seen.code = code));
+    stream.end(bytes);
+    return new Promise<typeof seen>(resolve =>
+      stream.on('end', () => resolve(seen)),
+    );
+  }
+
   async close(): Promise<void> {
     this.client.close();
-    await this.server.close();
+    await this.server.close('the test ends');
   }
 }
 
 /** Random bytes, or a drawn message whole, cut or with a byte changed. */
 function bytesFor(service: ServiceDefinition, method: string) {
-  const whole = MESSAGES[method].map(drawn =>
-    Uint8Array.from(service[method].requestSerialize(drawn)),
+  return orBroken(
+    MESSAGES[method].map(drawn =>
+      Uint8Array.from(service[method].requestSerialize(drawn)),
+    ),
   );
+}
+
+function orBroken(whole: fc.Arbitrary<Uint8Array>) {
   const broken = fc.tuple(whole, fc.nat(), fc.nat(255), fc.boolean());
   return fc.oneof(
     {arbitrary: whole, weight: 3},
@@ -87,7 +119,70 @@
   }
 }
 
-/** Calls every method; gives the statuses seen, to show what was reached. */
+type Methods = ReadonlyArray<{
+  readonly number: number;
+  readonly codec: unknown;
+}>;
+
+/** Batches of calls to known and unknown methods, whole or broken. */
+function batchesFor(service: ServiceDefinition, methods: Methods) {
+  const calls = methods.map(method => {
+    const names = Object.keys(service);
+    const name = names.find(each => service[each] === method.codec)!;
+    return fc.record<Call>({
+      number: fc.constantFrom(0, 1, 2, 2, Number.MAX_SAFE_INTEGER),
+      method: fc.constantFrom(method.number, method.number, 0, 99),
+      request: bytesFor(service, name)
+        .filter(bytes => !isNewerOwner(service, name, bytes))
+        .map(bytes => Buffer.from(bytes)),
+    });
+  });
+  const batch = fc.array(fc.oneof(...calls), {maxLength: 5});
+  return orBroken(
+    batch.map(drawn => CallBatch.encode({calls: drawn}).finish()),
+  );
+}
+
+function decodeBatch(bytes: Uint8Array): CallBatch | undefined {
+  try {
+    return CallBatch.decode(bytes);
+  } catch {
+    return undefined;
+  }
+}
+
+/** Streams batches; each decodable call has to get exactly one reply. */
+async function streamAll(
+  client: RawClient,
+  service: ServiceDefinition,
+  methods: Methods,
+  seed: number,
+): Promise<number> {
+  let answered = 0;
+  const property = fc.asyncProperty(
+    batchesFor(service, methods).filter(bytes =>
+      (decodeBatch(bytes)?.calls ?? []).every(({request}) =>
+        Object.keys(MESSAGES).every(
+          name => !service[name] || !isNewerOwner(service, name, request),
+        ),
+      ),
+    ),
+    async bytes => {
+      const batch = decodeBatch(bytes);
+      const seen = await client.stream(service, bytes);
+      answered += seen.answered;
+      if (client.faults.length > 0) throw new Error(client.faults.pop());
+      if (!batch) return seen.code === status.INTERNAL;
+      const numbers = batch.calls.map(({number}) => number);
+      const isWhole = String(seen.numbers.sort()) === String(numbers.sort());
+      return seen.code === status.OK && isWhole;
+    },
+  );
+  await fc.assert(property, {seed, numRuns: 300});
+  return answered;
+}
+
+/** Calls every unary method; gives the statuses seen, to show what was reached. */
 async function callAll(
   client: RawClient,
   service: ServiceDefinition,
@@ -95,6 +190,7 @@
 ): Promise<Map<string, Set<number>>> {
   const seen = new Map<string, Set<number>>();
   for (const method of Object.keys(service)) {
+    if (service[method].requestStream) continue;
     const statuses = new Set<number>();
     seen.set(method, statuses);
     const property = fc.asyncProperty(
@@ -120,6 +216,8 @@
   await client.start();
   t.is(await jobStatus(entry, 'POST', 'kept'), 201);
   const seen = await callAll(client, EntryServiceService, 21);
+  const methods = Object.values(EntryMethods);
+  t.true((await streamAll(client, EntryServiceService, methods, 23)) > 0);
   for (const [method, codes] of seen) t.true(codes.has(status.OK), method);
   t.is(await jobStatus(entry, 'GET', 'kept'), 200);
   t.is(await jobStatus(entry, 'POST', 'later'), 201);
@@ -156,14 +254,18 @@
   t.true((await fixture.start(0, {evictable: false})).accepted);
   const running = fixture.worker.running();
   let done = false;
-  const calls = callAll(client, AgentServiceService, 22).finally(
-    () => (done = true),
+  const methods = Object.values(AgentMethods);
+  const calls = callAll(client, AgentServiceService, 22);
+  const streams = calls.then(() =>
+    streamAll(client, AgentServiceService, methods, 24),
   );
+  void streams.catch(() => {}).finally(() => (done = true));
   while (!done) {
     await fixture.pass(50);
     await new Promise(resolve => setImmediate(resolve));
   }
   const seen = await calls;
+  t.true((await streams) > 0);
   for (const [method, codes] of seen) t.true(codes.has(status.OK), method);
   await fixture.pass(20_000);
   t.true(fixture.worker.running().includes(running[0]), 'lost');
