--- a/src/daemon/entry_role.ts
+++ b/src/daemon/entry_role.ts
@@ -60,7 +60,7 @@
       shardCount: settings.shards.count,
       peerAddresses: settings.peers.addresses,
       store: this.store,
-      links: new GrpcLinkFactory({security: tls}),
+      links: new GrpcLinkFactory({security: tls, random: createRandom()}),
       clock,
       random: createRandom(),
       logger,
@@ -96,7 +96,7 @@
     await this.pause(this.settings.limits.drainMillis);
     await this.entry.stop(reason);
     await this.callerServer.close();
-    await this.processServer.close();
+    await this.processServer.close(reason);
     this.entry.dispose(reason);
     this.store.close(reason);
   }
--- a/tests/protocol/transport_security.test.ts
+++ b/tests/protocol/transport_security.test.ts
@@ -6,6 +6,7 @@
 import {generate} from 'selfsigned';
 import {SilentLogger} from '../../src/observability/logger.js';
 import {createProcessServer} from '../../src/daemon/process_parts.js';
+import {HeartbeatRequest} from '../../src/protocol/generated/burdockmoor.js';
 import {GrpcLinkFactory} from '../../src/protocol/grpc_links.js';
 import {LinkError} from '../../src/protocol/link_error.js';
 import type {TransportSecurityFiles} from '../../src/protocol/transport_security.js';
@@ -19,6 +20,12 @@
   settingsAgeMillis: 0,
   sender: undefined,
 };
+const SIZE = {milliprocessors: 1, memoryMegabytes: 1, accelerators: 0};
+const HEARTBEAT = {
+  ...HeartbeatRequest.decode(new Uint8Array()),
+  ...{agentId: 'vm-1', incarnation: 'run-1', failureDomain: 'tema'},
+  ...{address: `${HOST}:1`, capacity: SIZE, committed: SIZE},
+};
 
 /** An authority that signs certificates for processes on this host. */
 class Authority {
@@ -76,7 +83,7 @@
   const port = await server.listen(`${HOST}:0`);
   t.teardown(async () => {
     await entry.stop(REASON);
-    await server.close();
+    await server.close(REASON);
     entry.dispose(REASON);
   });
   return `${HOST}:${port}`;
@@ -90,6 +97,8 @@
   const link = new GrpcLinkFactory({security}).openEntry(address);
   t.teardown(() => link.close(REASON));
   const {entryId} = await link.exchangePeers(QUESTION);
+  const streamed = await link.heartbeat(HEARTBEAT);
+  t.is(streamed.entryId, entryId, 'over a stream');
   return entryId;
 }
 
