--- a/tests/agent/starts.test.ts
+++ b/tests/agent/starts.test.ts
@@ -84,6 +84,26 @@
   t.is(fixture.entry.heartbeats.length, before + 1);
 });
 
+test('should have its settings confirmed in time by one entry that asks for long periods', async t => {
+  const fixture = new AgentFixture();
+  fixture.entry.nextHeartbeatMillis = 3_750;
+  fixture.entry.settingsAgeMillis = 1_000;
+  fixture.entry.replyDelayMillis = 100;
+  await fixture.begin();
+  const {clock, settings} = fixture;
+  let oldest = 0;
+  for (let step = 0; step < 600; step++) {
+    await fixture.pass(100);
+    oldest = Math.max(oldest, settings.confirmedAgeMillis(clock.now()));
+  }
+  t.true(oldest <= settings.fleet.settingsFreshMillis, `${oldest} ms`);
+  // While nobody confirms them it asks, but not all the time.
+  fixture.entry.confirmsSettings = false;
+  const before = fixture.entry.heartbeats.length;
+  await fixture.pass(20_000);
+  t.true(fixture.entry.heartbeats.length - before <= 11);
+});
+
 test('should start nothing while the settings stay unconfirmed', async t => {
   const fixture = new AgentFixture();
   await fixture.begin();
