--- a/bench/footprint/measure_recovery.ts
+++ b/bench/footprint/measure_recovery.ts
@@ -1,3 +1,4 @@
+import {randomUUID} from 'node:crypto';
 import {ShardScheduler} from '../../src/decisions/jobs/shard_scheduler.js';
 import {JobKind} from '../../src/decisions/job_types.js';
 import {ShardLog} from '../../src/entry/shards/shard_log.js';
@@ -31,6 +32,7 @@
     shard: SHARD,
     random: this.random,
   });
+  private readonly incarnations = Array.from({length: VMS}, () => randomUUID());
   private now = 0;
 
   constructor(private readonly tasks: number) {}
@@ -42,19 +44,30 @@
     this.submitJobs();
     const placed = await this.placeAll();
     const text = this.scheduler.snapshot();
+    const savedFrom = process.cpuUsage();
     await this.log.saveSnapshot(text);
+    const saved = process.cpuUsage(savedFrom);
+    const keptCharacters = await this.keptCharacters();
     const appends = await this.appendUntilSnapshotIsDue();
     return {
       tasks: this.tasks,
       placed,
       snapshotCharacters: text.length,
       charactersATask: Math.round(text.length / this.tasks),
-      shareOfValueLimit: round(text.length / VALUE_LIMIT_CHARACTERS),
+      keptCharacters,
+      shareOfValueLimit: round(keptCharacters / VALUE_LIMIT_CHARACTERS),
+      saveProcessorMillis: round((saved.user + saved.system) / 1_000),
       appends,
       ...(await this.recover()),
     };
   }
 
+  /** Of the snapshot's parts, as they are in the store. */
+  private async keptCharacters(): Promise<number> {
+    const {values} = await this.store.list(`jobs/${SHARD}/snapshot/parts/`);
+    return values.reduce((total, {value}) => total + value.length, 0);
+  }
+
   private openLog(): ShardLog {
     const {store, clock, random} = this;
     const settling = new SettlingStore({store, clock, random});
@@ -120,7 +133,7 @@
     for (let number = 0; number < VMS; number++) {
       const view = {
         vm: `vm-${number}`,
-        incarnation: `00000000-0000-4000-8000-${String(number).padStart(12, '0')}`,
+        incarnation: this.incarnations[number],
         failureDomain: `domain-${number % 6}`,
         region: `region-${number % 2}`,
         rack: `rack-${Math.floor(number / 3)}`,
--- a/bench/footprint/simulated_agent.ts
+++ b/bench/footprint/simulated_agent.ts
@@ -3,7 +3,9 @@
 import {HeartbeatRequest} from '../../src/protocol/generated/burdockmoor.js';
 import type {
   AttemptName,
+  ExecutorReport,
   HeartbeatReply,
+  Resources,
   StartAttemptsRequest,
 } from '../../src/protocol/generated/burdockmoor.js';
 import type {EntryLink} from '../../src/protocol/links.js';
@@ -12,6 +14,10 @@
 const FIRST_PERIOD_MILLIS = 1_000;
 const PERIOD_JITTER = 0.2;
 const RUN_JITTER = 0.5;
+const LOAD_JITTER = 0.2;
+/** What each task of the job source asks for. */
+const TASK_MILLIPROCESSORS = 100;
+const TASK_MEGABYTES = 100;
 const REPORT_AGAIN_MILLIS = 1_000;
 const CAPACITY = {
   milliprocessors: 64_000,
@@ -121,19 +127,44 @@
       sequence: ++this.sequence,
       agentTime: Math.round(performance.now()),
       capacity: CAPACITY,
-      committed: NOTHING,
-      executors: [EXECUTOR],
+      committed: {
+        milliprocessors: this.running * TASK_MILLIPROCESSORS,
+        memoryMegabytes: this.running * TASK_MEGABYTES,
+        accelerators: 0,
+      },
+      executors: [this.executor()],
       settingsRevision: this.settingsRevision,
       branches: ['fleet'],
       draining: false,
       runningAttempts: this.running,
       interference: [],
-      used: NOTHING,
+      used: this.used(),
       stopping: false,
       recovering: false,
     };
   }
 
+  /** Requests come and go, so the load is another in each heartbeat. */
+  private executor(): ExecutorReport {
+    const {random} = this.options;
+    return {
+      ...EXECUTOR,
+      inFlight: random.below(EXECUTOR.slots + 1),
+      serviceMillis: Math.fround(random.jitter(5.5, LOAD_JITTER)),
+      tailMillis: Math.fround(random.jitter(9.5, LOAD_JITTER)),
+    };
+  }
+
+  /** What the VM's tasks use, which is never quite the same. */
+  private used(): Resources {
+    const {random} = this.options;
+    return {
+      milliprocessors: random.below(CAPACITY.milliprocessors),
+      memoryMegabytes: random.below(CAPACITY.memoryMegabytes),
+      accelerators: 0,
+    };
+  }
+
   private async report(
     shard: number,
     name: AttemptName,
--- a/import_rules.js
+++ b/import_rules.js
@@ -55,6 +55,7 @@
       'node:net',
       'node:stream',
       'node:fs',
+      'node:zlib',
     ],
   },
   daemon: {
--- a/src/entry/shards/shard_log.ts
+++ b/src/entry/shards/shard_log.ts
@@ -1,4 +1,4 @@
-import {randomUUID} from 'node:crypto';
+import {randomBytes} from 'node:crypto';
 import {
   decodeRecords,
   encodeRecords,
@@ -11,6 +11,7 @@
 import {SettledOutcome} from '../../platform/settling_store.js';
 import type {SettlingStore} from '../../platform/settling_store.js';
 import {BaseError} from '../../utilities/base_error.js';
+import {packText, unpackText} from './packed_text.js';
 import {SnapshotFile} from './snapshot_file.js';
 import type {Snapshot} from './snapshot_file.js';
 
@@ -20,6 +21,8 @@
 const SLOT_DIGITS = 4;
 const LIST_LIMIT = 32;
 const READ_TRIALS = 5;
+/** Enough that no two writes ever have the same. */
+const NONCE_BYTES = 12;
 
 /** Another owner wrote to the log: this one owns the shard no more. */
 export const DeposedError = BaseError.subclass('DeposedError');
@@ -31,12 +34,19 @@
 interface LogSlot {
   readonly sequence: number;
   readonly nonce: string;
-  readonly records: EncodedRecords;
+  /** As an object, or as its packed JSON text. */
+  readonly records: EncodedRecords | string;
 }
 
 /** The log was written to faster than it could be read. */
 export const LogMovedError = BaseError.subclass('LogMovedError');
 
+/** The records of one append, from the value that the store keeps. */
+export function recordsOf(value: string): LogRecord[] {
+  const {records} = JSON.parse(value) as LogSlot;
+  return decodeRecords(unpackRecords(records));
+}
+
 /** What a new owner reads before it takes over. */
 export interface LogReplay {
   /** The folded log up to the records; empty when there is none. */
@@ -110,7 +120,9 @@
     for (const slot of slots) {
       if (slot.sequence < this.nextSequence) continue;
       if (slot.sequence > this.nextSequence) return undefined;
-      for (const record of decodeRecords(slot.records)) records.push(record);
+      for (const record of decodeRecords(unpackRecords(slot.records))) {
+        records.push(record);
+      }
       this.nextSequence++;
     }
     return records;
@@ -129,8 +141,8 @@
     const sequence = this.nextSequence;
     const slot: LogSlot = {
       sequence,
-      nonce: randomUUID(),
-      records: encodeRecords(records),
+      nonce: randomBytes(NONCE_BYTES).toString('base64url'),
+      records: packRecords(encodeRecords(records)),
     };
     const index = sequence % RING_SLOTS;
     const result = await this.writer.swap(
@@ -176,3 +188,14 @@
     return this.prefix + String(index).padStart(SLOT_DIGITS, '0');
   }
 }
+
+function packRecords(records: EncodedRecords): EncodedRecords | string {
+  const text = JSON.stringify(records);
+  const packed = packText(text);
+  return packed === text ? records : packed;
+}
+
+function unpackRecords(records: EncodedRecords | string): EncodedRecords {
+  if (typeof records !== 'string') return records;
+  return JSON.parse(unpackText(records)) as EncodedRecords;
+}
--- a/src/entry/shards/snapshot_file.ts
+++ b/src/entry/shards/snapshot_file.ts
@@ -4,6 +4,7 @@
 import {ABSENT_REVISION} from '../../platform/store.js';
 import type {Store} from '../../platform/store.js';
 import {BaseError} from '../../utilities/base_error.js';
+import {packText, unpackText} from './packed_text.js';
 
 /** Below the megabyte that the store takes in one value. */
 const PART_CHARACTERS = 400_000;
@@ -56,7 +57,7 @@
     for (let part = 0; part < head.parts; part++) {
       text += await this.readPart(head.partsPrefix, part);
     }
-    return {sequence: head.sequence, text};
+    return {sequence: head.sequence, text: unpackText(text)};
   }
 
   /**
@@ -68,10 +69,11 @@
     const partsStart = `${this.prefix}parts/`;
     const digits = String(sequence).padStart(SEQUENCE_DIGITS, '0');
     const partsPrefix = `${partsStart}${digits}-${randomUUID()}/`;
-    const parts = Math.max(1, Math.ceil(text.length / PART_CHARACTERS));
+    const packed = packText(text);
+    const parts = Math.max(1, Math.ceil(packed.length / PART_CHARACTERS));
     for (let part = 0; part < parts; part++) {
       const from = part * PART_CHARACTERS;
-      const value = text.slice(from, from + PART_CHARACTERS);
+      const value = packed.slice(from, from + PART_CHARACTERS);
       await this.put(partKey(partsPrefix, part), ABSENT_REVISION, value);
     }
     const head: SnapshotHead = {
--- a/tests/history/store_observer.ts
+++ b/tests/history/store_observer.ts
@@ -1,6 +1,5 @@
 import {LogRecordType} from '../../src/decisions/job_types.js';
-import {decodeRecords} from '../../src/decisions/jobs/record_codec.js';
-import type {EncodedRecords} from '../../src/decisions/jobs/record_codec.js';
+import {recordsOf} from '../../src/entry/shards/shard_log.js';
 import {parseFleetSettings} from '../../src/settings/settings_branches.js';
 import type {TableEntry} from '../stand_ins/store_table.js';
 import type {History} from './history.js';
@@ -22,8 +21,7 @@
   }
 
   private observeLog(value: string): void {
-    const {records} = JSON.parse(value) as {records: EncodedRecords};
-    for (const record of decodeRecords(records)) {
+    for (const record of recordsOf(value)) {
       if (record.type !== LogRecordType.CLOSED) continue;
       const {team, job, task, attempt} = record.name;
       this.history.record({
