--- a/src/observability/result_codes.ts
+++ b/src/observability/result_codes.ts
@@ -34,8 +34,14 @@
     405,
     'The path does not take this method.',
   ),
-  CALL_TOO_SLOW: code(
+  ENTRY_STOPPING: code(
     104,
+    'ENTRY_STOPPING',
+    503,
+    'The entry shuts down; the balancer is to send callers elsewhere.',
+  ),
+  CALL_TOO_SLOW: code(
+    105,
     'CALL_TOO_SLOW',
     408,
     'Not run: the call did not arrive whole in time.',
@@ -222,4 +228,10 @@
     502,
     'The other process does not answer.',
   ),
+  PROCESS_TOO_SLOW: code(
+    505,
+    'PROCESS_TOO_SLOW',
+    503,
+    'Not sent: the other process does not keep up with the calls to it.',
+  ),
 } as const;
--- a/tests/fuzz/drawn_messages.ts
+++ b/tests/fuzz/drawn_messages.ts
@@ -8,6 +8,7 @@
 const small = fc.constantFrom(0, 1, 2, 5, 7, 2 ** 32 - 1);
 const large = fc.oneof(small, fc.constant(Number.MAX_SAFE_INTEGER));
 const real = fc.oneof(fc.constantFrom(0, 1, NaN, -1, Infinity), fc.double());
+const single = fc.oneof(fc.constantFrom(0, 1, NaN, -1, Infinity), fc.float());
 const size = fc.option(
   fc.record({
     milliprocessors: small,
@@ -35,6 +36,10 @@
   ...{name, outcome: text, checkpoint: text, result: text, reason: text},
   ...{resultCode: small, ranMillis: large, used: size},
 });
+const load = fc.record({
+  ...{inFlight: small, queued: small},
+  ...{serviceMillis: single, tailMillis: single},
+});
 const start = fc.record({
   ...{name, kind: text, size, urgent: flag, payload: text, checkpoint: text},
   ...{expectedRunMillis: large, watcher: flag, evictable: flag},
@@ -47,6 +52,11 @@
 const withOwner = <T extends object>(fields: fc.Arbitrary<T>) =>
   fc.tuple(owner, fields).map(([first, second]) => ({...first, ...second}));
 
+const entryDescription = fc.record({
+  ...{entryId: text, processAddress: address, callerAddress: address},
+  ...{failureDomain: text, nonce: text, stopping: flag},
+});
+
 /** Well-formed messages with drawn fields, by the name of the call. */
 export const MESSAGES: Readonly<Record<string, fc.Arbitrary<object>>> = {
   heartbeat: fc.record({
@@ -55,6 +65,8 @@
     ...{capacity: size, committed: size, executors: several(executor)},
     ...{settingsRevision: large, branches: several(text), draining: flag},
     ...{runningAttempts: small, used: size, stopping: flag, recovering: flag},
+    ...{session: fc.constantFrom(0, 1), baseDistance: small, changed: small},
+    ...{viewVersion: small, loads: several(load)},
     interference: several(
       fc.record({service: text, taskKind: text, slowdown: real}),
     ),
@@ -69,6 +81,7 @@
   }),
   exchangePeers: fc.record({
     ...{entryId: text, settingsRevision: large, settingsAgeMillis: small},
+    sender: fc.option(entryDescription, {nil: undefined}),
   }),
   serve: fc.record({
     ...{requestId: text, service: text, team: text, method: text, path: text},
--- a/tests/fuzz/slow_senders.test.ts
+++ b/tests/fuzz/slow_senders.test.ts
@@ -55,7 +55,7 @@
     });
     const port = await server.listen('127.0.0.1', 0);
     const answer = await trickleTo(port, atOnce, trickle);
-    t.regex(answer, /^HTTP\/1\.1 408 [^]*x-result-code: 104[^]*"code":104/);
+    t.regex(answer, /^HTTP\/1\.1 408 [^]*x-result-code: 105[^]*"code":105/);
     t.is(await jobStatus(entry, 'GET', 'slow'), 404);
     t.is(await jobStatus(entry, 'POST', 'later'), 201);
     await server.close();
--- a/tests/history/virtual_entry.ts
+++ b/tests/history/virtual_entry.ts
@@ -25,6 +25,7 @@
   readonly shardCount: number;
   readonly table: StoreTable;
   readonly outageGraceMillis: number;
+  readonly peerAddresses?: readonly string[];
 }
 
 /** A call of the HTTP API as a caller or operator makes it. */
@@ -74,6 +75,7 @@
       logger,
       metrics: new Metrics(),
       outageGraceMillis: this.options.outageGraceMillis,
+      peerAddresses: this.options.peerAddresses,
     });
     this.attach(this.entry);
     void this.entry.start();
