Start nothing that was closed while room was made for it

Cause: a start that waits for an eviction looked again at its age and at the VM, not at its shard's epoch and at closed attempts. The start looks at sender, closed attempts and VM again, before anything else.

--- a/src/agent/commands/attempt_starter.ts
+++ b/src/agent/commands/attempt_starter.ts
@@ -10,7 +10,12 @@
 import {AttemptPhase} from '../attempt_table.js';
 import type {Attempt} from '../attempt_table.js';
 import {withReplyDeadline} from '../reply_deadline.js';
-import {checkAge, checkLease, checkVm} from '../start_checks.js';
+import {
+  checkClosed,
+  checkLease,
+  checkSender,
+  checkVm,
+} from '../start_checks.js';
 import type {Refusal} from '../start_checks.js';
 import type {WorkerMonitor} from '../worker_monitor.js';
 import {formatWorkerTaskId} from '../worker_task_id.js';
@@ -46,8 +51,11 @@
         start.urgent && (await this.roomMaker.makeRoom(key, start.size));
       if (attempts.get(start.name)) return undefined;
       if (!hasRoom) return this.noCapacity();
+      // Meanwhile a newer owner may have been told that it never ran.
       const late =
-        checkAge(this.context, request) ?? checkVm(this.context, request);
+        checkSender(this.context, request) ??
+        checkClosed(this.context, start.name) ??
+        checkVm(this.context, request);
       if (late) {
         ledger.release(key);
         return late;
--- a/tests/agent/starts.test.ts
+++ b/tests/agent/starts.test.ts
@@ -202,6 +202,23 @@
   t.not(report.checkpoint, '');
 });
 
+test('should not start what was closed while room was made for it', async t => {
+  const fixture = await AgentFixture.begun();
+  for (const task of [1, 2, 3, 4]) await fixture.start(task);
+  fixture.worker.silent = true;
+  const call = fixture.agent.startAttempts(
+    fixture.startRequest(5, {urgent: true}),
+  );
+  await fixture.pass(100);
+  const query = {shard: 1, epoch: 6, names: [nameOf(5)]};
+  const {states} = await fixture.agent.queryAttempts(query);
+  t.is(states[0].report?.outcome, AttemptOutcome.REFUSED);
+  fixture.worker.silent = false;
+  const [result] = (await fixture.finish(call)).results;
+  t.is(result.resultCode, ResultCodes.OLD_EPOCH.number);
+  t.is(fixture.worker.startCalls.length, 4);
+});
+
 test('should evict nothing when that would not make enough room', async t => {
   const fixture = await AgentFixture.begun();
   await fixture.start(1);
