--- a/tests/protocol/transport_security.test.ts
+++ b/tests/protocol/transport_security.test.ts
@@ -18,6 +18,7 @@
   entryId: 'entry-2',
   settingsRevision: 0,
   settingsAgeMillis: 0,
+  sender: undefined,
 };
 const SIZE = {milliprocessors: 1, memoryMegabytes: 1, accelerators: 0};
 const HEARTBEAT = {
