Keep a kind of task off the VM whose service could not bear it

Cause: a task that an agent refused or evicted with 317 was placed again at once or within 2 s, often on the same VM; each try is two records.

TailBackoff keeps the wait by pair of VM and kind: 5 s, doubled up to 60 s, decaying by a doubling a minute, gone when a task of the kind finishes there. Other kinds are no longer kept off the VM until its next heartbeat by a 317. explain and dump tell.

Ruled out: a wait by task, by VM or by kind (docs/design/eviction.md).

--- a/bench/burdockmoor_bench.ts
+++ b/bench/burdockmoor_bench.ts
@@ -18,22 +18,32 @@
       description: 'Run only scenarios whose name contains this text.',
       default: '',
     },
-    seed: {type: 'string', description: 'Seed of the run.', default: '1'},
+    seed: {
+      type: 'string',
+      description: 'Seed of the run, or several with commas between them.',
+      default: '1',
+    },
     json: {type: 'boolean', description: 'Print one JSON line a scenario.'},
     micro: {type: 'boolean', description: 'Measure single decisions instead.'},
     list: {type: 'boolean', description: 'List the scenarios and stop.'},
   },
   async run({args}) {
-    const seed = Number(args.seed);
-    if (!Number.isSafeInteger(seed)) {
-      throw new Error(`The seed must be a whole number, not "${args.seed}".`);
-    }
+    const seeds = args.seed.split(',').map(parseSeed);
+    const json = Boolean(args.json);
     if (args.list) return list();
-    if (args.micro) return runMicro(args.scenario, seed, Boolean(args.json));
-    await runScenarios(args.scenario, seed, Boolean(args.json));
+    for (const seed of seeds) {
+      if (args.micro) runMicro(args.scenario, seed, json);
+      else await runScenarios(args.scenario, seed, json);
+    }
   },
 });
 
+function parseSeed(text: string): number {
+  const seed = Number(text);
+  if (text !== '' && Number.isSafeInteger(seed)) return seed;
+  throw new Error(`A seed must be a whole number, not "${text}".`);
+}
+
 function list(): void {
   for (const {name, description} of [...scenarios, ...microBenchmarks]) {
     console.log(`${name}: ${description}`);
--- a/bench/eviction/batch_fleet.ts
+++ b/bench/eviction/batch_fleet.ts
@@ -5,6 +5,7 @@
   GuardView,
   TailPolicy,
 } from '../../src/decisions/eviction/tail_policy.js';
+import {TailBackoff} from '../../src/decisions/recovery/tail_backoff.js';
 import type {FaultTarget} from '../service/fault.js';
 import type {BatchTask, BatchWorkload} from './batch_workload.js';
 import {NOISY_KIND} from './batch_workload.js';
@@ -17,16 +18,12 @@
 const TASK_MILLIPROCESSORS = 4_000;
 const VM_MILLIPROCESSORS = 16_000;
 
-/** Until a task that was evicted or refused is tried again, then doubled. */
-const RESUME_MILLIS = 5_000;
 /** Starts that the owner tries at a time. */
 const STARTS_PER_TICK = 20;
-const LONGEST_RESUME_MILLIS = 60_000;
 
 interface RunningTask {
   readonly task: BatchTask;
   leftMillis: number;
-  setbacks: number;
   share: number;
   checkpointedAt: number;
 }
@@ -34,8 +31,6 @@
 interface WaitingTask {
   readonly task: BatchTask;
   readonly leftMillis: number;
-  readonly setbacks: number;
-  readonly readyAt: number;
 }
 
 export interface BatchFigures {
@@ -53,7 +48,8 @@
  */
 export class BatchFleet {
   private readonly vms: RunningTask[][];
-  private waiting: WaitingTask[] = [];
+  private readonly backoff = new TailBackoff();
+  private readonly waiting: WaitingTask[] = [];
   private workMillis = 0;
   private finished = 0;
   private noisyFinished = 0;
@@ -76,7 +72,7 @@
 
   tick(now: number, target: FaultTarget): void {
     for (const [index, tasks] of this.vms.entries()) {
-      this.vms[index] = this.progress(tasks);
+      this.vms[index] = this.progress(index, tasks);
       if (now % DECISION_MILLIS === 0) this.decide(index, now);
     }
     this.fill(now);
@@ -85,7 +81,7 @@
     }
   }
 
-  private progress(tasks: RunningTask[]): RunningTask[] {
+  private progress(index: number, tasks: RunningTask[]): RunningTask[] {
     const running: RunningTask[] = [];
     for (const each of tasks) {
       const done = Math.min(each.leftMillis, each.share * TICK_MILLIS);
@@ -96,6 +92,7 @@
         continue;
       }
       this.finished += 1;
+      this.backoff.finished(vmName(index), each.task.kind.name);
       if (each.task.kind === NOISY_KIND) this.noisyFinished += 1;
     }
     return running;
@@ -130,7 +127,8 @@
     }
     this.evictions += 1;
     this.vms[index] = tasks.filter(other => other !== each);
-    this.postpone(each, now);
+    this.setBack(index, each, now);
+    this.waiting.unshift(each);
   }
 
   /** Starts tasks where there is room, on the emptiest VM first. */
@@ -138,10 +136,10 @@
     for (let started = 0; started < STARTS_PER_TICK; started++) {
       const withRoom = this.vmsWithRoom();
       if (withRoom.length === 0) return;
-      const task = this.nextTask(now);
-      const index = withRoom.find(vm => this.admits(vm, task, now));
-      if (index === undefined) this.postpone(task, now);
-      else this.vms[index].push(task);
+      const task = newTask(this.nextTask(withRoom, now), now);
+      const index = withRoom.find(vm => this.mayStart(vm, task, now));
+      if (index !== undefined) this.start(index, task, now);
+      else this.waiting.push(task);
     }
   }
 
@@ -152,38 +150,44 @@
       .sort((one, other) => this.vms[one].length - this.vms[other].length);
   }
 
-  private admits(index: number, task: RunningTask, now: number): boolean {
+  private mayStart(index: number, {task}: WaitingTask, now: number): boolean {
+    const heldBack = this.backoff.vmsFor(task.kind.name);
+    return !heldBack?.isHeldBack(vmName(index), now);
+  }
+
+  private start(index: number, task: RunningTask, now: number): void {
+    this.backoff.placed(vmName(index), task.task.kind.name, now);
     const view = this.view(index, now);
-    const admitted = this.policies[index].admits(guarded(task, now), view);
-    if (!admitted) this.refusals += 1;
-    return admitted;
+    if (this.policies[index].admits(guarded(task, now), view)) {
+      this.vms[index].push(task);
+      return;
+    }
+    this.refusals += 1;
+    this.setBack(index, task, now);
+    this.waiting.unshift(task);
   }
 
-  /** An evicted or refused task waits, longer each time. */
-  private postpone(each: RunningTask, now: number): void {
-    const {task, leftMillis} = each;
-    const pauseMillis = RESUME_MILLIS * 2 ** each.setbacks;
-    const readyAt = now + Math.min(pauseMillis, LONGEST_RESUME_MILLIS);
-    const setbacks = each.setbacks + 1;
-    this.waiting.push({task, leftMillis, setbacks, readyAt});
+  private setBack(index: number, {task}: RunningTask, now: number): void {
+    this.backoff.setBack(vmName(index), task.kind.name, now);
   }
 
-  private nextTask(now: number): RunningTask {
-    const index = this.waiting.findIndex(({readyAt}) => readyAt <= now);
-    if (index < 0) {
-      const task = this.workload.next(now);
-      return newTask({task, leftMillis: task.runMillis, setbacks: 0}, now);
-    }
-    const [resumed] = this.waiting.splice(index, 1);
-    return newTask(resumed, now);
+  /** The oldest task that may start somewhere, else a new one. */
+  private nextTask(withRoom: readonly number[], now: number): WaitingTask {
+    const next = this.waiting.findIndex(each =>
+      withRoom.some(index => this.mayStart(index, each, now)),
+    );
+    if (next >= 0) return this.waiting.splice(next, 1)[0];
+    const task = this.workload.next(now);
+    return {task, leftMillis: task.runMillis};
   }
 }
 
-function newTask(
-  {task, leftMillis, setbacks}: Omit<WaitingTask, 'readyAt'>,
-  now: number,
-): RunningTask {
-  return {task, leftMillis, setbacks, share: 1, checkpointedAt: now};
+function vmName(index: number): string {
+  return `vm${index}`;
+}
+
+function newTask({task, leftMillis}: WaitingTask, now: number): RunningTask {
+  return {task, leftMillis, share: 1, checkpointedAt: now};
 }
 
 function guarded(each: RunningTask, now: number): GuardedTask {
--- a/src/decisions/jobs/attempt_lifecycle.ts
+++ b/src/decisions/jobs/attempt_lifecycle.ts
@@ -138,26 +138,41 @@
     report: AttemptReport,
     now: number,
   ): void {
-    const {judge, learner, vms} = this.state;
+    const {judge, learner, tailBackoff} = this.state;
     const {taskKind, team} = attempt.job.specification;
     const {outcome, resultCode} = report;
     const finished = outcome === AttemptOutcome.FINISHED;
+    const protectsTail = resultCode === ResultCodes.TAIL_PROTECTED.number;
+    if (protectsTail) tailBackoff.setBack(attempt.vm, taskKind, now);
     if (outcome === AttemptOutcome.REFUSED) {
-      const vm = vms.get(attempt.vm);
-      if (vm && resultCode !== 0) vm.refused = true;
-      if (WORKER_FAULTS.has(resultCode)) {
-        judge.noteFailure(attempt.vm, taskKind, now);
-      }
+      this.learnRefusal(attempt, resultCode, now);
       return;
     }
     if (outcome === AttemptOutcome.LOST) return;
     learner.note(team, taskKind, report.used, report.ranMillis, finished);
-    if (finished) judge.noteSuccess(attempt.vm, taskKind);
+    if (finished) {
+      judge.noteSuccess(attempt.vm, taskKind);
+      tailBackoff.finished(attempt.vm, taskKind);
+    }
     if (outcome === AttemptOutcome.FAILED) {
       judge.noteFailure(attempt.vm, taskKind, now);
     }
   }
 
+  private learnRefusal(
+    attempt: OpenAttempt,
+    resultCode: number,
+    now: number,
+  ): void {
+    // A service that can't bear one kind may bear others.
+    if (resultCode === ResultCodes.TAIL_PROTECTED.number) return;
+    const vm = this.state.vms.get(attempt.vm);
+    if (vm && resultCode !== 0) vm.refused = true;
+    if (!WORKER_FAULTS.has(resultCode)) return;
+    const {taskKind} = attempt.job.specification;
+    this.state.judge.noteFailure(attempt.vm, taskKind, now);
+  }
+
   private continueTask(
     attempt: OpenAttempt,
     report: AttemptReport,
--- a/src/decisions/jobs/job_queries.ts
+++ b/src/decisions/jobs/job_queries.ts
@@ -77,6 +77,7 @@
       owner: state.book.ownerEntryId,
       counts: this.counts(),
       quarantined: Object.fromEntries(state.judge.quarantined(now)),
+      heldBackFromVms: state.tailBackoff.dump(now),
       waitReasons: Object.fromEntries(state.waitReasons),
       teams: state.ledger.dump(),
       vms,
--- a/src/decisions/jobs/shard_state.ts
+++ b/src/decisions/jobs/shard_state.ts
@@ -12,6 +12,7 @@
 import {TeamLedger} from '../placement/team_ledger.js';
 import {VmTable} from '../placement/vm_table.js';
 import {StartPacer} from '../recovery/start_pacer.js';
+import {TailBackoff} from '../recovery/tail_backoff.js';
 import {TaskBackoff} from '../recovery/task_backoff.js';
 import {WorkerQuarantine} from '../recovery/worker_quarantine.js';
 import type {WorkerJudge} from '../recovery/worker_quarantine.js';
@@ -104,6 +105,7 @@
   readonly interference = new InterferenceTable();
   readonly claims: RoomClaims;
   readonly backoff: TaskBackoff;
+  readonly tailBackoff = new TailBackoff();
   readonly placer: Placer;
   readonly learner: SizeLearner;
   readonly judge: WorkerJudge;
--- a/src/decisions/placement/best_fit_placer.ts
+++ b/src/decisions/placement/best_fit_placer.ts
@@ -46,8 +46,13 @@
     let best: VmState | undefined;
     let bestCost = Infinity;
     let candidates = 0;
+    let heldBack = false;
     for (const vm of vms) {
       if (!mayStartOn(task, vm, now)) continue;
+      if (task.heldBack?.isHeldBack(vm.view.vm, now)) {
+        heldBack = true;
+        continue;
+      }
       candidates++;
       const cost = this.cost(task, vm);
       if (cost >= bestCost) continue;
@@ -55,6 +60,7 @@
       bestCost = cost;
     }
     if (!best) {
+      if (heldBack) return PlacementObstacle.HELD_BACK;
       return candidates > 0
         ? PlacementObstacle.HARMFUL
         : PlacementObstacle.NO_ROOM;
--- a/src/decisions/placement/placement_round.ts
+++ b/src/decisions/placement/placement_round.ts
@@ -99,6 +99,7 @@
     this.budget--;
     this.state.pacer.take();
     this.state.judge.notePlaced(choice.vm.view.vm, now);
+    this.state.tailBackoff.placed(choice.vm.view.vm, task.taskKind, now);
     this.state.waitReasons.delete(job.key);
     this.keeper.placed(ready, choice.vm);
     this.lifecycle.place(job, index, task.size, choice, now, wallTime);
@@ -120,16 +121,19 @@
   private describe(ready: ReadyJob, now: number): PlacementTask {
     const {job, tasks, blockedSince = now} = ready;
     const {team, taskKind, size, urgency} = job.specification;
-    const {backoff} = this.state;
+    const {backoff, tailBackoff} = this.state;
+    const urgent = urgency === Urgency.URGENT;
     const next = taskKey(job, tasks[tasks.length - 1]);
     return {
       job: job.key,
       team,
       taskKind,
       size: this.reservation(team, taskKind, size),
-      urgent: urgency === Urgency.URGENT,
+      urgent,
       watcher: job.watcher,
       avoid: backoff.avoided(next, now),
+      // No agent refuses an urgent task for its service's tail.
+      heldBack: urgent ? undefined : tailBackoff.vmsFor(taskKind),
       overdue: now - blockedSince > OVERDUE_MILLIS,
       refusals: backoff.refusals(next),
     };
@@ -158,7 +162,10 @@
     const choice = this.state.placer.choose(task, this.state.vms.vms, now);
     if (task.avoid.length > 0) return choice;
     if (choice === PlacementObstacle.NO_ROOM) this.noRoom.push(task.size);
-    if (choice === PlacementObstacle.HARMFUL) {
+    if (
+      choice === PlacementObstacle.HARMFUL ||
+      choice === PlacementObstacle.HELD_BACK
+    ) {
       this.harmful.set(task.taskKind, task.size);
     }
     return choice;
--- a/src/decisions/placement/placer.ts
+++ b/src/decisions/placement/placer.ts
@@ -1,4 +1,5 @@
 import type {Resources} from '../../utilities/resources.js';
+import type {HeldBackVms} from '../recovery/tail_backoff.js';
 import type {VmState} from './vm_table.js';
 
 /** A task that looks for a VM. */
@@ -12,6 +13,8 @@
   readonly watcher: boolean;
   /** VMs on which it failed before. */
   readonly avoid: readonly string[];
+  /** VMs whose service could not bear its kind lately. */
+  readonly heldBack: HeldBackVms | undefined;
   /** Has waited so long that services may suffer from it. */
   readonly overdue: boolean;
   /** How often agents refused it since it last ran. */
@@ -28,6 +31,10 @@
   NO_ROOM: 'no usable VM has room for its size',
   /** There is room, but only beside services that would answer too late. */
   HARMFUL: 'where there is room, services would be late beside its kind',
+  /** There is room, but only where its kind was lately refused or evicted. */
+  HELD_BACK:
+    'where there is room, VMs refused or evicted its kind for the tail of ' +
+    'their service; they are tried again after 5 s to 60 s',
 } as const;
 export type PlacementObstacle =
   (typeof PlacementObstacle)[keyof typeof PlacementObstacle];
