Keep what a shard has learned over a change of its owner

Cause: learned sizes and quarantined VMs were the memory of one owner. After a take-over a shard believed declared sizes again and sent tasks to a worker that fails everything, until it had learned both anew.

No record or message is added. Interference is in every heartbeat and is learned anew from these; team usage follows from the open attempts, as before.

Ruled out: gossip between entries (another protocol, and an entry that starts alone has nobody to ask); learning anew from agents' reports (agents know the usage of what runs there now, and no failures).

--- a/bench/batch/baseline_policies.ts
+++ b/bench/batch/baseline_policies.ts
@@ -29,6 +29,14 @@
 export class DeclaredSizes implements SizeLearner {
   note(): void {}
 
+  noteReservation(): void {}
+
+  rows(): [] {
+    return [];
+  }
+
+  restore(): void {}
+
   reservation(team: string, kind: string, declared: Resources): Resources {
     return declared;
   }
--- a/src/decisions/jobs/attempt_lifecycle.ts
+++ b/src/decisions/jobs/attempt_lifecycle.ts
@@ -7,18 +7,17 @@
 import type {PlacementChoice} from '../placement/placer.js';
 import {TaskPhase} from './job_state.js';
 import type {JobState} from './job_state.js';
+import type {LearnedMemory} from './learned_memory.js';
 import {OpenAttempt} from './open_attempts.js';
 import {taskKey} from './shard_state.js';
 import type {ShardState} from './shard_state.js';
 
-const WORKER_FAULTS: ReadonlySet<number> = new Set([
-  ResultCodes.WORKER_REFUSED.number,
-  ResultCodes.WORKER_UNAVAILABLE.number,
-]);
-
 /** Opens and closes attempts, and draws all that follows from either. */
 export class AttemptLifecycle {
-  constructor(private readonly state: ShardState) {}
+  constructor(
+    private readonly state: ShardState,
+    private readonly memory: LearnedMemory,
+  ) {}
 
   place(
     job: JobState,
@@ -138,39 +137,25 @@
     report: AttemptReport,
     now: number,
   ): void {
-    const {judge, learner, tailBackoff} = this.state;
     const {taskKind, team} = attempt.job.specification;
-    const {outcome, resultCode} = report;
-    const finished = outcome === AttemptOutcome.FINISHED;
-    const protectsTail = resultCode === ResultCodes.TAIL_PROTECTED.number;
-    if (protectsTail) tailBackoff.setBack(attempt.vm, taskKind, now);
+    const {outcome, resultCode, used, ranMillis} = report;
+    const {vm} = attempt;
+    this.memory.noteOutcome({vm, taskKind, outcome, resultCode}, now);
     if (outcome === AttemptOutcome.REFUSED) {
-      this.learnRefusal(attempt, resultCode, now);
+      this.noteRefusal(vm, resultCode);
       return;
     }
     if (outcome === AttemptOutcome.LOST) return;
-    learner.note(team, taskKind, report.used, report.ranMillis, finished);
-    if (finished) {
-      judge.noteSuccess(attempt.vm, taskKind);
-      tailBackoff.finished(attempt.vm, taskKind);
-    }
-    if (outcome === AttemptOutcome.FAILED) {
-      judge.noteFailure(attempt.vm, taskKind, now);
-    }
+    const finished = outcome === AttemptOutcome.FINISHED;
+    this.state.learner.note(team, taskKind, used, ranMillis, finished);
   }
 
-  private learnRefusal(
-    attempt: OpenAttempt,
-    resultCode: number,
-    now: number,
-  ): void {
+  /** The VM gets nothing until its next heartbeat. */
+  private noteRefusal(vm: string, resultCode: number): void {
     // A service that can't bear one kind may bear others.
     if (resultCode === ResultCodes.TAIL_PROTECTED.number) return;
-    const vm = this.state.vms.get(attempt.vm);
-    if (vm && resultCode !== 0) vm.refused = true;
-    if (!WORKER_FAULTS.has(resultCode)) return;
-    const {taskKind} = attempt.job.specification;
-    this.state.judge.noteFailure(attempt.vm, taskKind, now);
+    const state = this.state.vms.get(vm);
+    if (state && resultCode !== 0) state.refused = true;
   }
 
   private continueTask(
--- /dev/null
+++ b/src/decisions/jobs/learned_memory.ts
@@ -0,0 +1,111 @@
+import {ResultCodes} from '../../observability/result_codes.js';
+import {AttemptOutcome, LogRecordType} from '../job_types.js';
+import type {LogRecord} from '../job_types.js';
+import type {SizeRow} from '../placement/size_learner.js';
+import type {TailSetbackRow} from '../recovery/tail_backoff.js';
+import type {SuspectRow} from '../recovery/worker_quarantine.js';
+import type {ShardState} from './shard_state.js';
+
+/** What a shard has learned, as its snapshot holds it. */
+export interface LearnedRows {
+  readonly format: number;
+  readonly sizes: readonly SizeRow[];
+  readonly suspects: readonly SuspectRow[];
+  readonly tailSetbacks: readonly TailSetbackRow[];
+}
+
+const LEARNED_FORMAT = 1;
+
+const WORKER_FAULTS: ReadonlySet<number> = new Set([
+  ResultCodes.WORKER_REFUSED.number,
+  ResultCodes.WORKER_UNAVAILABLE.number,
+]);
+
+/** The end of an attempt, as far as it tells something of its VM. */
+export interface VmOutcome {
+  readonly vm: string;
+  readonly taskKind: string;
+  readonly outcome: AttemptOutcome;
+  readonly resultCode: number;
+}
+
+/**
+ * Keeps what a shard learned over a change of its owner: the snapshot holds
+ * sizes and suspect VMs, and the records after it are learned from again.
+ */
+export class LearnedMemory {
+  constructor(private readonly state: ShardState) {}
+
+  /** Times in it are wall times: the next owner's clock is another. */
+  rows(): LearnedRows {
+    const {judge, learner, tailBackoff, wallTimeOffsetMillis} = this.state;
+    return {
+      format: LEARNED_FORMAT,
+      sizes: learner.rows(),
+      suspects: judge.rows(wallTimeOffsetMillis),
+      tailSetbacks: tailBackoff.rows(wallTimeOffsetMillis),
+    };
+  }
+
+  /** Leaves rows of an unknown format alone: all is learned anew then. */
+  restore(rows: LearnedRows | undefined): void {
+    if (rows?.format !== LEARNED_FORMAT) return;
+    const {judge, learner, tailBackoff, wallTimeOffsetMillis} = this.state;
+    learner.restore(rows.sizes);
+    judge.restore(rows.suspects, wallTimeOffsetMillis);
+    tailBackoff.restore(rows.tailSetbacks, wallTimeOffsetMillis);
+  }
+
+  /** Call it before the record is folded. */
+  replay(record: LogRecord): void {
+    const now = record.wallTime - this.state.wallTimeOffsetMillis;
+    if (record.type === LogRecordType.PLACED) {
+      this.replayPlaced(record, now);
+    } else if (record.type === LogRecordType.CLOSED) {
+      this.replayClosed(record, now);
+    }
+  }
+
+  /** What the end of an attempt says of its VM. */
+  noteOutcome(end: VmOutcome, now: number): void {
+    const {vm, taskKind, outcome, resultCode} = end;
+    const {judge, tailBackoff} = this.state;
+    if (resultCode === ResultCodes.TAIL_PROTECTED.number) {
+      tailBackoff.setBack(vm, taskKind, now);
+    }
+    if (outcome === AttemptOutcome.FINISHED) {
+      judge.noteSuccess(vm, taskKind);
+      tailBackoff.finished(vm, taskKind);
+    }
+    const failed =
+      outcome === AttemptOutcome.FAILED ||
+      (outcome === AttemptOutcome.REFUSED && WORKER_FAULTS.has(resultCode));
+    if (failed) judge.noteFailure(vm, taskKind, now);
+  }
+
+  private replayPlaced(
+    {name, vm, size}: Extract<LogRecord, {type: 'placed'}>,
+    now: number,
+  ): void {
+    const {book, judge, learner, tailBackoff} = this.state;
+    const job = book.job(name.team, name.job);
+    if (!job) return;
+    const {taskKind} = job.specification;
+    judge.notePlaced(vm, now);
+    tailBackoff.placed(vm, taskKind, now);
+    if (size) learner.noteReservation(name.team, taskKind, size);
+  }
+
+  private replayClosed(
+    {name, outcome, resultCode}: Extract<LogRecord, {type: 'closed'}>,
+    now: number,
+  ): void {
+    const {book} = this.state;
+    const job = book.job(name.team, name.job);
+    const task = book.openTask(name);
+    if (!job || !task) return;
+    const {vm} = task;
+    const {taskKind} = job.specification;
+    this.noteOutcome({vm, taskKind, outcome, resultCode}, now);
+  }
+}
--- a/src/decisions/jobs/shard_scheduler.ts
+++ b/src/decisions/jobs/shard_scheduler.ts
@@ -22,6 +22,7 @@
 import {JobCommands} from './job_commands.js';
 import {JobQueries} from './job_queries.js';
 import {TaskPhase} from './job_state.js';
+import {LearnedMemory} from './learned_memory.js';
 import {MessagePlanner} from './message_planner.js';
 import type {
   ChangeResult,
@@ -52,6 +53,7 @@
  */
 export class ShardScheduler {
   private readonly state: ShardState;
+  private readonly memory: LearnedMemory;
   private readonly lifecycle: AttemptLifecycle;
   private readonly answers: AgentAnswers;
   private readonly commands: JobCommands;
@@ -68,7 +70,8 @@
     books = {live: new JobBook(), durable: new JobBook()},
   ) {
     this.state = new ShardState(books.live, books.durable, options);
-    this.lifecycle = new AttemptLifecycle(this.state);
+    this.memory = new LearnedMemory(this.state);
+    this.lifecycle = new AttemptLifecycle(this.state, this.memory);
     this.answers = new AgentAnswers(this.state, this.lifecycle);
     this.commands = new JobCommands(this.state, this.lifecycle);
     this.messages = new MessagePlanner(this.state);
@@ -81,17 +84,24 @@
 
   /** Throws a SyntaxError when the text is not a snapshot. */
   static restore(text: string, options: ShardSchedulerOptions): ShardScheduler {
-    const books = {live: readSnapshot(text), durable: readSnapshot(text)};
-    return new ShardScheduler(options, books);
+    const {book: live, learned} = readSnapshot(text);
+    const {book: durable} = readSnapshot(text);
+    const scheduler = new ShardScheduler(options, {live, durable});
+    scheduler.memory.restore(learned);
+    return scheduler;
   }
 
-  /** The fold of the records that the log holds, none of those queued. */
+  /**
+   * The fold of the records that the log holds, none of those queued, and what
+   * was learned.
+   */
   snapshot(): string {
-    return writeSnapshot(this.state.durableBook);
+    return writeSnapshot(this.state.durableBook, this.memory.rows());
   }
 
   /** Folds a record of the log. Ends with `tookOver`. */
   replay(record: LogRecord): void {
+    this.memory.replay(record);
     this.state.book.fold(record);
     this.state.durableBook.fold(record);
   }
--- a/src/decisions/jobs/shard_state.ts
+++ b/src/decisions/jobs/shard_state.ts
@@ -74,6 +74,8 @@
   readonly random: Random;
   readonly limits?: Partial<ShardLimits>;
   readonly policies?: Partial<ShardPolicies>;
+  /** The wall time at which the clock of `now` stood at zero. */
+  readonly wallTimeOffsetMillis?: number;
 }
 
 export interface DelayedTask {
@@ -94,6 +96,7 @@
 /** What the parts of one shard's scheduler share. */
 export class ShardState {
   readonly limits: ShardLimits;
+  readonly wallTimeOffsetMillis: number;
   readonly records: RecordQueue;
   readonly attempts = new OpenAttempts();
   readonly vms = new VmTable();
@@ -122,6 +125,7 @@
     options: ShardSchedulerOptions,
   ) {
     const {shard, shards = 1, random, policies = {}} = options;
+    this.wallTimeOffsetMillis = options.wallTimeOffsetMillis ?? 0;
     this.limits = {...DEFAULT_SHARD_LIMITS, ...options.limits};
     this.records = new RecordQueue(book, durableBook);
     this.claims = policies.claims ?? new AdaptiveClaims(random, shard, shards);
--- a/src/decisions/jobs/snapshot.ts
+++ b/src/decisions/jobs/snapshot.ts
@@ -2,6 +2,7 @@
 import type {JobSpecification} from '../job_types.js';
 import {JobBook} from './job_book.js';
 import {JobState, TaskPhase} from './job_state.js';
+import type {LearnedRows} from './learned_memory.js';
 import {NameTable} from './name_table.js';
 import type {TaskState} from './job_state.js';
 
@@ -59,9 +60,17 @@
   /** VMs and incarnations, each once. */
   readonly names: readonly string[];
   readonly jobs: readonly JobRow[];
+  /** Absent in snapshots of earlier versions. */
+  readonly learned?: LearnedRows;
 }
 
-export function writeSnapshot(book: JobBook): string {
+/** What a snapshot holds, as it is used. */
+export interface RestoredSnapshot {
+  readonly book: JobBook;
+  readonly learned: LearnedRows | undefined;
+}
+
+export function writeSnapshot(book: JobBook, learned?: LearnedRows): string {
   const table = new NameTable();
   const jobs = [...book.jobs.values()].map(job => toJobRow(job, table));
   const text: SnapshotText = {
@@ -70,18 +79,19 @@
     owner: book.ownerEntryId,
     names: table.names,
     jobs,
+    learned,
   };
   return JSON.stringify(text);
 }
 
 /** Throws a SyntaxError when the text is not JSON. */
-export function readSnapshot(text: string): JobBook {
+export function readSnapshot(text: string): RestoredSnapshot {
   const snapshot = JSON.parse(text) as SnapshotText;
   const book = new JobBook();
   book.epoch = snapshot.epoch;
   book.ownerEntryId = snapshot.owner;
   for (const row of snapshot.jobs) book.adopt(fromJobRow(row, snapshot.names));
-  return book;
+  return {book, learned: snapshot.learned};
 }
 
 function toJobRow(job: JobState, table: NameTable): JobRow {
--- a/src/decisions/placement/size_learner.ts
+++ b/src/decisions/placement/size_learner.ts
@@ -6,6 +6,8 @@
 import type {Resources} from '../../utilities/resources.js';
 
 const MAXIMUM_KINDS = 4096;
+/** The kinds lately used that a snapshot holds: about 40 KB. */
+const MAXIMUM_ROWS = 512;
 /** A little of the learned excess is forgotten with every attempt. */
 const FORGETTING_SHARE = 0.05;
 const HEADROOM = 1.1;
@@ -13,6 +15,9 @@
 const LARGEST_RAISE = 4;
 const RUN_SMOOTHING = 0.2;
 
+/** Team and kind, milliprocessors, megabytes, accelerators, run time. */
+export type SizeRow = readonly [string, number, number, number, number];
+
 interface Learned {
   used: Resources;
   runMillis: number;
@@ -27,6 +32,11 @@
     ranMillis: number,
     finished: boolean,
   ): void;
+  /** Learns from what an earlier owner reserved. */
+  noteReservation(team: string, taskKind: string, reserved: Resources): void;
+  /** What was learned lately, for a snapshot. */
+  rows(): readonly SizeRow[];
+  restore(rows: readonly SizeRow[]): void;
   /** The size to reserve: never below the declared one. */
   reservation(team: string, taskKind: string, declared: Resources): Resources;
   /** Expected run time; the declared one while nothing is learned. */
@@ -55,6 +65,31 @@
     learned.runMillis += known ? RUN_SMOOTHING * difference : difference;
   }
 
+  noteReservation(team: string, taskKind: string, reserved: Resources): void {
+    const learned = this.learned(`${team}/${taskKind}`);
+    const used = scale(reserved, 1 / HEADROOM);
+    learned.used = maximumResources(learned.used, used);
+  }
+
+  rows(): readonly SizeRow[] {
+    const latest = [...this.kinds].slice(-MAXIMUM_ROWS);
+    return latest.map(([key, {used, runMillis}]) => [
+      key,
+      used.milliprocessors,
+      used.memoryMegabytes,
+      used.accelerators,
+      runMillis,
+    ]);
+  }
+
+  restore(rows: readonly SizeRow[]): void {
+    for (const row of rows) {
+      const [key, milliprocessors, memoryMegabytes, accelerators, run] = row;
+      const used = {milliprocessors, memoryMegabytes, accelerators};
+      this.kinds.set(key, {used, runMillis: run});
+    }
+  }
+
   reservation(team: string, taskKind: string, declared: Resources): Resources {
     const learned = this.kinds.get(`${team}/${taskKind}`);
     if (!learned || fitsInto(learned.used, declared)) return declared;
@@ -77,7 +112,12 @@
 
   private learned(key: string): Learned {
     let learned = this.kinds.get(key);
-    if (learned) return learned;
+    if (learned) {
+      // The kinds lately used stand last.
+      this.kinds.delete(key);
+      this.kinds.set(key, learned);
+      return learned;
+    }
     if (this.kinds.size >= MAXIMUM_KINDS) {
       const [first] = this.kinds.keys();
       this.kinds.delete(first);
--- a/src/decisions/recovery/tail_backoff.ts
+++ b/src/decisions/recovery/tail_backoff.ts
@@ -3,6 +3,11 @@
 /** Without a setback for so long, one doubling of the wait is forgotten. */
 const DECAY_MILLIS = 60_000;
 const MAXIMUM_KINDS = 512;
+/** Pairs that a snapshot holds: about 20 KB. */
+const MAXIMUM_ROWS = 256;
+
+/** Kind, VM, doublings, then wall times of the setback and the wait's end. */
+export type TailSetbackRow = readonly [string, string, number, number, number];
 
 interface Setback {
   /** Doublings of the wait. */
@@ -54,6 +59,28 @@
     return held;
   }
 
+  /** The pairs with wall times, for a snapshot. */
+  rows(wallTimeOffsetMillis: number): readonly TailSetbackRow[] {
+    const rows: TailSetbackRow[] = [];
+    for (const [kind, setbacks] of this.kinds) {
+      for (const [vm, {level, notedAt, until}] of setbacks.byVm) {
+        const notedWallTime = notedAt + wallTimeOffsetMillis;
+        const untilWallTime = until + wallTimeOffsetMillis;
+        rows.push([kind, vm, level, notedWallTime, untilWallTime]);
+      }
+    }
+    rows.sort((left, right) => left[4] - right[4]);
+    return rows.slice(-MAXIMUM_ROWS);
+  }
+
+  restore(rows: readonly TailSetbackRow[], wallTimeOffsetMillis: number): void {
+    for (const [kind, vm, level, notedWallTime, untilWallTime] of rows) {
+      const notedAt = notedWallTime - wallTimeOffsetMillis;
+      const until = untilWallTime - wallTimeOffsetMillis;
+      this.setbacks(kind).byVm.set(vm, {level, notedAt, until});
+    }
+  }
+
   private setbacks(taskKind: string): KindSetbacks {
     let setbacks = this.kinds.get(taskKind);
     if (setbacks) return setbacks;
@@ -68,7 +95,7 @@
 }
 
 class KindSetbacks implements HeldBackVms {
-  private readonly byVm = new Map<string, Setback>();
+  readonly byVm = new Map<string, Setback>();
 
   isHeldBack(vm: string, now: number): boolean {
     const setback = this.byVm.get(vm);
--- a/src/decisions/recovery/worker_quarantine.ts
+++ b/src/decisions/recovery/worker_quarantine.ts
@@ -6,6 +6,21 @@
 const UNKNOWN_WEIGHT = 0;
 const MAXIMUM_KINDS = 512;
 const PROBE_SPACING_MILLIS = 5000;
+/** Suspect VMs that a snapshot holds: about 10 KB. */
+const MAXIMUM_ROWS = 128;
+
+/**
+ * VM, score, quarantines, then wall times of the end of the quarantine and of
+ * the next probe, and 1 while it has to prove itself.
+ */
+export type SuspectRow = readonly [
+  string,
+  number,
+  number,
+  number,
+  number,
+  number,
+];
 
 /** Judges VMs by what fails on them and succeeds elsewhere. */
 export interface WorkerJudge {
@@ -16,6 +31,9 @@
   admits(vm: string, now: number): boolean;
   /** Since when and until when a VM is out, for people. */
   quarantined(now: number): ReadonlyMap<string, number>;
+  /** The suspect VMs with wall times, for a snapshot. */
+  rows(wallTimeOffsetMillis: number): readonly SuspectRow[];
+  restore(rows: readonly SuspectRow[], wallTimeOffsetMillis: number): void;
 }
 
 /** Trusts every VM. */
@@ -33,6 +51,12 @@
   quarantined(): ReadonlyMap<string, number> {
     return new Map();
   }
+
+  rows(): readonly SuspectRow[] {
+    return [];
+  }
+
+  restore(): void {}
 }
 
 interface Suspect {
@@ -97,6 +121,31 @@
     return quarantined;
   }
 
+  /** The suspects that came last, for they matter longest. */
+  rows(wallTimeOffsetMillis: number): readonly SuspectRow[] {
+    const latest = [...this.suspects].slice(-MAXIMUM_ROWS);
+    return latest.map(([vm, suspect]) => [
+      vm,
+      suspect.score,
+      suspect.quarantines,
+      suspect.until + wallTimeOffsetMillis,
+      suspect.nextProbeAt + wallTimeOffsetMillis,
+      suspect.probing ? 1 : 0,
+    ]);
+  }
+
+  restore(rows: readonly SuspectRow[], wallTimeOffsetMillis: number): void {
+    for (const [vm, score, quarantines, until, nextProbeAt, probing] of rows) {
+      this.suspects.set(vm, {
+        score,
+        quarantines,
+        until: until - wallTimeOffsetMillis,
+        nextProbeAt: nextProbeAt - wallTimeOffsetMillis,
+        probing: probing === 1,
+      });
+    }
+  }
+
   private suspect(vm: string): Suspect {
     let suspect = this.suspects.get(vm);
     if (!suspect) {
--- a/src/entry/shards/shard_manager.ts
+++ b/src/entry/shards/shard_manager.ts
@@ -189,9 +189,16 @@
   }
 
   private createScheduler(shard: number, snapshot: string): ShardScheduler {
-    const {random, outageGraceMillis, shardCount} = this.options;
+    const {clock, random, outageGraceMillis, shardCount} = this.options;
     const limits = {earlierOwnerGraceMillis: outageGraceMillis};
-    const options = {shard, shards: shardCount, random, limits};
+    const wallTimeOffsetMillis = clock.wallTime() - clock.now();
+    const options = {
+      shard,
+      shards: shardCount,
+      random,
+      limits,
+      wallTimeOffsetMillis,
+    };
     const scheduler =
       snapshot === ''
         ? new ShardScheduler(options)
