--- a/src/decisions/jobs/shard_state.ts
+++ b/src/decisions/jobs/shard_state.ts
@@ -12,6 +12,7 @@
 import {TeamLedger} from '../placement/team_ledger.js';
 import {VmTable} from '../placement/vm_table.js';
 import {StartPacer} from '../recovery/start_pacer.js';
+import {TailBackoff} from '../recovery/tail_backoff.js';
 import {TaskBackoff} from '../recovery/task_backoff.js';
 import {WorkerQuarantine} from '../recovery/worker_quarantine.js';
 import type {WorkerJudge} from '../recovery/worker_quarantine.js';
@@ -73,6 +74,8 @@
   readonly random: Random;
   readonly limits?: Partial<ShardLimits>;
   readonly policies?: Partial<ShardPolicies>;
+  /** The wall time at which the clock of `now` stood at zero. */
+  readonly wallTimeOffsetMillis?: number;
 }
 
 export interface DelayedTask {
@@ -93,6 +96,7 @@
 /** What the parts of one shard's scheduler share. */
 export class ShardState {
   readonly limits: ShardLimits;
+  readonly wallTimeOffsetMillis: number;
   readonly records: RecordQueue;
   readonly attempts = new OpenAttempts();
   readonly vms = new VmTable();
@@ -104,6 +108,7 @@
   readonly interference = new InterferenceTable();
   readonly claims: RoomClaims;
   readonly backoff: TaskBackoff;
+  readonly tailBackoff = new TailBackoff();
   readonly placer: Placer;
   readonly learner: SizeLearner;
   readonly judge: WorkerJudge;
@@ -120,6 +125,7 @@
     options: ShardSchedulerOptions,
   ) {
     const {shard, shards = 1, random, policies = {}} = options;
+    this.wallTimeOffsetMillis = options.wallTimeOffsetMillis ?? 0;
     this.limits = {...DEFAULT_SHARD_LIMITS, ...options.limits};
     this.records = new RecordQueue(book, durableBook);
     this.claims = policies.claims ?? new AdaptiveClaims(random, shard, shards);
