--- a/src/decisions/jobs/attempt_lifecycle.ts
+++ b/src/decisions/jobs/attempt_lifecycle.ts
@@ -183,15 +183,11 @@
   ): number {
     const {backoff} = this.state;
     const urgent = attempt.job.specification.urgency === Urgency.URGENT;
-    const {vm} = attempt;
-    if (report.resultCode === ResultCodes.TAIL_PROTECTED.number) {
-      backoff.notBorneBy(vm, key, now);
-    }
     switch (report.outcome) {
       case AttemptOutcome.REFUSED:
         return attempt.neverSent ? 0 : backoff.afterRefusal(key, urgent);
       case AttemptOutcome.FAILED:
-        return backoff.afterFailure(key, vm, now);
+        return backoff.afterFailure(key, attempt.vm, now);
       case AttemptOutcome.FINISHED:
         return backoff.afterRefusal(key);
       default:
--- a/src/decisions/recovery/task_backoff.ts
+++ b/src/decisions/recovery/task_backoff.ts
@@ -16,8 +16,6 @@
 
 const MAXIMUM_AVOIDED = 3;
 const AVOID_MILLIS = 30_000;
-/** A service that can't bear a task's kind seldom can a moment later. */
-const AVOID_SERVICE_MILLIS = 10_000;
 const NOTHING_AVOIDED: readonly string[] = [];
 
 /** How long a task waits after a setback, and which VMs it stays away from. */
@@ -44,11 +42,6 @@
     return this.jittered(delay, longest);
   }
 
-  /** The service on the VM can't bear the task: other VMs come first. */
-  notBorneBy(vm: string, task: string, now: number): void {
-    this.avoid(task, vm, now + AVOID_SERVICE_MILLIS);
-  }
-
   avoided(task: string, now: number): readonly string[] {
     const setback = this.setbacks.get(task);
     if (!setback || now >= setback.avoidUntil) return NOTHING_AVOIDED;
