--- a/tests/fuzz/drawn_messages.ts
+++ b/tests/fuzz/drawn_messages.ts
@@ -56,6 +56,45 @@
   ...{failureDomain: text, nonce: text, stopping: flag},
 });
 
+const document = fc.record({
+  ...{branch: text, revision: large, version: small},
+  text: fc.oneof(text, fc.constant('[leases]\ntask_lease_seconds = 9\n')),
+});
+
+/**
+ * Well-formed replies with drawn fields, by the name of the call. Leases on
+ * shard 1 have no newer epoch than its owner's, who would be fenced by one.
+ */
+export const REPLIES: Readonly<Record<string, fc.Arbitrary<object>>> = {
+  heartbeat: fc.record({
+    ...{resync: flag, settingsRevision: large, settingsAgeMillis: small},
+    ...{nextHeartbeatMillis: small, viewVersion: small, session: small},
+    ...{settings: several(document), entryId: text, leaseMillis: small},
+    leases: several(owner),
+    entries: several(fc.record({entryId: text, address, failureDomain: text})),
+  }),
+  reportAttempts: fc.record({recorded: several(wholeName), notOwner: flag}),
+  serve: fc.record({
+    ...{outcome: fc.constantFrom('answered', 'notRun', 'unknown', 'x', '')},
+    ...{requestId: text, resultCode: small, status: small, reason: text},
+    ...{headers: several(header), retryAfterMillis: small},
+    ...{body: fc.uint8Array({maxLength: 20}), executor: fc.option(executor)},
+  }),
+  startAttempts: fc.record({
+    results: several(
+      fc.record({name, accepted: flag, resultCode: small, reason: text}),
+    ),
+  }),
+  stopAttempts: fc.record({accepted: flag, resultCode: small}),
+  queryAttempts: fc.record({
+    ...{accepted: flag, resultCode: small, incarnation: text},
+    states: several(
+      fc.record({name, running: flag, report: fc.option(report)}),
+    ),
+  }),
+  dumpState: fc.record({json: text}),
+};
+
 /** Well-formed messages with drawn fields, by the name of the call. */
 export const MESSAGES: Readonly<Record<string, fc.Arbitrary<object>>> = {
   heartbeat: fc.record({
--- a/tests/fuzz/entry_fixture.ts
+++ b/tests/fuzz/entry_fixture.ts
@@ -2,12 +2,15 @@
 import {SilentLogger} from '../../src/observability/logger.js';
 import {Metrics} from '../../src/observability/metrics.js';
 import {GrpcLinkFactory} from '../../src/protocol/grpc_links.js';
+import type {LinkFactory} from '../../src/protocol/links.js';
 import {SystemClock} from '../../src/utilities/clock.js';
 import {Random} from '../../src/utilities/random.js';
 import {MemoryStore} from '../stand_ins/memory_store.js';
 
 /** One started entry that owns every shard. */
-export async function startEntry(): Promise<EntryProcess> {
+export async function startEntry(
+  links: LinkFactory = new GrpcLinkFactory(),
+): Promise<EntryProcess> {
   const clock = new SystemClock();
   const entry = new EntryProcess({
     record: {
@@ -20,7 +23,7 @@
     },
     shardCount: 1,
     store: new MemoryStore({clock}),
-    links: new GrpcLinkFactory(),
+    links,
     clock,
     random: new Random(1),
     logger: new SilentLogger(),
