--- a/src/decisions/recovery/task_backoff.ts
+++ b/src/decisions/recovery/task_backoff.ts
@@ -26,9 +26,8 @@
 
   /** The time to wait after the task itself failed. */
   afterFailure(task: string, vm: string, now: number): number {
+    this.avoid(task, vm, now + AVOID_MILLIS);
     const setback = this.setback(task);
-    setback.avoid = [vm, ...setback.avoid].slice(0, MAXIMUM_AVOIDED);
-    setback.avoidUntil = now + AVOID_MILLIS;
     const delay = FAILURE_BACKOFF_MILLIS * 2 ** setback.failures++;
     return this.jittered(delay, LONGEST_FAILURE_BACKOFF_MILLIS);
   }
@@ -64,6 +63,13 @@
     this.setbacks.delete(task);
   }
 
+  private avoid(task: string, vm: string, until: number): void {
+    const setback = this.setback(task);
+    const others = setback.avoid.filter(other => other !== vm);
+    setback.avoid = [vm, ...others].slice(0, MAXIMUM_AVOIDED);
+    setback.avoidUntil = Math.max(setback.avoidUntil, until);
+  }
+
   private jittered(delayMillis: number, longestMillis: number): number {
     return this.random.jitter(
       Math.min(delayMillis, longestMillis),
--- a/src/observability/result_codes.ts
+++ b/src/observability/result_codes.ts
@@ -34,8 +34,14 @@
     405,
     'The path does not take this method.',
   ),
-  ENTRY_STOPPING: code(
+  CALL_TOO_SLOW: code(
     104,
+    'CALL_TOO_SLOW',
+    408,
+    'Not run: the call did not arrive whole in time.',
+  ),
+  ENTRY_STOPPING: code(
+    105,
     'ENTRY_STOPPING',
     503,
     'The entry shuts down; the balancer is to send callers elsewhere.',
