Bench a frozen entry and the leases of the product in a store outage

Cause: the batch bench kept every lease for ever and replayed whole logs, so that an outage of any length cost the same and a paused owner was not shown.

--- a/bench/batch/batch_scenarios.ts
+++ b/bench/batch/batch_scenarios.ts
@@ -31,6 +31,7 @@
 
 const OUT_AT = 2 * MINUTE;
 const TAKE_OVER_MILLIS = 12_000;
+const FROZEN_MILLIS = 30_000;
 const BACK_AT = 5 * MINUTE;
 
 const SCENARIOS: readonly BatchScenario[] = [
@@ -114,7 +115,7 @@
     title: 'one worker fails everything it starts',
     plan: fleet => ({
       ...basePlan(fleet, {load: 1.3}),
-      faults: [{at: 0, run: run => (run.vms.get('vm2')!.blackHole = true)}],
+      faults: [{at: 0, run: blackHole}],
     }),
     reference: fleet => basePlan(fleet, {load: 1.3}),
     ratios: runs => perCapacityLeft(runs, (VMS - 1) / VMS),
@@ -135,7 +136,7 @@
     title: 'the store answers nothing for 60 s',
     plan: fleet => ({
       ...basePlan(fleet, {load: 1.3}),
-      faults: [{at: OUT_AT, run: storeOutage}],
+      faults: [{at: OUT_AT, run: run => run.loseStore(MINUTE)}],
     }),
     reference: fleet => basePlan(fleet, {load: 1.3}),
     ratios: runs => [
@@ -146,26 +147,59 @@
     ],
   },
   {
-    name: 'batch-entry-killed',
-    title: 'the owner of a third of the jobs dies, is replaced after 12 s',
+    name: 'batch-store-outage-long',
+    title: 'the store answers nothing for 120 s: task leases end after 90 s',
     plan: fleet => ({
       ...basePlan(fleet, {load: 1.3}),
-      faults: [{at: OUT_AT, run: run => run.killEntry(0, TAKE_OVER_MILLIS)}],
+      faults: [{at: OUT_AT, run: run => run.loseStore(2 * MINUTE)}],
     }),
     reference: fleet => basePlan(fleet, {load: 1.3}),
     ratios: runs => [
       {
-        name: 'work against the run without it',
-        value: runs.product.finishedWork / runs.reference.finishedWork,
-      },
-      {
-        name: 'starts of tasks that ran elsewhere',
-        value: runs.product.doubledStarts,
-        atMost: 0,
+        name: 'seconds until full pace after its return',
+        value: secondsUntilFullPace(runs, (OUT_AT + 2 * MINUTE) / SECOND),
       },
-      wastedRatio(runs),
+      ...withoutIt(runs),
     ],
   },
+  {
+    name: 'batch-entry-frozen',
+    title: 'the owner of a third of the jobs is paused 30 s, replaced after 12',
+    plan: fleet => ({
+      ...basePlan(fleet, {load: 1.3}),
+      faults: [
+        {
+          at: OUT_AT,
+          run: run => run.freezeEntry(0, FROZEN_MILLIS, TAKE_OVER_MILLIS),
+        },
+      ],
+    }),
+    reference: fleet => basePlan(fleet, {load: 1.3}),
+    ratios: withoutIt,
+  },
+  {
+    name: 'batch-entry-killed-learned',
+    title: 'the same death with wrong sizes and a worker that fails everything',
+    plan: fleet => ({
+      ...learnedPlan(fleet),
+      faults: [
+        ...learnedPlan(fleet).faults,
+        {at: OUT_AT, run: run => run.killEntry(0, TAKE_OVER_MILLIS)},
+      ],
+    }),
+    reference: learnedPlan,
+    ratios: withoutIt,
+  },
+  {
+    name: 'batch-entry-killed',
+    title: 'the owner of a third of the jobs dies, is replaced after 12 s',
+    plan: fleet => ({
+      ...basePlan(fleet, {load: 1.3}),
+      faults: [{at: OUT_AT, run: run => run.killEntry(0, TAKE_OVER_MILLIS)}],
+    }),
+    reference: fleet => basePlan(fleet, {load: 1.3}),
+    ratios: withoutIt,
+  },
   {
     name: 'batch-race',
     title: 'twelve shards race for the room of eleven VMs',
@@ -199,6 +233,34 @@
   return {name: 'share of work wasted', value, atMost: 0.03};
 }
 
+function withoutIt(runs: BatchRuns): ScenarioRatio[] {
+  const {product, reference} = runs;
+  return [
+    {
+      name: 'work against the run without it',
+      value: product.finishedWork / reference.finishedWork,
+    },
+    {
+      name: 'starts of tasks that ran elsewhere',
+      value: product.doubledStarts,
+      atMost: 0,
+    },
+    wastedRatio(runs),
+  ];
+}
+
+/** What has to be learned: true sizes, and the worker to stay away from. */
+function learnedPlan(fleet: FleetSize) {
+  return {
+    ...basePlan(fleet, {load: 1.1, kinds: SMALL_DECLARED}),
+    faults: [{at: 0, run: blackHole}],
+  };
+}
+
+function blackHole(run: BatchSimulation): void {
+  run.vms.get('vm2')!.blackHole = true;
+}
+
 function perCapacityLeft(runs: BatchRuns, left: number): ScenarioRatio[] {
   const {product, reference} = runs;
   const value = product.finishedWork / reference.finishedWork / left;
@@ -228,9 +290,3 @@
 function revive(vm: string) {
   return (run: BatchSimulation) => run.vms.get(vm)!.revive();
 }
-
-function storeOutage(run: BatchSimulation): void {
-  for (const entry of run.entries) {
-    entry.storeBackAt = run.clock.now() + MINUTE;
-  }
-}
--- a/bench/batch/batch_simulation.ts
+++ b/bench/batch/batch_simulation.ts
@@ -14,12 +14,15 @@
 import {BatchMetrics} from './batch_metrics.js';
 import type {TracedJob} from './batch_trace.js';
 import {SimulatedEntry} from './simulated_entry.js';
-import {SimulatedVm} from './simulated_vm.js';
+import {SimulatedVm, TASK_LEASE_MILLIS} from './simulated_vm.js';
 import type {SimulatedVmOptions} from './simulated_vm_options.js';
 
 const HEARTBEAT_MILLIS = 1000;
 const REPORT_MILLIS = 50;
 const OUT_DELAY_MILLIS = 2000;
+/** A take-over counts losses only after the grace of an earlier owner. */
+const EARLIER_OWNER_GRACE_MILLIS = 90_000;
+const RECLAIM_MILLIS = 1000;
 
 export interface PolicySet {
   readonly name: string;
@@ -73,7 +76,7 @@
   private fleet: FleetSettings = {
     failureDomainsOut: new Set(),
     drainedVms: new Set(),
-    taskLeaseMillis: 15_000,
+    taskLeaseMillis: TASK_LEASE_MILLIS,
     settingsFreshMillis: 4000,
     heartbeatMillis: HEARTBEAT_MILLIS,
     retryBudgetShare: 0.1,
@@ -136,18 +139,38 @@
 
   /** An entry dies; another takes its shard over after the delay. */
   killEntry(shard: number, takeOverMillis: number): void {
-    const killed = this.entries[shard];
-    killed.kill();
-    this.clock.schedule(takeOverMillis, () => {
-      const scheduler = this.newScheduler(shard);
-      killed.replayTo(scheduler);
-      const entry = this.newEntry(shard, scheduler, killed.epoch + 1);
-      entry.inherit(killed);
-      this.entries[shard] = entry;
-      entry.begin();
+    this.entries[shard].kill();
+    this.clock.schedule(takeOverMillis, () => this.takeOver(shard));
+  }
+
+  /** An entry is paused past its lease on the store, and then goes on. */
+  freezeEntry(shard: number, frozenMillis: number, takeOverMillis: number) {
+    this.entries[shard].freeze(frozenMillis);
+    this.clock.schedule(takeOverMillis, () => this.takeOver(shard));
+  }
+
+  /** Entries that the outage outlasts drop their shard and claim it after. */
+  loseStore(millis: number): void {
+    for (const entry of this.entries) entry.loseStore(millis);
+    this.clock.schedule(millis, () => {
+      for (const [shard, entry] of this.entries.entries()) {
+        if (!entry.outlastedByOutage) continue;
+        entry.kill();
+        this.clock.schedule(RECLAIM_MILLIS, () => this.takeOver(shard));
+      }
     });
   }
 
+  private takeOver(shard: number): void {
+    const earlier = this.entries[shard];
+    const scheduler = this.newScheduler(shard, earlier.lastSnapshot);
+    earlier.replayTo(scheduler);
+    const entry = this.newEntry(shard, scheduler, earlier.epoch + 1);
+    entry.inherit(earlier);
+    this.entries[shard] = entry;
+    entry.begin();
+  }
+
   private addEntry(shard: number): void {
     this.entries.push(this.newEntry(shard, this.newScheduler(shard), 1));
   }
@@ -161,15 +184,23 @@
     return new SimulatedEntry(shard, scheduler, epoch, clock, vms, metrics);
   }
 
-  private newScheduler(shard: number): ShardScheduler {
+  private newScheduler(shard: number, snapshot = ''): ShardScheduler {
     const {policySet, seed} = this.options;
-    const scheduler = new ShardScheduler({
+    const options = {
       shard,
       shards: this.options.shards,
       random: new Random(seed + shard),
-      limits: {...DEFAULT_SHARD_LIMITS, ...policySet.limits},
+      limits: {
+        ...DEFAULT_SHARD_LIMITS,
+        earlierOwnerGraceMillis: EARLIER_OWNER_GRACE_MILLIS,
+        ...policySet.limits,
+      },
       policies: policySet.policies(),
-    });
+    };
+    const scheduler =
+      snapshot === ''
+        ? new ShardScheduler(options)
+        : ShardScheduler.restore(snapshot, options);
     scheduler.setFleet(this.fleet);
     return scheduler;
   }
--- a/bench/batch/simulated_entry.ts
+++ b/bench/batch/simulated_entry.ts
@@ -15,14 +15,23 @@
 const DECISION_MILLIS = 50;
 const APPEND_MILLIS = 8;
 const LINK_MILLIS = 1.5;
+/** As the product's default: leases are renewed so long without the store. */
+const OUTAGE_GRACE_MILLIS = 90_000;
+const SNAPSHOT_AFTER_APPENDS = 128;
 
 /** The loop of one shard: decides, appends, and talks to the agents. */
 export class SimulatedEntry {
-  /** The store answers nothing before this time. */
-  storeBackAt = 0;
+  private storeBackAt = 0;
+  private outageFrom = Infinity;
+  private frozenUntil = 0;
   private appending = false;
   private killed = false;
-  private readonly log: LogRecord[] = [];
+  /** Another entry has written to the log: the next append fails. */
+  private deposed = false;
+  private snapshot = '';
+  /** The records after the snapshot. */
+  private log: LogRecord[] = [];
+  private appends = 0;
   private readonly jobs = new Map<string, TracedJob>();
   private readonly started = new Set<string>();
 
@@ -47,14 +56,36 @@
     this.killed = true;
   }
 
-  /** Brings a scheduler to where this entry's log ends. */
+  /** Pauses the process; it goes on with what it held in memory. */
+  freeze(millis: number): void {
+    this.frozenUntil = this.clock.now() + millis;
+  }
+
+  loseStore(millis: number): void {
+    this.outageFrom = this.clock.now();
+    this.storeBackAt = this.outageFrom + millis;
+  }
+
+  /** Whether the grace without the store is over. */
+  get outlastedByOutage(): boolean {
+    return this.clock.now() - this.outageFrom >= OUTAGE_GRACE_MILLIS;
+  }
+
+  /** Empty when none was saved yet. */
+  get lastSnapshot(): string {
+    return this.snapshot;
+  }
+
+  /** Brings a scheduler with the last snapshot to where the log ends. */
   replayTo(scheduler: ShardScheduler): void {
     for (const record of this.log) scheduler.replay(record);
   }
 
   /** Goes on with an earlier owner's log; callers submit their jobs again. */
   inherit(earlier: SimulatedEntry): void {
-    this.log.unshift(...earlier.log);
+    earlier.deposed = true;
+    this.snapshot = earlier.snapshot;
+    this.log = [...earlier.log];
     for (const task of earlier.started) this.started.add(task);
     for (const job of earlier.jobs.values()) this.submit(job);
   }
@@ -63,28 +94,39 @@
     const {specification} = job;
     const key = jobKey(specification.team, specification.name);
     this.jobs.set(key, job);
-    if (this.killed) return;
+    if (!this.isUp) return;
     const now = this.clock.now();
     this.scheduler.submit(specification, now, now);
   }
 
   heartbeat(vm: SimulatedVm): void {
-    if (this.killed) return;
+    if (!this.isUp) return;
     const now = this.clock.now();
+    if (this.outlastedByOutage) return;
+    vm.renewLeases(this.shard, this.epoch);
     this.scheduler.noteVm(vm.view(), now, now);
   }
 
   /** Takes reports in; returns those that the log holds. */
   report(vm: string, reports: readonly AttemptReport[]): AttemptName[] {
-    if (this.killed) return [];
+    if (!this.isUp) return [];
     const now = this.clock.now();
     this.scheduler.noteReports(vm, reports, now, now);
     return this.scheduler.recordedReports(reports.map(({name}) => name));
   }
 
+  private get isUp(): boolean {
+    return !this.killed && this.clock.now() >= this.frozenUntil;
+  }
+
   private loop(): void {
     if (this.killed) return;
     const now = this.clock.now();
+    if (now < this.frozenUntil) {
+      this.clock.schedule(this.frozenUntil - now, () => this.loop());
+      return;
+    }
+    if (now >= this.storeBackAt) this.outageFrom = Infinity;
     this.scheduler.decide(now, now);
     this.append();
     this.send(now);
@@ -96,15 +138,29 @@
     this.appending = true;
     const records = this.scheduler.takeRecords();
     const delay = Math.max(APPEND_MILLIS, this.storeBackAt - this.clock.now());
-    this.clock.schedule(delay, () => {
-      this.appending = false;
-      if (this.killed) return;
-      this.log.push(...records);
-      this.metrics.logBytes += JSON.stringify(encodeRecords(records)).length;
-      this.scheduler.acknowledge();
-      this.send(this.clock.now());
-      this.append();
-    });
+    this.clock.schedule(delay, () => this.appended(records));
+  }
+
+  private appended(records: readonly LogRecord[]): void {
+    if (this.killed) return;
+    const frozenFor = this.frozenUntil - this.clock.now();
+    if (frozenFor > 0) {
+      this.clock.schedule(frozenFor, () => this.appended(records));
+      return;
+    }
+    this.appending = false;
+    if (this.deposed) return this.kill();
+    this.log.push(...records);
+    this.metrics.logBytes += JSON.stringify(encodeRecords(records)).length;
+    this.scheduler.acknowledge();
+    if (++this.appends % SNAPSHOT_AFTER_APPENDS === 0) this.saveSnapshot();
+    this.send(this.clock.now());
+    this.append();
+  }
+
+  private saveSnapshot(): void {
+    this.snapshot = this.scheduler.snapshot();
+    this.log = [];
   }
 
   private send(now: number): void {
@@ -127,7 +183,7 @@
       if (!target?.alive || incarnation !== String(target.incarnation)) return;
       const results = starts.map(order => {
         const job = this.jobs.get(jobKey(order.name.team, order.name.job))!;
-        const outcome = target.start(this.shard, order, job);
+        const outcome = target.start(this, order, job);
         if (outcome.accepted) this.noteBegin(order.name, job);
         else this.metrics.refusedStarts++;
         return outcome;
--- a/bench/batch/simulated_vm.ts
+++ b/bench/batch/simulated_vm.ts
@@ -27,6 +27,13 @@
 const TARGET_TAIL_MILLIS = 40;
 const BLACK_HOLE_MILLIS = 100;
 const CHECKPOINT_MILLIS = 300;
+export const TASK_LEASE_MILLIS = 15_000;
+
+/** Who sends a start. */
+export interface ShardOwnership {
+  readonly shard: number;
+  readonly epoch: number;
+}
 
 /** A VM, its worker and its agent: it runs what it admits, at the speed left. */
 export class SimulatedVm {
@@ -42,6 +49,9 @@
   /** Milliprocessor milliseconds done by tasks so far. */
   doneWork = 0;
   private readonly running = new Map<string, RunningTask>();
+  /** The newest epoch of each shard, and until when its tasks are leased. */
+  private readonly epochs = new Map<number, number>();
+  private readonly leasedUntil = new Map<number, number>();
   private readonly load: VmLoad;
   private advancedAt = 0;
   private timer: Timer | undefined;
@@ -57,8 +67,22 @@
     this.load = new VmLoad(options, this.running);
   }
 
-  start(shard: number, order: StartOrder, job: TracedJob): StartOutcome {
+  /** The owner answered a heartbeat. */
+  renewLeases(shard: number, epoch: number): void {
+    if (epoch < (this.epochs.get(shard) ?? 0)) return;
+    this.epochs.set(shard, epoch);
+    this.leasedUntil.set(shard, this.clock.now() + TASK_LEASE_MILLIS);
+  }
+
+  start(
+    {shard, epoch}: ShardOwnership,
+    order: StartOrder,
+    job: TracedJob,
+  ): StartOutcome {
     const {name} = order;
+    if (epoch < (this.epochs.get(shard) ?? 0)) {
+      return refusal(name, ResultCodes.OLD_EPOCH.number);
+    }
     const key = attemptKey(name);
     if (this.running.has(key) || this.unrecorded.has(key)) {
       return {name, accepted: true, resultCode: 0, reason: ''};
@@ -132,6 +156,7 @@
   /** Samples usage and tail, which reports show later. */
   sample(): void {
     this.advance();
+    this.stopUnleased();
     this.samples.add({
       used: this.load.used(),
       tailMillis: this.load.tailMillis(),
@@ -144,6 +169,15 @@
     }
   }
 
+  /** The worker checkpoints and stops what nobody leases any longer. */
+  private stopUnleased(): void {
+    const now = this.clock.now();
+    for (const {order, shard} of this.running.values()) {
+      const leasedUntil = this.leasedUntil.get(shard) ?? Infinity;
+      if (now >= leasedUntil) this.stop(order.name, true);
+    }
+  }
+
   view(): VmView {
     const {vm, failureDomain, rack, capacity, service} = this.options;
     const {used, tailMillis} = this.samples.reported;
