--- a/src/entry/http/api_server.ts
+++ b/src/entry/http/api_server.ts
@@ -8,14 +8,14 @@
 import {CallerConnections} from './caller_connections.js';
 import {UnparsedCalls} from './unparsed_calls.js';
 
-const HEADERS_TIMEOUT_MILLIS = 10_000;
-const REQUEST_TIMEOUT_MILLIS = 60_000;
-/** How often connections are looked at for calls that are too slow. */
-const SLOWNESS_CHECK_MILLIS = 1_000;
+const DEFAULT_HEADERS_TIMEOUT_MILLIS = 10_000;
+const DEFAULT_REQUEST_TIMEOUT_MILLIS = 60_000;
 /** Longer than balancers keep a connection at rest, so that they close first. */
 const DEFAULT_KEEP_ALIVE_MILLIS = 75_000;
 /** For the first call of a connection that was opened just before the close. */
 const FIRST_CALL_MILLIS = 1_000;
+/** How often connections are looked at for calls that are too slow. */
+const DEFAULT_SLOWNESS_CHECK_MILLIS = 1_000;
 const CLOSE_GRACE_MILLIS = 5_000;
 
 /** Answers calls; rejections become numbered results. */
@@ -24,13 +24,13 @@
 /** Limits of an ApiServer. */
 export interface ApiServerOptions {
   readonly bodyLimitBytes: number;
+  /** After this long at rest a connection is closed. */
+  readonly keepAliveMillis?: number;
   /** Time for the headers of a call to arrive. */
   readonly headersTimeoutMillis?: number;
   /** Time for a whole call to arrive. */
   readonly requestTimeoutMillis?: number;
   readonly slownessCheckMillis?: number;
-  /** After this long at rest a connection is closed. */
-  readonly keepAliveMillis?: number;
 }
 
 /** The HTTP/1.1 server of an entry. */
@@ -46,11 +46,13 @@
   ) {
     this.server = createServer(
       {
-        headersTimeout: options.headersTimeoutMillis ?? HEADERS_TIMEOUT_MILLIS,
-        requestTimeout: options.requestTimeoutMillis ?? REQUEST_TIMEOUT_MILLIS,
-        connectionsCheckingInterval:
-          options.slownessCheckMillis ?? SLOWNESS_CHECK_MILLIS,
         keepAliveTimeout: options.keepAliveMillis ?? DEFAULT_KEEP_ALIVE_MILLIS,
+        headersTimeout:
+          options.headersTimeoutMillis ?? DEFAULT_HEADERS_TIMEOUT_MILLIS,
+        requestTimeout:
+          options.requestTimeoutMillis ?? DEFAULT_REQUEST_TIMEOUT_MILLIS,
+        connectionsCheckingInterval:
+          options.slownessCheckMillis ?? DEFAULT_SLOWNESS_CHECK_MILLIS,
         // Checked here, so that the answer has its number.
         requireHostHeader: false,
       },
