Let tasks be beside a service that has no requests

Cause: the tail guard's budget moves only with answers, so a service that was tight when its requests ended kept throttling, evicting and refusing batch work for good. Ruled out: resetting the budget, for the first requests in the morning would pay for it. Not covered: a lone request that runs for more than 10 s counts as none until it ends.

--- a/src/decisions/eviction/tail_guard.ts
+++ b/src/decisions/eviction/tail_guard.ts
@@ -43,6 +43,9 @@
 /** Time for answers that a larger change came too late for to leave. */
 const SETTLE_MILLIS = 1_000;
 
+/** A service that answered nothing for so long has no tail to protect. */
+const IDLE_MILLIS = 10_000;
+
 const LEAST_SERVICE_MILLIS = 0.01;
 
 /**
@@ -68,11 +71,15 @@
   private decidedAt: number | undefined;
   private evictedAt = -Infinity;
   private settledAt = -Infinity;
+  private answeredAt = -Infinity;
+  private idle = false;
   /** After the last decision, as the logarithm of service times. */
   private slowdown = 0;
 
   observe({answerMillis, serviceMillis}: ServiceAnswer, now: number): void {
     this.window.observe(answerMillis, now);
+    this.answeredAt = now;
+    this.idle = false;
     if (now >= this.settledAt) this.settled.observe(answerMillis, now);
     const log = Math.log(Math.max(serviceMillis, LEAST_SERVICE_MILLIS));
     this.sumOfLogs += log;
@@ -98,11 +105,12 @@
     // Kinds become known only by running.
     if (this.estimator.deviation(newcomer.kind) > KNOWN_DEVIATION) return true;
     const tasks = this.weigh({...view, tasks: [...view.tasks, newcomer]});
-    const shares = allocateShares(tasks, this.budget.slowdown);
+    const shares = allocateShares(tasks, this.allowedSlowdown);
     return (shares.get(newcomer.key) ?? 1) >= ADMIT_SHARE;
   }
 
   decide(view: GuardView, now: number): GuardAction[] {
+    this.idle = now - this.answeredAt > IDLE_MILLIS;
     this.learn(view, now);
     const tasks = this.weigh(view);
     const slowdown = slowdownOf(tasks);
@@ -135,6 +143,11 @@
     this.settled.clear();
   }
 
+  /** The budget stays as learned for when requests come again. */
+  private get allowedSlowdown(): number {
+    return this.idle ? Infinity : this.budget.slowdown;
+  }
+
   private learn(view: GuardView, now: number): void {
     const loads = loadsOf(view);
     const elapsedMillis = now - (this.decidedAt ?? now);
@@ -172,7 +185,7 @@
   }
 
   private share(tasks: readonly WeighedTask[], now: number): GuardAction[] {
-    const {slowdown} = this.budget;
+    const slowdown = this.allowedSlowdown;
     const largest = allocateShares(tasks, slowdown);
     const safe = allocateShares(tasks, RAISE_PART * slowdown);
     const actions: GuardAction[] = [];
@@ -199,6 +212,8 @@
 
   /** Checkpoints, then evicts, the most harmful task, one at a time. */
   private evict(tasks: readonly WeighedTask[], now: number): GuardAction[] {
+    if (this.idle) this.throttledSince.clear();
+    if (this.idle) return [];
     for (const {task} of tasks) this.noteShare(task, now);
     const reason = 'throttling was not enough for the service';
     const actions: GuardAction[] = [];
--- a/tests/eviction/service_model.ts
+++ b/tests/eviction/service_model.ts
@@ -15,6 +15,7 @@
   readonly tasks = new Map<string, GuardedTask>();
   readonly actions: GuardAction[] = [];
   now = 0;
+  answersPerPeriod = ANSWERS_PER_PERIOD;
   private readonly random = new Random(7);
 
   constructor(
@@ -48,7 +49,7 @@
 
   private step(): void {
     const slowdown = Math.exp(this.slowdown());
-    for (let answer = 0; answer < ANSWERS_PER_PERIOD; answer++) {
+    for (let answer = 0; answer < this.answersPerPeriod; answer++) {
       const millis = this.random.lognormal(20, 0.3) * slowdown;
       const times = {answerMillis: millis, serviceMillis: millis};
       this.policy.observe(times, this.now);
--- a/tests/eviction/tail_guard.test.ts
+++ b/tests/eviction/tail_guard.test.ts
@@ -55,6 +55,23 @@
   t.not(model.shareOf('quiet'), undefined);
 });
 
+test('should let tasks be while no requests come, and guard when they do', t => {
+  const effects = {noisy: 12};
+  const model = new ServiceModel(new TailGuard(), effects, TARGET_MILLIS);
+  model.add('fixed', 'noisy', {evictable: false});
+  model.pass(40_000);
+  t.is(model.shareOf('fixed'), LEAST_SHARE);
+  model.answersPerPeriod = 0;
+  model.pass(40_000);
+  t.is(model.shareOf('fixed'), 1);
+  model.add('later', 'noisy');
+  model.pass(40_000);
+  t.is(model.shareOf('later'), 1);
+  model.answersPerPeriod = 60;
+  model.pass(2_000);
+  t.is(model.shareOf('fixed'), LEAST_SHARE);
+});
+
 test('should not evict what may not be evicted', t => {
   const effects = {noisy: 12};
   const model = new ServiceModel(new TailGuard(), effects, TARGET_MILLIS);
