Stop a placement round once nothing that waits can find room

Cause, by a profile: with a full queue a decision took every team out of its heap and looked at its jobs, although one size had already found no room and none that waits is smaller. The round now ends there; every 100 ms it still looks at all, so that a job that has waited a minute gets its room kept. Urgent jobs are always looked at.

--- a/src/decisions/placement/placement_round.ts
+++ b/src/decisions/placement/placement_round.ts
@@ -13,6 +13,8 @@
 import type {VmState} from './vm_table.js';
 
 const REFRESH_MILLIS = 20;
+/** Normal jobs without room are looked at one by one this often. */
+const FULL_PASS_MILLIS = 100;
 const OVERDUE_MILLIS = 5 * 60 * 1000;
 
 /**
@@ -28,6 +30,9 @@
   private readonly keeper: RoomKeeper;
   private budget = 0;
   private nextRefreshAt = -Infinity;
+  private nextFullPassAt = -Infinity;
+  /** No ready normal job is smaller; undefined while not looked at. */
+  private leastSize: Resources | undefined;
 
   constructor(
     private readonly state: ShardState,
@@ -40,6 +45,7 @@
     this.noRoom = [];
     this.harmful.clear();
     this.blocked.clear();
+    this.leastSize = undefined;
     this.keeper.beginRound(now);
     if (now >= this.nextRefreshAt) this.refreshAll(now);
     if (this.state.ready.size === 0) return;
@@ -54,7 +60,12 @@
     for (const team of this.state.ready.teams(urgency)) {
       teams.add(this.state.ledger.share(team), team);
     }
+    const fullPass = urgency === Urgency.URGENT || now >= this.nextFullPassAt;
+    if (urgency === Urgency.NORMAL && fullPass) {
+      this.nextFullPassAt = now + FULL_PASS_MILLIS;
+    }
     while (this.budget > 0) {
+      if (!fullPass && this.isRestHopeless()) return;
       const team = teams.take();
       if (team === undefined) return;
       const placed = this.placeNext(urgency, team, now, wallTime);
@@ -62,6 +73,16 @@
     }
   }
 
+  /** Not even the smallest of the normal jobs would find room. */
+  private isRestHopeless(): boolean {
+    if (this.noRoom.length === 0 || this.keeper.keepsRoom) return false;
+    this.leastSize ??= this.state.ready.leastSize(Urgency.NORMAL);
+    for (const without of this.noRoom) {
+      if (fitsInto(without, this.leastSize)) return true;
+    }
+    return false;
+  }
+
   /** Places a task of the team's first job that finds room. */
   private placeNext(
     urgency: Urgency,
--- a/src/decisions/placement/ready_queue.ts
+++ b/src/decisions/placement/ready_queue.ts
@@ -1,4 +1,5 @@
 import {Urgency} from '../../settings/settings_types.js';
+import type {Resources} from '../../utilities/resources.js';
 import type {JobState} from '../jobs/job_state.js';
 
 /** The tasks of one job that may be placed now. */
@@ -66,6 +67,22 @@
     return this.byUrgency[urgency].get(team) ?? [];
   }
 
+  /** The least that any ready job declares, for each resource. */
+  leastSize(urgency: Urgency): Resources {
+    let milliprocessors = Infinity;
+    let memoryMegabytes = Infinity;
+    let accelerators = Infinity;
+    for (const jobs of this.byUrgency[urgency].values()) {
+      for (const {job} of jobs) {
+        const {size} = job.specification;
+        milliprocessors = Math.min(milliprocessors, size.milliprocessors);
+        memoryMegabytes = Math.min(memoryMegabytes, size.memoryMegabytes);
+        accelerators = Math.min(accelerators, size.accelerators);
+      }
+    }
+    return {milliprocessors, memoryMegabytes, accelerators};
+  }
+
   private readyJob(job: JobState): ReadyJob {
     const {team, urgency} = job.specification;
     const teams = this.byUrgency[urgency];
--- a/src/decisions/placement/room_keeper.ts
+++ b/src/decisions/placement/room_keeper.ts
@@ -37,6 +37,11 @@
     }
   }
 
+  /** Whether room is kept for any job. */
+  get keepsRoom(): boolean {
+    return this.holds.size > 0;
+  }
+
   isKeptFor(job: JobState): boolean {
     return this.holds.has(job.key);
   }
--- a/tests/placement/placement.test.ts
+++ b/tests/placement/placement.test.ts
@@ -123,3 +123,39 @@
   const draws = Array.from({length: 100}, () => claims.draw('vm1'));
   t.true(draws.filter(Boolean).length < 20);
 });
+
+test('should place a small job behind large ones without room at once', t => {
+  const fixture = new ShardFixture();
+  fixture.heartbeat(view('vm1'));
+  const large = {...specification().size, milliprocessors: 5000};
+  for (const team of ['a', 'b', 'c']) {
+    fixture.scheduler.submit(specification({team, size: large}), 0, 0);
+  }
+  t.deepEqual(fixture.step(), []);
+  for (const team of ['d', 'e']) {
+    fixture.scheduler.submit(specification({team}), fixture.now, 0);
+    t.deepEqual(
+      fixture.step(1).map(({name}) => name.team),
+      [team],
+    );
+  }
+});
+
+test('should keep room for a job that found none for a minute', t => {
+  const fixture = new ShardFixture();
+  const committed = {...specification().size, milliprocessors: 2000};
+  const busy = view('vm1', {committed});
+  const large = {...specification().size, milliprocessors: 3000};
+  fixture.heartbeat(busy);
+  fixture.scheduler.submit(specification({size: large}), 0, 0);
+  for (let second = 0; second <= 61; second++) {
+    fixture.heartbeat(busy);
+    t.deepEqual(fixture.step(1000), []);
+  }
+  const small = specification({name: 'small', taskCount: 4});
+  fixture.scheduler.submit(small, fixture.now, 0);
+  t.deepEqual(fixture.step(1), []);
+  fixture.heartbeat(view('vm1'));
+  const started = fixture.step(50).map(({name}) => name.job);
+  t.deepEqual(started.slice(0, 1), ['build']);
+});
