Bench the product without one policy at a time

Scenarios named without-POLICY/FLEET/SCENARIO run the product with and without a policy on the scenario that it is for, and print the ratios. Covered: domain preference, ejection, hedging, interference, learned sizes, quarantine, claims, pacing, room for urgent tasks, learned memory. Not covered: slow start, retry budget, spread of watchers, back-off of tasks; they can't be exchanged from outside.

--- a/bench/batch/batch_scenarios.ts
+++ b/bench/batch/batch_scenarios.ts
@@ -223,6 +223,12 @@
   })),
 );
 
+export function batchScenarioNamed(wanted: string): BatchScenario {
+  const found = SCENARIOS.find(({name}) => name === wanted);
+  if (found) return found;
+  throw new Error(`No batch scenario is named "${wanted}".`);
+}
+
 function lateRatio({product, baseline}: BatchRuns): ScenarioRatio[] {
   const value = product.lateShare / baseline.lateShare;
   return [{name: 'late seconds of services against first fit', value}];
--- a/bench/batch/batch_simulation.ts
+++ b/bench/batch/batch_simulation.ts
@@ -26,14 +26,17 @@
 
 export interface PolicySet {
   readonly name: string;
-  policies(): Partial<ShardPolicies>;
+  policies(shard: number): Partial<ShardPolicies>;
   readonly limits: Partial<ShardLimits>;
+  /** Whether a new owner knows what an earlier one learned. */
+  readonly remembers: boolean;
 }
 
 export const PRODUCT: PolicySet = {
   name: 'product',
   policies: () => ({}),
   limits: {},
+  remembers: true,
 };
 
 /** First fit without learning, no quarantine, static limits. */
@@ -51,6 +54,7 @@
     }),
   }),
   limits: {urgentPatienceMillis: Infinity},
+  remembers: true,
 };
 
 export interface SimulationOptions {
@@ -163,6 +167,7 @@
 
   private takeOver(shard: number): void {
     const earlier = this.entries[shard];
+    if (!this.options.policySet.remembers) earlier.forgetLearned();
     const scheduler = this.newScheduler(shard, earlier.lastSnapshot);
     earlier.replayTo(scheduler);
     const entry = this.newEntry(shard, scheduler, earlier.epoch + 1);
@@ -195,7 +200,7 @@
         earlierOwnerGraceMillis: EARLIER_OWNER_GRACE_MILLIS,
         ...policySet.limits,
       },
-      policies: policySet.policies(),
+      policies: policySet.policies(shard),
     };
     const scheduler =
       snapshot === ''
--- a/bench/batch/compare_batch.ts
+++ b/bench/batch/compare_batch.ts
@@ -56,7 +56,7 @@
   return Infinity;
 }
 
-function runPlan(
+export function runPlan(
   plan: ScenarioPlan,
   policySet: PolicySet,
   seed: number,
@@ -67,7 +67,7 @@
   return new BatchSimulation(options).run();
 }
 
-function rowOf(variant: string, metrics: BatchMetrics): ScenarioRow {
+export function rowOf(variant: string, metrics: BatchMetrics): ScenarioRow {
   const {startedAttempts, refusedStarts, finishedWork} = metrics;
   const sent = Math.max(1, startedAttempts + refusedStarts);
   return {
--- a/bench/batch/simulated_entry.ts
+++ b/bench/batch/simulated_entry.ts
@@ -5,6 +5,10 @@
 } from '../../src/decisions/job_types.js';
 import {attemptKey, jobKey} from '../../src/decisions/job_types.js';
 import {encodeRecords} from '../../src/decisions/jobs/record_codec.js';
+import {
+  readSnapshot,
+  writeSnapshot,
+} from '../../src/decisions/jobs/snapshot.js';
 import type {ShardScheduler} from '../../src/decisions/jobs/shard_scheduler.js';
 import type {StartsForVm} from '../../src/decisions/jobs/scheduler_types.js';
 import type {VirtualClock} from '../../src/utilities/virtual_clock.js';
@@ -76,6 +80,12 @@
     return this.snapshot;
   }
 
+  /** Writes its snapshot anew, without what was learned. */
+  forgetLearned(): void {
+    if (this.snapshot === '') return;
+    this.snapshot = writeSnapshot(readSnapshot(this.snapshot).book);
+  }
+
   /** Brings a scheduler with the last snapshot to where the log ends. */
   replayTo(scheduler: ShardScheduler): void {
     for (const record of this.log) scheduler.replay(record);
--- a/bench/scenarios.ts
+++ b/bench/scenarios.ts
@@ -1,3 +1,5 @@
+import {batchAblations} from './ablation/batch_ablations.js';
+import {serviceAblations} from './ablation/service_ablations.js';
 import {evictionScenarios} from './eviction/eviction_scenarios.js';
 import type {MicroBenchmark, Scenario} from './scenario.js';
 import {batchScenarios} from './batch/batch_scenarios.js';
@@ -10,6 +12,8 @@
   ...serviceScenarios,
   ...batchScenarios,
   ...evictionScenarios,
+  ...serviceAblations,
+  ...batchAblations,
 ];
 
 export const microBenchmarks: readonly MicroBenchmark[] = [
--- a/bench/service/service_scenarios.ts
+++ b/bench/service/service_scenarios.ts
@@ -45,7 +45,7 @@
   apply: target => target.setSlowdown(0, SLOW_FACTOR),
 };
 
-const options: readonly ServiceScenarioOptions[] = [
+export const serviceScenarioOptions: readonly ServiceScenarioOptions[] = [
   {
     name: 'steady-70',
     description: '70% load, lognormal times of sigma 1',
@@ -225,5 +225,5 @@
 ];
 
 export const serviceScenarios: readonly Scenario[] = fleetSizes.flatMap(size =>
-  options.map(each => serviceScenario(size, each)),
+  serviceScenarioOptions.map(each => serviceScenario(size, each)),
 );
