--- a/tests/jobs/learned_memory.test.ts
+++ b/tests/jobs/learned_memory.test.ts
@@ -2,6 +2,9 @@
 import * as fastCheck from 'fast-check';
 import {AttemptOutcome, LogRecordType} from '../../src/decisions/job_types.js';
 import type {AttemptName, LogRecord} from '../../src/decisions/job_types.js';
+import {PeakSizeLearner} from '../../src/decisions/placement/size_learner.js';
+import {TailBackoff} from '../../src/decisions/recovery/tail_backoff.js';
+import {WorkerQuarantine} from '../../src/decisions/recovery/worker_quarantine.js';
 import {ShardScheduler} from '../../src/decisions/jobs/shard_scheduler.js';
 import {ResultCodes} from '../../src/observability/result_codes.js';
 import {Random} from '../../src/utilities/random.js';
@@ -199,6 +202,26 @@
   }
 });
 
+test('should bound what a snapshot holds of what was learned', t => {
+  const learner = new PeakSizeLearner();
+  const judge = new WorkerQuarantine();
+  const backoff = new TailBackoff();
+  for (let index = 0; index < 5000; index++) {
+    learner.note('depot', `a-kind-of-task-${index}`, CAPACITY, 1000, true);
+    judge.noteFailure(`accra-kaneshie-worker-${index}`, 'route', 0);
+    backoff.setBack(`accra-kaneshie-worker-${index}`, 'scan', 0);
+  }
+  const rows = [learner.rows(), judge.rows(1e12), backoff.rows(1e12)];
+  t.deepEqual(
+    rows.map(({length}) => length),
+    [512, 128, 256],
+  );
+  const bytes = JSON.stringify(rows).length;
+  t.log(`${bytes} bytes`);
+  t.true(bytes < 100_000);
+  t.regex(JSON.stringify(rows[0]), /a-kind-of-task-4999/);
+});
+
 function teamsOf(scheduler: ShardScheduler, now: number): object {
   const {teams} = scheduler.dump(now) as {
     teams: Record<string, {used: object; runningTasks: number}>;
