Let agents report to a paused owner of the batch bench as well

Cause: the bench told an owner that had been replaced nothing any more, so that it sent nothing when it came back, and the test of it passed without the fences that it is for.

--- a/bench/batch/batch_simulation.ts
+++ b/bench/batch/batch_simulation.ts
@@ -77,6 +77,8 @@
   readonly metrics = new BatchMetrics();
   readonly vms = new Map<string, SimulatedVm>();
   readonly entries: SimulatedEntry[] = [];
+  /** Were replaced; one that was paused doesn't know that yet. */
+  private readonly formerEntries: SimulatedEntry[] = [];
   private fleet: FleetSettings = {
     failureDomainsOut: new Set(),
     drainedVms: new Set(),
@@ -172,6 +174,7 @@
     earlier.replayTo(scheduler);
     const entry = this.newEntry(shard, scheduler, earlier.epoch + 1);
     entry.inherit(earlier);
+    this.formerEntries.push(earlier);
     this.entries[shard] = entry;
     entry.begin();
   }
@@ -219,6 +222,7 @@
     this.clock.schedule(HEARTBEAT_MILLIS, () => this.heartbeat(vm));
     if (!vm.alive) return;
     for (const entry of this.entries) entry.heartbeat(vm);
+    for (const entry of this.formerEntries) entry.heartbeat(vm);
   }
 
   private report(vm: SimulatedVm): void {
