--- a/bench/batch/batch_simulation.ts
+++ b/bench/batch/batch_simulation.ts
@@ -26,14 +26,17 @@
 
 export interface PolicySet {
   readonly name: string;
-  policies(): Partial<ShardPolicies>;
+  policies(shard: number): Partial<ShardPolicies>;
   readonly limits: Partial<ShardLimits>;
+  /** Whether a new owner knows what an earlier one learned. */
+  readonly remembers: boolean;
 }
 
 export const PRODUCT: PolicySet = {
   name: 'product',
   policies: () => ({}),
   limits: {},
+  remembers: true,
 };
 
 /** First fit without learning, no quarantine, static limits. */
@@ -51,6 +54,7 @@
     }),
   }),
   limits: {urgentPatienceMillis: Infinity},
+  remembers: true,
 };
 
 export interface SimulationOptions {
@@ -73,6 +77,8 @@
   readonly metrics = new BatchMetrics();
   readonly vms = new Map<string, SimulatedVm>();
   readonly entries: SimulatedEntry[] = [];
+  /** Were replaced; one that was paused doesn't know that yet. */
+  private readonly formerEntries: SimulatedEntry[] = [];
   private fleet: FleetSettings = {
     failureDomainsOut: new Set(),
     drainedVms: new Set(),
@@ -163,10 +169,12 @@
 
   private takeOver(shard: number): void {
     const earlier = this.entries[shard];
+    if (!this.options.policySet.remembers) earlier.forgetLearned();
     const scheduler = this.newScheduler(shard, earlier.lastSnapshot);
     earlier.replayTo(scheduler);
     const entry = this.newEntry(shard, scheduler, earlier.epoch + 1);
     entry.inherit(earlier);
+    this.formerEntries.push(earlier);
     this.entries[shard] = entry;
     entry.begin();
   }
@@ -195,7 +203,7 @@
         earlierOwnerGraceMillis: EARLIER_OWNER_GRACE_MILLIS,
         ...policySet.limits,
       },
-      policies: policySet.policies(),
+      policies: policySet.policies(shard),
     };
     const scheduler =
       snapshot === ''
@@ -214,6 +222,7 @@
     this.clock.schedule(HEARTBEAT_MILLIS, () => this.heartbeat(vm));
     if (!vm.alive) return;
     for (const entry of this.entries) entry.heartbeat(vm);
+    for (const entry of this.formerEntries) entry.heartbeat(vm);
   }
 
   private report(vm: SimulatedVm): void {
