List the services of all teams once after many changes of settings

Each text that came in force sorted all teams and listed their services anew, so that reading 400 branches at the start took 400 such lists. The list is now made when it is first asked for after a change.

--- a/src/settings/settings_view.ts
+++ b/src/settings/settings_view.ts
@@ -33,7 +33,8 @@
 export class SettingsView {
   private readonly states = new Map<string, BranchState>();
   private readonly teams = new Map<string, TeamSettings>();
-  private services: ReadonlyMap<string, ServiceSettings> = new Map();
+  /** Undefined until it is asked for after a change. */
+  private servicesByName?: ReadonlyMap<string, ServiceSettings>;
   private fleetSettings = DEFAULT_FLEET_SETTINGS;
   private confirmedRevision = 0;
   private confirmedAt = -Infinity;
@@ -124,6 +125,11 @@
     return newer.sort((left, right) => left.revision - right.revision);
   }
 
+  private get services(): ReadonlyMap<string, ServiceSettings> {
+    this.servicesByName ??= servicesOf(this.teams);
+    return this.servicesByName;
+  }
+
   /** Takes over the settings of a text; returns its faults if it has any. */
   private read(
     document: SettingsDocument,
@@ -137,7 +143,7 @@
     const result = parseTeamSettings(document.branch, document.text);
     if (result.faults) return result.faults;
     this.teams.set(document.branch, result.settings);
-    this.services = servicesOf(this.teams);
+    this.servicesByName = undefined;
     return undefined;
   }
 }
