--- a/bench/footprint/measure_recovery.ts
+++ b/bench/footprint/measure_recovery.ts
@@ -1,5 +1,10 @@
 import {ShardScheduler} from '../../src/decisions/jobs/shard_scheduler.js';
+import type {StartOutcome} from '../../src/decisions/jobs/scheduler_types.js';
 import {JobKind} from '../../src/decisions/job_types.js';
+import type {
+  AttemptName,
+  AttemptReport,
+} from '../../src/decisions/job_types.js';
 import {ShardLog} from '../../src/entry/shards/shard_log.js';
 import {SettlingStore} from '../../src/platform/settling_store.js';
 import {Urgency} from '../../src/settings/settings_types.js';
@@ -9,11 +14,16 @@
 
 /**
  * Usage: npm run measure:recovery [-- --json]. Fills one shard with
- * running tasks, keeps it as a snapshot with a log after it, and reads it back
+ * running tasks, and closed jobs in some rows, keeps it as a snapshot with a log after it, and reads it back
  * as a new owner does. The store is in this process and answers at once.
  */
 const TASK_COUNTS = [875, 3_500, 14_000];
 const TASKS_A_JOB = 35;
+/** A twelfth of the tasks at the target, with a day's closed jobs beside them. */
+const TASKS_BESIDE_CLOSED_JOBS = 1_167;
+const CLOSED_JOB_COUNTS = [0, 317, 3_800];
+const TASKS_A_CLOSED_JOB = 5;
+const CLOSED_TASK_RUN_MILLIS = 60_000;
 const VMS = 600;
 const ROUND_MILLIS = 500;
 const MAXIMUM_ROUNDS = 1_000;
@@ -33,12 +43,16 @@
   });
   private now = 0;
 
-  constructor(private readonly tasks: number) {}
+  constructor(
+    private readonly tasks: number,
+    private readonly closedJobs = 0,
+  ) {}
 
   async measure(): Promise<object> {
     await this.log.read();
     this.scheduler.tookOver('entry-1', 1, this.now, this.now);
     await this.commit();
+    await this.closeJobs();
     this.submitJobs();
     const placed = await this.placeAll();
     const text = this.scheduler.snapshot();
@@ -46,6 +60,7 @@
     const appends = await this.appendUntilSnapshotIsDue();
     return {
       tasks: this.tasks,
+      closedJobs: this.closedJobs,
       placed,
       snapshotCharacters: text.length,
       charactersATask: Math.round(text.length / this.tasks),
@@ -66,7 +81,43 @@
     for (let number = 0; number < jobs; number++) this.submit(`job-${number}`);
   }
 
-  private submit(name: string): void {
+  /** Runs the jobs that stay in the shard for a day after their end. */
+  private async closeJobs(): Promise<void> {
+    for (let number = 0; number < this.closedJobs; number++) {
+      this.submit(`closed-${number}`, TASKS_A_CLOSED_JOB);
+    }
+    const wanted = this.closedJobs * TASKS_A_CLOSED_JOB;
+    let ended = 0;
+    for (let round = 0; round < MAXIMUM_ROUNDS && ended < wanted; round++) {
+      ended += await this.startAndEnd();
+      this.now += ROUND_MILLIS;
+    }
+    if (ended < wanted) throw new Error(`${ended} of ${wanted} tasks ended`);
+  }
+
+  /** Resolves to the number of tasks that it started and ended. */
+  private async startAndEnd(): Promise<number> {
+    this.hearAllVms();
+    this.scheduler.decide(this.now, Date.now());
+    await this.commit();
+    let ended = 0;
+    for (const {vm, starts} of this.scheduler.startsDue(this.now)) {
+      const names = starts.map(({name}) => name);
+      this.scheduler.noteStartResults(
+        vm,
+        names.map(acceptedStart),
+        this.now,
+        Date.now(),
+      );
+      const reports = names.map(finishedReport);
+      this.scheduler.noteReports(vm, reports, this.now, Date.now());
+      ended += names.length;
+    }
+    await this.commit();
+    return ended;
+  }
+
+  private submit(name: string, taskCount = TASKS_A_JOB): void {
     this.scheduler.submit(
       {
         team: `team-${name}`,
@@ -75,7 +126,7 @@
         urgency: Urgency.NORMAL,
         taskKind: 'batch',
         size: {milliprocessors: 100, memoryMegabytes: 100, accelerators: 0},
-        taskCount: TASKS_A_JOB,
+        taskCount,
         expectedRunMillis: 600_000,
         payload: JSON.stringify({runMillis: 600_000}),
         idempotent: true,
@@ -94,12 +145,7 @@
       this.scheduler.decide(this.now, Date.now());
       await this.commit();
       for (const due of this.scheduler.startsDue(this.now)) {
-        const results = due.starts.map(({name}) => ({
-          name,
-          accepted: true,
-          resultCode: 0,
-          reason: '',
-        }));
+        const results = due.starts.map(({name}) => acceptedStart(name));
         placed += results.length;
         this.scheduler.noteStartResults(due.vm, results, this.now, Date.now());
       }
@@ -181,6 +227,23 @@
   }
 }
 
+function acceptedStart(name: AttemptName): StartOutcome {
+  return {name, accepted: true, resultCode: 0, reason: ''};
+}
+
+function finishedReport(name: AttemptName): AttemptReport {
+  return {
+    name,
+    outcome: 'finished',
+    checkpoint: '',
+    result: 'done',
+    reason: '',
+    resultCode: 0,
+    ranMillis: CLOSED_TASK_RUN_MILLIS,
+    used: {milliprocessors: 0, memoryMegabytes: 0, accelerators: 0},
+  };
+}
+
 function round(value: number): number {
   return Number(value.toPrecision(3));
 }
@@ -189,6 +252,10 @@
 for (const tasks of TASK_COUNTS) {
   rows.push(await new ShardRecovery(tasks).measure());
 }
+for (const closedJobs of CLOSED_JOB_COUNTS) {
+  const recovery = new ShardRecovery(TASKS_BESIDE_CLOSED_JOBS, closedJobs);
+  rows.push(await recovery.measure());
+}
 if (process.argv.includes('--json')) console.log(JSON.stringify(rows));
 else for (const row of rows) console.log(row);
 process.exit(0);
