--- a/bench/footprint/simulated_agent.ts
+++ b/bench/footprint/simulated_agent.ts
@@ -1,7 +1,11 @@
+import {EntryAcknowledgement} from '../../src/agent/entry_acknowledgement.js';
+import {HeartbeatDeltas} from '../../src/agent/heartbeat_deltas.js';
+import {HeartbeatRequest} from '../../src/protocol/generated/burdockmoor.js';
 import type {
   AttemptName,
+  ExecutorReport,
   HeartbeatReply,
-  HeartbeatRequest,
+  Resources,
   StartAttemptsRequest,
 } from '../../src/protocol/generated/burdockmoor.js';
 import type {EntryLink} from '../../src/protocol/links.js';
@@ -10,6 +14,10 @@
 const FIRST_PERIOD_MILLIS = 1_000;
 const PERIOD_JITTER = 0.2;
 const RUN_JITTER = 0.5;
+const LOAD_JITTER = 0.2;
+/** What each task of the job source asks for. */
+const TASK_MILLIPROCESSORS = 100;
+const TASK_MEGABYTES = 100;
 const REPORT_AGAIN_MILLIS = 1_000;
 const CAPACITY = {
   milliprocessors: 64_000,
@@ -27,6 +35,7 @@
   draining: false,
   unavailable: false,
 };
+const NO_HEARTBEAT = HeartbeatRequest.decode(new Uint8Array());
 const NOTHING = {milliprocessors: 0, memoryMegabytes: 0, accelerators: 0};
 
 export interface SimulatedAgentOptions {
@@ -44,6 +53,8 @@
 export class SimulatedAgent {
   heartbeats = 0;
   starts = 0;
+  private readonly acknowledged = new EntryAcknowledgement();
+  private readonly deltas = new HeartbeatDeltas();
   private sequence = 0;
   private settingsRevision = 0;
   private running = 0;
@@ -74,9 +85,9 @@
   private async beat(): Promise<void> {
     let period = FIRST_PERIOD_MILLIS;
     try {
-      const reply = await this.options.link.heartbeat(this.heartbeat());
+      const reply = await this.send();
       this.heartbeats++;
-      period = reply.nextHeartbeatMillis;
+      if (!reply.resync) period = reply.nextHeartbeatMillis;
       this.noteSettings(reply);
     } catch {
       // The next heartbeat tries again.
@@ -85,6 +96,17 @@
     setTimeout(() => void this.beat(), random.jitter(period, PERIOD_JITTER));
   }
 
+  /** Sends what a real agent would: a delta wherever the entry has a base. */
+  private async send(): Promise<HeartbeatReply> {
+    const {acknowledged} = this;
+    const request = this.deltas.next(this.heartbeat(), acknowledged.base);
+    acknowledged.noteSent(request);
+    const reply = await this.options.link.heartbeat(request);
+    if (!reply.resync) return acknowledged.complete(request, reply);
+    acknowledged.forget(request);
+    return reply;
+  }
+
   private noteSettings(reply: HeartbeatReply): void {
     this.settingsRevision = Math.max(
       this.settingsRevision,
@@ -95,6 +117,7 @@
   private heartbeat(): HeartbeatRequest {
     const {agentId, address, failureDomain} = this.options;
     return {
+      ...NO_HEARTBEAT,
       agentId,
       incarnation: `run-of-${agentId}-0000-4000-8000-000000000000`,
       failureDomain,
@@ -104,19 +127,44 @@
       sequence: ++this.sequence,
       agentTime: Math.round(performance.now()),
       capacity: CAPACITY,
-      committed: NOTHING,
-      executors: [EXECUTOR],
+      committed: {
+        milliprocessors: this.running * TASK_MILLIPROCESSORS,
+        memoryMegabytes: this.running * TASK_MEGABYTES,
+        accelerators: 0,
+      },
+      executors: [this.executor()],
       settingsRevision: this.settingsRevision,
       branches: ['fleet'],
       draining: false,
       runningAttempts: this.running,
       interference: [],
-      used: NOTHING,
+      used: this.used(),
       stopping: false,
       recovering: false,
     };
   }
 
+  /** Requests come and go, so the load is another in each heartbeat. */
+  private executor(): ExecutorReport {
+    const {random} = this.options;
+    return {
+      ...EXECUTOR,
+      inFlight: random.below(EXECUTOR.slots + 1),
+      serviceMillis: random.jitter(EXECUTOR.serviceMillis, LOAD_JITTER),
+      tailMillis: random.jitter(EXECUTOR.tailMillis, LOAD_JITTER),
+    };
+  }
+
+  /** What the VM's tasks use, which is never quite the same. */
+  private used(): Resources {
+    const {random} = this.options;
+    return {
+      milliprocessors: random.below(CAPACITY.milliprocessors),
+      memoryMegabytes: random.below(CAPACITY.memoryMegabytes),
+      accelerators: 0,
+    };
+  }
+
   private async report(
     shard: number,
     name: AttemptName,
--- a/tests/fuzz/drawn_messages.ts
+++ b/tests/fuzz/drawn_messages.ts
@@ -35,6 +35,10 @@
   ...{name, outcome: text, checkpoint: text, result: text, reason: text},
   ...{resultCode: small, ranMillis: large, used: size},
 });
+const load = fc.record({
+  ...{inFlight: small, queued: small},
+  ...{serviceMicros: small, tailMicros: small},
+});
 const start = fc.record({
   ...{name, kind: text, size, urgent: flag, payload: text, checkpoint: text},
   ...{expectedRunMillis: large, watcher: flag, evictable: flag},
@@ -47,6 +51,11 @@
 const withOwner = <T extends object>(fields: fc.Arbitrary<T>) =>
   fc.tuple(owner, fields).map(([first, second]) => ({...first, ...second}));
 
+const entryDescription = fc.record({
+  ...{entryId: text, processAddress: address, callerAddress: address},
+  ...{failureDomain: text, nonce: text, stopping: flag},
+});
+
 /** Well-formed messages with drawn fields, by the name of the call. */
 export const MESSAGES: Readonly<Record<string, fc.Arbitrary<object>>> = {
   heartbeat: fc.record({
@@ -55,6 +64,8 @@
     ...{capacity: size, committed: size, executors: several(executor)},
     ...{settingsRevision: large, branches: several(text), draining: flag},
     ...{runningAttempts: small, used: size, stopping: flag, recovering: flag},
+    ...{session: fc.constantFrom(0, 1), baseDistance: small, changed: small},
+    ...{viewVersion: small, loads: several(load)},
     interference: several(
       fc.record({service: text, taskKind: text, slowdown: real}),
     ),
@@ -69,6 +80,7 @@
   }),
   exchangePeers: fc.record({
     ...{entryId: text, settingsRevision: large, settingsAgeMillis: small},
+    sender: fc.option(entryDescription, {nil: undefined}),
   }),
   serve: fc.record({
     ...{requestId: text, service: text, team: text, method: text, path: text},
