--- a/bench/footprint/job_source.ts
+++ b/bench/footprint/job_source.ts
@@ -11,7 +11,11 @@
   private number = 0;
   private refusals = 0;
 
-  constructor(private readonly api: EntryApi) {}
+  constructor(
+    private readonly api: EntryApi,
+    /** Keeps the names of several sources apart. */
+    private readonly prefix = 'footprint',
+  ) {}
 
   /** Submissions that were not accepted. */
   get refused(): number {
@@ -34,7 +38,7 @@
     const number = this.number++;
     try {
       await this.api.post(`/v1/teams/team-${number % TEAMS}/jobs`, {
-        name: `footprint-${number}`,
+        name: `${this.prefix}-${number}`,
         tasks: TASKS_A_JOB,
         milliprocessors: 100,
         memoryMegabytes: 100,
--- a/bench/footprint/measure_footprint.ts
+++ b/bench/footprint/measure_footprint.ts
@@ -1,14 +1,17 @@
+import {parseArgs} from 'node:util';
 import type {EntryApi} from '../fleet/entry_api.js';
 import {pause} from '../fleet/wait_until.js';
 import {FootprintFleet} from './footprint_fleet.js';
 import type {Counters} from './footprint_fleet.js';
+import {SCENARIOS} from './footprint_scenarios.js';
 import {JobSource} from './job_source.js';
 import {fitStraightLine} from './straight_line.js';
 
 /**
- * Usage: npm run measure:footprint [-- --json]. Prints what one entry and one
- * agent use idle and at several sizes, with the slopes. Bounded in time and in
- * the number of processes; everything is on loopback.
+ * Usage: npm run measure:footprint [-- [--scenario NAME] [--json]]. Without a
+ * scenario it prints what one entry and one agent use idle and at several
+ * sizes, with the slopes. Bounded in time and in the number of processes;
+ * everything is on loopback.
  */
 const SETTLE_MILLIS = 4_000;
 const WINDOW_MILLIS = 8_000;
@@ -257,6 +260,29 @@
   return Object.fromEntries(entries) as object;
 }
 
-const run = new FootprintRun();
-await run.run();
-run.print(process.argv.includes('--json'));
+async function runScenario(name: string, json: boolean): Promise<void> {
+  const scenario = SCENARIOS.get(name);
+  if (!scenario) {
+    const known = [...SCENARIOS.keys()].join(', ');
+    throw new Error(`no scenario ${name}; known are ${known}`);
+  }
+  const report = await scenario.run();
+  if (json) return console.log(JSON.stringify(report));
+  console.table(report.points.map(rounded));
+  if (report.delays) console.table(report.delays);
+  for (const note of report.notes ?? []) console.log(note);
+}
+
+const {values: words} = parseArgs({
+  options: {
+    scenario: {type: 'string'},
+    json: {type: 'boolean', default: false},
+  },
+});
+if (words.scenario) {
+  await runScenario(words.scenario, words.json);
+} else {
+  const run = new FootprintRun();
+  await run.run();
+  run.print(words.json);
+}
--- a/bench/footprint/simulated_agents_main.ts
+++ b/bench/footprint/simulated_agents_main.ts
@@ -1,6 +1,7 @@
 import {parseArgs} from 'node:util';
 import {GrpcLinkFactory} from '../../src/protocol/grpc_links.js';
 import {GrpcServer} from '../../src/protocol/grpc_server.js';
+import type {StartAttemptsRequest} from '../../src/protocol/generated/burdockmoor.js';
 import type {AgentHandlers} from '../../src/protocol/links.js';
 import {Random} from '../../src/utilities/random.js';
 import {SimulatedAgent} from './simulated_agent.js';
@@ -10,7 +11,7 @@
  *   --advertise HOST:PORT --first NUMBER --count NUMBER
  *
  * Runs light agents that share one server, and prints their counts as a JSON
- * line every second.
+ * line every second, and one for each urgent start.
  */
 const MAXIMUM_COUNT = 200;
 const MAXIMUM_RUN_MILLIS = 300_000;
@@ -42,9 +43,18 @@
   agents.set(agentId, agent);
 }
 
+function printUrgentStarts(request: StartAttemptsRequest): void {
+  for (const {name, urgent} of request.starts) {
+    if (!urgent) continue;
+    const line = {urgentJob: name!.job, wallTime: Date.now()};
+    console.log(JSON.stringify(line));
+  }
+}
+
 const handlers: AgentHandlers = {
   startAttempts: async request => {
     agents.get(request.agentId)?.begin(request);
+    printUrgentStarts(request);
     const results = request.starts.map(({name}) => ({
       name,
       accepted: true,
