--- a/src/agent/queries/heartbeat_request.ts
+++ b/src/agent/queries/heartbeat_request.ts
@@ -1,14 +1,18 @@
+import {HeartbeatRequest} from '../../protocol/generated/burdockmoor.js';
 import type {
   ExecutorReport,
-  HeartbeatRequest,
   InterferenceSample,
 } from '../../protocol/generated/burdockmoor.js';
+import {loadOf, withLoad} from '../../protocol/heartbeat_delta.js';
 import {FLEET_BRANCH} from '../../settings/settings_types.js';
 import {addResources, NO_RESOURCES} from '../../utilities/resources.js';
 import type {Resources} from '../../utilities/resources.js';
 import {isDrained, isRecovering} from '../agent_context.js';
 import type {AgentContext} from '../agent_context.js';
 
+const SLOWDOWN_STEP = 0.01;
+const NOTHING = HeartbeatRequest.decode(new Uint8Array());
+
 /** What a heartbeat says of the service beside the agent. */
 export interface ServiceState {
   readonly executors: ExecutorReport[];
@@ -16,7 +20,7 @@
   readonly teams: readonly string[];
 }
 
-/** The heartbeat that describes the VM at this moment. */
+/** The full heartbeat that describes the VM at this moment. */
 export function heartbeatRequest(
   context: AgentContext,
   service: ServiceState,
@@ -24,24 +28,36 @@
 ): HeartbeatRequest {
   const {identity, ledger, clock, settings, attempts} = context;
   return {
+    ...NOTHING,
     ...identity,
     sequence,
     // Rounded down: a lease counted from it can only be shorter.
     agentTime: Math.floor(clock.now()),
     capacity: ledger.capacity,
     committed: ledger.committed,
-    executors: service.executors,
+    executors: service.executors.map(asSent),
     settingsRevision: settings.revision,
     branches: [FLEET_BRANCH, ...service.teams],
     draining: isDrained(context),
     runningAttempts: attempts.live().length,
-    interference: service.interference,
+    interference: service.interference.map(rounded),
     used: usedResources(context),
     stopping: context.stopping,
     recovering: isRecovering(context),
   };
 }
 
+/** Measured times as deltas carry them: a full heartbeat says the same. */
+function asSent(executor: ExecutorReport): ExecutorReport {
+  return withLoad(executor, loadOf(executor));
+}
+
+/** The estimates move a little all the time; placement needs no more digits. */
+function rounded(sample: InterferenceSample): InterferenceSample {
+  const steps = Math.round(sample.slowdown / SLOWDOWN_STEP);
+  return {...sample, slowdown: steps * SLOWDOWN_STEP};
+}
+
 function usedResources(context: AgentContext): Resources {
   let used = NO_RESOURCES;
   for (const task of context.workerStatus?.tasks ?? []) {
--- a/src/observability/result_codes.ts
+++ b/src/observability/result_codes.ts
@@ -34,6 +34,18 @@
     405,
     'The path does not take this method.',
   ),
+  CALL_TOO_SLOW: code(
+    104,
+    'CALL_TOO_SLOW',
+    408,
+    'Not run: the call did not arrive whole in time.',
+  ),
+  ENTRY_STOPPING: code(
+    105,
+    'ENTRY_STOPPING',
+    503,
+    'The entry shuts down; the balancer is to send callers elsewhere.',
+  ),
   // 2xx: service requests.
   NO_UPSTREAM: code(
     200,
@@ -216,4 +228,10 @@
     502,
     'The other process does not answer.',
   ),
+  PROCESS_TOO_SLOW: code(
+    505,
+    'PROCESS_TOO_SLOW',
+    503,
+    'Not sent: the other process does not keep up with the calls to it.',
+  ),
 } as const;
--- a/src/protocol/message_checks.ts
+++ b/src/protocol/message_checks.ts
@@ -10,6 +10,7 @@
   StartAttemptsRequest,
   StopAttemptsRequest,
 } from './generated/burdockmoor.js';
+import {isChanged, isFull} from './heartbeat_delta.js';
 import {InvalidMessageError} from './invalid_message_error.js';
 
 const MAXIMUM_NAME_LENGTH = 200;
@@ -19,13 +20,12 @@
 
 /** @throws InvalidMessageError that names the field at fault. */
 export function checkHeartbeat(request: HeartbeatRequest): void {
-  requireName('agent_id', request.agentId);
-  requireName('incarnation', request.incarnation);
-  requireName('failure_domain', request.failureDomain);
-  requireName('address', request.address);
-  requirePresent('capacity', request.capacity);
-  requirePresent('committed', request.committed);
+  if (isFull(request)) requireWhole(request);
+  for (const field of ['capacity', 'committed', 'used'] as const) {
+    if (isChanged(request, field)) requirePresent(field, request[field]);
+  }
   requireCount('executors', request.executors);
+  requireCount('loads', request.loads);
   requireCount('interference', request.interference);
   for (const executor of request.executors) {
     requireName('executors.service', executor.service);
@@ -54,6 +54,9 @@
 /** @throws InvalidMessageError that names the field at fault. */
 export function checkExchangePeers(request: ExchangePeersRequest): void {
   requireName('entry_id', request.entryId);
+  if (!request.sender) return;
+  requireName('sender.entry_id', request.sender.entryId);
+  requireName('sender.process_address', request.sender.processAddress);
 }
 
 /** @throws InvalidMessageError that names the field at fault. */
@@ -89,6 +92,16 @@
   for (const name of request.names) requireAttempt(name);
 }
 
+/** What a delta may leave out. */
+function requireWhole(request: HeartbeatRequest): void {
+  requireName('agent_id', request.agentId);
+  requireName('incarnation', request.incarnation);
+  requireName('failure_domain', request.failureDomain);
+  requireName('address', request.address);
+  requirePresent('capacity', request.capacity);
+  requirePresent('committed', request.committed);
+}
+
 function requireAttempt(name: AttemptName | undefined): void {
   if (!name) return reject('name', 'is missing');
   requireName('name.team', name.team);
--- a/src/settings/entry_schema.ts
+++ b/src/settings/entry_schema.ts
@@ -6,6 +6,7 @@
   tlsSection,
 } from './process_sections.js';
 import {
+  addressListKey,
   httpAddressListKey,
   integerKey,
   optional,
@@ -44,6 +45,21 @@
   },
 );
 
+export const peersSection = defineSection(
+  'peers',
+  'Where the entry finds the others while the store does not tell.',
+  {
+    addresses: optional(
+      addressListKey({
+        description: "The balancer's address for processes, or entries.",
+        example: '10.1.0.10:7070, 10.1.0.11:7070',
+      }),
+      [] as readonly string[],
+      'none',
+    ),
+  },
+);
+
 export const storeSection = defineSection(
   'store',
   "The platform's key-value service. The rates are this process's own.",
@@ -117,6 +133,19 @@
     MEBIBYTE,
     '1048576',
   ),
+  drain_milliseconds: optional(
+    integerKey(
+      {
+        description:
+          'How long a stopping entry goes on after the balancer is told; longer than its health check takes.',
+        example: '2000',
+      },
+      0,
+      10_000,
+    ),
+    2_000,
+    '2000',
+  ),
 });
 
 export const ENTRY_SCHEMA: DocumentSchema = {
@@ -125,6 +154,7 @@
     entryProcessSection,
     entryListenSection,
     entryAdvertiseSection,
+    peersSection,
     storeSection,
     shardsSection,
     limitsSection,
--- a/src/settings/process_settings.ts
+++ b/src/settings/process_settings.ts
@@ -16,6 +16,7 @@
   entryListenSection,
   entryProcessSection,
   limitsSection,
+  peersSection,
   shardsSection,
   storeSection,
 } from './entry_schema.js';
@@ -69,8 +70,13 @@
     readonly readsPerSecond: number;
     readonly timeoutMillis: number;
   };
+  /** `HOST:PORT` each. */
+  readonly peers: {readonly addresses: readonly string[]};
   readonly shards: {readonly count: number};
-  readonly limits: {readonly bodyBytes: number};
+  readonly limits: {
+    readonly bodyBytes: number;
+    readonly drainMillis: number;
+  };
   readonly tls?: TlsSettings;
   readonly logs: LogSettings;
 }
@@ -128,6 +134,7 @@
   const place = checked.section(entryProcessSection);
   const listen = checked.section(entryListenSection);
   const store = checked.section(storeSection);
+  const limits = checked.section(limitsSection);
   return {
     process: {
       id: place.id,
@@ -145,8 +152,12 @@
       readsPerSecond: store.reads_per_second,
       timeoutMillis: store.timeout_milliseconds,
     },
+    peers: checked.section(peersSection),
     shards: checked.section(shardsSection),
-    limits: {bodyBytes: checked.section(limitsSection).body_bytes},
+    limits: {
+      bodyBytes: limits.body_bytes,
+      drainMillis: limits.drain_milliseconds,
+    },
     tls: tlsOf(checked),
     logs: checked.section(logsSection),
   };
--- a/tests/fuzz/drawn_messages.ts
+++ b/tests/fuzz/drawn_messages.ts
@@ -35,6 +35,10 @@
   ...{name, outcome: text, checkpoint: text, result: text, reason: text},
   ...{resultCode: small, ranMillis: large, used: size},
 });
+const load = fc.record({
+  ...{inFlight: small, queued: small},
+  ...{serviceMicros: small, tailMicros: small},
+});
 const start = fc.record({
   ...{name, kind: text, size, urgent: flag, payload: text, checkpoint: text},
   ...{expectedRunMillis: large, watcher: flag, evictable: flag},
@@ -47,6 +51,50 @@
 const withOwner = <T extends object>(fields: fc.Arbitrary<T>) =>
   fc.tuple(owner, fields).map(([first, second]) => ({...first, ...second}));
 
+const entryDescription = fc.record({
+  ...{entryId: text, processAddress: address, callerAddress: address},
+  ...{failureDomain: text, nonce: text, stopping: flag},
+});
+
+const document = fc.record({
+  ...{branch: text, revision: large, version: small},
+  text: fc.oneof(text, fc.constant('[leases]\ntask_lease_seconds = 9\n')),
+});
+
+/**
+ * Well-formed replies with drawn fields, by the name of the call. Leases on
+ * shard 1 have no newer epoch than its owner's, who would be fenced by one.
+ */
+export const REPLIES: Readonly<Record<string, fc.Arbitrary<object>>> = {
+  heartbeat: fc.record({
+    ...{resync: flag, settingsRevision: large, settingsAgeMillis: small},
+    ...{nextHeartbeatMillis: small, viewVersion: small, session: small},
+    ...{settings: several(document), entryId: text, leaseMillis: small},
+    leases: several(owner),
+    entries: several(fc.record({entryId: text, address, failureDomain: text})),
+  }),
+  reportAttempts: fc.record({recorded: several(wholeName), notOwner: flag}),
+  serve: fc.record({
+    ...{outcome: fc.constantFrom('answered', 'notRun', 'unknown', 'x', '')},
+    ...{requestId: text, resultCode: small, status: small, reason: text},
+    ...{headers: several(header), retryAfterMillis: small},
+    ...{body: fc.uint8Array({maxLength: 20}), executor: fc.option(executor)},
+  }),
+  startAttempts: fc.record({
+    results: several(
+      fc.record({name, accepted: flag, resultCode: small, reason: text}),
+    ),
+  }),
+  stopAttempts: fc.record({accepted: flag, resultCode: small}),
+  queryAttempts: fc.record({
+    ...{accepted: flag, resultCode: small, incarnation: text},
+    states: several(
+      fc.record({name, running: flag, report: fc.option(report)}),
+    ),
+  }),
+  dumpState: fc.record({json: text}),
+};
+
 /** Well-formed messages with drawn fields, by the name of the call. */
 export const MESSAGES: Readonly<Record<string, fc.Arbitrary<object>>> = {
   heartbeat: fc.record({
@@ -55,6 +103,8 @@
     ...{capacity: size, committed: size, executors: several(executor)},
     ...{settingsRevision: large, branches: several(text), draining: flag},
     ...{runningAttempts: small, used: size, stopping: flag, recovering: flag},
+    ...{session: fc.constantFrom(0, 1), baseDistance: small, changed: small},
+    ...{viewVersion: small, loads: several(load)},
     interference: several(
       fc.record({service: text, taskKind: text, slowdown: real}),
     ),
@@ -69,6 +119,7 @@
   }),
   exchangePeers: fc.record({
     ...{entryId: text, settingsRevision: large, settingsAgeMillis: small},
+    sender: fc.option(entryDescription, {nil: undefined}),
   }),
   serve: fc.record({
     ...{requestId: text, service: text, team: text, method: text, path: text},
