Explain of every job of a kind that services hold it back

Cause: only the first job of a kind in a round looked for a VM and got the reason; the others stood with the default, that no VM has room. Found by a test with two jobs of a kind that is held back.

--- a/src/decisions/placement/placement_round.ts
+++ b/src/decisions/placement/placement_round.ts
@@ -17,6 +17,11 @@
 const FULL_PASS_MILLIS = 100;
 const OVERDUE_MILLIS = 5 * 60 * 1000;
 
+interface KindObstacle {
+  readonly size: Resources;
+  readonly obstacle: PlacementObstacle;
+}
+
 /**
  * Places what can be placed: urgent jobs first, then the team with the least
  * weighted share, its oldest job first. A job that finds no room blocks nobody.
@@ -24,8 +29,8 @@
 export class PlacementRound {
   /** Sizes that found no room in this round. */
   private noRoom: Resources[] = [];
-  /** Sizes for which each kind found room only beside services it harms. */
-  private readonly harmful = new Map<string, Resources>();
+  /** What kept each kind from room that there was, and for which size. */
+  private readonly harmful = new Map<string, KindObstacle>();
   private readonly blocked = new Set<JobState>();
   private readonly keeper: RoomKeeper;
   private budget = 0;
@@ -103,6 +108,7 @@
     const {size, team} = job.specification;
     if (this.isHopeless(job, size)) {
       this.keeper.blocked(ready, size, now);
+      this.explainKind(job, size);
       return false;
     }
     const task = this.describe(ready, now);
@@ -128,11 +134,18 @@
     return true;
   }
 
+  private explainKind(job: JobState, size: Resources): void {
+    const kind = this.harmful.get(job.specification.taskKind);
+    if (!kind || !fitsInto(kind.size, size)) return;
+    this.state.waitReasons.set(job.key, kind.obstacle);
+  }
+
   /** The kind, or a size that is no larger, found no room in this round. */
   private isHopeless(job: JobState, size: Resources): boolean {
     const {taskKind} = job.specification;
     const harmful = this.harmful.get(taskKind);
-    if (harmful && fitsInto(harmful, size)) return !this.keeper.isKeptFor(job);
+    if (harmful && fitsInto(harmful.size, size))
+      return !this.keeper.isKeptFor(job);
     for (const without of this.noRoom) {
       if (fitsInto(without, size)) return !this.keeper.isKeptFor(job);
     }
@@ -187,7 +200,8 @@
       choice === PlacementObstacle.HARMFUL ||
       choice === PlacementObstacle.HELD_BACK
     ) {
-      this.harmful.set(task.taskKind, task.size);
+      const {size, taskKind} = task;
+      this.harmful.set(taskKind, {size, obstacle: choice});
     }
     return choice;
   }
--- a/tests/recovery/tail_backoff.test.ts
+++ b/tests/recovery/tail_backoff.test.ts
@@ -49,8 +49,12 @@
   fixture.scheduler.submit(specification({taskCount: 3}), 0, 0);
   for (const {vm, name} of fixture.step()) evict(fixture, vm, name);
   t.deepEqual(fixture.step(100), []);
-  const {summary} = fixture.scheduler.explain('depot', 'build')!;
-  t.regex(summary, /refused or evicted its kind/);
+  fixture.scheduler.submit(specification({name: 'later'}), fixture.now, 0);
+  fixture.step(100);
+  for (const job of ['build', 'later']) {
+    const {summary} = fixture.scheduler.explain('depot', job)!;
+    t.regex(summary, /refused or evicted its kind/);
+  }
   fixture.now = 61_000;
   fixture.heartbeat(view('vm1'));
   t.is(fixture.step().length, 1);
