--- a/tests/fuzz/http_api.test.ts
+++ b/tests/fuzz/http_api.test.ts
@@ -6,6 +6,7 @@
 import {ResultCodes} from '../../src/observability/result_codes.js';
 import {requests, submissions} from './drawn_requests.js';
 import {jobStatus, startEntry} from './entry_fixture.js';
+import {serveRounds} from './live_upstream.js';
 
 const BODY_LIMIT_BYTES = 20_000;
 const KEEP_ALIVE_MILLIS = 5_000;
@@ -160,3 +161,30 @@
   for (const head of heads) t.is(faultOf(await fixture.send(head)), '', head);
   await fixture.finish(t);
 });
+
+test('should bring any service request its own answer, or a numbered one', async t => {
+  const fixture = await HttpFixture.start(t);
+  const standIn = await serveRounds(t, fixture.entry);
+  const plain = message('GET', '/v1/services/rounds/x', {}, '');
+  while (!/^HTTP\/1\.1 200/.test(await fixture.send(plain)));
+  let answered = 0;
+  const property = fc.asyncProperty(requests, async request => {
+    const {method, headers, body} = request;
+    const path = `/v1/services/rounds${request.path}`;
+    const answer = await fixture.send(message(method, path, headers, body));
+    const fault = faultOf(answer, method);
+    if (fault) throw new Error(fault);
+    const [head, text] = answer.split('\r\n\r\n', 2);
+    if (!/^x-outcome: answered/im.test(head) || method === 'HEAD') return true;
+    answered++;
+    const own = /^x-request-id: (.*)$/im.exec(head)?.[1];
+    const bytes = Buffer.from(text, 'latin1').toString();
+    const said = JSON.parse(bytes) as {requestId: string; echo: string};
+    const echo = Buffer.from(body).toString();
+    return said.requestId === own && said.echo === echo;
+  });
+  await fc.assert(property, {seed: 13, numRuns: 500});
+  t.true(answered > 100, `${answered} answered`);
+  t.true(standIn.runs.length >= answered);
+  await fixture.finish(t);
+});
--- a/tests/stand_ins/executor_stand_in.ts
+++ b/tests/stand_ins/executor_stand_in.ts
@@ -133,7 +133,7 @@
   }
 
   private runMillis(path: string): number {
-    const parameters = new URL(path, 'http://executor').searchParams;
+    const parameters = new URLSearchParams(path.split('?')[1]);
     const given = parameters.get(RUN_MILLIS_PARAMETER);
     const base = given === null ? DEFAULT_RUN_MILLIS : Number(given);
     const beside = this.options.tasksBeside?.() ?? [];
