--- a/tests/jobs/random_schedules.test.ts
+++ b/tests/jobs/random_schedules.test.ts
@@ -45,7 +45,9 @@
   private readonly silentUntil = new Map<string, number>();
   private losingReplies = false;
   private submitted = 0;
-  /** Fresh runs of tasks that are not idempotent. */
+  /** Jobs that are not idempotent. */
+  private readonly once = new Set<string>();
+  /** Fresh runs of their tasks. */
   readonly freshRuns = new Map<string, number>();
 
   run(step: Step): void {
@@ -105,6 +107,7 @@
     const {fixture} = this;
     const name = `job${++this.submitted}`;
     const idempotent = choice % 2 === 0;
+    if (!idempotent) this.once.add(name);
     const job = specification({name, idempotent, taskCount: 1 + (choice % 3)});
     fixture.scheduler.submit(job, fixture.now, fixture.now);
   }
@@ -170,23 +173,11 @@
 
   private countFresh(job: string, task: number): void {
     if (this.fixture.scheduler.job('depot', job) === undefined) return;
-    if (Number(this.choiceOf(job)) % 2 === 0) return;
+    if (!this.once.has(job)) return;
     const key = `${job}/${task}`;
     this.freshRuns.set(key, (this.freshRuns.get(key) ?? 0) + 1);
   }
 
-  /** 1 when the job is not idempotent. */
-  private choiceOf(job: string): number {
-    const record = this.fixture.log.find(
-      ({type, ...rest}) =>
-        type === 'submitted' &&
-        'specification' in rest &&
-        rest.specification.name === job,
-    );
-    if (record?.type !== 'submitted') return 0;
-    return record.specification.idempotent ? 0 : 1;
-  }
-
   private isSilent(agent: FakeAgent): boolean {
     return (this.silentUntil.get(agent.vm) ?? 0) > this.fixture.now;
   }
