--- a/src/observability/result_codes.ts
+++ b/src/observability/result_codes.ts
@@ -34,18 +34,18 @@
     405,
     'The path does not take this method.',
   ),
-  CALL_TOO_SLOW: code(
-    104,
-    'CALL_TOO_SLOW',
-    408,
-    'Not run: the call did not arrive whole in time.',
-  ),
   ENTRY_STOPPING: code(
-    105,
+    104,
     'ENTRY_STOPPING',
     503,
     'The entry shuts down; the balancer is to send callers elsewhere.',
   ),
+  CALL_TOO_SLOW: code(
+    105,
+    'CALL_TOO_SLOW',
+    408,
+    'Not run: the call did not arrive whole in time.',
+  ),
   // 2xx: service requests.
   NO_UPSTREAM: code(
     200,
