Ask a late entry less often, so that it can catch up

An agent waited one second for a reply and asked again, however late the entry was; the entry answered what had been given up, and stayed late. Ruled out: lost replies (the entry answered them all) and the stream's replacement (the same in a model without a network).

The wait doubles with each timeout, up to four periods. The link's own deadline for a heartbeat is the longer one, since the channel sets the shorter.

--- a/src/agent/entry_channel.ts
+++ b/src/agent/entry_channel.ts
@@ -10,11 +10,14 @@
 import type {Random} from '../utilities/random.js';
 import {EntryAcknowledgement} from './entry_acknowledgement.js';
 import type {HeartbeatBase} from './heartbeat_deltas.js';
-import {withReplyDeadline} from './reply_deadline.js';
+import {ReplyTimeoutError, withReplyDeadline} from './reply_deadline.js';
 
 /** Heartbeats without a reply after which the connection is replaced. */
 const SILENT_HEARTBEATS = 2;
 
+/** Timeouts in a row that double the wait for a reply. */
+const MAXIMUM_DOUBLINGS = 2;
+
 /** Share by which periods vary, so that agents don't fall into step. */
 const PERIOD_JITTER = 0.2;
 
@@ -40,6 +43,7 @@
   private lastSentAt = -Infinity;
   private dueAt = -Infinity;
   private unanswered = 0;
+  private timeouts = 0;
   private reportedSilent = false;
   private currentLink: EntryLink;
 
@@ -84,14 +88,17 @@
     const link = this.currentLink;
     this.lastSentAt = clock.now();
     this.acknowledged.noteSent(request);
-    this.dueAt = this.lastSentAt + random.jitter(periodMillis, PERIOD_JITTER);
+    // An entry that is late would only get later by being asked again as soon.
+    const doublings = Math.min(this.timeouts, MAXIMUM_DOUBLINGS);
+    const wait = Math.max(periodMillis, 1) * 2 ** doublings;
+    this.dueAt = this.lastSentAt + random.jitter(wait, PERIOD_JITTER);
     try {
       const answer = link.heartbeat(request);
       const what = `heartbeat to ${this.address}`;
-      const deadline = Math.max(periodMillis, 1);
-      const reply = await withReplyDeadline(clock, answer, deadline, what);
+      const reply = await withReplyDeadline(clock, answer, wait, what);
       return this.noteReply(request, reply);
     } catch (error) {
+      if (error instanceof ReplyTimeoutError) this.timeouts++;
       this.noteSilence(link, messageOf(error));
       return true;
     }
@@ -122,6 +129,7 @@
   private noteHeard(): void {
     const {clock, logger} = this.options;
     this.unanswered = 0;
+    this.timeouts = 0;
     this.lastReplyAt = clock.now();
     if (!this.reportedSilent) return;
     this.reportedSilent = false;
--- a/src/protocol/grpc_links.ts
+++ b/src/protocol/grpc_links.ts
@@ -32,7 +32,9 @@
 import {channelCredentials} from './transport_security.js';
 import type {TransportSecurityFiles} from './transport_security.js';
 
-const HEARTBEAT_DEADLINE_MILLIS = 1_000;
+/** Senders of heartbeats wait less, by how late the entry was before. */
+const HEARTBEAT_DEADLINE_MILLIS = 10_000;
+const PEER_DEADLINE_MILLIS = 1_000;
 const CONTROL_DEADLINE_MILLIS = 3_000;
 const START_DEADLINE_MILLIS = 5_000;
 /** Time for an answer to come back after the request's own deadline. */
@@ -86,7 +88,7 @@
   exchangePeers(request: ExchangePeersRequest): Promise<ExchangePeersReply> {
     return this.channel.call(
       'ExchangePeers',
-      HEARTBEAT_DEADLINE_MILLIS,
+      PEER_DEADLINE_MILLIS,
       (stub, metadata, options, callback) =>
         stub.exchangePeers(request, metadata, options, callback),
     );
