Let the sender of a heartbeat say how long it waits

The sender now passes its own wait, as for requests, so that link and channel give up together. Tests: the calls of call_stream and transport_security name the same second as before; tests/agent, tests/protocol and grpc_messages pass (83).

--- a/bench/footprint/simulated_agent.ts
+++ b/bench/footprint/simulated_agent.ts
@@ -11,6 +11,7 @@
 import type {EntryLink} from '../../src/protocol/links.js';
 import type {Random} from '../../src/utilities/random.js';
 
+const HEARTBEAT_DEADLINE_MILLIS = 1_000;
 const FIRST_PERIOD_MILLIS = 1_000;
 const PERIOD_JITTER = 0.2;
 const RUN_JITTER = 0.5;
@@ -101,7 +102,10 @@
     const {acknowledged} = this;
     const request = this.deltas.next(this.heartbeat(), acknowledged.base);
     acknowledged.noteSent(request);
-    const reply = await this.options.link.heartbeat(request);
+    const reply = await this.options.link.heartbeat(
+      request,
+      HEARTBEAT_DEADLINE_MILLIS,
+    );
     if (!reply.resync) return acknowledged.complete(request, reply);
     acknowledged.forget(request);
     return reply;
--- a/src/agent/entry_channel.ts
+++ b/src/agent/entry_channel.ts
@@ -10,7 +10,7 @@
 import type {Random} from '../utilities/random.js';
 import {EntryAcknowledgement} from './entry_acknowledgement.js';
 import type {HeartbeatBase} from './heartbeat_deltas.js';
-import {ReplyTimeoutError, withReplyDeadline} from './reply_deadline.js';
+import {withReplyDeadline} from './reply_deadline.js';
 
 /** Heartbeats without a reply after which the connection is replaced. */
 const SILENT_HEARTBEATS = 2;
@@ -86,19 +86,20 @@
   ): Promise<boolean> {
     const {clock, random} = this.options;
     const link = this.currentLink;
-    this.lastSentAt = clock.now();
+    const sentAt = clock.now();
+    this.lastSentAt = sentAt;
     this.acknowledged.noteSent(request);
     // An entry that is late would only get later by being asked again as soon.
     const doublings = Math.min(this.timeouts, MAXIMUM_DOUBLINGS);
     const wait = Math.max(periodMillis, 1) * 2 ** doublings;
-    this.dueAt = this.lastSentAt + random.jitter(wait, PERIOD_JITTER);
+    this.dueAt = sentAt + random.jitter(wait, PERIOD_JITTER);
     try {
-      const answer = link.heartbeat(request);
+      const answer = link.heartbeat(request, wait);
       const what = `heartbeat to ${this.address}`;
       const reply = await withReplyDeadline(clock, answer, wait, what);
       return this.noteReply(request, reply);
     } catch (error) {
-      if (error instanceof ReplyTimeoutError) this.timeouts++;
+      if (clock.now() - sentAt >= wait) this.timeouts++;
       this.noteSilence(link, messageOf(error));
       return true;
     }
--- a/src/protocol/grpc_links.ts
+++ b/src/protocol/grpc_links.ts
@@ -32,8 +32,6 @@
 import {channelCredentials} from './transport_security.js';
 import type {TransportSecurityFiles} from './transport_security.js';
 
-/** Senders of heartbeats wait less, by how late the entry was before. */
-const HEARTBEAT_DEADLINE_MILLIS = 10_000;
 const PEER_DEADLINE_MILLIS = 1_000;
 const CONTROL_DEADLINE_MILLIS = 3_000;
 const START_DEADLINE_MILLIS = 5_000;
@@ -57,12 +55,11 @@
     this.stream = new CallStream({source: this.channel, clock, random});
   }
 
-  heartbeat(request: HeartbeatRequest): Promise<HeartbeatReply> {
-    return this.stream.call(
-      EntryMethods.HEARTBEAT,
-      request,
-      HEARTBEAT_DEADLINE_MILLIS,
-    );
+  heartbeat(
+    request: HeartbeatRequest,
+    deadlineMillis: number,
+  ): Promise<HeartbeatReply> {
+    return this.stream.call(EntryMethods.HEARTBEAT, request, deadlineMillis);
   }
 
   reportAttempts(request: ReportAttemptsRequest): Promise<ReportAttemptsReply> {
--- a/src/protocol/links.ts
+++ b/src/protocol/links.ts
@@ -24,7 +24,10 @@
  * was not sent. Tests put fakes in the place of the gRPC links.
  */
 export interface EntryLink {
-  heartbeat(request: HeartbeatRequest): Promise<HeartbeatReply>;
+  heartbeat(
+    request: HeartbeatRequest,
+    deadlineMillis: number,
+  ): Promise<HeartbeatReply>;
   reportAttempts(request: ReportAttemptsRequest): Promise<ReportAttemptsReply>;
   forwardCall(
     request: ForwardCallRequest,
@@ -51,7 +54,11 @@
 }
 
 /** What an entry answers; the gRPC server and the test fakes call it. */
-export type EntryHandlers = Omit<EntryLink, 'close' | 'forwardCall'> & {
+export type EntryHandlers = Omit<
+  EntryLink,
+  'close' | 'heartbeat' | 'forwardCall'
+> & {
+  heartbeat(request: HeartbeatRequest): Promise<HeartbeatReply>;
   forwardCall(request: ForwardCallRequest): Promise<ForwardCallReply>;
 };
 
--- a/tests/protocol/call_stream.test.ts
+++ b/tests/protocol/call_stream.test.ts
@@ -20,6 +20,7 @@
 import {ScriptedPeer} from './fixtures/scripted_peer.js';
 
 const SIZE = {milliprocessors: 1, memoryMegabytes: 1, accelerators: 0};
+const HEARTBEAT_MILLIS = 1_000;
 const HEARTBEAT: HeartbeatRequest = {
   ...HeartbeatRequest.decode(new Uint8Array()),
   ...{agentId: 'vm-1', incarnation: 'run-1', failureDomain: 'tema'},
@@ -46,7 +47,12 @@
     link.close('the test ends');
     peer.close();
   });
-  return {peer, clock, link, beat: () => link.heartbeat(HEARTBEAT)};
+  return {
+    peer,
+    clock,
+    link,
+    beat: () => link.heartbeat(HEARTBEAT, HEARTBEAT_MILLIS),
+  };
 }
 
 async function linkToServer(
@@ -80,7 +86,7 @@
   {peer, link}: {peer: ScriptedPeer; link: EntryLink},
   count: number,
 ): Promise<void> {
-  const call = link.heartbeat(HEARTBEAT);
+  const call = link.heartbeat(HEARTBEAT, HEARTBEAT_MILLIS);
   peer.answer(await peer.call(count), 'again');
   t.is((await call).entryId, 'again');
 }
@@ -206,8 +212,11 @@
   });
   const resultCode = ResultCodes.BODY_TOO_LARGE;
   const large = link.reportAttempts(report('vm-1', TOO_LARGE));
-  const largeReply = link.heartbeat({...HEARTBEAT, agentId: 'large'});
-  const small = link.heartbeat(HEARTBEAT);
+  const largeReply = link.heartbeat(
+    {...HEARTBEAT, agentId: 'large'},
+    HEARTBEAT_MILLIS,
+  );
+  const small = link.heartbeat(HEARTBEAT, HEARTBEAT_MILLIS);
   await fails(t, large, {notSent: true, resultCode});
   await fails(t, largeReply, {notSent: false});
   t.is((await small).entryId, 'small');
@@ -222,7 +231,7 @@
       }),
     reportAttempts: () => Promise.reject(new Error('a fault')),
   });
-  const call = link.heartbeat(HEARTBEAT);
+  const call = link.heartbeat(HEARTBEAT, HEARTBEAT_MILLIS);
   await fails(t, link.reportAttempts(report('vm-1')), {notSent: false});
   await fails(t, link.reportAttempts(report('')), {notSent: false});
   const closed = server.close('it stops');
--- a/tests/protocol/transport_security.test.ts
+++ b/tests/protocol/transport_security.test.ts
@@ -21,6 +21,7 @@
   sender: undefined,
 };
 const SIZE = {milliprocessors: 1, memoryMegabytes: 1, accelerators: 0};
+const HEARTBEAT_MILLIS = 1_000;
 const HEARTBEAT = {
   ...HeartbeatRequest.decode(new Uint8Array()),
   ...{agentId: 'vm-1', incarnation: 'run-1', failureDomain: 'tema'},
@@ -97,7 +98,7 @@
   const link = new GrpcLinkFactory({security}).openEntry(address);
   t.teardown(() => link.close(REASON));
   const {entryId} = await link.exchangePeers(QUESTION);
-  const streamed = await link.heartbeat(HEARTBEAT);
+  const streamed = await link.heartbeat(HEARTBEAT, HEARTBEAT_MILLIS);
   t.is(streamed.entryId, entryId, 'over a stream');
   return entryId;
 }
