--- a/src/settings/process_settings.ts
+++ b/src/settings/process_settings.ts
@@ -1,4 +1,4 @@
-import {accessSync, constants, readFileSync} from 'node:fs';
+import {readFileSync} from 'node:fs';
 import {messageOf} from '../utilities/base_error.js';
 import type {Resources} from '../utilities/resources.js';
 import {
@@ -20,23 +20,21 @@
   shardsSection,
   storeSection,
 } from './entry_schema.js';
+import {parseAddress} from './network_address.js';
+import type {NetworkAddress} from './network_address.js';
 import {logsSection, tlsSection} from './process_sections.js';
+import {
+  advertiseFaults,
+  fileFault,
+  tlsFaults,
+} from './process_settings_faults.js';
 import type {LOG_FORMATS, LOG_LEVELS} from './process_sections.js';
 import {settingsError} from './settings_fault.js';
-import type {SettingsFault} from './settings_fault.js';
 import {checkSettings} from './settings_schema.js';
 import type {CheckedSettings, DocumentSchema} from './settings_schema.js';
 
 /** Settings files with which processes start. */
 
-/** Listening there means every address of the VM. */
-const ANY_HOSTS: ReadonlySet<string> = new Set(['0.0.0.0', '::']);
-
-export interface NetworkAddress {
-  readonly host: string;
-  readonly port: number;
-}
-
 export interface TlsSettings {
   /** Paths of PEM files. */
   readonly certificate: string;
@@ -192,19 +190,6 @@
   };
 }
 
-/** Splits `HOST:PORT`; a host in square brackets loses them. */
-export function parseAddress(address: string): NetworkAddress {
-  const colon = address.lastIndexOf(':');
-  const host = address.slice(0, colon).replace(/^\[|\]$/g, '');
-  return {host, port: Number(address.slice(colon + 1))};
-}
-
-/** `HOST:PORT`, with square brackets around a host that has colons. */
-export function formatAddress(address: NetworkAddress): string {
-  const {host, port} = address;
-  return host.includes(':') ? `[${host}]:${port}` : `${host}:${port}`;
-}
-
 function readText(file: string): string {
   try {
     return readFileSync(file, 'utf8');
@@ -229,59 +214,12 @@
   return result.settings;
 }
 
-/** Addresses that others would be told but can't reach. */
-function advertiseFaults(
-  file: string,
-  checked: CheckedSettings,
-): SettingsFault[] {
-  const section = entryAdvertiseSection.name;
-  const listen = checked.section(entryListenSection);
-  const advertise = checked.section(entryAdvertiseSection);
-  const faults: SettingsFault[] = [];
-  for (const key of ['callers', 'processes'] as const) {
-    const listened = listen[key];
-    if (listened === undefined || advertise[key] !== undefined) continue;
-    const {host} = parseAddress(listened);
-    if (!ANY_HOSTS.has(host)) continue;
-    const message = `The key is missing: others can't reach ${listened}.`;
-    faults.push(fileFault(file, section, key, message));
-  }
-  return faults;
-}
-
 function tlsOf(checked: CheckedSettings): TlsSettings | undefined {
   const {certificate, key, authority} = checked.section(tlsSection);
   if (!certificate || !key || !authority) return undefined;
   return {certificate, key, authority};
 }
 
-/** Paths that are missing beside the others, or that can't be read. */
-function tlsFaults(file: string, checked: CheckedSettings): SettingsFault[] {
-  const paths = Object.entries(checked.section(tlsSection));
-  if (paths.every(([, path]) => path === undefined)) return [];
-  const faults: SettingsFault[] = [];
-  for (const [key, path] of paths) {
-    if (path === undefined) {
-      const message = 'The key is missing beside the others of the section.';
-      faults.push(fileFault(file, tlsSection.name, key, message));
-      continue;
-    }
-    if (isReadable(path)) continue;
-    const message = `The file ${path} can't be read.`;
-    faults.push(fileFault(file, tlsSection.name, key, message));
-  }
-  return faults;
-}
-
-function isReadable(path: string): boolean {
-  try {
-    accessSync(path, constants.R_OK);
-    return true;
-  } catch {
-    return false;
-  }
-}
-
 function executorOf(checked: CheckedSettings): ExecutorSettings | undefined {
   if (!checked.has(executorSection)) return undefined;
   const executor = checked.section(executorSection);
@@ -298,12 +236,3 @@
     },
   };
 }
-
-function fileFault(
-  file: string,
-  section: string,
-  key: string,
-  message: string,
-): SettingsFault {
-  return {file, section, key, message, accepted: '', line: 0};
-}
--- a/tests/history/virtual_vm.ts
+++ b/tests/history/virtual_vm.ts
@@ -51,6 +51,8 @@
 
   /** Starts the agent anew, beside whatever the worker still runs. */
   start(): void {
+    // Nothing starts on a VM that is lost.
+    if (this.vmClock.dead) return;
     const {id, network, history, hooks, random, logger} = this.options;
     const agentClock = this.beginRun();
     this.agent = new AgentProcess({
@@ -97,8 +99,9 @@
     history.record({type: 'vmLost', vm: id});
   }
 
-  /** A new VM takes the lost one's place. */
+  /** A new VM takes the lost one's place, unless one has taken it already. */
   replace(): void {
+    if (!this.vmClock.dead) return;
     this.options.network.lostMachines.delete(this.address);
     this.bootMachine();
     this.start();
--- a/tests/settings/process_settings.test.ts
+++ b/tests/settings/process_settings.test.ts
@@ -2,6 +2,8 @@
 import {
   formatAddress,
   parseAddress,
+} from '../../src/settings/network_address.js';
+import {
   parseAgentSettings,
   parseEntrySettings,
   readEntrySettings,
