--- a/tests/proofs/found_plans.test.ts
+++ b/tests/proofs/found_plans.test.ts
@@ -21,6 +21,17 @@
       },
     ],
   },
+  {
+    seed: 830136,
+    plan: [
+      {
+        fault: 'cut from agent to entry',
+        step: 'startAttempts.reply',
+        occurrence: 4,
+      },
+      {fault: 'entry killed', step: 'serve.reply', occurrence: 6},
+    ],
+  },
 ];
 
 for (const {seed, plan} of PLANS) {
