Count only the new owner's lease once a shard has a new owner

Cause of ('single place', a watcher in two places for 1.8 s): the agent kept the later end of two leases on a shard, also when the earlier one was the former owner's, granted before the lease was shortened from 15 s to 6 s. The new owner knows only what it granted; a task that it started there and then could not hear of was called lost 1.8 s before the agent let it go.

Under a new epoch the agent now takes the new owner's lease alone. Under one owner the later end still counts, as the owner counts it, too. Attempts of the former owner may end earlier than was said, never later; the new owner waits the longest lease for them anyhow. Ruled out: the deltas of heartbeats and the lost start reply (the lease that counted was granted before either).

Test: found_plans, red before, green now; matrix 1 to 8, agent, recovery and jobs pass (118). Left: a start that comes before the new owner's first renewal still goes by the former lease.

--- a/src/agent/shard_leases.ts
+++ b/src/agent/shard_leases.ts
@@ -27,10 +27,15 @@
     return true;
   }
 
-  /** Extends a lease; a lease never ends earlier than it was said to. */
+  /**
+   * Extends a lease; under one owner it never ends earlier than it was said to.
+   * A new owner doesn't know what its predecessor granted, so its own counts.
+   */
   renew(lease: ShardLeaseState): boolean {
     if (!this.fence(lease.shard, lease.epoch)) return false;
-    const endsAt = Math.max(lease.endsAt, this.endsAt(lease.shard));
+    const known = this.leases.get(lease.shard);
+    const granted = known?.epoch === lease.epoch ? known.endsAt : -Infinity;
+    const endsAt = Math.max(lease.endsAt, granted);
     this.leases.set(lease.shard, {...lease, endsAt});
     return true;
   }
