--- a/bench/footprint/measure_recovery.ts
+++ b/bench/footprint/measure_recovery.ts
@@ -7,7 +7,7 @@
   AttemptReport,
 } from '../../src/decisions/job_types.js';
 import {ShardLog} from '../../src/entry/shards/shard_log.js';
-import {SettlingStore} from '../../src/platform/settling_store.js';
+import {SettlingStore} from '../../src/backends/settling_store.js';
 import {Urgency} from '../../src/settings/settings_types.js';
 import {SystemClock} from '../../src/utilities/clock.js';
 import {Random} from '../../src/utilities/random.js';
--- a/import_rules.js
+++ b/import_rules.js
@@ -23,7 +23,7 @@
     folders: ['utilities', 'observability', 'settings'],
     packages: ['pure-rand', 'hdr-histogram-js'],
   },
-  platform: {
+  backends: {
     folders: ['utilities', 'observability', 'settings'],
     packages: ['undici', 'node:crypto', 'node:fs', 'most'],
   },
@@ -34,7 +34,7 @@
       'settings',
       'protocol',
       'decisions',
-      'platform',
+      'backends',
     ],
     packages: ['most', 'node:crypto', 'node:http'],
   },
@@ -45,7 +45,7 @@
       'settings',
       'protocol',
       'decisions',
-      'platform',
+      'backends',
     ],
     packages: [
       'most',
@@ -65,7 +65,7 @@
       'settings',
       'protocol',
       'decisions',
-      'platform',
+      'backends',
       'agent',
       'entry',
     ],
--- a/src/agent/agent_context.ts
+++ b/src/agent/agent_context.ts
@@ -1,6 +1,6 @@
 import type {CapacityLedger} from '../decisions/capacity/capacity_ledger.js';
 import type {Logger} from '../observability/logger.js';
-import type {Worker, WorkerStatus} from '../platform/worker.js';
+import type {Worker, WorkerStatus} from '../backends/worker.js';
 import type {
   FleetSettings,
   ServiceSettings,
--- a/src/agent/agent_process.ts
+++ b/src/agent/agent_process.ts
@@ -4,8 +4,8 @@
 import {Events} from '../observability/events.js';
 import type {Logger} from '../observability/logger.js';
 import {Metrics} from '../observability/metrics.js';
-import type {Executor} from '../platform/executor.js';
-import type {Worker} from '../platform/worker.js';
+import type {Executor} from '../backends/executor.js';
+import type {Worker} from '../backends/worker.js';
 import type {
   DumpStateReply,
   ExecutorReport,
--- a/src/agent/attempt_reports.ts
+++ b/src/agent/attempt_reports.ts
@@ -2,8 +2,8 @@
 import type {AttemptName, AttemptReport} from '../decisions/job_types.js';
 import {ResultCodes} from '../observability/result_codes.js';
 import type {ResultCode} from '../observability/result_codes.js';
-import {WorkerTaskState} from '../platform/worker.js';
-import type {WorkerTask} from '../platform/worker.js';
+import {WorkerTaskState} from '../backends/worker.js';
+import type {WorkerTask} from '../backends/worker.js';
 import {NO_RESOURCES} from '../utilities/resources.js';
 import type {Attempt} from './attempt_table.js';
 
--- a/src/agent/commands/attempt_starter.ts
+++ b/src/agent/commands/attempt_starter.ts
@@ -1,7 +1,7 @@
 import {attemptKey} from '../../decisions/job_types.js';
 import {Events} from '../../observability/events.js';
 import {ResultCodes} from '../../observability/result_codes.js';
-import {WorkerRefusedError} from '../../platform/platform_errors.js';
+import {WorkerRefusedError} from '../../backends/platform_errors.js';
 import type {StartAttemptsRequest} from '../../protocol/generated/burdockmoor.js';
 import {messageOf} from '../../utilities/base_error.js';
 import {NO_RESOURCES} from '../../utilities/resources.js';
--- a/src/agent/commands/attempt_stopper.ts
+++ b/src/agent/commands/attempt_stopper.ts
@@ -1,7 +1,7 @@
 import {AttemptOutcome} from '../../decisions/job_types.js';
 import {ResultCodes} from '../../observability/result_codes.js';
-import {WorkerRefusedError} from '../../platform/platform_errors.js';
-import {WorkerTaskState} from '../../platform/worker.js';
+import {WorkerRefusedError} from '../../backends/platform_errors.js';
+import {WorkerTaskState} from '../../backends/worker.js';
 import type {AgentContext} from '../agent_context.js';
 import {endedReport} from '../attempt_reports.js';
 import {AttemptPhase} from '../attempt_table.js';
--- a/src/agent/commands/serve_requests.ts
+++ b/src/agent/commands/serve_requests.ts
@@ -2,9 +2,9 @@
 import type {SlotItem} from '../../decisions/admission/slot_queue.js';
 import {ResultCodes} from '../../observability/result_codes.js';
 import type {ResultCode} from '../../observability/result_codes.js';
-import {ExecutorFailure} from '../../platform/executor.js';
-import type {Executor, ExecutorAnswer} from '../../platform/executor.js';
-import {ExecutorError} from '../../platform/platform_errors.js';
+import {ExecutorFailure} from '../../backends/executor.js';
+import type {Executor, ExecutorAnswer} from '../../backends/executor.js';
+import {ExecutorError} from '../../backends/platform_errors.js';
 import type {
   ExecutorReport,
   InterferenceSample,
--- a/src/agent/executor_probe.ts
+++ b/src/agent/executor_probe.ts
@@ -1,6 +1,6 @@
 import {Events} from '../observability/events.js';
 import type {Logger} from '../observability/logger.js';
-import type {Executor} from '../platform/executor.js';
+import type {Executor} from '../backends/executor.js';
 import {messageOf} from '../utilities/base_error.js';
 import type {Clock} from '../utilities/clock.js';
 import {withReplyDeadline} from './reply_deadline.js';
--- a/src/agent/worker_monitor.ts
+++ b/src/agent/worker_monitor.ts
@@ -1,7 +1,7 @@
 import {LEAST_SHARE} from '../decisions/eviction/share_allocation.js';
 import {ResultCodes} from '../observability/result_codes.js';
-import {WorkerTaskState} from '../platform/worker.js';
-import type {WorkerStatus, WorkerTask} from '../platform/worker.js';
+import {WorkerTaskState} from '../backends/worker.js';
+import type {WorkerStatus, WorkerTask} from '../backends/worker.js';
 import {attemptKey} from '../decisions/job_types.js';
 import {Events} from '../observability/events.js';
 import {messageOf} from '../utilities/base_error.js';
--- a/src/entry/entry_parts.ts
+++ b/src/entry/entry_parts.ts
@@ -1,6 +1,6 @@
 import {RequestLimiter} from '../decisions/admission/request_limiter.js';
 import {ServiceRouter} from '../decisions/routing/service_router.js';
-import {SettlingStore} from '../platform/settling_store.js';
+import {SettlingStore} from '../backends/settling_store.js';
 import {SettingsView} from '../settings/settings_view.js';
 import {AgentDirectory} from './agents/agent_directory.js';
 import {HeartbeatResponder} from './agents/heartbeat_responder.js';
--- a/src/entry/entry_process_options.ts
+++ b/src/entry/entry_process_options.ts
@@ -1,6 +1,6 @@
 import type {Logger} from '../observability/logger.js';
 import type {Metrics} from '../observability/metrics.js';
-import type {Store} from '../platform/store.js';
+import type {Store} from '../backends/store.js';
 import type {LinkFactory} from '../protocol/links.js';
 import type {Clock} from '../utilities/clock.js';
 import type {Random} from '../utilities/random.js';
--- a/src/entry/http/api_types.ts
+++ b/src/entry/http/api_types.ts
@@ -3,7 +3,7 @@
 import {
   StoreBudgetError,
   StoreUnavailableError,
-} from '../../platform/platform_errors.js';
+} from '../../backends/platform_errors.js';
 import {LinkError} from '../../protocol/link_error.js';
 import {BaseError, messageOf} from '../../utilities/base_error.js';
 
--- a/src/entry/membership/entry_roster.ts
+++ b/src/entry/membership/entry_roster.ts
@@ -1,4 +1,4 @@
-import type {Store} from '../../platform/store.js';
+import type {Store} from '../../backends/store.js';
 
 const ENTRIES_PREFIX = 'entries/';
 
--- a/src/entry/membership/store_lease_keeper.ts
+++ b/src/entry/membership/store_lease_keeper.ts
@@ -1,6 +1,6 @@
 import {Events} from '../../observability/events.js';
 import type {Logger} from '../../observability/logger.js';
-import type {Store} from '../../platform/store.js';
+import type {Store} from '../../backends/store.js';
 import type {Clock} from '../../utilities/clock.js';
 import {messageOf} from '../../utilities/base_error.js';
 
--- a/src/entry/settings_branches_store.ts
+++ b/src/entry/settings_branches_store.ts
@@ -1,8 +1,8 @@
 import {randomUUID} from 'node:crypto';
-import {SettledOutcome} from '../platform/settling_store.js';
-import type {SettledWrite, SettlingStore} from '../platform/settling_store.js';
-import {ABSENT_REVISION} from '../platform/store.js';
-import type {Store} from '../platform/store.js';
+import {SettledOutcome} from '../backends/settling_store.js';
+import type {SettledWrite, SettlingStore} from '../backends/settling_store.js';
+import {ABSENT_REVISION} from '../backends/store.js';
+import type {Store} from '../backends/store.js';
 import type {Clock} from '../utilities/clock.js';
 import {
   SETTINGS_PREFIX,
--- a/src/entry/settings_follower.ts
+++ b/src/entry/settings_follower.ts
@@ -1,7 +1,7 @@
 import {Events} from '../observability/events.js';
 import type {Logger} from '../observability/logger.js';
-import {listAll} from '../platform/list_all.js';
-import type {Store, StoredValue} from '../platform/store.js';
+import {listAll} from '../backends/list_all.js';
+import type {Store, StoredValue} from '../backends/store.js';
 import {SettingsView} from '../settings/settings_view.js';
 import type {SettingsDocument} from '../settings/settings_types.js';
 import {messageOf} from '../utilities/base_error.js';
--- a/src/entry/shards/shard_claims.ts
+++ b/src/entry/shards/shard_claims.ts
@@ -1,6 +1,6 @@
 import {randomUUID} from 'node:crypto';
-import {ABSENT_REVISION} from '../../platform/store.js';
-import type {Store} from '../../platform/store.js';
+import {ABSENT_REVISION} from '../../backends/store.js';
+import type {Store} from '../../backends/store.js';
 import {preferredOwner} from './shard_assignment.js';
 
 const OWNERS_PREFIX = 'shards/';
--- a/src/entry/shards/shard_log.ts
+++ b/src/entry/shards/shard_log.ts
@@ -5,11 +5,11 @@
 } from '../../decisions/jobs/record_codec.js';
 import type {EncodedRecords} from '../../decisions/jobs/record_codec.js';
 import type {LogRecord} from '../../decisions/job_types.js';
-import {ABSENT_REVISION} from '../../platform/store.js';
-import type {Store, StoredValue} from '../../platform/store.js';
-import {listAll} from '../../platform/list_all.js';
-import {SettledOutcome} from '../../platform/settling_store.js';
-import type {SettlingStore} from '../../platform/settling_store.js';
+import {ABSENT_REVISION} from '../../backends/store.js';
+import type {Store, StoredValue} from '../../backends/store.js';
+import {listAll} from '../../backends/list_all.js';
+import {SettledOutcome} from '../../backends/settling_store.js';
+import type {SettlingStore} from '../../backends/settling_store.js';
 import {BaseError} from '../../utilities/base_error.js';
 import {packText, unpackText} from './packed_text.js';
 import {SnapshotFile} from './snapshot_file.js';
--- a/src/entry/shards/shard_manager.ts
+++ b/src/entry/shards/shard_manager.ts
@@ -1,8 +1,8 @@
 import {ShardScheduler} from '../../decisions/jobs/shard_scheduler.js';
 import {Events} from '../../observability/events.js';
 import type {Logger} from '../../observability/logger.js';
-import type {SettlingStore} from '../../platform/settling_store.js';
-import type {Store} from '../../platform/store.js';
+import type {SettlingStore} from '../../backends/settling_store.js';
+import type {Store} from '../../backends/store.js';
 import type {SettingsView} from '../../settings/settings_view.js';
 import {messageOf} from '../../utilities/base_error.js';
 import type {Clock} from '../../utilities/clock.js';
--- a/src/entry/shards/snapshot_file.ts
+++ b/src/entry/shards/snapshot_file.ts
@@ -1,8 +1,8 @@
 import {randomUUID} from 'node:crypto';
-import {SettledOutcome} from '../../platform/settling_store.js';
-import type {SettlingStore} from '../../platform/settling_store.js';
-import {ABSENT_REVISION} from '../../platform/store.js';
-import type {Store} from '../../platform/store.js';
+import {SettledOutcome} from '../../backends/settling_store.js';
+import type {SettlingStore} from '../../backends/settling_store.js';
+import {ABSENT_REVISION} from '../../backends/store.js';
+import type {Store} from '../../backends/store.js';
 import {BaseError} from '../../utilities/base_error.js';
 import {packText, unpackText} from './packed_text.js';
 
--- a/tests/agent/graceful_shutdown.test.ts
+++ b/tests/agent/graceful_shutdown.test.ts
@@ -2,8 +2,8 @@
 import {endedReport} from '../../src/agent/attempt_reports.js';
 import type {Attempt} from '../../src/agent/attempt_table.js';
 import {evictionIntent} from '../../src/agent/commands/attempt_stopper.js';
-import {WorkerTaskState} from '../../src/platform/worker.js';
-import type {WorkerTask} from '../../src/platform/worker.js';
+import {WorkerTaskState} from '../../src/backends/worker.js';
+import type {WorkerTask} from '../../src/backends/worker.js';
 import {AgentFixture} from './fixtures/agent_fixture.js';
 
 test('should stay until the entry has heard that it stops', async t => {
--- a/tests/platform/budgeted_store.test.ts
+++ b/tests/backends/budgeted_store.test.ts
@@ -1,6 +1,6 @@
 import test from 'ava';
-import {BudgetedStore} from '../../src/platform/budgeted_store.js';
-import {StoreBudgetError} from '../../src/platform/platform_errors.js';
+import {BudgetedStore} from '../../src/backends/budgeted_store.js';
+import {StoreBudgetError} from '../../src/backends/platform_errors.js';
 import {VirtualClock} from '../../src/utilities/virtual_clock.js';
 import {MemoryStore} from '../stand_ins/memory_store.js';
 
--- a/tests/platform/http_store.test.ts
+++ b/tests/backends/http_store.test.ts
@@ -1,11 +1,11 @@
 import test from 'ava';
-import {HttpStore} from '../../src/platform/http_store.js';
+import {HttpStore} from '../../src/backends/http_store.js';
 import {
   SettledOutcome,
   SettlingStore,
-} from '../../src/platform/settling_store.js';
-import {StoreUnavailableError} from '../../src/platform/platform_errors.js';
-import type {StoreChange} from '../../src/platform/store.js';
+} from '../../src/backends/settling_store.js';
+import {StoreUnavailableError} from '../../src/backends/platform_errors.js';
+import type {StoreChange} from '../../src/backends/store.js';
 import {Random} from '../../src/utilities/random.js';
 import {VirtualClock} from '../../src/utilities/virtual_clock.js';
 import {StoreStandIn} from '../stand_ins/store_stand_in.js';
--- a/tests/platform/http_worker.test.ts
+++ b/tests/backends/http_worker.test.ts
@@ -1,11 +1,11 @@
 import test from 'ava';
-import {HttpWorker} from '../../src/platform/http_worker.js';
+import {HttpWorker} from '../../src/backends/http_worker.js';
 import {
   WorkerRefusedError,
   WorkerUnavailableError,
-} from '../../src/platform/platform_errors.js';
-import {WorkerTaskState} from '../../src/platform/worker.js';
-import type {WorkerTaskStart} from '../../src/platform/worker.js';
+} from '../../src/backends/platform_errors.js';
+import {WorkerTaskState} from '../../src/backends/worker.js';
+import type {WorkerTaskStart} from '../../src/backends/worker.js';
 import {VirtualClock} from '../../src/utilities/virtual_clock.js';
 import {InterferenceModel} from '../stand_ins/interference.js';
 import {WorkerMachine} from '../stand_ins/worker_machine.js';
--- a/tests/platform/settling_store.test.ts
+++ b/tests/backends/settling_store.test.ts
@@ -2,7 +2,7 @@
 import {
   SettledOutcome,
   SettlingStore,
-} from '../../src/platform/settling_store.js';
+} from '../../src/backends/settling_store.js';
 import {Random} from '../../src/utilities/random.js';
 import {VirtualClock} from '../../src/utilities/virtual_clock.js';
 import {MemoryStore} from '../stand_ins/memory_store.js';
--- a/tests/entry/api_errors.test.ts
+++ b/tests/entry/api_errors.test.ts
@@ -5,7 +5,7 @@
 import {
   StoreBudgetError,
   StoreUnavailableError,
-} from '../../src/platform/platform_errors.js';
+} from '../../src/backends/platform_errors.js';
 import {LinkError} from '../../src/protocol/link_error.js';
 
 const CASES: ReadonlyArray<readonly [Error, ResultCode]> = [
--- a/tests/entry/shard_log.test.ts
+++ b/tests/entry/shard_log.test.ts
@@ -4,7 +4,7 @@
 import type {LogRecord} from '../../src/decisions/job_types.js';
 import {packText, unpackText} from '../../src/entry/shards/packed_text.js';
 import {ShardLog} from '../../src/entry/shards/shard_log.js';
-import {SettlingStore} from '../../src/platform/settling_store.js';
+import {SettlingStore} from '../../src/backends/settling_store.js';
 import {Random} from '../../src/utilities/random.js';
 import {VirtualClock} from '../../src/utilities/virtual_clock.js';
 import {specification} from '../jobs/shard_fixture.js';
--- a/tests/entry/shard_owner.test.ts
+++ b/tests/entry/shard_owner.test.ts
@@ -6,7 +6,7 @@
   ShardOwner,
 } from '../../src/entry/shards/shard_owner.js';
 import {SilentLogger} from '../../src/observability/logger.js';
-import {SettlingStore} from '../../src/platform/settling_store.js';
+import {SettlingStore} from '../../src/backends/settling_store.js';
 import {Random} from '../../src/utilities/random.js';
 import {VirtualClock} from '../../src/utilities/virtual_clock.js';
 import {specification} from '../jobs/shard_fixture.js';
--- a/tests/fuzz/live_upstream.ts
+++ b/tests/fuzz/live_upstream.ts
@@ -2,7 +2,7 @@
 import {AgentProcess} from '../../src/agent/agent_process.js';
 import type {EntryProcess} from '../../src/entry/entry_process.js';
 import {SilentLogger} from '../../src/observability/logger.js';
-import {HttpExecutor} from '../../src/platform/http_executor.js';
+import {HttpExecutor} from '../../src/backends/http_executor.js';
 import {GrpcLinkFactory} from '../../src/protocol/grpc_links.js';
 import {GrpcServer} from '../../src/protocol/grpc_server.js';
 import type {AgentHandlers} from '../../src/protocol/links.js';
--- a/tests/fuzz/store_replies.test.ts
+++ b/tests/fuzz/store_replies.test.ts
@@ -2,8 +2,8 @@
 import type {AddressInfo} from 'node:net';
 import test from 'ava';
 import fc from 'fast-check';
-import {HttpStore} from '../../src/platform/http_store.js';
-import {StoreUnavailableError} from '../../src/platform/platform_errors.js';
+import {HttpStore} from '../../src/backends/http_store.js';
+import {StoreUnavailableError} from '../../src/backends/platform_errors.js';
 import {StoreStandIn} from '../stand_ins/store_stand_in.js';
 
 /** Each call, and whether its value is one that the store may hold. */
--- a/tests/history/step_store.ts
+++ b/tests/history/step_store.ts
@@ -1,5 +1,5 @@
-import {StoreUnavailableError} from '../../src/platform/platform_errors.js';
-import type {Store} from '../../src/platform/store.js';
+import {StoreUnavailableError} from '../../src/backends/platform_errors.js';
+import type {Store} from '../../src/backends/store.js';
 import {intercept} from '../stand_ins/intercept.js';
 import type {MemoryStore} from '../stand_ins/memory_store.js';
 import type {ProcessClock} from './process_clock.js';
--- a/tests/history/step_worker.ts
+++ b/tests/history/step_worker.ts
@@ -1,5 +1,5 @@
-import {WorkerUnavailableError} from '../../src/platform/platform_errors.js';
-import type {Worker} from '../../src/platform/worker.js';
+import {WorkerUnavailableError} from '../../src/backends/platform_errors.js';
+import type {Worker} from '../../src/backends/worker.js';
 import {intercept} from '../stand_ins/intercept.js';
 import type {WorkerMachine} from '../stand_ins/worker_machine.js';
 import type {AnswerFaults} from './answer_faults.js';
--- a/tests/history/virtual_executor.ts
+++ b/tests/history/virtual_executor.ts
@@ -1,11 +1,11 @@
-import {ExecutorFailure} from '../../src/platform/executor.js';
+import {ExecutorFailure} from '../../src/backends/executor.js';
 import type {
   Executor,
   ExecutorAnswer,
   ExecutorRequest,
-} from '../../src/platform/executor.js';
-import {describeCrossing} from '../../src/platform/http_executor.js';
-import {ExecutorError} from '../../src/platform/platform_errors.js';
+} from '../../src/backends/executor.js';
+import {describeCrossing} from '../../src/backends/http_executor.js';
+import {ExecutorError} from '../../src/backends/platform_errors.js';
 import type {Random} from '../../src/utilities/random.js';
 import type {AnswerFaults} from './answer_faults.js';
 import {answerBody} from './checkers/whole_answer_checker.js';
--- a/tests/stand_ins/memory_store.ts
+++ b/tests/stand_ins/memory_store.ts
@@ -1,4 +1,4 @@
-import {StoreUnavailableError} from '../../src/platform/platform_errors.js';
+import {StoreUnavailableError} from '../../src/backends/platform_errors.js';
 import type {
   Store,
   StoredValue,
@@ -6,7 +6,7 @@
   StoreList,
   StoreWatch,
   SwapResult,
-} from '../../src/platform/store.js';
+} from '../../src/backends/store.js';
 import type {Clock} from '../../src/utilities/clock.js';
 import {StoreTable} from './store_table.js';
 
--- a/tests/stand_ins/store_stand_in.ts
+++ b/tests/stand_ins/store_stand_in.ts
@@ -1,8 +1,8 @@
 import type {ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
-import type {SwapResult} from '../../src/platform/store.js';
-import {encodeText} from '../../src/platform/store_messages.js';
-import {TokenBucket} from '../../src/platform/token_bucket.js';
+import type {SwapResult} from '../../src/backends/store.js';
+import {encodeText} from '../../src/backends/store_messages.js';
+import {TokenBucket} from '../../src/backends/token_bucket.js';
 import {messageOf} from '../../src/utilities/base_error.js';
 import type {Clock} from '../../src/utilities/clock.js';
 import {parseJson, replyJson} from './http_listener.js';
--- a/tests/stand_ins/store_table.ts
+++ b/tests/stand_ins/store_table.ts
@@ -2,7 +2,7 @@
   StoreChange,
   StoredValue,
   SwapResult,
-} from '../../src/platform/store.js';
+} from '../../src/backends/store.js';
 import type {Clock, Timer} from '../../src/utilities/clock.js';
 
 interface Row {
--- a/tests/stand_ins/store_watch_stream.ts
+++ b/tests/stand_ins/store_watch_stream.ts
@@ -1,6 +1,6 @@
 import type {ServerResponse} from 'node:http';
-import type {StoreChange} from '../../src/platform/store.js';
-import {encodeText} from '../../src/platform/store_messages.js';
+import type {StoreChange} from '../../src/backends/store.js';
+import {encodeText} from '../../src/backends/store_messages.js';
 import type {Clock, Timer} from '../../src/utilities/clock.js';
 import type {StoreFaults} from './store_stand_in.js';
 import type {StoreTable, TableWatcher} from './store_table.js';
--- a/tests/stand_ins/worker_machine.ts
+++ b/tests/stand_ins/worker_machine.ts
@@ -1,11 +1,11 @@
-import {WorkerRefusedError} from '../../src/platform/platform_errors.js';
-import {WorkerTaskState} from '../../src/platform/worker.js';
+import {WorkerRefusedError} from '../../src/backends/platform_errors.js';
+import {WorkerTaskState} from '../../src/backends/worker.js';
 import type {
   Worker,
   WorkerStatus,
   WorkerTask,
   WorkerTaskStart,
-} from '../../src/platform/worker.js';
+} from '../../src/backends/worker.js';
 import type {Clock, Timer} from '../../src/utilities/clock.js';
 import {
   addResources,
--- a/tests/stand_ins/worker_stand_in.ts
+++ b/tests/stand_ins/worker_stand_in.ts
@@ -1,6 +1,6 @@
 import type {Socket} from 'node:net';
-import {WorkerRefusedError} from '../../src/platform/platform_errors.js';
-import type {WorkerTaskStart} from '../../src/platform/worker.js';
+import {WorkerRefusedError} from '../../src/backends/platform_errors.js';
+import type {WorkerTaskStart} from '../../src/backends/worker.js';
 import {messageOf} from '../../src/utilities/base_error.js';
 import type {Clock} from '../../src/utilities/clock.js';
 import type {Resources} from '../../src/utilities/resources.js';
--- a/tests/stand_ins/worker_task_run.ts
+++ b/tests/stand_ins/worker_task_run.ts
@@ -1,5 +1,5 @@
-import {WorkerTaskState} from '../../src/platform/worker.js';
-import type {WorkerTask, WorkerTaskStart} from '../../src/platform/worker.js';
+import {WorkerTaskState} from '../../src/backends/worker.js';
+import type {WorkerTask, WorkerTaskStart} from '../../src/backends/worker.js';
 import type {Clock, Timer} from '../../src/utilities/clock.js';
 import {NO_RESOURCES} from '../../src/utilities/resources.js';
 import type {Resources} from '../../src/utilities/resources.js';
