--- a/import_rules.js
+++ b/import_rules.js
@@ -19,8 +19,12 @@
     folders: ['utilities', 'observability'],
     packages: ['@grpc/grpc-js', '@bufbuild/protobuf', 'node:fs'],
   },
+  platform: {
+    folders: ['utilities', 'backends', 'decisions'],
+    packages: ['valibot', 'node:fs'],
+  },
   decisions: {
-    folders: ['utilities', 'observability', 'settings'],
+    folders: ['utilities', 'observability', 'settings', 'backends'],
     packages: ['pure-rand', 'hdr-histogram-js'],
   },
   backends: {
@@ -66,6 +70,7 @@
       'protocol',
       'decisions',
       'backends',
+      'platform',
       'agent',
       'entry',
     ],
--- /dev/null
+++ b/src/agent/workflows/owner_connection.ts
@@ -0,0 +1,194 @@
+import type {TransactionalStore} from '../../backends/transactional_store.js';
+import {Events} from '../../observability/events.js';
+import type {Logger} from '../../observability/logger.js';
+import type {
+  WorkerCommands,
+  WorkerUpdate,
+} from '../../protocol/generated/burdockmoor.js';
+import type {
+  Attachment,
+  PoolLink,
+  PoolLinkFactory,
+} from '../../protocol/pool_links.js';
+import {messageOf} from '../../utilities/base_error.js';
+import type {Clock} from '../../utilities/clock.js';
+
+/** An owner that does not answer updates for this long is left. */
+const SILENT_MILLIS = 1_300;
+const RETRY_MILLIS = 250;
+const WATCHDOG_MILLIS = 200;
+
+export interface OwnerConnectionOptions {
+  readonly store: TransactionalStore;
+  readonly links: PoolLinkFactory;
+  readonly clock: Clock;
+  readonly logger: Logger;
+  /** Addresses of entries that may know the owner. */
+  readonly seeds: readonly string[];
+  /** Reads the owner's address from the store's value. */
+  readonly ownerKey: string;
+  readonly entryPrefix: string;
+  readonly decodeOwner: (
+    text: string,
+  ) => {readonly address: string; readonly epoch?: number} | undefined;
+  readonly onAttached: () => void;
+  readonly onCommands: (commands: WorkerCommands) => void;
+}
+
+/** Keeps the agent attached to the owner of the pool, whoever that is. */
+export class OwnerConnection {
+  private link: PoolLink | undefined;
+  private attachment: Attachment<WorkerUpdate> | undefined;
+  private address = '';
+  private heardAt = 0;
+  private highestEpoch = 0;
+  private isConfirmed = false;
+  private readonly entries = new Set<string>();
+  private tries = 0;
+  private closed = false;
+
+  constructor(private readonly options: OwnerConnectionOptions) {
+    for (const seed of options.seeds) this.entries.add(seed);
+  }
+
+  start(): void {
+    void this.keepAttached();
+  }
+
+  close(reason: string): void {
+    this.closed = true;
+    this.leave(reason);
+  }
+
+  /** False if there is no owner, or it reads too slowly. */
+  send(update: WorkerUpdate): boolean {
+    return this.attachment?.send(update) ?? false;
+  }
+
+  private async keepAttached(): Promise<void> {
+    while (!this.closed) {
+      if (this.attachment) {
+        this.leaveIfSilent();
+        await this.pause(WATCHDOG_MILLIS);
+        continue;
+      }
+      const address = await this.findOwner();
+      if (address === undefined || this.closed) await this.pause(RETRY_MILLIS);
+      else this.attachTo(address);
+    }
+  }
+
+  private leaveIfSilent(): void {
+    const silentMillis = this.options.clock.now() - this.heardAt;
+    if (silentMillis < SILENT_MILLIS) return;
+    this.leave(`no word for ${Math.round(silentMillis)} ms`);
+  }
+
+  private attachTo(address: string): void {
+    const {links, clock, onAttached} = this.options;
+    this.address = address;
+    this.heardAt = clock.now();
+    this.isConfirmed = false;
+    const link = links.openPool(address);
+    this.link = link;
+    this.attachment = link.attach({
+      onMessage: commands => {
+        if (link === this.link) this.take(commands);
+      },
+      onEnd: reason => {
+        if (link === this.link) this.leave(reason);
+      },
+    });
+    onAttached();
+  }
+
+  private take(commands: WorkerCommands): void {
+    const {clock, logger, onCommands} = this.options;
+    if (commands.epoch < this.highestEpoch) {
+      this.leave('its owner was replaced');
+      return;
+    }
+    this.highestEpoch = commands.epoch;
+    this.heardAt = clock.now();
+    if (!this.isConfirmed) {
+      this.isConfirmed = true;
+      this.tries = 0;
+      logger.event(Events.OWNER_ATTACHED, {
+        address: this.address,
+        epoch: commands.epoch,
+      });
+    }
+    onCommands(commands);
+  }
+
+  private leave(reason: string): void {
+    const {link, attachment} = this;
+    if (!link) return;
+    this.link = undefined;
+    this.attachment = undefined;
+    if (this.isConfirmed) {
+      this.options.logger.event(Events.OWNER_LOST, {
+        address: this.address,
+        reason,
+      });
+    }
+    attachment?.close(reason);
+    link.close(reason);
+  }
+
+  /** Asks the store, and by turns the entries that were ever heard of. */
+  private async findOwner(): Promise<string | undefined> {
+    const byStore = await this.askStore();
+    if (byStore !== undefined && this.tries++ % 2 === 0) return byStore;
+    return (await this.askEntries()) ?? byStore;
+  }
+
+  private async askStore(): Promise<string | undefined> {
+    const {store, ownerKey, entryPrefix, decodeOwner} = this.options;
+    try {
+      const [owner, entries] = await Promise.all([
+        store.get(ownerKey),
+        store.list(entryPrefix),
+      ]);
+      for (const {value} of entries.values) this.entries.add(value);
+      return owner && decodeOwner(owner.value)?.address;
+    } catch (error) {
+      const reason = messageOf(error);
+      this.options.logger.event(Events.OPERATOR_KEYS_STALE, {
+        reason,
+        keys: 'owner',
+      });
+      return undefined;
+    }
+  }
+
+  private async askEntries(): Promise<string | undefined> {
+    const answers = await Promise.all(
+      [...this.entries].map(address => this.askEntry(address)),
+    );
+    let newest: {address: string; epoch: number} | undefined;
+    for (const found of answers) {
+      if (!found || found.address === '') continue;
+      if (!newest || found.epoch > newest.epoch) newest = found;
+    }
+    return newest?.address;
+  }
+
+  private async askEntry(
+    address: string,
+  ): Promise<{address: string; epoch: number} | undefined> {
+    const link = this.options.links.openPool(address);
+    try {
+      return await link.findOwner();
+    } catch {
+      // One of several that are asked; it may be gone for good.
+      return undefined;
+    } finally {
+      link.close('the owner was asked for');
+    }
+  }
+
+  private pause(millis: number): Promise<void> {
+    return new Promise(resolve => this.options.clock.schedule(millis, resolve));
+  }
+}
--- /dev/null
+++ b/src/agent/workflows/report_server.ts
@@ -0,0 +1,90 @@
+import {createServer} from 'node:http';
+import type {IncomingMessage, Server, ServerResponse} from 'node:http';
+import type {WorkerReport} from '../../backends/leased_worker.js';
+import {Events} from '../../observability/events.js';
+import type {Logger} from '../../observability/logger.js';
+
+/** Larger reports are not taken. */
+const MAXIMUM_BODY_BYTES = 4 * 1024 * 1024;
+
+export interface ReportServerOptions {
+  /** The path below which workers report; the rest is their id. */
+  readonly prefix: string;
+  readonly decode: (id: string, text: string) => WorkerReport | undefined;
+  readonly onReport: (report: WorkerReport) => void;
+  /** The worker with this id ends. */
+  readonly onLeaving: (id: string) => void;
+  readonly logger: Logger;
+}
+
+/** Takes the reports of the worker on this machine. */
+export class ReportServer {
+  private readonly server: Server;
+  private lastUnreadable = '';
+
+  constructor(private readonly options: ReportServerOptions) {
+    this.server = createServer((request, response) =>
+      this.serve(request, response),
+    );
+  }
+
+  listen(host: string, port: number): Promise<void> {
+    return new Promise((resolve, reject) => {
+      this.server.once('error', reject);
+      this.server.listen(port, host, () => {
+        this.server.off('error', reject);
+        resolve();
+      });
+    });
+  }
+
+  close(): void {
+    this.server.close();
+    this.server.closeIdleConnections();
+  }
+
+  private serve(request: IncomingMessage, response: ServerResponse): void {
+    const {prefix} = this.options;
+    const url = request.url ?? '';
+    if (!url.startsWith(prefix)) {
+      response.writeHead(404).end();
+      return;
+    }
+    const id = decodeURIComponent(url.slice(prefix.length));
+    const chunks: Buffer[] = [];
+    let bytes = 0;
+    request.on('data', (chunk: Buffer) => {
+      bytes += chunk.length;
+      if (bytes <= MAXIMUM_BODY_BYTES) chunks.push(chunk);
+    });
+    request.on('end', () => {
+      const text = Buffer.concat(chunks).toString('utf8');
+      if (bytes > MAXIMUM_BODY_BYTES) response.writeHead(413).end();
+      else this.answer(request.method ?? '', id, text, response);
+    });
+  }
+
+  private answer(
+    method: string,
+    id: string,
+    text: string,
+    response: ServerResponse,
+  ): void {
+    if (method === 'DELETE') {
+      this.options.onLeaving(id);
+      response.writeHead(200).end();
+      return;
+    }
+    const report = this.options.decode(id, text);
+    if (report) this.options.onReport(report);
+    else this.noteUnreadable(id, text);
+    response.writeHead(200, {'content-type': 'application/json'}).end('{}');
+  }
+
+  /** Once for each text, since workers repeat themselves. */
+  private noteUnreadable(id: string, text: string): void {
+    if (text === this.lastUnreadable) return;
+    this.lastUnreadable = text;
+    this.options.logger.event(Events.REPORT_UNREADABLE, {id});
+  }
+}
--- /dev/null
+++ b/src/agent/workflows/worker_lease.ts
@@ -0,0 +1,67 @@
+import type {Clock} from '../../utilities/clock.js';
+
+/** The worker's clock may be this much slower than the agent's. */
+const CLOCK_DRIFT = 1.02;
+const LAPSE_MARGIN_MILLIS = 300;
+/** A start needs at least this much of the lease to be worth sending. */
+const LEAST_LEASE_MILLIS = 300;
+
+/** A reading of the worker's clock, and when the agent sent and got it. */
+interface ClockReading {
+  readonly workerClock: number;
+  readonly receivedAt: number;
+}
+
+/**
+ * The lease of one incarnation of a worker, in the worker's own clock. An end
+ * is computed from readings so that it can only be too early, also if this
+ * process stood still in between.
+ */
+export class WorkerLease {
+  private reading: ClockReading | undefined;
+  private grantedEnd = -Infinity;
+  private sentEnd = -Infinity;
+
+  constructor(private readonly clock: Clock) {}
+
+  noteReading(workerClock: number): void {
+    this.reading = {workerClock, receivedAt: this.clock.now()};
+  }
+
+  /** A time on the worker's clock that is not after the present one. */
+  get workerNow(): number | undefined {
+    const {reading} = this;
+    if (!reading) return undefined;
+    return reading.workerClock + this.clock.now() - reading.receivedAt;
+  }
+
+  /** The owner lets runs go on until this time on the worker's clock. */
+  grant(end: number): void {
+    this.grantedEnd = Math.max(this.grantedEnd, end);
+  }
+
+  /** The end to tell the worker; undefined if there is no lease to speak of. */
+  get end(): number | undefined {
+    const {workerNow} = this;
+    if (workerNow === undefined) return undefined;
+    if (this.grantedEnd < workerNow + LEAST_LEASE_MILLIS) return undefined;
+    return this.grantedEnd;
+  }
+
+  /** The end was sent; whether it arrived is not known. */
+  noteSent(end: number): void {
+    this.sentEnd = Math.max(this.sentEnd, end);
+  }
+
+  /** Whether the worker's lease has ended for sure. */
+  isLapsed(longestLeaseMillis: number, startedAt: number): boolean {
+    const now = this.clock.now();
+    const {reading} = this;
+    // An agent before this one may have prolonged it just before the start.
+    const inherited = startedAt + longestLeaseMillis * CLOCK_DRIFT;
+    if (now < inherited + LAPSE_MARGIN_MILLIS) return false;
+    if (!reading || this.sentEnd === -Infinity) return true;
+    const left = Math.max(0, this.sentEnd - reading.workerClock) * CLOCK_DRIFT;
+    return now > reading.receivedAt + left + LAPSE_MARGIN_MILLIS;
+  }
+}
--- /dev/null
+++ b/src/agent/workflows/worker_session.ts
@@ -0,0 +1,397 @@
+import {StartRefusal} from '../../backends/leased_worker.js';
+import type {
+  LeasedWorker,
+  WorkerListing,
+  WorkerReport,
+  WorkerRun,
+  WorkerRunEnd,
+} from '../../backends/leased_worker.js';
+import {WorkerRefusedError} from '../../backends/platform_errors.js';
+import {runKey} from '../../decisions/workflows/task_name.js';
+import {TailThrottle} from '../../decisions/workflows/tail_throttle.js';
+import {Events} from '../../observability/events.js';
+import type {Logger} from '../../observability/logger.js';
+import type {
+  RunStartResult,
+  RunTraits,
+  StartCommand,
+  StopCommand,
+} from '../../protocol/generated/burdockmoor.js';
+import {messageOf} from '../../utilities/base_error.js';
+import type {Clock} from '../../utilities/clock.js';
+import type {FencingToken} from './fencing_token.js';
+import {WorkerLease} from './worker_lease.js';
+
+/** How long a look waits for an end; the owner's picture is as old as that. */
+const LOOK_MILLIS = 400;
+/** Pause while ends wait for the owner, and after a look that failed. */
+const PENDING_PAUSE_MILLIS = 60;
+const FAILED_PAUSE_MILLIS = 150;
+/** A worker that did not answer for this long gets no longer lease. */
+const SILENT_MILLIS = 1_000;
+/** How often a start is sent anew after the token was raised meanwhile. */
+const FENCED_RETRIES = 3;
+
+/** What a session tells. */
+export interface WorkerSessionObserver {
+  /** There is something that the owner should hear at once. */
+  onNews(): void;
+}
+
+export interface WorkerSessionOptions {
+  readonly report: WorkerReport;
+  readonly worker: LeasedWorker;
+  readonly token: FencingToken;
+  readonly clock: Clock;
+  readonly logger: Logger;
+  readonly longestLeaseMillis: number;
+  readonly observer: WorkerSessionObserver;
+}
+
+/** One incarnation of the worker beside this agent. */
+export class WorkerSession {
+  readonly lease: WorkerLease;
+  /** What the worker said of itself last. */
+  report: WorkerReport;
+  private running: readonly WorkerRun[] = [];
+  private hasListed = false;
+  private readonly ends = new Map<number, WorkerRunEnd>();
+  private readonly starting = new Map<string, StartCommand>();
+  private readonly stopping = new Set<string>();
+  private results: RunStartResult[] = [];
+  private acknowledged = 0;
+  private answeredAt: number;
+  private readonly beganAt: number;
+  private silent = false;
+  private looks = 0;
+  private traits = new Map<string, RunTraits>();
+  private readonly throttle = new TailThrottle();
+  private readonly paced = new Map<string, number>();
+  private closed = false;
+  private wake: (() => void) | undefined;
+
+  constructor(private readonly options: WorkerSessionOptions) {
+    const {clock, report} = options;
+    this.report = report;
+    this.lease = new WorkerLease(clock);
+    this.answeredAt = clock.now();
+    this.beganAt = clock.now();
+  }
+
+  get incarnation(): string {
+    return this.options.report.incarnation;
+  }
+
+  get silentMillis(): number {
+    return Math.round(this.options.clock.now() - this.answeredAt);
+  }
+
+  /** The worker is silent, and all that it ran has lapsed for sure. */
+  get isLapsed(): boolean {
+    if (!this.silent) return false;
+    return this.lease.isLapsed(this.options.longestLeaseMillis, this.beganAt);
+  }
+
+  /** Undefined until the worker has listed its runs. */
+  get runs(): readonly WorkerRun[] | undefined {
+    return this.hasListed ? this.running : undefined;
+  }
+
+  get startingNames(): string[] {
+    return [...this.starting.keys()];
+  }
+
+  get pendingEnds(): WorkerRunEnd[] {
+    return [...this.ends.values()];
+  }
+
+  /** What became of starts since the last call. */
+  takeResults(): RunStartResult[] {
+    const {results} = this;
+    this.results = [];
+    return results;
+  }
+
+  /** The results did not reach the owner. */
+  returnResults(results: readonly RunStartResult[]): void {
+    this.results.unshift(...results);
+  }
+
+  open(): void {
+    void this.look();
+  }
+
+  close(reason: string): void {
+    this.closed = true;
+    this.wake?.();
+    this.options.worker.close(reason);
+  }
+
+  /** Ends up to the number are durable. */
+  acknowledge(number: number): void {
+    if (number <= this.acknowledged) return;
+    this.acknowledged = number;
+    for (const known of this.ends.keys()) {
+      if (known <= number) this.ends.delete(known);
+    }
+    this.wake?.();
+  }
+
+  noteTraits(traits: readonly RunTraits[]): void {
+    this.traits = new Map(
+      traits.map(each => [runKey(each.task, each.run), each]),
+    );
+  }
+
+  start(command: StartCommand): void {
+    const name = runKey(command.task, command.run);
+    if (this.starting.has(name) || this.closed) return;
+    const {task, run, fills, tailTargetMillis} = command;
+    this.traits.set(name, {task, run, fills, tailTargetMillis});
+    this.starting.set(name, command);
+    void this.carryOutStart(name, command);
+  }
+
+  stop({task, run}: StopCommand): void {
+    const name = runKey(task, run);
+    if (this.stopping.has(name) || this.closed) return;
+    this.stopping.add(name);
+    void this.carryOutStop(name, task, run);
+  }
+
+  private async carryOutStart(
+    name: string,
+    command: StartCommand,
+  ): Promise<void> {
+    const refusal = await this.tryStart(name, command);
+    this.starting.delete(name);
+    if (this.closed) return;
+    const {task, run} = command;
+    this.options.logger.event(Events.START_SETTLED, {
+      task,
+      run,
+      refusal,
+      incarnation: this.incarnation,
+    });
+    if (refusal === '') return;
+    this.results.push({task, run, refusal});
+    this.options.observer.onNews();
+  }
+
+  /** Empty if the worker has the run, else why it surely never begins. */
+  private async tryStart(name: string, command: StartCommand): Promise<string> {
+    for (let tries = 0; !this.closed; tries++) {
+      if (this.report.draining) return StartRefusal.REPLACED;
+      const leaseEnd = this.silent ? undefined : this.lease.end;
+      if (leaseEnd === undefined) return StartRefusal.LEASE_ENDED;
+      const token = this.options.token.value;
+      const refusal = await this.sendStart(name, command, leaseEnd, token);
+      const wasRaised = token !== this.options.token.value;
+      const isVoid = refusal === StartRefusal.FENCED && wasRaised;
+      if (!isVoid || tries >= FENCED_RETRIES) return refusal;
+    }
+    return StartRefusal.REPLACED;
+  }
+
+  private async sendStart(
+    name: string,
+    command: StartCommand,
+    leaseEnd: number,
+    fencingToken: number,
+  ): Promise<string> {
+    const {worker} = this.options;
+    const {task, run, payload, checkpoint, ticket} = command;
+    this.lease.noteSent(leaseEnd);
+    try {
+      const refusal = await worker.start({
+        task,
+        run,
+        payload,
+        checkpoint,
+        ticket,
+        leaseEnd,
+        fencingToken,
+      });
+      // The end of such a run is listed before the owner hears of this.
+      if (refusal === StartRefusal.CLOSED) await this.untilLooked();
+      return refusal ?? '';
+    } catch {
+      return this.settleStart(name);
+    }
+  }
+
+  /**
+   * The start was not answered and may be carried out later. A higher token
+   * makes it void once the worker has seen that; then its list tells.
+   */
+  private async settleStart(name: string): Promise<string> {
+    this.options.token.raise();
+    if (!(await this.untilLooked())) return StartRefusal.REPLACED;
+    const isThere =
+      this.running.some(({task, run}) => runKey(task, run) === name) ||
+      this.pendingEnds.some(({task, run}) => runKey(task, run) === name);
+    return isThere ? '' : StartRefusal.FENCED;
+  }
+
+  private async carryOutStop(
+    name: string,
+    task: string,
+    run: number,
+  ): Promise<void> {
+    const {worker, token} = this.options;
+    try {
+      await worker.stop({task, run, fencingToken: token.value});
+      await this.untilLooked();
+      this.reportStopped(name, task, run);
+    } catch (error) {
+      // The owner sends the stop again while it wants it.
+      const reason = messageOf(error);
+      this.options.logger.event(Events.AGENT_CALL_FAILED, {task, run, reason});
+    } finally {
+      this.stopping.delete(name);
+    }
+  }
+
+  /** A stopped run that is neither running nor ending never was there. */
+  private reportStopped(name: string, task: string, run: number): void {
+    const isKnown =
+      this.running.some(each => runKey(each.task, each.run) === name) ||
+      this.pendingEnds.some(each => runKey(each.task, each.run) === name);
+    if (isKnown) return;
+    this.results.push({task, run, refusal: StartRefusal.CLOSED});
+    this.options.observer.onNews();
+  }
+
+  /** Resolves when a look that began after this call was answered. */
+  private async untilLooked(): Promise<boolean> {
+    const target = this.looks + 2;
+    while (this.looks < target) {
+      if (this.closed) return false;
+      this.wake?.();
+      await this.pause(PENDING_PAUSE_MILLIS);
+    }
+    return true;
+  }
+
+  /** Looks at the worker again and again, prolonging its lease. */
+  private async look(): Promise<void> {
+    while (!this.closed) {
+      const answered = await this.lookOnce();
+      if (this.closed) return;
+      if (!answered) await this.pause(FAILED_PAUSE_MILLIS);
+      else if (this.ends.size > 0) await this.untilAcknowledged();
+    }
+  }
+
+  private async lookOnce(): Promise<boolean> {
+    const {worker, token} = this.options;
+    const leaseEnd = this.silent ? undefined : this.lease.end;
+    if (leaseEnd !== undefined) this.lease.noteSent(leaseEnd);
+    const isSettling = this.starting.size > 0 || this.stopping.size > 0;
+    const isWaiting = this.ends.size === 0 && this.hasListed && !isSettling;
+    try {
+      const listing = await worker.hold({
+        fencingToken: token.value,
+        acknowledgedEnd: this.acknowledged,
+        leaseEnd,
+        waitMillis: isWaiting ? LOOK_MILLIS : 0,
+      });
+      this.takeListing(listing);
+      return true;
+    } catch (error) {
+      this.noteFailure(error);
+      return false;
+    }
+  }
+
+  private takeListing(listing: WorkerListing): void {
+    const {clock, logger, observer} = this.options;
+    this.looks++;
+    this.answeredAt = clock.now();
+    this.lease.noteReading(listing.workerClock);
+    if (this.silent) logger.event(Events.WORKER_ANSWERS);
+    this.silent = false;
+    this.hasListed = true;
+    this.running = listing.running;
+    for (const end of listing.ends) {
+      if (end.number > this.acknowledged) this.ends.set(end.number, end);
+    }
+    this.guardTails();
+    observer.onNews();
+  }
+
+  private noteFailure(error: unknown): void {
+    const {clock, logger, observer} = this.options;
+    const refused = error instanceof WorkerRefusedError;
+    if (this.silent || refused) return;
+    if (clock.now() - this.answeredAt < SILENT_MILLIS) return;
+    this.silent = true;
+    const reason = messageOf(error);
+    logger.event(Events.WORKER_SILENT, {
+      reason,
+      silentMillis: this.silentMillis,
+    });
+    observer.onNews();
+  }
+
+  /** Paces what fills, so that what serves keeps its target. */
+  private guardTails(): void {
+    const tails = this.running.flatMap(run => {
+      const traits = this.traits.get(runKey(run.task, run.run));
+      if (!traits || traits.tailTargetMillis === 0) return [];
+      return [{tailMillis: run.measure, targetMillis: traits.tailTargetMillis}];
+    });
+    const percent = Math.round(this.throttle.decide(tails));
+    const present = new Set<string>();
+    for (const {task, run} of this.running) {
+      const name = runKey(task, run);
+      present.add(name);
+      if (!this.traits.get(name)?.fills) continue;
+      if ((this.paced.get(name) ?? 100) === percent) continue;
+      void this.pace(name, task, run, percent);
+    }
+    for (const name of this.paced.keys()) {
+      if (!present.has(name)) this.paced.delete(name);
+    }
+  }
+
+  private async pace(
+    name: string,
+    task: string,
+    run: number,
+    percent: number,
+  ): Promise<void> {
+    const {worker, token, logger} = this.options;
+    const before = this.paced.get(name);
+    this.paced.set(name, percent);
+    try {
+      await worker.pace({task, run, percent, fencingToken: token.value});
+      logger.event(Events.TASK_PACED, {task, run, percent});
+    } catch (error) {
+      // The next look tries again.
+      if (before === undefined) this.paced.delete(name);
+      else this.paced.set(name, before);
+      const reason = messageOf(error);
+      logger.event(Events.AGENT_CALL_FAILED, {task, run, reason});
+    }
+  }
+
+  private untilAcknowledged(): Promise<void> {
+    return this.pause(PENDING_PAUSE_MILLIS);
+  }
+
+  /** Ends early when there is something to tell the worker. */
+  private pause(millis: number): Promise<void> {
+    return new Promise(resolve => {
+      const before = this.wake;
+      const timer = this.options.clock.schedule(millis, () => wake());
+      const wake = (): void => {
+        timer.cancel();
+        if (this.wake === wake) this.wake = undefined;
+        before?.();
+        resolve();
+      };
+      this.wake = wake;
+    });
+  }
+}
--- /dev/null
+++ b/src/agent/workflows/workflow_agent.ts
@@ -0,0 +1,251 @@
+import type {LeasedWorker, WorkerReport} from '../../backends/leased_worker.js';
+import type {TransactionalStore} from '../../backends/transactional_store.js';
+import {Events} from '../../observability/events.js';
+import type {Logger} from '../../observability/logger.js';
+import type {
+  WorkerCommands,
+  WorkerDescription,
+  WorkerUpdate,
+} from '../../protocol/generated/burdockmoor.js';
+import type {PoolLinkFactory} from '../../protocol/pool_links.js';
+import {messageOf} from '../../utilities/base_error.js';
+import type {Clock} from '../../utilities/clock.js';
+import {FencingToken} from './fencing_token.js';
+import {OwnerConnection} from './owner_connection.js';
+import type {OwnerConnectionOptions} from './owner_connection.js';
+import {WorkerSession} from './worker_session.js';
+
+const TOKEN_RETRY_MILLIS = 250;
+/** An update goes out at least this often, to renew the lease. */
+const UPDATE_MILLIS = 400;
+/** Updates that wait for a reply; older ones grant nothing any more. */
+const MAXIMUM_OPEN_UPDATES = 50;
+
+export interface WorkflowAgentOptions {
+  readonly processName: string;
+  readonly store: TransactionalStore;
+  readonly links: PoolLinkFactory;
+  readonly clock: Clock;
+  readonly logger: Logger;
+  readonly longestLeaseMillis: number;
+  readonly seeds: readonly string[];
+  /** The key that this agent writes to get its fencing token. */
+  readonly agentKey: string;
+  readonly owner: Pick<
+    OwnerConnectionOptions,
+    'ownerKey' | 'entryPrefix' | 'decodeOwner'
+  >;
+  readonly openWorker: (report: WorkerReport) => LeasedWorker;
+}
+
+/**
+ * The agent beside one worker: the only caller of it. It carries out what the
+ * owner of the pool decides, and prolongs the worker's lease for as long as
+ * the owner answers.
+ */
+export class WorkflowAgent {
+  private readonly connection: OwnerConnection;
+  private token: FencingToken | undefined;
+  private report: WorkerReport | undefined;
+  private session: WorkerSession | undefined;
+  private sequence = 0;
+  /** Worker's time at which updates were sent, by sequence. */
+  private readonly openUpdates = new Map<number, number>();
+  private updateScheduled = false;
+  private closed = false;
+
+  constructor(private readonly options: WorkflowAgentOptions) {
+    const {store, links, clock, logger, seeds, owner} = options;
+    this.connection = new OwnerConnection({
+      store,
+      links,
+      clock,
+      logger,
+      seeds,
+      ...owner,
+      onAttached: () => {
+        this.openUpdates.clear();
+        this.sendUpdate();
+      },
+      onCommands: commands => this.take(commands),
+    });
+  }
+
+  start(): void {
+    this.connection.start();
+    void this.fetchToken();
+    this.tick();
+  }
+
+  close(reason: string): void {
+    this.closed = true;
+    this.connection.close(reason);
+    this.session?.close(reason);
+  }
+
+  /** The worker has said something of itself. */
+  noteReport(report: WorkerReport): void {
+    const before = this.report;
+    if (before && !isNewer(report, before)) return;
+    const wasDraining = before?.draining ?? false;
+    this.report = report;
+    if (before?.incarnation !== report.incarnation) this.openSession();
+    else if (this.session) this.session.report = report;
+    if (report.draining !== wasDraining) {
+      this.options.logger.event(Events.WORKER_CHANGED, {
+        incarnation: report.incarnation,
+        draining: report.draining,
+        remainingMillis: report.remainingMillis,
+      });
+    }
+    this.scheduleUpdate();
+  }
+
+  /** The worker with this id ends. */
+  noteLeaving(id: string): void {
+    const {report} = this;
+    if (report?.id !== id || report.draining) return;
+    this.noteReport({
+      ...report,
+      draining: true,
+      sequence: report.sequence + 1,
+    });
+  }
+
+  private openSession(): void {
+    const {report, token} = this;
+    if (!report || !token || this.closed) return;
+    const {openWorker, clock, logger, longestLeaseMillis} = this.options;
+    this.session?.close('another incarnation has reported');
+    this.openUpdates.clear();
+    logger.event(Events.INCARNATION_FOUND, {
+      incarnation: report.incarnation,
+      address: report.address,
+      milliprocessors: report.room.milliprocessors,
+    });
+    this.session = new WorkerSession({
+      report,
+      worker: openWorker(report),
+      token,
+      clock,
+      logger,
+      longestLeaseMillis,
+      observer: {onNews: () => this.scheduleUpdate()},
+    });
+    this.session.open();
+  }
+
+  /** The revision of a write is higher than that of any life before. */
+  private async fetchToken(): Promise<void> {
+    const {store, agentKey, processName, logger} = this.options;
+    while (!this.closed && !this.token) {
+      try {
+        const puts = [{key: agentKey, value: processName}];
+        const {revision} = await store.transact({conditions: [], puts});
+        this.token = new FencingToken(revision);
+        this.openSession();
+      } catch (error) {
+        const reason = messageOf(error);
+        logger.event(Events.TOKEN_FAILED, {reason});
+        await this.pause(TOKEN_RETRY_MILLIS);
+      }
+    }
+  }
+
+  private take(commands: WorkerCommands): void {
+    const {session} = this;
+    if (!session) return;
+    this.extendLease(session, commands);
+    const {incarnation} = session;
+    if (commands.incarnation === incarnation) {
+      session.acknowledge(commands.durableEnd);
+    }
+    if (commands.leaseMillis > 0) session.noteTraits(commands.traits);
+    for (const stop of commands.stops) {
+      if (stop.incarnation === incarnation) session.stop(stop);
+    }
+    for (const start of commands.starts) {
+      if (start.incarnation === incarnation) session.start(start);
+    }
+  }
+
+  /** The lease is counted from when the answered update was sent. */
+  private extendLease(session: WorkerSession, commands: WorkerCommands): void {
+    const sentAt = this.openUpdates.get(commands.sequence);
+    for (const sequence of this.openUpdates.keys()) {
+      if (sequence < commands.sequence) this.openUpdates.delete(sequence);
+    }
+    if (sentAt === undefined || commands.leaseMillis === 0) return;
+    session.lease.grant(sentAt + commands.leaseMillis);
+  }
+
+  private tick(): void {
+    if (this.closed) return;
+    this.options.clock.schedule(UPDATE_MILLIS, () => {
+      this.sendUpdate();
+      this.tick();
+    });
+  }
+
+  /** News of one turn of the loop go out together. */
+  private scheduleUpdate(): void {
+    if (this.updateScheduled) return;
+    this.updateScheduled = true;
+    setImmediate(() => {
+      this.updateScheduled = false;
+      this.sendUpdate();
+    });
+  }
+
+  private sendUpdate(): void {
+    if (this.closed) return;
+    const {session} = this;
+    const sequence = ++this.sequence;
+    const results = session?.takeResults() ?? [];
+    const workerNow = session?.lease.workerNow;
+    if (workerNow !== undefined) this.openUpdates.set(sequence, workerNow);
+    if (this.openUpdates.size > MAXIMUM_OPEN_UPDATES) {
+      const [oldest] = this.openUpdates.keys();
+      this.openUpdates.delete(oldest);
+    }
+    const runs = session?.runs;
+    const update: WorkerUpdate = {
+      sequence,
+      agent: this.options.processName,
+      worker: session && describe(session.report),
+      hasRunning: runs !== undefined,
+      running: [...(runs ?? [])],
+      ends: session?.pendingEnds ?? [],
+      results,
+      silentMillis: session?.silentMillis ?? 0,
+      lapsed: session?.isLapsed ?? false,
+      starting: session?.startingNames ?? [],
+    };
+    if (!this.connection.send(update)) session?.returnResults(results);
+  }
+
+  private pause(millis: number): Promise<void> {
+    return new Promise(resolve => this.options.clock.schedule(millis, resolve));
+  }
+}
+
+/** A late report of an earlier life, or of an earlier state, is not news. */
+function isNewer(report: WorkerReport, before: WorkerReport): boolean {
+  if (report.incarnation === before.incarnation) {
+    return report.sequence > before.sequence;
+  }
+  return report.bornAt >= before.bornAt;
+}
+
+function describe(report: WorkerReport): WorkerDescription {
+  return {
+    incarnation: report.incarnation,
+    service: report.service,
+    failureDomain: report.failureDomain,
+    rack: report.rack,
+    labels: [...report.labels],
+    room: report.room,
+    draining: report.draining,
+    remainingMillis: report.remainingMillis,
+  };
+}
--- a/src/backends/platform_errors.ts
+++ b/src/backends/platform_errors.ts
@@ -21,3 +21,6 @@
 export const ExecutorError = BaseError.subclass('ExecutorError', {
   props: {failure: 'unknown' as ExecutorFailure},
 });
+
+/** The store answered that it did nothing. */
+export const StoreRefusedError = BaseError.subclass('StoreRefusedError');
--- /dev/null
+++ b/src/daemon/burdockmoor_fleet.ts
@@ -0,0 +1,45 @@
+/** The daemon on the users' platform: runs one role with its settings. */
+import {defineCommand, runMain} from 'citty';
+import type {Logger} from '../observability/logger.js';
+import type {Metrics} from '../observability/metrics.js';
+import {readPlatformSettings} from '../platform/platform_settings.js';
+import type {FleetProcessSettings} from '../platform/platform_settings.js';
+import {FleetAgentRole} from './fleet_agent_role.js';
+import {FleetEntryRole} from './fleet_entry_role.js';
+import {runRole} from './process_runner.js';
+import type {RunningRole} from './process_runner.js';
+import {readOrExit} from './settings_exit.js';
+
+async function run(
+  createRole: (
+    settings: FleetProcessSettings,
+    logger: Logger,
+    metrics: Metrics,
+  ) => RunningRole,
+): Promise<void> {
+  const settings = readOrExit(() => readPlatformSettings());
+  await runRole(
+    {process: {id: settings.processName}, logs: {format: 'json'}},
+    (logger, metrics) => createRole(settings, logger, metrics),
+  );
+}
+
+const entry = defineCommand({
+  meta: {name: 'entry', description: 'Serve callers, and own the pool'},
+  run: () => run((...parts) => new FleetEntryRole(...parts)),
+});
+
+const agent = defineCommand({
+  meta: {name: 'agent', description: 'Serve the worker on this machine'},
+  run: () => run((settings, logger) => new FleetAgentRole(settings, logger)),
+});
+
+const main = defineCommand({
+  meta: {
+    name: 'burdockmoor-fleet',
+    description: "burdockmoor on the users' platform",
+  },
+  subCommands: {entry, agent},
+});
+
+void runMain(main);
--- /dev/null
+++ b/src/daemon/fleet_agent_role.ts
@@ -0,0 +1,71 @@
+import {ReportServer} from '../agent/workflows/report_server.js';
+import {WorkflowAgent} from '../agent/workflows/workflow_agent.js';
+import {agentKey, StoreKeys} from '../protocol/store_keys.js';
+import {decodeOwner} from '../protocol/owner_record.js';
+import {Events} from '../observability/events.js';
+import type {Logger} from '../observability/logger.js';
+import type {FleetProcessSettings} from '../platform/platform_settings.js';
+import {WORKER_REPORT_PREFIX} from '../platform/platform_paths.js';
+import {PlatformStore} from '../platform/platform_store.js';
+import {PlatformWorker} from '../platform/platform_worker.js';
+import {decodeWorkerReport} from '../platform/worker_reports.js';
+import {GrpcPoolLinkFactory} from '../protocol/grpc_pool_links.js';
+import {SystemClock} from '../utilities/clock.js';
+import {hostAndPort, runLeaseMillis} from './fleet_parts.js';
+import type {RunningRole} from './process_runner.js';
+
+/** An agent on the users' platform, beside one worker. */
+export class FleetAgentRole implements RunningRole {
+  private readonly agent: WorkflowAgent;
+  private readonly reports: ReportServer;
+  private readonly store: PlatformStore;
+
+  constructor(
+    private readonly settings: FleetProcessSettings,
+    private readonly logger: Logger,
+  ) {
+    const {processName, processPort, seedHosts} = settings;
+    this.store = new PlatformStore({address: settings.store.address});
+    this.agent = new WorkflowAgent({
+      processName,
+      store: this.store,
+      links: new GrpcPoolLinkFactory(),
+      clock: new SystemClock(),
+      logger,
+      longestLeaseMillis: runLeaseMillis(settings),
+      seeds: seedHosts.map(host => `${host}:${processPort}`),
+      agentKey: agentKey(processName),
+      owner: {
+        ownerKey: StoreKeys.OWNER,
+        entryPrefix: StoreKeys.ENTRY_PREFIX,
+        decodeOwner,
+      },
+      openWorker: report =>
+        new PlatformWorker({address: report.address, id: report.id}),
+    });
+    this.reports = new ReportServer({
+      prefix: WORKER_REPORT_PREFIX,
+      decode: decodeWorkerReport,
+      onReport: report => this.agent.noteReport(report),
+      onLeaving: id => this.agent.noteLeaving(id),
+      logger,
+    });
+  }
+
+  async start(): Promise<void> {
+    const {reportAddress, failureDomain} = this.settings;
+    if (reportAddress !== undefined) {
+      const {host, port} = hostAndPort(reportAddress);
+      await this.reports.listen(host, port);
+    }
+    this.agent.start();
+    this.logger.event(Events.PROCESS_STARTED, {role: 'agent', failureDomain});
+  }
+
+  /** What runs at the worker goes on; the next life of the agent adopts it. */
+  async stop(reason: string): Promise<void> {
+    this.reports.close();
+    this.agent.close(reason);
+    this.store.close(reason);
+  }
+}
--- /dev/null
+++ b/src/daemon/fleet_entry_role.ts
@@ -0,0 +1,112 @@
+import {randomUUID} from 'node:crypto';
+import {createServer} from 'node:http';
+import type {Server} from 'node:http';
+import {PoolEntry} from '../entry/workflows/pool_entry.js';
+import {ApiServer} from '../entry/http/api_server.js';
+import {Events} from '../observability/events.js';
+import type {Logger} from '../observability/logger.js';
+import type {Metrics} from '../observability/metrics.js';
+import {
+  CONFIGURATION_KEY,
+  decodeConfiguration,
+  evacuatedDomainOf,
+  OPERATOR_PREFIX,
+} from '../platform/operator_documents.js';
+import type {FleetProcessSettings} from '../platform/platform_settings.js';
+import {HEALTH_PATH} from '../platform/platform_paths.js';
+import {PlatformStore} from '../platform/platform_store.js';
+import {
+  decodeSubmission,
+  encodeState,
+  encodeWaiting,
+  isWorkflowId,
+} from '../platform/submissions.js';
+import {GrpcPoolLinkFactory} from '../protocol/grpc_pool_links.js';
+import type {GrpcServer} from '../protocol/grpc_server.js';
+import {SystemClock} from '../utilities/clock.js';
+import {hostAndPort, runLeaseMillis} from './fleet_parts.js';
+import {createProcessServer} from './process_parts.js';
+import type {RunningRole} from './process_runner.js';
+
+/** The largest request body, until operators say otherwise. */
+const BODY_LIMIT_BYTES = 1_048_576;
+/** Answers under way go out; the balancer needs two misses to look elsewhere. */
+const STOP_PAUSE_MILLIS = 2_300;
+
+/** An entry on the users' platform. */
+export class FleetEntryRole implements RunningRole {
+  private readonly entry: PoolEntry;
+  private readonly processServer: GrpcServer;
+  private readonly callerServer: ApiServer;
+  private readonly healthServer: Server;
+
+  constructor(
+    private readonly settings: FleetProcessSettings,
+    private readonly logger: Logger,
+    metrics: Metrics,
+  ) {
+    this.entry = new PoolEntry({
+      processName: settings.processName,
+      address: `${settings.ip}:${settings.processPort}`,
+      nonce: randomUUID(),
+      store: new PlatformStore({address: settings.store.address}),
+      links: new GrpcPoolLinkFactory(),
+      operatorDocuments: {
+        prefix: OPERATOR_PREFIX,
+        configurationKey: CONFIGURATION_KEY,
+        decodeConfiguration,
+        evacuatedDomainOf,
+      },
+      callerDocuments: {
+        isWorkflowId,
+        decodeSubmission,
+        encodeState,
+        encodeWaiting,
+      },
+      runLeaseMillis: runLeaseMillis(settings),
+      keptMillis: settings.keptMillis,
+      clock: new SystemClock(),
+      logger,
+      metrics,
+    });
+    this.processServer = createProcessServer(logger, undefined);
+    this.callerServer = new ApiServer(call => this.entry.call(call), {
+      bodyLimitBytes: BODY_LIMIT_BYTES,
+    });
+    this.healthServer = createServer((request, response) => {
+      const isHealth = request.url === HEALTH_PATH;
+      const healthy = this.entry.isReady ? 200 : 503;
+      response.writeHead(isHealth ? healthy : 404).end();
+    });
+  }
+
+  async start(): Promise<void> {
+    const {ip, processPort, callerAddress, healthAddress} = this.settings;
+    this.processServer.servePool(this.entry);
+    await this.processServer.listen(`${ip}:${processPort}`);
+    this.entry.start();
+    if (healthAddress !== undefined) {
+      const {host, port} = hostAndPort(healthAddress);
+      this.healthServer.listen(port, host);
+    }
+    if (callerAddress !== undefined) {
+      const {host, port} = hostAndPort(callerAddress);
+      await this.callerServer.listen(host, port);
+    }
+    this.logger.event(Events.PROCESS_STARTED, {
+      role: 'entry',
+      failureDomain: this.settings.failureDomain,
+      callers: callerAddress,
+    });
+  }
+
+  async stop(reason: string): Promise<void> {
+    this.callerServer.drain();
+    await this.entry.stop(reason);
+    await new Promise(resolve => setTimeout(resolve, STOP_PAUSE_MILLIS));
+    await this.callerServer.close();
+    this.healthServer.close();
+    this.entry.dispose(reason);
+    await this.processServer.close(reason);
+  }
+}
--- a/src/daemon/process_runner.ts
+++ b/src/daemon/process_runner.ts
@@ -1,11 +1,8 @@
 import {ConsoleLogger} from '../observability/console_logger.js';
+import type {ConsoleLoggerOptions} from '../observability/console_logger.js';
 import {Events} from '../observability/events.js';
 import type {Logger} from '../observability/logger.js';
 import {Metrics} from '../observability/metrics.js';
-import type {
-  AgentProcessSettings,
-  EntryProcessSettings,
-} from '../settings/process_settings.js';
 import {messageOf} from '../utilities/base_error.js';
 
 const STOP_DEADLINE_MILLIS = 20_000;
@@ -18,9 +15,15 @@
   stop(reason: string): Promise<void>;
 }
 
+/** What every process has to know of itself. */
+export interface ProcessIdentity {
+  readonly process: {readonly id: string};
+  readonly logs: Pick<ConsoleLoggerOptions, 'level' | 'format'>;
+}
+
 /** Starts a role, and runs it until a signal stops it. */
 export async function runRole(
-  settings: AgentProcessSettings | EntryProcessSettings,
+  settings: ProcessIdentity,
   createRole: (logger: Logger, metrics: Metrics) => RunningRole,
 ): Promise<void> {
   const metrics = new Metrics();
--- /dev/null
+++ b/src/decisions/workflows/placement_planner.ts
@@ -0,0 +1,345 @@
+import {fitsInto, subtractResources} from '../../utilities/resources.js';
+import type {Resources} from '../../utilities/resources.js';
+import type {TaskReference, Workflow, Occurrence} from './workflow.js';
+import type {QueueTerms} from './workflow_types.js';
+import {reservedSize} from './worker_view.js';
+import type {WorkerView} from './worker_view.js';
+import type {WorkerHealth} from './worker_health.js';
+import {
+  LATEST_OBJECTIVES,
+  objectiveMillis,
+  remainingChainMillis,
+} from './workflow_timing.js';
+
+/** Share of its processors that a filling task must find unused. */
+const LEAST_FILL_SHARE = 0.7;
+/** What a worker with serving tasks must have left to be as good as another. */
+const SERVING_PENALTY = 0.15;
+/** A failure in a row weighs as much as this share of a worker's processors. */
+const SUSPICION_PENALTY = 0.3;
+/** For a worker on which this very task has failed. */
+const FAILED_HERE_PENALTY = 2;
+/** For a rack away from the data, or away from the other tasks of the step. */
+const REMOTE_PENALTY = 0.5;
+
+/** A worker with what this round has left of it. */
+class Candidate {
+  free: Resources;
+  fillRoomMilliprocessors: number;
+  allowance: number;
+
+  constructor(
+    readonly view: WorkerView,
+    allowance: number,
+    readonly suspicion: number,
+  ) {
+    const {room} = view.traits;
+    this.free = subtractResources(room, view.reserved);
+    this.fillRoomMilliprocessors =
+      this.free.milliprocessors - view.fillDemandMilliprocessors;
+    this.allowance = allowance;
+  }
+
+  take(step: TaskReference['step']): void {
+    const size = reservedSize(step);
+    this.free = subtractResources(this.free, size);
+    this.fillRoomMilliprocessors -= step.size.milliprocessors;
+    this.allowance--;
+  }
+}
+
+/** Tasks of one step that wait for a worker. */
+interface WaitingStep {
+  readonly workflow: Workflow;
+  readonly occurrence: Occurrence;
+  readonly step: number;
+  readonly tasks: readonly TaskReference[];
+  readonly terms: QueueTerms;
+  /** Larger than any other for a step that is late already. */
+  readonly urgency: number;
+  readonly isHopeful: boolean;
+}
+
+/** A decision: run the task there. */
+export interface PlannedRun {
+  readonly reference: TaskReference;
+  readonly worker: WorkerView;
+  /** Given where the members of a gang share it. */
+  readonly run?: number;
+}
+
+export interface PlacementRound {
+  readonly workflows: Iterable<Workflow>;
+  readonly workers: readonly WorkerView[];
+  readonly health: WorkerHealth;
+  /** Undefined for a queue of which nothing is known. */
+  readonly termsOf: (workflow: Workflow) => QueueTerms | undefined;
+  /** Whether the task may be placed now, as far as earlier tries say. */
+  readonly mayPlace: (reference: TaskReference) => boolean;
+  /** Whether the task has failed on the worker. */
+  readonly hasFailedOn: (reference: TaskReference, worker: string) => boolean;
+  /** Workers that may run the step; undefined if all may. */
+  readonly allowedWorkers?: (
+    reference: TaskReference,
+  ) => ReadonlySet<string> | undefined;
+  /** Monotonic time in milliseconds. */
+  readonly now: number;
+  /** Calendar time in milliseconds. */
+  readonly wallNow: number;
+}
+
+/**
+ * Decides which waiting tasks run where.
+ *
+ * Load pattern: short urgent workflows arrive steadily among large ones that
+ * fill what is left. Urgent queues go first; among equals those that can still
+ * be on time go before those that are late, the least slack first. Tasks that
+ * reserve processors go to the worker that keeps most for others, and filling
+ * tasks only to a worker with processors to spare, for one that crawls holds
+ * back its whole workflow.
+ */
+export function planPlacements(round: PlacementRound): PlannedRun[] {
+  const candidates = round.workers.map(
+    view =>
+      new Candidate(
+        view,
+        round.health.allowance(view.key, view.placed.size, round.now),
+        round.health.suspicion(view.key),
+      ),
+  );
+  const planned: PlannedRun[] = [];
+  for (const waiting of waitingSteps(round)) {
+    const step = waiting.workflow.spec.steps[waiting.step];
+    if (step.gang) planned.push(...placeGang(round, waiting, candidates));
+    else planned.push(...placeTasks(round, waiting, candidates));
+  }
+  return planned;
+}
+
+function waitingSteps(round: PlacementRound): WaitingStep[] {
+  const waiting: WaitingStep[] = [];
+  for (const workflow of round.workflows) {
+    if (!workflow.isOpen) continue;
+    const terms = round.termsOf(workflow);
+    if (!terms) continue;
+    for (const occurrence of workflow.occurrences.values()) {
+      waiting.push(...waitingStepsOf(round, workflow, occurrence, terms));
+    }
+  }
+  return waiting.sort(compareSteps);
+}
+
+function waitingStepsOf(
+  round: PlacementRound,
+  workflow: Workflow,
+  occurrence: Occurrence,
+  terms: QueueTerms,
+): WaitingStep[] {
+  const found: WaitingStep[] = [];
+  let slack: number | undefined;
+  for (const step of workflow.spec.steps.keys()) {
+    const states = occurrence.tasks[step];
+    if (!states.some(task => !task.done && task.placements.length === 0)) {
+      continue;
+    }
+    if (!workflow.isStepOpen(occurrence, step)) continue;
+    const tasks = waitingTasks(round, workflow, occurrence, step);
+    if (tasks.length === 0) continue;
+    slack ??= slackMillis(round, workflow, occurrence, terms);
+    found.push({
+      workflow,
+      occurrence,
+      step,
+      tasks,
+      terms,
+      urgency: workflow.spec.steps[step].lasting ? -Infinity : slack,
+      isHopeful: workflow.spec.steps[step].lasting || slack > 0,
+    });
+  }
+  return found;
+}
+
+function waitingTasks(
+  round: PlacementRound,
+  workflow: Workflow,
+  occurrence: Occurrence,
+  step: number,
+): TaskReference[] {
+  const tasks: TaskReference[] = [];
+  for (const [index, task] of occurrence.tasks[step].entries()) {
+    if (task.done || task.placements.length > 0) continue;
+    const reference = workflow.find({
+      workflow: workflow.id,
+      occurrence: occurrence.number,
+      step,
+      index,
+    })!;
+    if (round.mayPlace(reference)) tasks.push(reference);
+  }
+  return tasks;
+}
+
+/** Time that may still be lost before the occurrence is late. */
+function slackMillis(
+  round: PlacementRound,
+  workflow: Workflow,
+  occurrence: Occurrence,
+  terms: QueueTerms,
+): number {
+  const age = round.wallNow - occurrence.dueAtMillis;
+  const left = remainingChainMillis(workflow, occurrence);
+  const objective = objectiveMillis(workflow, terms);
+  const slack = objective - age - left;
+  if (slack > 0) return slack;
+  return LATEST_OBJECTIVES * objective - age - left;
+}
+
+function compareSteps(left: WaitingStep, right: WaitingStep): number {
+  if (left.terms.priority !== right.terms.priority) {
+    return left.terms.priority - right.terms.priority;
+  }
+  if (left.isHopeful !== right.isHopeful) return left.isHopeful ? -1 : 1;
+  return left.urgency - right.urgency;
+}
+
+function placeTasks(
+  round: PlacementRound,
+  waiting: WaitingStep,
+  candidates: readonly Candidate[],
+): PlannedRun[] {
+  const planned: PlannedRun[] = [];
+  const used = usedWorkers(waiting);
+  for (const reference of waiting.tasks) {
+    const candidate = chooseWorker(round, waiting, reference, candidates, used);
+    // Tasks of a step are alike: the next finds no room either.
+    if (!candidate) break;
+    take(reference, candidate, used);
+    planned.push({reference, worker: candidate.view});
+  }
+  return planned;
+}
+
+/** Places all members at once or none, under one run number. */
+function placeGang(
+  round: PlacementRound,
+  waiting: WaitingStep,
+  candidates: readonly Candidate[],
+): PlannedRun[] {
+  const {occurrence, step, tasks} = waiting;
+  const members = occurrence.tasks[step];
+  if (tasks.length < members.length) return [];
+  const run = 1 + Math.max(...members.map(member => member.lastRun));
+  const before = candidates.map(
+    ({free, fillRoomMilliprocessors, allowance}) => ({
+      free,
+      fillRoomMilliprocessors,
+      allowance,
+    }),
+  );
+  const planned: PlannedRun[] = [];
+  const used = usedWorkers(waiting);
+  for (const reference of tasks) {
+    const candidate = chooseWorker(round, waiting, reference, candidates, used);
+    if (!candidate) {
+      for (const [index, each] of candidates.entries()) {
+        Object.assign(each, before[index]);
+      }
+      return [];
+    }
+    take(reference, candidate, used);
+    planned.push({reference, worker: candidate.view, run});
+  }
+  return planned;
+}
+
+function take(
+  reference: TaskReference,
+  candidate: Candidate,
+  used: Map<string, number>,
+): void {
+  candidate.take(reference.step);
+  const {key} = candidate.view;
+  used.set(key, (used.get(key) ?? 0) + 1);
+}
+
+/** How many tasks of the step each worker has. */
+function usedWorkers({occurrence, step}: WaitingStep): Map<string, number> {
+  const used = new Map<string, number>();
+  for (const task of occurrence.tasks[step]) {
+    for (const {worker} of task.placements) {
+      used.set(worker, (used.get(worker) ?? 0) + 1);
+    }
+  }
+  return used;
+}
+
+function chooseWorker(
+  round: PlacementRound,
+  waiting: WaitingStep,
+  reference: TaskReference,
+  candidates: readonly Candidate[],
+  used: ReadonlyMap<string, number>,
+): Candidate | undefined {
+  const {step} = reference;
+  const allowed = round.allowedWorkers?.(reference);
+  let best: Candidate | undefined;
+  let bestScore = -Infinity;
+  for (const candidate of candidates) {
+    const {view} = candidate;
+    if (view.traits.service !== waiting.terms.service) continue;
+    if (allowed && !allowed.has(view.traits.incarnation)) continue;
+    if (!mayRun(candidate, step, used.get(view.key) ?? 0)) continue;
+    const score = scoreOf(round, reference, candidate, used);
+    if (score <= bestScore) continue;
+    best = candidate;
+    bestScore = score;
+  }
+  return best;
+}
+
+function mayRun(
+  candidate: Candidate,
+  step: TaskReference['step'],
+  tasksOfStep: number,
+): boolean {
+  if (candidate.allowance < 1) return false;
+  const {requiredLabel, spreadLimit, fills, size} = step;
+  const {labels} = candidate.view.traits;
+  if (requiredLabel !== '' && !labels.includes(requiredLabel)) return false;
+  if (spreadLimit > 0 && tasksOfStep >= spreadLimit) return false;
+  if (!fitsInto(reservedSize(step), candidate.free)) return false;
+  if (!fills) return true;
+  const needed = LEAST_FILL_SHARE * size.milliprocessors;
+  return candidate.fillRoomMilliprocessors >= needed;
+}
+
+/** Larger is better: the share of processors that stay unused, less penalties. */
+function scoreOf(
+  round: PlacementRound,
+  reference: TaskReference,
+  candidate: Candidate,
+  used: ReadonlyMap<string, number>,
+): number {
+  const {step} = reference;
+  const {view, suspicion} = candidate;
+  const {room, rack} = view.traits;
+  const left = candidate.fillRoomMilliprocessors - step.size.milliprocessors;
+  let score = left / Math.max(1, room.milliprocessors);
+  score -= SUSPICION_PENALTY * suspicion;
+  if (step.fills && view.serves) score -= SERVING_PENALTY;
+  if (step.dataRack !== '' && step.dataRack !== rack) score -= REMOTE_PENALTY;
+  if (step.rackLocal && !isOnRackOf(round, used, rack)) score -= REMOTE_PENALTY;
+  if (round.hasFailedOn(reference, view.key)) score -= FAILED_HERE_PENALTY;
+  return score;
+}
+
+function isOnRackOf(
+  round: PlacementRound,
+  used: ReadonlyMap<string, number>,
+  rack: string,
+): boolean {
+  if (used.size === 0) return true;
+  return round.workers.some(
+    view => used.has(view.key) && view.traits.rack === rack,
+  );
+}
--- /dev/null
+++ b/src/decisions/workflows/task_name.ts
@@ -0,0 +1,31 @@
+/** Names of tasks: workflow, occurrence, step and index, joined by dots. */
+export interface TaskName {
+  readonly workflow: string;
+  readonly occurrence: number;
+  readonly step: number;
+  readonly index: number;
+}
+
+const TASK_NAME = /^([^.]+)\.(\d+)\.(\d+)\.(\d+)$/;
+
+export function formatTaskName(name: TaskName): string {
+  return `${name.workflow}.${name.occurrence}.${name.step}.${name.index}`;
+}
+
+/** Undefined when the text is no task's name. */
+export function parseTaskName(text: string): TaskName | undefined {
+  const match = TASK_NAME.exec(text);
+  if (!match) return undefined;
+  const [, workflow, occurrence, step, index] = match;
+  return {
+    workflow,
+    occurrence: Number(occurrence),
+    step: Number(step),
+    index: Number(index),
+  };
+}
+
+/** Names one run of a task within a worker. */
+export function runKey(task: string, run: number): string {
+  return `${task}#${run}`;
+}
--- /dev/null
+++ b/src/decisions/workflows/workflow_codec.ts
@@ -0,0 +1,131 @@
+/** Workflows as they stand in the store. */
+import {BaseError} from '../../utilities/base_error.js';
+import {TaskState} from './task_state.js';
+import {Workflow} from './workflow.js';
+import type {WorkflowSpec, WorkflowState} from './workflow_types.js';
+
+/** A record in the store can't be read. */
+export const WorkflowRecordError = BaseError.subclass('WorkflowRecordError');
+
+/** A task: 0 untouched, 1 done with nothing left, else its values in order. */
+type TaskRow =
+  | 0
+  | 1
+  | [
+      lastRun: number,
+      failures: number,
+      done: 0 | 1,
+      checkpoint: string,
+      placements: Array<[run: number, worker: number, stopping: 0 | 1]>,
+    ];
+
+interface ProgressRecord {
+  readonly state?: WorkflowState;
+  readonly endedAt?: number;
+  /** Keys of workers; rows name them by their place here. */
+  readonly workers: string[];
+  readonly occurrences: Array<[number: number, tasks: TaskRow[][]]>;
+}
+
+export function encodeSpec(spec: WorkflowSpec): string {
+  return JSON.stringify(spec);
+}
+
+/** @throws WorkflowRecordError */
+export function decodeSpec(text: string): WorkflowSpec {
+  return parse<WorkflowSpec>(text);
+}
+
+/** What has become of a workflow, without its specification. */
+export function encodeProgress(workflow: Workflow): string {
+  const workers: string[] = [];
+  const record: ProgressRecord = {
+    ...(workflow.isOpen
+      ? {}
+      : {state: workflow.state, endedAt: workflow.endedAtMillis}),
+    workers,
+    occurrences: [...workflow.occurrences.values()].map(occurrence => [
+      occurrence.number,
+      occurrence.tasks.map(tasks =>
+        tasks.map(task => encodeTask(task, workers)),
+      ),
+    ]),
+  };
+  return JSON.stringify(record);
+}
+
+/** @throws WorkflowRecordError */
+export function decodeWorkflow(
+  spec: WorkflowSpec,
+  progress: string | undefined,
+): Workflow {
+  const workflow = new Workflow(spec);
+  if (progress === undefined) return workflow;
+  const record = parse<ProgressRecord>(progress);
+  for (const [number, steps] of record.occurrences) {
+    const occurrence = workflow.openOccurrence(number);
+    for (const [step, rows] of steps.entries()) {
+      for (const [index, row] of rows.entries()) {
+        decodeTask(row, occurrence.tasks[step][index], record.workers);
+      }
+    }
+  }
+  const {state, endedAt = 0} = record;
+  if (state !== undefined) workflow.restoreEnd(state, endedAt);
+  return workflow;
+}
+
+/** The state in a progress record; undefined while the workflow is open. */
+export function decodeEndState(progress: string): WorkflowState | undefined {
+  return parse<ProgressRecord>(progress).state;
+}
+
+function encodeTask(task: TaskState, workers: string[]): TaskRow {
+  const {lastRun, failures, done, checkpoint, placements} = task;
+  if (task.isUntouched) return 0;
+  if (done && placements.length === 0) return 1;
+  return [
+    lastRun,
+    failures,
+    done ? 1 : 0,
+    checkpoint,
+    placements.map(({run, worker, stopping}) => [
+      run,
+      indexOf(workers, worker),
+      stopping ? 1 : 0,
+    ]),
+  ];
+}
+
+function indexOf(workers: string[], worker: string): number {
+  const index = workers.indexOf(worker);
+  return index >= 0 ? index : workers.push(worker) - 1;
+}
+
+function decodeTask(row: TaskRow, task: TaskState, workers: string[]): void {
+  if (row === 0) return;
+  if (row === 1) {
+    task.done = true;
+    return;
+  }
+  const [lastRun, failures, done, checkpoint, placements] = row;
+  task.lastRun = lastRun;
+  task.failures = failures;
+  task.done = done === 1;
+  task.checkpoint = checkpoint;
+  task.placements = placements.map(([run, worker, stopping]) => ({
+    run,
+    worker: workers[worker],
+    stopping: stopping === 1,
+  }));
+}
+
+function parse<Record>(text: string): Record {
+  try {
+    return JSON.parse(text) as Record;
+  } catch (error) {
+    throw new WorkflowRecordError('A record of a workflow is not JSON.', {
+      cause: error,
+    });
+  }
+}
--- /dev/null
+++ b/src/decisions/workflows/workflow_timing.ts
@@ -0,0 +1,39 @@
+/** How long workflows take and when they are late. */
+import type {QueueConfiguration} from './workflow_types.js';
+import type {Occurrence, Workflow} from './workflow.js';
+
+/** A workflow counts for nothing after this many times its objective. */
+export const LATEST_OBJECTIVES = 3;
+
+/** The longest chain of steps that are not done, in milliseconds. */
+export function remainingChainMillis(
+  workflow: Workflow,
+  occurrence: Occurrence,
+): number {
+  const {steps} = workflow.spec;
+  const ends: number[] = [];
+  for (const [index, step] of steps.entries()) {
+    const begin = Math.max(0, ...step.after.map(earlier => ends[earlier]));
+    const isDone = occurrence.tasks[index].every(task => task.done);
+    ends.push(isDone ? 0 : begin + step.estimateMillis);
+  }
+  return Math.max(0, ...ends);
+}
+
+/** The longest chain of all steps, in milliseconds. */
+export function wholeChainMillis(workflow: Workflow): number {
+  const ends: number[] = [];
+  for (const step of workflow.spec.steps) {
+    const begin = Math.max(0, ...step.after.map(earlier => ends[earlier]));
+    ends.push(begin + step.estimateMillis);
+  }
+  return Math.max(0, ...ends);
+}
+
+/** Time from acceptance within which a workflow is on time. */
+export function objectiveMillis(
+  workflow: Workflow,
+  terms: Pick<QueueConfiguration, 'stretch' | 'latencyTargetMillis'>,
+): number {
+  return terms.stretch * wholeChainMillis(workflow) + terms.latencyTargetMillis;
+}
--- /dev/null
+++ b/src/entry/workflows/commit_log.ts
@@ -0,0 +1,197 @@
+import type {
+  StorePut,
+  TransactionalStore,
+  TransactionResult,
+} from '../../backends/transactional_store.js';
+import {LEASE_GONE_REASON} from '../../backends/transactional_store.js';
+import {StoreRefusedError} from '../../backends/platform_errors.js';
+import {Events} from '../../observability/events.js';
+import type {Logger} from '../../observability/logger.js';
+import type {Metrics} from '../../observability/metrics.js';
+import {messageOf} from '../../utilities/base_error.js';
+import type {Clock} from '../../utilities/clock.js';
+import {decodeOwner, encodeOwner} from '../../protocol/owner_record.js';
+import type {OwnerRecord} from '../../protocol/owner_record.js';
+import {StoreKeys} from '../../protocol/store_keys.js';
+
+/** A transaction takes 32 rows; two are the owner's key and its condition. */
+const MAXIMUM_ROWS = 28;
+/** Pause before a commit is sent again. */
+const RETRY_MILLIS = 50;
+
+/** Rows of one key that go into a commit together. */
+export interface PendingChange {
+  /** Read when the commit is built, so that it holds all changes by then. */
+  readonly render: () => {
+    readonly puts: readonly StorePut[];
+    readonly removals: readonly string[];
+  };
+  /** Called in order once the rows are durable. */
+  readonly effects: Array<() => void>;
+}
+
+export interface CommitLogOptions {
+  readonly store: TransactionalStore;
+  readonly clock: Clock;
+  readonly logger: Logger;
+  readonly metrics: Metrics;
+  readonly owner: OwnerRecord;
+  /** Revision at which the owner's key stands. */
+  readonly revision: number;
+  /** Another process owns the pool, or the key is gone. */
+  readonly onDeposed: (reason: string) => void;
+}
+
+/**
+ * Writes the owner's changes. Each commit rewrites the owner's key under the
+ * condition of its last revision: commits follow each other, one that was lost
+ * on its way can't land behind a later one, and none lands once there is
+ * another owner. Changes that come while a commit is under way go together in
+ * the next one.
+ */
+export class CommitLog {
+  private readonly pending = new Map<string, PendingChange>();
+  private sequence: number;
+  private revision: number;
+  private running = false;
+  private closedReason: string | undefined;
+
+  constructor(private readonly options: CommitLogOptions) {
+    this.sequence = options.owner.sequence;
+    this.revision = options.revision;
+  }
+
+  /** Whether everything that was decided is durable. */
+  get isIdle(): boolean {
+    return this.pending.size === 0 && !this.running;
+  }
+
+  /** Puts the rows of a subject into the next commit. */
+  change(
+    subject: string,
+    render: PendingChange['render'],
+    effect?: () => void,
+  ): void {
+    const known = this.pending.get(subject);
+    const effects = known?.effects ?? [];
+    if (effect) effects.push(effect);
+    this.pending.set(subject, {render, effects});
+    this.schedule();
+  }
+
+  close(reason: string): void {
+    this.closedReason = reason;
+    this.pending.clear();
+  }
+
+  /** Decisions of one turn of the loop go together. */
+  private schedule(): void {
+    if (this.running || this.closedReason !== undefined) return;
+    this.running = true;
+    setImmediate(() => void this.run());
+  }
+
+  private async run(): Promise<void> {
+    while (this.pending.size > 0 && this.closedReason === undefined) {
+      await this.commitNext();
+    }
+    this.running = false;
+  }
+
+  private async commitNext(): Promise<void> {
+    const {puts, removals, effects} = this.takeBatch();
+    const sequence = this.sequence + 1;
+    const {owner, clock, metrics} = this.options;
+    const value = encodeOwner({...owner, sequence});
+    const begunAt = clock.now();
+    const committed = await this.untilDecided(
+      sequence,
+      [{key: StoreKeys.OWNER, value, leaseId: owner.leaseId}, ...puts],
+      removals,
+    );
+    if (!committed || this.closedReason !== undefined) return;
+    this.sequence = sequence;
+    metrics
+      .latency('commit_seconds', 'From a decision being sent to its commit.')
+      .record(clock.now() - begunAt);
+    for (const effect of effects) effect();
+  }
+
+  private takeBatch(): {
+    puts: StorePut[];
+    removals: string[];
+    effects: Array<() => void>;
+  } {
+    const puts: StorePut[] = [];
+    const removals: string[] = [];
+    const effects: Array<() => void> = [];
+    for (const [subject, change] of this.pending) {
+      const rows = change.render();
+      const count = rows.puts.length + rows.removals.length;
+      const total = puts.length + removals.length + count;
+      if (total > MAXIMUM_ROWS && effects.length > 0) break;
+      this.pending.delete(subject);
+      puts.push(...rows.puts);
+      removals.push(...rows.removals);
+      effects.push(...change.effects);
+      if (total >= MAXIMUM_ROWS) break;
+    }
+    return {puts, removals, effects};
+  }
+
+  /** Sends the same commit until it is known to be written or void. */
+  private async untilDecided(
+    sequence: number,
+    puts: readonly StorePut[],
+    removals: readonly string[],
+  ): Promise<boolean> {
+    const {store, logger, onDeposed} = this.options;
+    for (let tries = 1; this.closedReason === undefined; tries++) {
+      try {
+        const result = await store.transact({
+          conditions: [{key: StoreKeys.OWNER, revision: this.revision}],
+          puts,
+          removals,
+        });
+        const revision = this.revisionOf(result, sequence);
+        if (revision === undefined) {
+          onDeposed("the owner's key was rewritten or is gone");
+          return false;
+        }
+        this.revision = revision;
+        return true;
+      } catch (error) {
+        const reason = messageOf(error);
+        if (
+          error instanceof StoreRefusedError &&
+          reason === LEASE_GONE_REASON
+        ) {
+          onDeposed(reason);
+          return false;
+        }
+        logger.event(Events.COMMIT_RETRIED, {reason, tries, sequence});
+        await this.pause(RETRY_MILLIS);
+      }
+    }
+    return false;
+  }
+
+  /** The revision of the commit; undefined if another owner has written. */
+  private revisionOf(
+    result: TransactionResult,
+    sequence: number,
+  ): number | undefined {
+    if (result.succeeded) return result.revision;
+    const standing = result.current.find(({key}) => key === StoreKeys.OWNER);
+    const record = standing && decodeOwner(standing.value);
+    if (!standing || record?.nonce !== this.options.owner.nonce)
+      return undefined;
+    // An earlier try was written although its answer was lost.
+    return record.sequence === sequence ? standing.revision : undefined;
+  }
+
+  private pause(millis: number): Promise<void> {
+    const {clock} = this.options;
+    return new Promise(resolve => clock.schedule(millis, resolve));
+  }
+}
--- /dev/null
+++ b/src/entry/workflows/owner_client.ts
@@ -0,0 +1,106 @@
+import type {WorkflowState} from '../../decisions/workflows/workflow_types.js';
+import type {WorkflowSpec} from '../../decisions/workflows/workflow_types.js';
+import {encodeSpec} from '../../decisions/workflows/workflow_codec.js';
+import {Events} from '../../observability/events.js';
+import type {Logger} from '../../observability/logger.js';
+import type {PoolLink, PoolLinkFactory} from '../../protocol/pool_links.js';
+import {messageOf} from '../../utilities/base_error.js';
+import type {PoolOwnership} from './pool_ownership.js';
+
+export interface OwnerClientOptions {
+  readonly ownership: PoolOwnership;
+  readonly links: PoolLinkFactory;
+  readonly logger: Logger;
+}
+
+/** What the owner says of a workflow. */
+export interface OwnersWord {
+  /** Undefined if the owner does not know the workflow. */
+  readonly state?: WorkflowState;
+}
+
+/** Speaks to the owner of the pool, in this process or another. */
+export class OwnerClient {
+  private link: PoolLink | undefined;
+  private address = '';
+
+  constructor(private readonly options: OwnerClientOptions) {}
+
+  /** Tells the owner at once what it would find in the store a little later. */
+  noteAccepted(spec: WorkflowSpec): void {
+    const {owner} = this.options.ownership;
+    if (owner) return owner.noteWorkflow(spec);
+    this.tell(spec.id, link =>
+      link.noteWorkflow({
+        workflow: spec.id,
+        cancelled: false,
+        record: encodeSpec(spec),
+      }),
+    );
+  }
+
+  noteCancelled(id: string): void {
+    const {owner} = this.options.ownership;
+    if (owner) return owner.cancel(id);
+    this.tell(id, link =>
+      link.noteWorkflow({workflow: id, cancelled: true, record: ''}),
+    );
+  }
+
+  /** Undefined when the owner can't be asked. */
+  async show(id: string): Promise<OwnersWord | undefined> {
+    const {owner} = this.options.ownership;
+    if (owner) return {state: owner.stateOf(id)};
+    const reply = await this.ask(link => link.showWorkflow({workflow: id}));
+    if (!reply?.owned) return undefined;
+    return reply.state === '' ? {} : {state: reply.state as WorkflowState};
+  }
+
+  /** Undefined when the owner can't be asked. */
+  async countWaiting(queue: string): Promise<number | undefined> {
+    const {owner} = this.options.ownership;
+    if (owner) return owner.countQueued(queue);
+    const reply = await this.ask(link => link.countWaiting({queue}));
+    return reply?.owned ? reply.waiting : undefined;
+  }
+
+  close(reason: string): void {
+    this.link?.close(reason);
+    this.link = undefined;
+  }
+
+  private tell(id: string, call: (link: PoolLink) => Promise<unknown>): void {
+    void this.ask(call).then(reply => {
+      if (reply !== undefined) return;
+      // The owner reads its inbox once a second.
+      this.options.logger.event(Events.AGENT_CALL_FAILED, {
+        workflow: id,
+        reason: 'the owner was not told at once',
+      });
+    });
+  }
+
+  private async ask<Reply>(
+    call: (link: PoolLink) => Promise<Reply>,
+  ): Promise<Reply | undefined> {
+    const link = this.linkToOwner();
+    if (!link) return undefined;
+    try {
+      return await call(link);
+    } catch (error) {
+      const reason = messageOf(error);
+      this.options.logger.event(Events.AGENT_CALL_FAILED, {reason});
+      return undefined;
+    }
+  }
+
+  private linkToOwner(): PoolLink | undefined {
+    const {known} = this.options.ownership;
+    if (!known) return undefined;
+    if (this.link && this.address === known.address) return this.link;
+    this.link?.close('the pool has another owner');
+    this.address = known.address;
+    this.link = this.options.links.openPool(known.address);
+    return this.link;
+  }
+}
--- /dev/null
+++ b/src/entry/workflows/pool_entry.ts
@@ -0,0 +1,202 @@
+import type {TransactionalStore} from '../../backends/transactional_store.js';
+import {decodeSpec} from '../../decisions/workflows/workflow_codec.js';
+import {Events} from '../../observability/events.js';
+import type {Logger} from '../../observability/logger.js';
+import type {Metrics} from '../../observability/metrics.js';
+import type {
+  CountWaitingReply,
+  CountWaitingRequest,
+  FindOwnerReply,
+  NoteWorkflowReply,
+  NoteWorkflowRequest,
+  ShowWorkflowReply,
+  ShowWorkflowRequest,
+  WorkerCommands,
+  WorkerUpdate,
+} from '../../protocol/generated/burdockmoor.js';
+import type {
+  Attachment,
+  AttachmentListener,
+  PoolHandlers,
+  PoolLinkFactory,
+} from '../../protocol/pool_links.js';
+import {messageOf} from '../../utilities/base_error.js';
+import type {Clock} from '../../utilities/clock.js';
+import type {ApiAnswer, ApiCall} from '../http/api_types.js';
+import {ConfigurationFollower} from './configuration_follower.js';
+import type {OperatorDocuments} from './configuration_follower.js';
+import {OwnerClient} from './owner_client.js';
+import {PoolOwner} from './pool_owner.js';
+import {OWNER_TTL_MILLIS, PoolOwnership} from './pool_ownership.js';
+import {entryKey} from '../../protocol/store_keys.js';
+import {StoreHealth} from './store_health.js';
+import {WorkflowAcceptor} from './workflow_acceptor.js';
+import {WorkflowApi} from './workflow_api.js';
+import type {CallerDocuments} from './workflow_api.js';
+
+const REGISTRATION_PAUSE_MILLIS = 500;
+
+export interface PoolEntryOptions {
+  readonly processName: string;
+  /** HOST:PORT for calls between processes. */
+  readonly address: string;
+  /** Differs for each life of the process. */
+  readonly nonce: string;
+  readonly store: TransactionalStore;
+  readonly links: PoolLinkFactory;
+  readonly operatorDocuments: OperatorDocuments;
+  readonly callerDocuments: CallerDocuments;
+  readonly runLeaseMillis: number;
+  /** How long the state of an ended workflow is kept. */
+  readonly keptMillis: number;
+  readonly clock: Clock;
+  readonly logger: Logger;
+  readonly metrics: Metrics;
+}
+
+/** An entry of the fleet: takes callers' requests, and may own the pool. */
+export class PoolEntry implements PoolHandlers {
+  private readonly configuration: ConfigurationFollower;
+  private readonly ownership: PoolOwnership;
+  private readonly ownerClient: OwnerClient;
+  private readonly health: StoreHealth;
+  private readonly api: WorkflowApi;
+  private stopping = false;
+
+  constructor(private readonly options: PoolEntryOptions) {
+    const {store, clock, logger, metrics, processName, address} = options;
+    this.health = new StoreHealth(clock);
+    this.configuration = new ConfigurationFollower({
+      store,
+      documents: options.operatorDocuments,
+      clock,
+      logger,
+      onChange: () => this.ownership.owner?.noteConfiguration(),
+    });
+    this.ownership = new PoolOwnership({
+      store,
+      clock,
+      logger,
+      processName,
+      address,
+      nonce: options.nonce,
+      isEligible: () => this.configuration.table !== undefined,
+      createOwner: (claim, onDeposed) =>
+        new PoolOwner({
+          ...claim,
+          store,
+          clock,
+          logger,
+          metrics,
+          configuration: this.configuration,
+          ownerTtlMillis: OWNER_TTL_MILLIS,
+          runLeaseMillis: options.runLeaseMillis,
+          keptMillis: options.keptMillis,
+          onDeposed,
+        }),
+    });
+    this.ownerClient = new OwnerClient({
+      ownership: this.ownership,
+      links: options.links,
+      logger,
+    });
+    const acceptor = new WorkflowAcceptor({
+      store,
+      health: this.health,
+      owner: this.ownerClient,
+      clock,
+      logger,
+    });
+    this.api = new WorkflowApi({
+      configuration: this.configuration,
+      acceptor,
+      owner: this.ownerClient,
+      store,
+      documents: options.callerDocuments,
+      clock,
+      logger,
+    });
+  }
+
+  /** Whether callers are to come here. */
+  get isReady(): boolean {
+    const isKnowing = this.configuration.table !== undefined;
+    return isKnowing && !this.stopping && !this.health.isAway;
+  }
+
+  start(): void {
+    this.configuration.start();
+    this.ownership.start();
+    void this.register();
+  }
+
+  /** Takes no new callers, and hands the pool over. */
+  async stop(reason: string): Promise<void> {
+    this.stopping = true;
+    await this.ownership.close(reason);
+  }
+
+  dispose(reason: string): void {
+    this.configuration.close();
+    this.ownerClient.close(reason);
+    this.options.store.close(reason);
+  }
+
+  call(call: ApiCall): Promise<ApiAnswer> {
+    return this.api.handle(call);
+  }
+
+  attach(
+    attachment: Attachment<WorkerCommands>,
+  ): AttachmentListener<WorkerUpdate> {
+    const {owner} = this.ownership;
+    if (owner) return owner.attach(attachment);
+    setImmediate(() => attachment.close('this entry does not own the pool'));
+    return {onMessage: () => {}, onEnd: () => {}};
+  }
+
+  async findOwner(): Promise<FindOwnerReply> {
+    const {known} = this.ownership;
+    return known
+      ? {address: known.address, epoch: known.epoch}
+      : {address: '', epoch: 0};
+  }
+
+  async noteWorkflow(request: NoteWorkflowRequest): Promise<NoteWorkflowReply> {
+    const {owner} = this.ownership;
+    if (!owner) return {noted: false};
+    if (request.cancelled) owner.cancel(request.workflow);
+    else owner.noteWorkflow(decodeSpec(request.record));
+    return {noted: true};
+  }
+
+  async showWorkflow(request: ShowWorkflowRequest): Promise<ShowWorkflowReply> {
+    const {owner} = this.ownership;
+    if (!owner) return {owned: false, state: ''};
+    return {owned: true, state: owner.stateOf(request.workflow) ?? ''};
+  }
+
+  async countWaiting(request: CountWaitingRequest): Promise<CountWaitingReply> {
+    const {owner} = this.ownership;
+    if (!owner) return {owned: false, waiting: 0};
+    return {owned: true, waiting: owner.countQueued(request.queue)};
+  }
+
+  /** Lets agents find this entry; the key says where, not that it lives. */
+  private async register(): Promise<void> {
+    const {store, processName, address, logger, clock} = this.options;
+    while (!this.stopping) {
+      try {
+        const puts = [{key: entryKey(processName), value: address}];
+        await store.transact({conditions: [], puts});
+        return;
+      } catch (error) {
+        const reason = messageOf(error);
+        logger.event(Events.REGISTRATION_FAILED, {reason});
+      }
+      await new Promise<void>(resolve =>
+        clock.schedule(REGISTRATION_PAUSE_MILLIS, resolve),
+      );
+    }
+  }
+}
--- /dev/null
+++ b/src/entry/workflows/worker_attachment.ts
@@ -0,0 +1,272 @@
+import {RunOutcome, StartRefusal} from '../../backends/leased_worker.js';
+import {runKey} from '../../decisions/workflows/task_name.js';
+import {taskNameOf} from '../../decisions/workflows/workflow.js';
+import type {PlacedRun} from '../../decisions/workflows/workflow.js';
+import type {
+  WorkerTraits,
+  WorkerView,
+} from '../../decisions/workflows/worker_view.js';
+import {Events} from '../../observability/events.js';
+import type {Logger} from '../../observability/logger.js';
+import type {
+  RunEnd,
+  RunStatus,
+  RunTraits,
+  StartCommand,
+  RunStartResult,
+  StopCommand,
+  WorkerCommands,
+  WorkerDescription,
+  WorkerUpdate,
+} from '../../protocol/generated/burdockmoor.js';
+import type {
+  Attachment,
+  AttachmentListener,
+} from '../../protocol/pool_links.js';
+import type {Clock} from '../../utilities/clock.js';
+import {NO_RESOURCES} from '../../utilities/resources.js';
+import {EndAcknowledgements} from './end_acknowledgements.js';
+
+/** A start or stop that shows no effect is sent again after this long. */
+const REPEAT_MILLIS = 800;
+
+/** What the owner does with the news of its workers. */
+export interface WorkerNews {
+  onAttached(attachment: WorkerAttachment): void;
+  onWorker(agent: string, traits: WorkerTraits): WorkerView;
+  /** The effect is called when the end is durable or needs not be. */
+  onEnd(view: WorkerView, end: RunEnd, effect: () => void): void;
+  onRefusal(view: WorkerView, result: RunStartResult): void;
+  /** The list of running runs was renewed. */
+  onListing(view: WorkerView): void;
+  onLapsed(view: WorkerView): void;
+  onDetached(attachment: WorkerAttachment, reason: string): void;
+  /** Size of a run that was not placed here; undefined if nothing is known. */
+  describeRun(task: string): PlacedRun['reference']['step'] | undefined;
+}
+
+export interface WorkerAttachmentOptions {
+  readonly attachment: Attachment<WorkerCommands>;
+  readonly news: WorkerNews;
+  readonly clock: Clock;
+  readonly logger: Logger;
+  readonly epoch: number;
+  /** The lease to grant now; 0 if the owner may not be the owner any more. */
+  readonly leaseMillis: () => number;
+}
+
+/** The owner's end of the stream to one agent. */
+export class WorkerAttachment implements AttachmentListener<WorkerUpdate> {
+  agent = '';
+  view: WorkerView | undefined;
+  /** When a lease was granted last, on the owner's clock. */
+  grantedAt = -Infinity;
+  private ends = new EndAcknowledgements();
+  private lastSequence = 0;
+  private readonly starts: StartCommand[] = [];
+  private readonly stops: StopCommand[] = [];
+  private readonly sentAt = new Map<string, number>();
+  private flushScheduled = false;
+  private ended = false;
+
+  constructor(private readonly options: WorkerAttachmentOptions) {}
+
+  onMessage(update: WorkerUpdate): void {
+    const {news, clock} = this.options;
+    this.agent = update.agent;
+    this.lastSequence = update.sequence;
+    news.onAttached(this);
+    if (update.worker) this.meet(update.agent, update.worker);
+    const {view} = this;
+    if (view) {
+      view.heardAt = clock.now();
+      view.silentMillis = update.silentMillis;
+      for (const end of update.ends) this.takeEnd(view, end);
+      for (const result of update.results) news.onRefusal(view, result);
+      if (update.hasRunning) this.takeListing(view, update);
+      if (update.lapsed) news.onLapsed(view);
+    }
+    this.reply();
+  }
+
+  onEnd(reason: string): void {
+    if (this.ended) return;
+    this.ended = true;
+    this.options.news.onDetached(this, reason);
+  }
+
+  /** Has the worker begin a run that is durable. */
+  start({reference, placement}: PlacedRun): void {
+    const {view} = this;
+    if (!view || placement.worker !== view.key || placement.stopping) return;
+    const task = taskNameOf(reference);
+    this.sentAt.set(runKey(task, placement.run), this.options.clock.now());
+    this.starts.push({
+      incarnation: view.traits.incarnation,
+      task,
+      run: placement.run,
+      payload: reference.workflow.spec.payload,
+      checkpoint: reference.task.checkpoint,
+      fills: reference.step.fills,
+      tailTargetMillis: reference.step.tailTargetMillis,
+      ticket: '',
+    });
+    this.scheduleFlush();
+  }
+
+  close(reason: string): void {
+    if (this.ended) return;
+    this.options.attachment.close(reason);
+    this.onEnd(reason);
+  }
+
+  private meet(agent: string, description: WorkerDescription): void {
+    const before = this.view;
+    this.view = this.options.news.onWorker(agent, toTraits(description));
+    if (before === this.view) return;
+    this.ends = new EndAcknowledgements();
+    this.sentAt.clear();
+  }
+
+  private takeEnd(view: WorkerView, end: RunEnd): void {
+    if (!this.ends.begin(end.number)) return;
+    const {ends} = this;
+    this.sentAt.delete(runKey(end.task, end.run));
+    this.options.news.onEnd(view, end, () => {
+      if (ends.settle(end.number) && ends === this.ends) this.scheduleFlush();
+    });
+  }
+
+  private takeListing(view: WorkerView, update: WorkerUpdate): void {
+    view.listed = true;
+    view.running.clear();
+    for (const run of update.running) {
+      view.running.set(runKey(run.task, run.run), run);
+    }
+    this.reconcile(view, new Set(update.starting));
+    this.options.news.onListing(view);
+  }
+
+  /** Sends again what has not shown its effect. */
+  private reconcile(view: WorkerView, starting: ReadonlySet<string>): void {
+    for (const [name, placed] of view.placed) {
+      if (starting.has(name)) continue;
+      const isRunning = view.running.has(name);
+      if (placed.placement.stopping) this.stopAgain(name, placed);
+      else if (!isRunning) this.startAgain(name, placed);
+      else this.sentAt.delete(name);
+    }
+    view.unexpected.clear();
+    for (const [name, run] of view.running) {
+      if (!view.placed.has(name)) this.noteUnexpected(view, name, run);
+    }
+  }
+
+  /** A start that was never sent is not durable yet. */
+  private startAgain(name: string, placed: PlacedRun): void {
+    if (this.isRecent(name)) return;
+    this.start(placed);
+  }
+
+  private stopAgain(name: string, {reference, placement}: PlacedRun): void {
+    if (this.isRecent(name)) return;
+    this.stop(taskNameOf(reference), placement.run);
+  }
+
+  /** Has the worker end a run, or never begin it. */
+  stop(task: string, run: number): void {
+    const {view} = this;
+    if (!view) return;
+    this.sentAt.set(runKey(task, run), this.options.clock.now());
+    this.stops.push({incarnation: view.traits.incarnation, task, run});
+    this.scheduleFlush();
+  }
+
+  /** A run placed just now is started by its commit, not from here. */
+  notePlaced(task: string, run: number): void {
+    this.sentAt.set(runKey(task, run), this.options.clock.now());
+  }
+
+  private noteUnexpected(
+    view: WorkerView,
+    name: string,
+    {task, run}: RunStatus,
+  ): void {
+    const step = this.options.news.describeRun(task);
+    const size = step?.size ?? NO_RESOURCES;
+    view.unexpected.set(name, {size, fills: step?.fills ?? false});
+    if (this.isRecent(name)) return;
+    this.options.logger.event(Events.RUN_UNEXPECTED, {
+      task,
+      run,
+      worker: view.key,
+    });
+    this.stop(task, run);
+  }
+
+  private isRecent(name: string): boolean {
+    const sentAt = this.sentAt.get(name);
+    if (sentAt === undefined) return false;
+    return this.options.clock.now() - sentAt < REPEAT_MILLIS;
+  }
+
+  /** Commands of one turn of the loop go out together. */
+  private scheduleFlush(): void {
+    if (this.flushScheduled || this.ended) return;
+    this.flushScheduled = true;
+    setImmediate(() => {
+      this.flushScheduled = false;
+      this.send(0, []);
+    });
+  }
+
+  private reply(): void {
+    const leaseMillis = this.options.leaseMillis();
+    if (leaseMillis > 0) this.grantedAt = this.options.clock.now();
+    this.send(leaseMillis, this.traitsOfRuns());
+  }
+
+  private send(leaseMillis: number, traits: RunTraits[]): void {
+    if (this.ended) return;
+    const {attachment, epoch} = this.options;
+    const sent = attachment.send({
+      epoch,
+      sequence: this.lastSequence,
+      leaseMillis,
+      incarnation: this.view?.traits.incarnation ?? '',
+      durableEnd: this.ends.durableEnd,
+      starts: this.starts,
+      stops: this.stops,
+      traits,
+    });
+    if (!sent) return;
+    this.starts.length = 0;
+    this.stops.length = 0;
+  }
+
+  /** What the agent needs to guard tails, also of runs it did not start. */
+  private traitsOfRuns(): RunTraits[] {
+    const traits: RunTraits[] = [];
+    for (const {reference, placement} of this.view?.placed.values() ?? []) {
+      const {fills, tailTargetMillis} = reference.step;
+      if (!fills && tailTargetMillis === 0) continue;
+      const task = taskNameOf(reference);
+      traits.push({task, run: placement.run, fills, tailTargetMillis});
+    }
+    return traits;
+  }
+}
+
+/** Whether the outcome is known here. */
+export function isRunOutcome(text: string): text is RunOutcome {
+  return (Object.values(RunOutcome) as string[]).includes(text);
+}
+
+/** Whether the worker, not the run, is the reason for a refusal. */
+export function blamesWorker(refusal: string): boolean {
+  return refusal === StartRefusal.REJECTED || refusal === StartRefusal.REPLACED;
+}
+
+function toTraits(description: WorkerDescription): WorkerTraits {
+  return {...description, room: description.room ?? NO_RESOURCES};
+}
--- /dev/null
+++ b/src/entry/workflows/workflow_acceptor.ts
@@ -0,0 +1,120 @@
+import {StoreRefusedError} from '../../backends/platform_errors.js';
+import type {TransactionalStore} from '../../backends/transactional_store.js';
+import {encodeSpec} from '../../decisions/workflows/workflow_codec.js';
+import type {WorkflowSpec} from '../../decisions/workflows/workflow_types.js';
+import {Events} from '../../observability/events.js';
+import type {Logger} from '../../observability/logger.js';
+import {messageOf} from '../../utilities/base_error.js';
+import type {Clock} from '../../utilities/clock.js';
+import type {OwnerClient} from './owner_client.js';
+import {cancelKey, newKey, specKey} from '../../protocol/store_keys.js';
+import type {StoreHealth} from './store_health.js';
+
+/** What became of a submission or a cancellation. */
+export const Acceptance = {
+  STORED: 'stored',
+  /** It surely does not stand in the store and never will. */
+  REFUSED: 'refused',
+  /** It may stand in the store, now or a little later. */
+  UNKNOWN: 'unknown',
+  /** There is no such workflow. */
+  ABSENT: 'absent',
+} as const;
+export type Acceptance = (typeof Acceptance)[keyof typeof Acceptance];
+
+export interface WorkflowAcceptorOptions {
+  readonly store: TransactionalStore;
+  readonly health: StoreHealth;
+  readonly owner: OwnerClient;
+  readonly clock: Clock;
+  readonly logger: Logger;
+}
+
+/**
+ * Stores workflows and cancellations. Any entry may: the key of a workflow can
+ * be created once, whoever takes the caller's repeated request.
+ */
+export class WorkflowAcceptor {
+  constructor(private readonly options: WorkflowAcceptorOptions) {}
+
+  async submit(spec: WorkflowSpec): Promise<Acceptance> {
+    const {store, health, clock, logger, owner} = this.options;
+    const {id, queue} = spec;
+    if (!health.mayTry()) return this.refuse(id, 'the store is away');
+    const sentAt = clock.now();
+    try {
+      const result = await store.transact({
+        conditions: [{key: specKey(id), revision: 0}],
+        puts: [
+          {key: specKey(id), value: encodeSpec(spec)},
+          {key: newKey(id), value: ''},
+        ],
+      });
+      health.noteSuccess();
+      logger.event(Events.WORKFLOW_ACCEPTED, {
+        workflow: id,
+        queue,
+        isRepeated: !result.succeeded,
+        tookMillis: Math.round(clock.now() - sentAt),
+      });
+      if (result.succeeded) owner.noteAccepted(spec);
+      return Acceptance.STORED;
+    } catch (error) {
+      health.noteFailure(sentAt);
+      const reason = messageOf(error);
+      if (error instanceof StoreRefusedError) return this.refuse(id, reason);
+      return this.lookAfter(spec, reason);
+    }
+  }
+
+  async cancel(id: string): Promise<Acceptance> {
+    const {store, health, clock, logger, owner} = this.options;
+    const sentAt = clock.now();
+    try {
+      const spec = await store.get(specKey(id));
+      if (!spec) return Acceptance.ABSENT;
+      await store.transact({
+        conditions: [],
+        puts: [{key: cancelKey(id), value: ''}],
+      });
+      health.noteSuccess();
+      logger.event(Events.WORKFLOW_CANCELLED, {workflow: id});
+      owner.noteCancelled(id);
+      return Acceptance.STORED;
+    } catch (error) {
+      health.noteFailure(sentAt);
+      const reason = messageOf(error);
+      logger.event(Events.WORKFLOW_UNDECIDED, {workflow: id, reason});
+      return Acceptance.UNKNOWN;
+    }
+  }
+
+  private refuse(id: string, reason: string): Acceptance {
+    this.options.logger.event(Events.WORKFLOW_REFUSED, {workflow: id, reason});
+    return Acceptance.REFUSED;
+  }
+
+  /** The write may have taken effect: only the store can say. */
+  private async lookAfter(
+    spec: WorkflowSpec,
+    reason: string,
+  ): Promise<Acceptance> {
+    const {store, health, logger, owner} = this.options;
+    const {id} = spec;
+    try {
+      const standing = await store.get(specKey(id));
+      health.noteSuccess();
+      if (standing) {
+        owner.noteAccepted(spec);
+        return Acceptance.STORED;
+      }
+    } catch (error) {
+      logger.event(Events.WORKFLOW_UNDECIDED, {
+        workflow: id,
+        reason: messageOf(error),
+      });
+    }
+    logger.event(Events.WORKFLOW_UNDECIDED, {workflow: id, reason});
+    return Acceptance.UNKNOWN;
+  }
+}
--- /dev/null
+++ b/src/entry/workflows/workflow_api.ts
@@ -0,0 +1,173 @@
+import type {TransactionalStore} from '../../backends/transactional_store.js';
+import {decodeEndState} from '../../decisions/workflows/workflow_codec.js';
+import {WorkflowState} from '../../decisions/workflows/workflow_types.js';
+import type {
+  QueueConfiguration,
+  StepSpec,
+  WorkflowSchedule,
+  WorkflowSpec,
+} from '../../decisions/workflows/workflow_types.js';
+import {Events} from '../../observability/events.js';
+import type {Logger} from '../../observability/logger.js';
+import {messageOf} from '../../utilities/base_error.js';
+import type {Clock} from '../../utilities/clock.js';
+import type {ApiAnswer, ApiCall} from '../http/api_types.js';
+import type {ConfigurationFollower} from './configuration_follower.js';
+import type {OwnerClient} from './owner_client.js';
+import {progressKey, specKey} from '../../protocol/store_keys.js';
+import {Acceptance} from './workflow_acceptor.js';
+import type {WorkflowAcceptor} from './workflow_acceptor.js';
+
+/** How callers' documents are read and written. */
+export interface CallerDocuments {
+  isWorkflowId(text: string): boolean;
+  decodeSubmission(text: string):
+    | {
+        readonly payload: string;
+        readonly steps: readonly StepSpec[];
+        readonly schedule?: WorkflowSchedule;
+      }
+    | undefined;
+  encodeState(state: WorkflowState): string;
+  encodeWaiting(count: number): string;
+}
+
+export interface WorkflowApiOptions {
+  readonly configuration: ConfigurationFollower;
+  readonly acceptor: WorkflowAcceptor;
+  readonly owner: OwnerClient;
+  readonly store: TransactionalStore;
+  readonly documents: CallerDocuments;
+  readonly clock: Clock;
+  readonly logger: Logger;
+}
+
+/** Seconds after which the store or an owner may be back. */
+const RETRY_AFTER_SECONDS = 1;
+
+/** Where a call goes. */
+interface Target {
+  readonly queue: QueueConfiguration;
+  /** Empty for the queue itself. */
+  readonly workflow: string;
+}
+
+/** Serves callers: submit, show and cancel workflows, and count those that wait. */
+export class WorkflowApi {
+  constructor(private readonly options: WorkflowApiOptions) {}
+
+  async handle(call: ApiCall): Promise<ApiAnswer> {
+    const target = await this.findTarget(call);
+    if (!('queue' in target)) return target;
+    const {workflow} = target;
+    if (workflow === '') return this.countWaiting(target, call);
+    if (!this.options.documents.isWorkflowId(workflow)) return answer(404);
+    if (call.method === 'POST') return this.submit(target, call);
+    if (call.method === 'GET') return this.show(workflow);
+    if (call.method === 'DELETE') return this.cancel(workflow);
+    return answer(405);
+  }
+
+  /** A queue that is not known may have been added a moment ago. */
+  private async findTarget(call: ApiCall): Promise<Target | ApiAnswer> {
+    const {configuration} = this.options;
+    const path = call.target.split('?', 1)[0];
+    const host = call.headers.get('host') ?? '';
+    if (!configuration.table) return later();
+    let queue = configuration.table.find(host, path);
+    if (!queue) {
+      const isSure = await configuration.refresh();
+      queue = configuration.table.find(host, path);
+      if (!queue) return isSure ? answer(404) : later();
+    }
+    return {queue, workflow: path.slice(queue.prefix.length)};
+  }
+
+  private async submit(
+    {queue, workflow}: Target,
+    call: ApiCall,
+  ): Promise<ApiAnswer> {
+    const {documents, clock, logger, acceptor} = this.options;
+    const text = Buffer.from(call.body).toString('utf8');
+    const submission = documents.decodeSubmission(text);
+    if (!submission) {
+      const reason = 'the body is no workflow';
+      logger.event(Events.WORKFLOW_REFUSED, {workflow, reason});
+      return answer(400);
+    }
+    const spec: WorkflowSpec = {
+      ...submission,
+      id: workflow,
+      queue: queue.name,
+      terms: {
+        service: queue.service,
+        priority: queue.priority,
+        maximumFailures: queue.maximumFailures,
+        stretch: queue.stretch,
+        latencyTargetMillis: queue.latencyTargetMillis,
+        advice: queue.advice,
+      },
+      acceptedAtMillis: clock.wallTime(),
+    };
+    const acceptance = await acceptor.submit(spec);
+    if (acceptance === Acceptance.STORED) return answer(200);
+    // Nobody knows yet: the caller has to ask again under the same id.
+    return acceptance === Acceptance.UNKNOWN ? answer(504) : later();
+  }
+
+  private async cancel(workflow: string): Promise<ApiAnswer> {
+    const acceptance = await this.options.acceptor.cancel(workflow);
+    if (acceptance === Acceptance.STORED) return answer(200);
+    return acceptance === Acceptance.ABSENT ? answer(410) : answer(504);
+  }
+
+  private async show(workflow: string): Promise<ApiAnswer> {
+    const {owner, documents} = this.options;
+    const word = await owner.show(workflow);
+    const state = word?.state;
+    if (state) return answer(200, documents.encodeState(state));
+    return this.showStored(workflow);
+  }
+
+  /** For a workflow that the owner has not taken in, or without an owner. */
+  private async showStored(workflow: string): Promise<ApiAnswer> {
+    const {store, documents, logger} = this.options;
+    try {
+      const [progress, spec] = await Promise.all([
+        store.get(progressKey(workflow)),
+        store.get(specKey(workflow)),
+      ]);
+      if (!progress && !spec) return answer(410);
+      const begun = progress ? WorkflowState.RUNNING : WorkflowState.QUEUED;
+      const state = progress && decodeEndState(progress.value);
+      return answer(200, documents.encodeState(state ?? begun));
+    } catch (error) {
+      const reason = messageOf(error);
+      logger.event(Events.WORKFLOW_UNDECIDED, {workflow, reason});
+      return later();
+    }
+  }
+
+  private async countWaiting(
+    {queue}: Target,
+    call: ApiCall,
+  ): Promise<ApiAnswer> {
+    if (call.method !== 'GET') return answer(405);
+    const {owner, documents} = this.options;
+    const waiting = await owner.countWaiting(queue.name);
+    if (waiting === undefined) return later();
+    return answer(200, documents.encodeWaiting(waiting));
+  }
+}
+
+function answer(status: number, body = ''): ApiAnswer {
+  const headers: Array<readonly [string, string]> =
+    body === '' ? [] : [['content-type', 'application/json']];
+  return {status, headers, body: Buffer.from(body)};
+}
+
+/** Not run: the caller may come back. */
+function later(): ApiAnswer {
+  const headers = [['retry-after', String(RETRY_AFTER_SECONDS)]] as const;
+  return {status: 503, headers, body: Buffer.alloc(0)};
+}
--- /dev/null
+++ b/src/entry/workflows/workflow_book.ts
@@ -0,0 +1,230 @@
+import type {
+  RunClosing,
+  TaskReference,
+} from '../../decisions/workflows/workflow.js';
+import {Workflow} from '../../decisions/workflows/workflow.js';
+import {formatTaskName, runKey} from '../../decisions/workflows/task_name.js';
+import type {TaskName} from '../../decisions/workflows/task_name.js';
+import {WorkflowState} from '../../decisions/workflows/workflow_types.js';
+import type {
+  QueueTerms,
+  WorkflowSpec,
+} from '../../decisions/workflows/workflow_types.js';
+import {encodeProgress} from '../../decisions/workflows/workflow_codec.js';
+import type {WorkerView} from '../../decisions/workflows/worker_view.js';
+import type {CommitLog} from './commit_log.js';
+import {
+  cancelKey,
+  newKey,
+  progressKey,
+  specKey,
+} from '../../protocol/store_keys.js';
+import type {WorkerRoster} from './worker_roster.js';
+
+/** A workflow that has ended and has nothing running. */
+interface EndedWorkflow {
+  readonly state: WorkflowState;
+  readonly endedAtMillis: number;
+}
+
+export interface WorkflowBookOptions {
+  readonly commits: CommitLog;
+  readonly roster: WorkerRoster;
+  readonly termsOf: (workflow: Workflow) => QueueTerms | undefined;
+}
+
+/**
+ * The workflows of a pool with what is durable of them. Every change goes
+ * through here, so that the placements on workers and the next commit follow.
+ */
+export class WorkflowBook {
+  private readonly open = new Map<string, Workflow>();
+  private readonly ended = new Map<string, EndedWorkflow>();
+  /** What callers are shown: the states that commits hold. */
+  private readonly shown = new Map<string, WorkflowState>();
+  private readonly inbox = new Map<string, Set<string>>();
+
+  constructor(private readonly options: WorkflowBookOptions) {}
+
+  /** Workflows of which something may still run. */
+  get workflows(): IterableIterator<Workflow> {
+    return this.open.values();
+  }
+
+  get(id: string): Workflow | undefined {
+    return this.open.get(id);
+  }
+
+  knows(id: string): boolean {
+    return this.open.has(id) || this.ended.has(id);
+  }
+
+  /** What callers are told; undefined for a workflow that is not known. */
+  stateOf(id: string): WorkflowState | undefined {
+    return this.shown.get(id);
+  }
+
+  countQueued(queue: string): number {
+    let count = 0;
+    for (const workflow of this.open.values()) {
+      if (workflow.spec.queue !== queue || workflow.spec.schedule) continue;
+      if (workflow.state === WorkflowState.QUEUED) count++;
+    }
+    return count;
+  }
+
+  /** Takes in a workflow as the store has it. */
+  restore(workflow: Workflow, inboxKeys: readonly string[]): void {
+    this.shown.set(workflow.id, workflow.state);
+    if (inboxKeys.length > 0) this.inbox.set(workflow.id, new Set(inboxKeys));
+    if (!workflow.isOpen && !workflow.hasPlacements) {
+      this.ended.set(workflow.id, workflow);
+      return;
+    }
+    this.open.set(workflow.id, workflow);
+    for (const reference of workflow.tasks()) {
+      for (const placement of reference.task.placements) {
+        this.options.roster.addPlacement({reference, placement});
+      }
+    }
+  }
+
+  /** Takes in a workflow that an entry has just accepted. */
+  add(spec: WorkflowSpec): Workflow | undefined {
+    if (this.knows(spec.id)) return undefined;
+    const workflow = new Workflow(spec);
+    this.open.set(spec.id, workflow);
+    this.shown.set(spec.id, WorkflowState.QUEUED);
+    this.noteInbox(spec.id, newKey(spec.id));
+    return workflow;
+  }
+
+  cancel(id: string, now: number, effect?: () => void): boolean {
+    this.noteInbox(id, cancelKey(id));
+    const workflow = this.open.get(id);
+    if (!workflow) {
+      this.clearInbox(id, effect);
+      return false;
+    }
+    const changed = workflow.cancel(now);
+    this.commit(workflow, effect);
+    return changed;
+  }
+
+  /** Gives out a run; the effect comes when that is durable. */
+  place(
+    reference: TaskReference,
+    worker: WorkerView,
+    run: number | undefined,
+    effect: (run: number) => void,
+  ): number {
+    const {workflow, task} = reference;
+    const given = workflow.place(reference, worker.key, run);
+    const placement = task.placementOf(given)!;
+    this.options.roster.addPlacement({reference, placement});
+    this.commit(workflow, () => effect(given));
+    return given;
+  }
+
+  /** Marks a run to be stopped; the effect comes when that is durable. */
+  stop(reference: TaskReference, run: number): void {
+    const placement = reference.task.placementOf(run);
+    if (!placement || placement.stopping) return;
+    placement.stopping = true;
+    this.commit(reference.workflow);
+  }
+
+  /** Takes in the end of a run; true if it changed anything. */
+  close(closing: RunClosing, now: number, effect?: () => void): boolean {
+    const workflow = this.open.get(closing.name.workflow);
+    if (!workflow) return false;
+    this.options.roster.removePlacement(nameOf(closing.name, closing.run));
+    const terms = this.options.termsOf(workflow);
+    const failures = terms?.maximumFailures ?? 1;
+    const changed = workflow.close(closing, failures, now);
+    if (changed) this.commit(workflow, effect);
+    return changed;
+  }
+
+  /** The run has no result and will have none. */
+  closeUnfinished(name: TaskName, run: number, checkpoint = ''): boolean {
+    const workflow = this.open.get(name.workflow);
+    if (!workflow) return false;
+    this.options.roster.removePlacement(nameOf(name, run));
+    const changed = workflow.closeUnfinished(name, run, checkpoint);
+    if (changed) this.commit(workflow);
+    return changed;
+  }
+
+  /** Opens what is due on a schedule by the calendar time. */
+  openDue(now: number): boolean {
+    let opened = false;
+    for (const workflow of this.open.values()) {
+      if (!workflow.openDue(now)) continue;
+      opened = true;
+      this.commit(workflow);
+    }
+    return opened;
+  }
+
+  /** Forgets what ended before the calendar time, here and in the store. */
+  expire(endedBefore: number): void {
+    for (const [id, {endedAtMillis}] of this.ended) {
+      if (endedAtMillis >= endedBefore) continue;
+      this.ended.delete(id);
+      this.options.commits.change(
+        id,
+        () => ({puts: [], removals: [specKey(id), progressKey(id)]}),
+        () => this.shown.delete(id),
+      );
+    }
+  }
+
+  /** Writes the progress of a workflow with the next commit. */
+  private commit(workflow: Workflow, effect?: () => void): void {
+    const {id} = workflow;
+    let state: WorkflowState = workflow.state;
+    const render = (): {
+      puts: Array<{key: string; value: string}>;
+      removals: string[];
+    } => {
+      state = workflow.state;
+      const removals = [...(this.inbox.get(id) ?? [])];
+      this.inbox.delete(id);
+      const put = {key: progressKey(id), value: encodeProgress(workflow)};
+      return {puts: [put], removals};
+    };
+    this.options.commits.change(id, render, () => {
+      this.shown.set(id, state);
+      effect?.();
+    });
+    if (workflow.isOpen || workflow.hasPlacements) return;
+    this.open.delete(id);
+    this.ended.set(id, {
+      state: workflow.state,
+      endedAtMillis: workflow.endedAtMillis,
+    });
+  }
+
+  private clearInbox(id: string, effect?: () => void): void {
+    this.options.commits.change(
+      `inbox ${id}`,
+      () => {
+        const removals = [...(this.inbox.get(id) ?? [])];
+        this.inbox.delete(id);
+        return {puts: [], removals};
+      },
+      effect,
+    );
+  }
+
+  private noteInbox(id: string, key: string): void {
+    const keys = this.inbox.get(id);
+    if (keys) keys.add(key);
+    else this.inbox.set(id, new Set([key]));
+  }
+}
+
+function nameOf(name: TaskName, run: number): string {
+  return runKey(formatTaskName(name), run);
+}
--- a/src/observability/events.ts
+++ b/src/observability/events.ts
@@ -287,4 +287,121 @@
     "The platform's store doesn't answer.",
   ),
   STORE_BACK: event(5001, 'info', 'The store answers again.'),
+  // 6xxx: the pool of workers and its workflows.
+  POOL_OWNED: event(
+    6000,
+    'info',
+    'This entry owns the pool and has read its workflows.',
+  ),
+  POOL_LOST: event(
+    6001,
+    'warn',
+    'This entry owns the pool no longer; the reason says why.',
+  ),
+  POOL_CLAIM_FAILED: event(
+    6002,
+    'warn',
+    'The pool could not be claimed or read; the entry tries again.',
+  ),
+  COMMIT_RETRIED: event(
+    6003,
+    'warn',
+    'A commit of the owner was not answered or refused; it is sent again.',
+  ),
+  WORKFLOW_ACCEPTED: event(
+    6010,
+    'info',
+    'A workflow is stored and will be run.',
+  ),
+  WORKFLOW_REFUSED: event(
+    6011,
+    'info',
+    'A workflow was not accepted and never runs.',
+  ),
+  WORKFLOW_UNDECIDED: event(
+    6012,
+    'warn',
+    'The store did not answer: whether a workflow was accepted is not known.',
+  ),
+  WORKFLOW_CANCELLED: event(
+    6013,
+    'info',
+    'The cancellation of a workflow is stored.',
+  ),
+  WORKFLOW_ENDED: event(6014, 'info', 'A workflow has ended.'),
+  RUN_PLACED: event(6020, 'info', 'A run of a task was given to a worker.'),
+  RUN_ENDED: event(6021, 'info', 'A worker listed the end of a run.'),
+  RUN_LOST: event(
+    6022,
+    'warn',
+    'A run counts as ended since its worker is gone or its lease has lapsed.',
+  ),
+  RUN_REFUSED: event(6023, 'info', 'A run surely never began.'),
+  RUN_STOPPED: event(6024, 'info', 'The owner wants a run to end.'),
+  RUN_UNEXPECTED: event(
+    6025,
+    'warn',
+    'A worker has a run that was not placed there; it is stopped.',
+  ),
+  WORKER_JOINED: event(6030, 'info', 'A worker can be given tasks.'),
+  WORKER_CHANGED: event(6031, 'info', 'A worker has begun or ended to drain.'),
+  WORKER_GONE: event(6032, 'warn', 'A worker can be given tasks no longer.'),
+  WORKER_RESTED: event(
+    6033,
+    'warn',
+    'A worker fails or stalls what it runs and gets nothing for a while.',
+  ),
+  CONFIGURATION_APPLIED: event(
+    6040,
+    'info',
+    "A newer version of the operators' configuration is in force here.",
+  ),
+  CONFIGURATION_UNREADABLE: event(
+    6041,
+    'error',
+    "The operators' configuration can't be read; the last one stays.",
+  ),
+  DOMAIN_EVACUATED: event(
+    6042,
+    'info',
+    'The failure domains in which nothing is started have changed.',
+  ),
+  OPERATOR_KEYS_STALE: event(
+    6043,
+    'warn',
+    "The operators' keys could not be read.",
+  ),
+  OWNER_ATTACHED: event(6050, 'info', 'The agent is attached to the owner.'),
+  OWNER_LOST: event(6051, 'warn', 'The agent is attached to no owner.'),
+  REPORT_UNREADABLE: event(
+    6052,
+    'warn',
+    'A report names no worker that can be used.',
+  ),
+  INCARNATION_FOUND: event(
+    6053,
+    'info',
+    'A new incarnation of the worker reports to the agent.',
+  ),
+  START_SETTLED: event(
+    6054,
+    'info',
+    'The worker has begun a run, or surely never will.',
+  ),
+  WORKER_SILENT: event(
+    6055,
+    'warn',
+    'The worker does not answer; its lease is prolonged no more.',
+  ),
+  WORKER_ANSWERS: event(6056, 'info', 'The worker answers again.'),
+  TOKEN_FAILED: event(
+    6057,
+    'warn',
+    'The agent could not get a fencing token; it tries again.',
+  ),
+  TASK_PACED: event(
+    6058,
+    'info',
+    'The share at which a filling task works was changed.',
+  ),
 } as const;
--- /dev/null
+++ b/src/platform/operator_documents.ts
@@ -0,0 +1,103 @@
+import {
+  array,
+  boolean,
+  number,
+  object,
+  optional,
+  safeParse,
+  string,
+} from 'valibot';
+import type {FleetConfiguration} from '../decisions/workflows/workflow_types.js';
+
+/** Everything that operators write. */
+export const OPERATOR_PREFIX = 'op/';
+export const CONFIGURATION_KEY = 'op/config';
+const EVACUATION_PREFIX = 'op/evacuate/';
+
+const DEFAULT_BODY_BYTES = 1_048_576;
+const DEFAULT_HEADER_BYTES = 16_384;
+const DEFAULT_TIMEOUT_MILLIS = 3_000;
+
+const configurationSchema = object({
+  Version: number(),
+  Routes: array(
+    object({
+      Name: string(),
+      Host: string(),
+      Prefix: string(),
+      Service: string(),
+      Priority: optional(number(), 0),
+      MaxAttempts: optional(number(), 1),
+      Stretch: optional(number(), 1),
+      TargetLatencyMs: optional(number(), 0),
+      TimeoutMs: optional(number(), DEFAULT_TIMEOUT_MILLIS),
+      Hint: optional(
+        object({DecideMs: number(), PerItemMs: number(), ValidMs: number()}),
+      ),
+    }),
+  ),
+  Services: array(
+    object({
+      Name: string(),
+      RejectsOverload: optional(boolean(), false),
+      Standby: optional(boolean(), false),
+    }),
+  ),
+  Limits: optional(
+    object({
+      MaxHeaderBytes: optional(number(), DEFAULT_HEADER_BYTES),
+      MaxBodyBytes: optional(number(), DEFAULT_BODY_BYTES),
+    }),
+    {},
+  ),
+});
+
+/** Undefined when the text is no configuration. */
+export function decodeConfiguration(
+  text: string,
+): FleetConfiguration | undefined {
+  const parsed = safeParse(configurationSchema, parseJson(text));
+  if (!parsed.success) return undefined;
+  const {output: from} = parsed;
+  return {
+    version: from.Version,
+    queues: from.Routes.map(route => ({
+      name: route.Name,
+      host: route.Host,
+      prefix: route.Prefix,
+      service: route.Service,
+      priority: route.Priority,
+      maximumFailures: route.MaxAttempts,
+      stretch: route.Stretch,
+      latencyTargetMillis: route.TargetLatencyMs,
+      timeoutMillis: route.TimeoutMs,
+      advice: route.Hint && {
+        decideMillis: route.Hint.DecideMs,
+        perItemMillis: route.Hint.PerItemMs,
+        validMillis: route.Hint.ValidMs,
+      },
+    })),
+    services: from.Services.map(service => ({
+      name: service.Name,
+      refusesOverload: service.RejectsOverload,
+      standby: service.Standby,
+    })),
+    maximumBodyBytes: from.Limits.MaxBodyBytes ?? DEFAULT_BODY_BYTES,
+    maximumHeaderBytes: from.Limits.MaxHeaderBytes ?? DEFAULT_HEADER_BYTES,
+  };
+}
+
+/** The failure domain that the key takes out; undefined for other keys. */
+export function evacuatedDomainOf(key: string): string | undefined {
+  if (!key.startsWith(EVACUATION_PREFIX)) return undefined;
+  return key.slice(EVACUATION_PREFIX.length);
+}
+
+function parseJson(text: string): unknown {
+  try {
+    return JSON.parse(text);
+  } catch {
+    // The caller logs a document that can't be used.
+    return undefined;
+  }
+}
--- /dev/null
+++ b/src/platform/platform_worker.ts
@@ -0,0 +1,196 @@
+import {HttpConnections} from '../backends/http_connections.js';
+import type {HttpAnswer} from '../backends/http_exchange.js';
+import {RunOutcome, StartRefusal} from '../backends/leased_worker.js';
+import type {
+  LeasedWorker,
+  WorkerHold,
+  WorkerListing,
+  WorkerPace,
+  WorkerRun,
+  WorkerRunEnd,
+  WorkerStart,
+  WorkerStop,
+} from '../backends/leased_worker.js';
+import {
+  WorkerRefusedError,
+  WorkerUnavailableError,
+} from '../backends/platform_errors.js';
+import {messageOf} from '../utilities/base_error.js';
+
+/** The worker is on the same machine; longer than a busy one takes. */
+const CALL_TIMEOUT_MILLIS = 800;
+/** For the answer to a look that waits, beyond its wait. */
+const HOLD_GRACE_MILLIS = 800;
+/** One look that waits, starts and stops beside it. */
+const CONNECTIONS = 6;
+const REPLACED_STATUS = 421;
+
+const REFUSALS: ReadonlySet<string> = new Set(Object.values(StartRefusal));
+const OUTCOMES: ReadonlySet<string> = new Set(Object.values(RunOutcome));
+
+interface WireListing {
+  /** Reading of the worker's steady clock. */
+  readonly ClockMs: number;
+  /** Calendar time at which this life of the worker began. */
+  readonly born?: number;
+  /** Rows of task, run, checkpoint, percent and measure. */
+  readonly Running?: unknown[];
+  /** Rows of number, task, run, outcome and checkpoint. */
+  readonly Ended?: unknown[];
+}
+
+export interface PlatformWorkerOptions {
+  /** HOST:PORT */
+  readonly address: string;
+  /** The incarnation to which the calls are addressed. */
+  readonly id: string;
+}
+
+/** Calls to the worker beside an agent over HTTP with JSON bodies. */
+export class PlatformWorker implements LeasedWorker {
+  private readonly connections: HttpConnections;
+
+  constructor(private readonly options: PlatformWorkerOptions) {
+    this.connections = new HttpConnections({
+      address: options.address,
+      connections: CONNECTIONS,
+      silenceMillis: HOLD_GRACE_MILLIS + 2_000,
+    });
+  }
+
+  async start(start: WorkerStart): Promise<StartRefusal | undefined> {
+    const answer = await this.call('/-/run-start', {
+      Task: start.task,
+      Run: start.run,
+      Spec: start.payload,
+      ExpiresMs: Math.floor(start.leaseEnd),
+      FencingToken: start.fencingToken,
+      ...(start.checkpoint === '' ? {} : {Checkpoint: start.checkpoint}),
+      ...(start.ticket === '' ? {} : {Ticket: start.ticket}),
+    });
+    if (answer.status === 200) return undefined;
+    if (answer.status === REPLACED_STATUS) return StartRefusal.REPLACED;
+    if (answer.status !== 409) return refusalOfStatus(answer);
+    const {Reason: reason} = decode<{Reason?: string}>(answer);
+    if (reason !== undefined && REFUSALS.has(reason)) {
+      return reason as StartRefusal;
+    }
+    return StartRefusal.REJECTED;
+  }
+
+  async stop(stop: WorkerStop): Promise<void> {
+    expectOk(await this.call('/-/run-stop', toWireStop(stop)));
+  }
+
+  async pace(pace: WorkerPace): Promise<void> {
+    const body = {...toWireStop(pace), Percent: pace.percent};
+    expectOk(await this.call('/-/pace', body));
+  }
+
+  async hold(hold: WorkerHold): Promise<WorkerListing> {
+    const {waitMillis = 0, leaseEnd} = hold;
+    const body = {
+      FencingToken: hold.fencingToken,
+      LastSeen: hold.acknowledgedEnd,
+      ...(leaseEnd === undefined ? {} : {ExpiresMs: Math.floor(leaseEnd)}),
+      ...(waitMillis > 0 ? {WaitMs: Math.floor(waitMillis)} : {}),
+    };
+    const timeout = waitMillis + HOLD_GRACE_MILLIS;
+    const answer = await this.call('/-/hold', body, timeout);
+    expectOk(answer);
+    const listing = decode<WireListing>(answer);
+    return {
+      workerClock: listing.ClockMs,
+      bornAt: listing.born,
+      running: (listing.Running ?? []).flatMap(toRun),
+      ends: (listing.Ended ?? []).flatMap(toRunEnd),
+    };
+  }
+
+  close(reason: string): void {
+    this.connections.close(reason);
+  }
+
+  private async call(
+    path: string,
+    body: object,
+    timeoutMillis = CALL_TIMEOUT_MILLIS,
+  ): Promise<HttpAnswer> {
+    try {
+      return await this.connections.call({
+        method: 'POST',
+        path,
+        headers: [
+          ['content-type', 'application/json'],
+          ['x-target-instance', this.options.id],
+        ],
+        body: JSON.stringify(body),
+        timeoutMillis,
+      });
+    } catch (error) {
+      throw new WorkerUnavailableError(messageOf(error), {cause: error});
+    }
+  }
+}
+
+function toWireStop(stop: WorkerStop): object {
+  return {Task: stop.task, Run: stop.run, FencingToken: stop.fencingToken};
+}
+
+/** 400, 429 and 503 mean that nothing was done; of others it is not known. */
+function refusalOfStatus(answer: HttpAnswer): StartRefusal {
+  const {status} = answer;
+  if (status < 500 || status === 503) return StartRefusal.REJECTED;
+  throw new WorkerUnavailableError(`The worker answered ${status}.`);
+}
+
+function expectOk(answer: HttpAnswer): void {
+  const {status} = answer;
+  if (status >= 200 && status < 300) return;
+  const reason =
+    status === REPLACED_STATUS
+      ? 'another incarnation answers'
+      : `the worker answered ${status}`;
+  throw new WorkerRefusedError(reason);
+}
+
+function decode<Body>(answer: HttpAnswer): Body {
+  try {
+    return JSON.parse(answer.body.toString('utf8') || '{}') as Body;
+  } catch (error) {
+    throw new WorkerUnavailableError("The worker's answer is not JSON.", {
+      cause: error,
+    });
+  }
+}
+
+function toRun(row: unknown): WorkerRun[] {
+  if (!Array.isArray(row)) return [];
+  const [task, run, checkpoint, percent, measure] = row as unknown[];
+  if (typeof task !== 'string' || typeof run !== 'number') return [];
+  return [
+    {
+      task,
+      run,
+      checkpoint: typeof checkpoint === 'string' ? checkpoint : '',
+      percent: typeof percent === 'number' ? percent : 0,
+      measure: typeof measure === 'number' ? measure : 0,
+    },
+  ];
+}
+
+function toRunEnd(row: unknown): WorkerRunEnd[] {
+  if (!Array.isArray(row)) return [];
+  const [number, task, run, outcome, checkpoint] = row as unknown[];
+  if (typeof number !== 'number' || typeof task !== 'string') return [];
+  if (typeof run !== 'number' || !OUTCOMES.has(String(outcome))) return [];
+  return [
+    {
+      number,
+      task,
+      run,
+      outcome: outcome as RunOutcome,
+      checkpoint: typeof checkpoint === 'string' ? checkpoint : '',
+    },
+  ];
+}
--- a/src/protocol/grpc_channel.ts
+++ b/src/protocol/grpc_channel.ts
@@ -8,9 +8,7 @@
   ServiceError,
 } from '@grpc/grpc-js';
 import {LinkError} from './link_error.js';
-import type {StreamSource} from './call_stream.js';
 import {MAXIMUM_MESSAGE_BYTES} from './message_limits.js';
-import type {ClientBatchStream} from './stream_session.js';
 
 const SILENT_CALLS_BEFORE_REPLACEMENT = 2;
 const NEVER_CONNECTED = /^(No connection established|Name resolution failed)/;
@@ -40,16 +38,12 @@
   callback: (error: ServiceError | null, reply: Reply) => void,
 ) => ClientUnaryCall;
 
-/** A generated client whose service has a stream for calls. */
-interface StreamingClient extends Client {
-  streamCalls(): ClientBatchStream;
-}
-
 /**
- * Unary calls and streams to one address, on one connection. When calls in a row bring no reply by their deadline,
- * the connection counts as silent and a new one takes its place.
+ * Unary calls and streams to one address, on one connection. When calls in a
+ * row bring no reply by their deadline, the connection counts as silent and a
+ * new one takes its place.
  */
-export class GrpcChannel<Stub extends StreamingClient> implements StreamSource {
+export class GrpcChannel<Stub extends Client> {
   private stub: Stub;
   private silentCalls = 0;
   private closed = false;
@@ -85,8 +79,9 @@
     });
   }
 
-  openStream(): ClientBatchStream {
-    return this.stub.streamCalls();
+  /** The client of the present connection, for streams. */
+  get client(): Stub {
+    return this.stub;
   }
 
   /** Calls in progress on the present connection may still end there. */
--- a/src/protocol/grpc_links.ts
+++ b/src/protocol/grpc_links.ts
@@ -1,4 +1,4 @@
-import type {ChannelCredentials} from '@grpc/grpc-js';
+import type {ChannelCredentials, Client} from '@grpc/grpc-js';
 import {
   AgentServiceClient,
   EntryServiceClient,
@@ -27,8 +27,10 @@
 import {Random} from '../utilities/random.js';
 import {AgentMethods, EntryMethods} from './call_methods.js';
 import {CallStream} from './call_stream.js';
+import type {StreamSource} from './call_stream.js';
 import {GrpcChannel} from './grpc_channel.js';
 import type {AgentLink, EntryLink, LinkFactory} from './links.js';
+import type {ClientBatchStream} from './stream_session.js';
 import {channelCredentials} from './transport_security.js';
 import type {TransportSecurityFiles} from './transport_security.js';
 
@@ -44,6 +46,21 @@
   readonly random: Random;
 }
 
+/** A generated client whose service has a stream for calls. */
+interface StreamingClient extends Client {
+  streamCalls(): ClientBatchStream;
+}
+
+function callStreamSource<Stub extends StreamingClient>(
+  channel: GrpcChannel<Stub>,
+): StreamSource {
+  return {
+    address: channel.address,
+    openStream: () => channel.client.streamCalls(),
+    replaceConnection: () => channel.replaceConnection(),
+  };
+}
+
 /** Calls to an entry over gRPC; frequent ones go through a stream. */
 class GrpcEntryLink implements EntryLink {
   private readonly channel: GrpcChannel<EntryServiceClient>;
@@ -52,7 +69,8 @@
   constructor(address: string, options: LinkOptions) {
     const {credentials, clock, random} = options;
     this.channel = new GrpcChannel(EntryServiceClient, address, credentials);
-    this.stream = new CallStream({source: this.channel, clock, random});
+    const source = callStreamSource(this.channel);
+    this.stream = new CallStream({source, clock, random});
   }
 
   heartbeat(
@@ -105,7 +123,8 @@
   constructor(address: string, options: LinkOptions) {
     const {credentials, clock, random} = options;
     this.channel = new GrpcChannel(AgentServiceClient, address, credentials);
-    this.stream = new CallStream({source: this.channel, clock, random});
+    const source = callStreamSource(this.channel);
+    this.stream = new CallStream({source, clock, random});
   }
 
   serve(request: ServeRequest): Promise<ServeReply> {
--- a/src/protocol/grpc_server.ts
+++ b/src/protocol/grpc_server.ts
@@ -1,5 +1,5 @@
 import {Server, status} from '@grpc/grpc-js';
-import type {handleUnaryCall} from '@grpc/grpc-js';
+import type {handleUnaryCall, ServerDuplexStream} from '@grpc/grpc-js';
 import {messageOf} from '../utilities/base_error.js';
 import {AgentMethods, EntryMethods} from './call_methods.js';
 import {CallStreamResponder} from './call_stream_responder.js';
@@ -7,10 +7,14 @@
 import {
   AgentServiceService,
   EntryServiceService,
+  PoolServiceService,
 } from './generated/burdockmoor.js';
 import type {
   AgentServiceServer,
   EntryServiceServer,
+  PoolServiceServer,
+  WorkerCommands,
+  WorkerUpdate,
 } from './generated/burdockmoor.js';
 import {InvalidMessageError} from './invalid_message_error.js';
 import type {AgentHandlers, EntryHandlers} from './links.js';
@@ -24,6 +28,7 @@
   checkStartAttempts,
   checkStopAttempts,
 } from './message_checks.js';
+import type {Attachment, PoolHandlers} from './pool_links.js';
 import {MAXIMUM_MESSAGE_BYTES} from './message_limits.js';
 import {serveCall} from './served_call.js';
 import type {ServedCall} from './served_call.js';
@@ -93,6 +98,17 @@
     this.server.addService(EntryServiceService, implementation);
   }
 
+  /** Adds the calls about the pool; to be called before `listen`. */
+  servePool(handlers: PoolHandlers): void {
+    this.server.addService(PoolServiceService, {
+      attach: stream => this.serveAttachment(handlers, stream),
+      findOwner: this.unary(() => handlers.findOwner()),
+      noteWorkflow: this.unary(request => handlers.noteWorkflow(request)),
+      showWorkflow: this.unary(request => handlers.showWorkflow(request)),
+      countWaiting: this.unary(request => handlers.countWaiting(request)),
+    } satisfies PoolServiceServer);
+  }
+
   /** Adds the calls of an agent; to be called before `listen`. */
   serveAgent(handlers: AgentHandlers): void {
     const startAttempts = checked(checkStartAttempts, request =>
@@ -165,6 +181,39 @@
     };
   }
 
+  private serveAttachment(
+    handlers: PoolHandlers,
+    stream: ServerDuplexStream<WorkerUpdate, WorkerCommands>,
+  ): void {
+    let ended = false;
+    const end = (reason: string): void => {
+      if (ended) return;
+      ended = true;
+      listener.onEnd(reason);
+    };
+    const attachment: Attachment<WorkerCommands> = {
+      send: commands => {
+        if (ended || stream.writableNeedDrain) return false;
+        stream.write(commands);
+        return true;
+      },
+      close: reason => {
+        stream.end();
+        end(reason);
+      },
+    };
+    const listener = handlers.attach(attachment);
+    stream.on('data', (update: WorkerUpdate) => {
+      if (!ended) listener.onMessage(update);
+    });
+    stream.on('cancelled', () => end('the agent left'));
+    stream.on('error', error => end(messageOf(error)));
+    stream.on('end', () => {
+      stream.end();
+      end('the agent left');
+    });
+  }
+
   private streaming(served: ServedCall[]): (stream: ServerBatchStream) => void {
     const calls = new Map(served.map(call => [call.number, call]));
     return stream => {
