--- a/src/agent/workflows/worker_session.ts
+++ b/src/agent/workflows/worker_session.ts
@@ -32,6 +32,13 @@
 /** How often a start is sent anew after the token was raised meanwhile. */
 const FENCED_RETRIES = 3;
 
+/** A caller that waits for the answer to a look. */
+interface AwaitedLook {
+  /** The count of answered looks to wait for. */
+  readonly target: number;
+  readonly resolve: (looked: boolean) => void;
+}
+
 /** What a session tells. */
 export interface WorkerSessionObserver {
   /** There is something that the owner should hear at once. */
@@ -68,7 +75,9 @@
   private readonly throttle = new TailThrottle();
   private readonly paced = new Map<string, number>();
   private closed = false;
-  private wake: (() => void) | undefined;
+  /** Ends the pause between two looks. */
+  private wakeLook: (() => void) | undefined;
+  private readonly awaitedLooks = new Set<AwaitedLook>();
 
   constructor(private readonly options: WorkerSessionOptions) {
     const {clock, report} = options;
@@ -123,7 +132,9 @@
 
   close(reason: string): void {
     this.closed = true;
-    this.wake?.();
+    this.wakeLook?.();
+    for (const awaited of this.awaitedLooks) awaited.resolve(false);
+    this.awaitedLooks.clear();
     this.options.worker.close(reason);
   }
 
@@ -134,7 +145,7 @@
     for (const known of this.ends.keys()) {
       if (known <= number) this.ends.delete(known);
     }
-    this.wake?.();
+    this.wakeLook?.();
   }
 
   noteTraits(traits: readonly RunTraits[]): void {
@@ -262,15 +273,25 @@
     this.options.observer.onNews();
   }
 
-  /** Resolves when a look that began after this call was answered. */
-  private async untilLooked(): Promise<boolean> {
-    const target = this.looks + 2;
-    while (this.looks < target) {
-      if (this.closed) return false;
-      this.wake?.();
-      await this.pause(PENDING_PAUSE_MILLIS);
+  /**
+   * Resolves to true when a look that began after this call was answered, and
+   * to false when the session was closed before.
+   */
+  private untilLooked(): Promise<boolean> {
+    if (this.closed) return Promise.resolve(false);
+    return new Promise(resolve => {
+      // The next answer may be to a look that began before.
+      this.awaitedLooks.add({target: this.looks + 2, resolve});
+      this.wakeLook?.();
+    });
+  }
+
+  private resolveAwaitedLooks(): void {
+    for (const awaited of this.awaitedLooks) {
+      if (awaited.target > this.looks) continue;
+      this.awaitedLooks.delete(awaited);
+      awaited.resolve(true);
     }
-    return true;
   }
 
   /** Looks at the worker again and again, prolonging its lease. */
@@ -279,7 +300,7 @@
       const answered = await this.lookOnce();
       if (this.closed) return;
       if (!answered) await this.pause(FAILED_PAUSE_MILLIS);
-      else if (this.ends.size > 0) await this.untilAcknowledged();
+      else if (this.ends.size > 0) await this.pause(PENDING_PAUSE_MILLIS);
     }
   }
 
@@ -316,6 +337,7 @@
     for (const end of listing.ends) {
       if (end.number > this.acknowledged) this.ends.set(end.number, end);
     }
+    this.resolveAwaitedLooks();
     this.guardTails();
     observer.onNews();
   }
@@ -376,22 +398,16 @@
     }
   }
 
-  private untilAcknowledged(): Promise<void> {
-    return this.pause(PENDING_PAUSE_MILLIS);
-  }
-
   /** Ends early when there is something to tell the worker. */
   private pause(millis: number): Promise<void> {
     return new Promise(resolve => {
-      const before = this.wake;
-      const timer = this.options.clock.schedule(millis, () => wake());
       const wake = (): void => {
         timer.cancel();
-        if (this.wake === wake) this.wake = undefined;
-        before?.();
+        this.wakeLook = undefined;
         resolve();
       };
-      this.wake = wake;
+      const timer = this.options.clock.schedule(millis, wake);
+      this.wakeLook = wake;
     });
   }
 }
--- a/src/agent/workflows/workflow_agent.ts
+++ b/src/agent/workflows/workflow_agent.ts
@@ -49,6 +49,7 @@
   private report: WorkerReport | undefined;
   private session: WorkerSession | undefined;
   private sequence = 0;
+  private updatedAt = -Infinity;
   /** Worker's time at which updates were sent, by sequence. */
   private readonly openUpdates = new Map<number, number>();
   private updateScheduled = false;
@@ -181,8 +182,9 @@
 
   private tick(): void {
     if (this.closed) return;
-    this.options.clock.schedule(UPDATE_MILLIS, () => {
-      this.sendUpdate();
+    const {clock} = this.options;
+    clock.schedule(UPDATE_MILLIS, () => {
+      if (clock.now() - this.updatedAt > UPDATE_MILLIS / 2) this.sendUpdate();
       this.tick();
     });
   }
@@ -201,6 +203,7 @@
     if (this.closed) return;
     const {session} = this;
     const sequence = ++this.sequence;
+    this.updatedAt = this.options.clock.now();
     const results = session?.takeResults() ?? [];
     const workerNow = session?.lease.workerNow;
     if (workerNow !== undefined) this.openUpdates.set(sequence, workerNow);
--- a/src/decisions/workflows/workflow.ts
+++ b/src/decisions/workflows/workflow.ts
@@ -262,6 +262,8 @@
 export interface PlacedRun {
   readonly reference: TaskReference;
   readonly placement: Placement;
+  /** The placement stands in the store: its start may be ordered. */
+  isDurable: boolean;
 }
 
 /** The name of a placed run's task, as workers know it. */
--- a/src/entry/workflows/pool_owner.ts
+++ b/src/entry/workflows/pool_owner.ts
@@ -417,7 +417,6 @@
       if (!run || run.checkpoint === '') continue;
       if (!reference.task.done) reference.task.checkpoint = run.checkpoint;
     }
-    this.schedulePlan();
   }
 
   /** All runs at the worker have surely ended. */
@@ -516,15 +515,12 @@
     });
     for (const {reference, worker, run} of planned) {
       const task = taskNameOf(reference);
-      const given = this.book.place(reference, worker, run, number => {
-        const placement = reference.task.placementOf(number);
-        const attachment = this.attachments.get(worker.agent);
-        if (placement) attachment?.start({reference, placement});
-      });
-      this.attachments.get(worker.agent)?.notePlaced(task, given);
+      const placed = this.book.place(reference, worker, run, durable =>
+        this.attachments.get(worker.agent)?.start(durable),
+      );
       logger.event(Events.RUN_PLACED, {
         task,
-        run: given,
+        run: placed.placement.run,
         worker: worker.key,
         heardMillisAgo: Math.round(now - worker.heardAt),
         ageMillis: Math.round(
--- a/src/entry/workflows/worker_attachment.ts
+++ b/src/entry/workflows/worker_attachment.ts
@@ -95,10 +95,16 @@
     this.options.news.onDetached(this, reason);
   }
 
-  /** Has the worker begin a run that is durable. */
-  start({reference, placement}: PlacedRun): void {
+  /** Has the worker begin a run, if that was decided durably. */
+  start({reference, placement, isDurable}: PlacedRun): void {
     const {view} = this;
-    if (!view || placement.worker !== view.key || placement.stopping) return;
+    if (
+      !view ||
+      !isDurable ||
+      placement.worker !== view.key ||
+      placement.stopping
+    )
+      return;
     const task = taskNameOf(reference);
     this.sentAt.set(runKey(task, placement.run), this.options.clock.now());
     this.starts.push({
@@ -162,7 +168,6 @@
     }
   }
 
-  /** A start that was never sent is not durable yet. */
   private startAgain(name: string, placed: PlacedRun): void {
     if (this.isRecent(name)) return;
     this.start(placed);
@@ -182,11 +187,6 @@
     this.scheduleFlush();
   }
 
-  /** A run placed just now is started by its commit, not from here. */
-  notePlaced(task: string, run: number): void {
-    this.sentAt.set(runKey(task, run), this.options.clock.now());
-  }
-
   private noteUnexpected(
     view: WorkerView,
     name: string,
--- a/src/entry/workflows/workflow_book.ts
+++ b/src/entry/workflows/workflow_book.ts
@@ -1,4 +1,5 @@
 import type {
+  PlacedRun,
   RunClosing,
   TaskReference,
 } from '../../decisions/workflows/workflow.js';
@@ -84,7 +85,11 @@
     this.open.set(workflow.id, workflow);
     for (const reference of workflow.tasks()) {
       for (const placement of reference.task.placements) {
-        this.options.roster.addPlacement({reference, placement});
+        this.options.roster.addPlacement({
+          reference,
+          placement,
+          isDurable: true,
+        });
       }
     }
   }
@@ -116,14 +121,18 @@
     reference: TaskReference,
     worker: WorkerView,
     run: number | undefined,
-    effect: (run: number) => void,
-  ): number {
+    effect: (placed: PlacedRun) => void,
+  ): PlacedRun {
     const {workflow, task} = reference;
     const given = workflow.place(reference, worker.key, run);
     const placement = task.placementOf(given)!;
-    this.options.roster.addPlacement({reference, placement});
-    this.commit(workflow, () => effect(given));
-    return given;
+    const placed: PlacedRun = {reference, placement, isDurable: false};
+    this.options.roster.addPlacement(placed);
+    this.commit(workflow, () => {
+      placed.isDurable = true;
+      effect(placed);
+    });
+    return placed;
   }
 
   /** Marks a run to be stopped; the effect comes when that is durable. */
