Learn which filling image presses on which serving one, and pace by that

Cause: the agent halved the pace of all filling runs on every look, several times for one measurement, and placement counted what serving tasks reserve as used: one filling run a worker, standing still for seconds.

--- a/src/agent/workflows/worker_session.ts
+++ b/src/agent/workflows/worker_session.ts
@@ -12,6 +12,7 @@
 import {Events} from '../../observability/events.js';
 import type {Logger} from '../../observability/logger.js';
 import type {
+  PaceCommand,
   RunStartResult,
   RunTraits,
   StartCommand,
@@ -28,7 +29,11 @@
 const PENDING_PAUSE_MILLIS = 60;
 const FAILED_PAUSE_MILLIS = 150;
 /** A worker that did not answer for this long gets no longer lease. */
-const SILENT_MILLIS = 1_000;
+const SILENT_MILLIS = 1_500;
+/** From then on the agent guards the tails of what serves by itself. */
+const OWNER_SILENT_MILLIS = 1_500;
+/** One decision a measurement of half a second and its effect. */
+const THROTTLE_MILLIS = 600;
 /** How often a start is sent anew after the token was raised meanwhile. */
 const FENCED_RETRIES = 3;
 
@@ -65,6 +70,8 @@
   private readonly ends = new Map<number, WorkerRunEnd>();
   private readonly starting = new Map<string, StartCommand>();
   private readonly stopping = new Set<string>();
+  /** Runs of which a start was ever sent: only the worker knows of them. */
+  private readonly sent = new Set<string>();
   private results: RunStartResult[] = [];
   private acknowledged = 0;
   private answeredAt: number;
@@ -74,6 +81,8 @@
   private traits = new Map<string, RunTraits>();
   private readonly throttle = new TailThrottle();
   private readonly paced = new Map<string, number>();
+  private ownerHeardAt = -Infinity;
+  private throttledAt = -Infinity;
   private closed = false;
   /** Ends the pause between two looks. */
   private wakeLook: (() => void) | undefined;
@@ -148,7 +157,9 @@
     this.wakeLook?.();
   }
 
-  noteTraits(traits: readonly RunTraits[]): void {
+  /** The owner has spoken, and told what runs here. */
+  noteOwner(traits: readonly RunTraits[]): void {
+    this.ownerHeardAt = this.options.clock.now();
     this.traits = new Map(
       traits.map(each => [runKey(each.task, each.run), each]),
     );
@@ -191,10 +202,16 @@
 
   /** Empty if the worker has the run, else why it surely never begins. */
   private async tryStart(name: string, command: StartCommand): Promise<string> {
+    if (this.sent.has(name)) {
+      if (!(await this.untilLooked())) return StartRefusal.REPLACED;
+      if (this.isListed(name)) return '';
+    }
     for (let tries = 0; !this.closed; tries++) {
-      if (this.report.draining) return StartRefusal.REPLACED;
       const leaseEnd = this.silent ? undefined : this.lease.end;
-      if (leaseEnd === undefined) return StartRefusal.LEASE_ENDED;
+      if (this.report.draining) return this.refuse(name, StartRefusal.REPLACED);
+      if (leaseEnd === undefined) {
+        return this.refuse(name, StartRefusal.LEASE_ENDED);
+      }
       const token = this.options.token.value;
       const refusal = await this.sendStart(name, command, leaseEnd, token);
       const wasRaised = token !== this.options.token.value;
@@ -204,6 +221,11 @@
     return StartRefusal.REPLACED;
   }
 
+  /** A refusal of this agent is true only if no start was ever sent. */
+  private async refuse(name: string, refusal: string): Promise<string> {
+    return this.sent.has(name) ? this.settleStart(name) : refusal;
+  }
+
   private async sendStart(
     name: string,
     command: StartCommand,
@@ -213,6 +235,7 @@
     const {worker} = this.options;
     const {task, run, payload, checkpoint, ticket} = command;
     this.lease.noteSent(leaseEnd);
+    this.sent.add(name);
     try {
       const refusal = await worker.start({
         task,
@@ -238,10 +261,13 @@
   private async settleStart(name: string): Promise<string> {
     this.options.token.raise();
     if (!(await this.untilLooked())) return StartRefusal.REPLACED;
-    const isThere =
-      this.running.some(({task, run}) => runKey(task, run) === name) ||
-      this.pendingEnds.some(({task, run}) => runKey(task, run) === name);
-    return isThere ? '' : StartRefusal.FENCED;
+    return this.isListed(name) ? '' : StartRefusal.FENCED;
+  }
+
+  private isListed(name: string): boolean {
+    const isNamed = (each: {task: string; run: number}): boolean =>
+      runKey(each.task, each.run) === name;
+    return this.running.some(isNamed) || this.pendingEnds.some(isNamed);
   }
 
   private async carryOutStop(
@@ -265,10 +291,7 @@
 
   /** A stopped run that is neither running nor ending never was there. */
   private reportStopped(name: string, task: string, run: number): void {
-    const isKnown =
-      this.running.some(each => runKey(each.task, each.run) === name) ||
-      this.pendingEnds.some(each => runKey(each.task, each.run) === name);
-    if (isKnown) return;
+    if (this.isListed(name)) return;
     this.results.push({task, run, refusal: StartRefusal.CLOSED});
     this.options.observer.onNews();
   }
@@ -338,6 +361,7 @@
       if (end.number > this.acknowledged) this.ends.set(end.number, end);
     }
     this.resolveAwaitedLooks();
+    this.forgetEnded();
     this.guardTails();
     observer.onNews();
   }
@@ -356,48 +380,61 @@
     observer.onNews();
   }
 
-  /** Paces what fills, so that what serves keeps its target. */
+  /**
+   * While no owner paces what fills, the agent does so itself, all alike, so
+   * that what serves keeps its target.
+   */
   private guardTails(): void {
+    const now = this.options.clock.now();
+    if (now - this.ownerHeardAt < OWNER_SILENT_MILLIS) return;
+    if (now - this.throttledAt < THROTTLE_MILLIS) return;
+    this.throttledAt = now;
     const tails = this.running.flatMap(run => {
       const traits = this.traits.get(runKey(run.task, run.run));
       if (!traits || traits.tailTargetMillis === 0) return [];
       return [{tailMillis: run.measure, targetMillis: traits.tailTargetMillis}];
     });
     const percent = Math.round(this.throttle.decide(tails));
-    const present = new Set<string>();
     for (const {task, run} of this.running) {
-      const name = runKey(task, run);
-      present.add(name);
-      if (!this.traits.get(name)?.fills) continue;
-      if ((this.paced.get(name) ?? 100) === percent) continue;
-      void this.pace(name, task, run, percent);
-    }
-    for (const name of this.paced.keys()) {
-      if (!present.has(name)) this.paced.delete(name);
+      if (!this.traits.get(runKey(task, run))?.fills) continue;
+      this.pace({task, run, percent});
     }
   }
 
-  private async pace(
+  /** Lets a run work at a share of its speed. */
+  pace({task, run, percent}: Omit<PaceCommand, 'incarnation'>): void {
+    const name = runKey(task, run);
+    if (this.closed || (this.paced.get(name) ?? 100) === percent) return;
+    this.paced.set(name, percent);
+    void this.carryOutPace(name, task, run, percent);
+  }
+
+  private async carryOutPace(
     name: string,
     task: string,
     run: number,
     percent: number,
   ): Promise<void> {
     const {worker, token, logger} = this.options;
-    const before = this.paced.get(name);
-    this.paced.set(name, percent);
     try {
       await worker.pace({task, run, percent, fencingToken: token.value});
-      logger.event(Events.TASK_PACED, {task, run, percent});
     } catch (error) {
-      // The next look tries again.
-      if (before === undefined) this.paced.delete(name);
-      else this.paced.set(name, before);
+      // What follows from the next measurement is sent anew.
+      if (this.paced.get(name) === percent) this.paced.delete(name);
       const reason = messageOf(error);
       logger.event(Events.AGENT_CALL_FAILED, {task, run, reason});
     }
   }
 
+  private forgetEnded(): void {
+    const present = new Set(
+      this.running.map(({task, run}) => runKey(task, run)),
+    );
+    for (const name of this.paced.keys()) {
+      if (!present.has(name)) this.paced.delete(name);
+    }
+  }
+
   /** Ends early when there is something to tell the worker. */
   private pause(millis: number): Promise<void> {
     return new Promise(resolve => {
--- a/src/agent/workflows/workflow_agent.ts
+++ b/src/agent/workflows/workflow_agent.ts
@@ -161,10 +161,13 @@
     if (commands.incarnation === incarnation) {
       session.acknowledge(commands.durableEnd);
     }
-    if (commands.leaseMillis > 0) session.noteTraits(commands.traits);
+    if (commands.leaseMillis > 0) session.noteOwner(commands.traits);
     for (const stop of commands.stops) {
       if (stop.incarnation === incarnation) session.stop(stop);
     }
+    for (const pace of commands.paces) {
+      if (pace.incarnation === incarnation) session.pace(pace);
+    }
     for (const start of commands.starts) {
       if (start.incarnation === incarnation) session.start(start);
     }
--- a/src/decisions/workflows/placement_planner.ts
+++ b/src/decisions/workflows/placement_planner.ts
@@ -4,6 +4,7 @@
 import type {QueueTerms} from './workflow_types.js';
 import {reservedSize} from './worker_view.js';
 import type {WorkerView} from './worker_view.js';
+import type {FillInterference} from './fill_interference.js';
 import type {WorkerHealth} from './worker_health.js';
 import {
   LATEST_OBJECTIVES,
@@ -11,10 +12,16 @@
   remainingChainMillis,
 } from './workflow_timing.js';
 
+const MILLIPROCESSORS = 1_000;
 /** Share of its processors that a filling task must find unused. */
 const LEAST_FILL_SHARE = 0.7;
-/** What a worker with serving tasks must have left to be as good as another. */
-const SERVING_PENALTY = 0.15;
+/** Share of their reservation that serving tasks use, on average. */
+const SERVING_USE_SHARE = 0.55;
+/** A tail expected above this share of its target keeps filling tasks away. */
+const HIGHEST_TAIL_SHARE = 1;
+const HIGH_TAIL_SHARE = 0.75;
+/** Weight of a tail above the high share, against unused processors. */
+const TAIL_PENALTY = 2;
 /** A failure in a row weighs as much as this share of a worker's processors. */
 const SUSPICION_PENALTY = 0.3;
 /** For a worker on which this very task has failed. */
@@ -27,6 +34,8 @@
   free: Resources;
   fillRoomMilliprocessors: number;
   allowance: number;
+  /** Tails over their targets, with what this round has added. */
+  private tails: ReadonlyArray<{image: string; ratio: number}>;
 
   constructor(
     readonly view: WorkerView,
@@ -36,16 +45,45 @@
     const {room} = view.traits;
     this.free = subtractResources(room, view.reserved);
     this.fillRoomMilliprocessors =
-      this.free.milliprocessors - view.fillDemandMilliprocessors;
+      this.free.milliprocessors +
+      (1 - SERVING_USE_SHARE) * view.servingMilliprocessors -
+      view.fillDemandMilliprocessors;
     this.allowance = allowance;
+    this.tails = view.tails;
   }
 
-  take(step: TaskReference['step']): void {
+  /** The worst tail over its target once the filling task works here. */
+  expectedTail(
+    step: TaskReference['step'],
+    interference: FillInterference,
+  ): number {
+    let worst = 0;
+    const processors = step.size.milliprocessors / MILLIPROCESSORS;
+    for (const {image, ratio} of this.tails) {
+      const pressure = interference.pressure(image, step.image);
+      worst = Math.max(worst, ratio + pressure * processors);
+    }
+    return worst;
+  }
+
+  take(step: TaskReference['step'], interference: FillInterference): void {
+    if (step.fills) this.addPressure(step, interference);
     const size = reservedSize(step);
     this.free = subtractResources(this.free, size);
     this.fillRoomMilliprocessors -= step.size.milliprocessors;
     this.allowance--;
   }
+
+  private addPressure(
+    step: TaskReference['step'],
+    interference: FillInterference,
+  ): void {
+    const processors = step.size.milliprocessors / MILLIPROCESSORS;
+    this.tails = this.tails.map(({image, ratio}) => ({
+      image,
+      ratio: ratio + interference.pressure(image, step.image) * processors,
+    }));
+  }
 }
 
 /** Tasks of one step that wait for a worker. */
@@ -72,6 +110,7 @@
   readonly workflows: Iterable<Workflow>;
   readonly workers: readonly WorkerView[];
   readonly health: WorkerHealth;
+  readonly interference: FillInterference;
   /** Undefined for a queue of which nothing is known. */
   readonly termsOf: (workflow: Workflow) => QueueTerms | undefined;
   /** Whether the task may be placed now, as far as earlier tries say. */
@@ -213,7 +252,7 @@
     const candidate = chooseWorker(round, waiting, reference, candidates, used);
     // Tasks of a step are alike: the next finds no room either.
     if (!candidate) break;
-    take(reference, candidate, used);
+    take(round, reference, candidate, used);
     planned.push({reference, worker: candidate.view});
   }
   return planned;
@@ -246,18 +285,19 @@
       }
       return [];
     }
-    take(reference, candidate, used);
+    take(round, reference, candidate, used);
     planned.push({reference, worker: candidate.view, run});
   }
   return planned;
 }
 
 function take(
+  round: PlacementRound,
   reference: TaskReference,
   candidate: Candidate,
   used: Map<string, number>,
 ): void {
-  candidate.take(reference.step);
+  candidate.take(reference.step, round.interference);
   const {key} = candidate.view;
   used.set(key, (used.get(key) ?? 0) + 1);
 }
@@ -326,7 +366,11 @@
   const left = candidate.fillRoomMilliprocessors - step.size.milliprocessors;
   let score = left / Math.max(1, room.milliprocessors);
   score -= SUSPICION_PENALTY * suspicion;
-  if (step.fills && view.serves) score -= SERVING_PENALTY;
+  if (step.fills) {
+    const tail = candidate.expectedTail(step, round.interference);
+    if (tail > HIGHEST_TAIL_SHARE) return -Infinity;
+    score -= TAIL_PENALTY * Math.max(0, tail - HIGH_TAIL_SHARE);
+  }
   if (step.dataRack !== '' && step.dataRack !== rack) score -= REMOTE_PENALTY;
   if (step.rackLocal && !isOnRackOf(round, used, rack)) score -= REMOTE_PENALTY;
   if (round.hasFailedOn(reference, view.key)) score -= FAILED_HERE_PENALTY;
--- a/src/decisions/workflows/worker_view.ts
+++ b/src/decisions/workflows/worker_view.ts
@@ -58,6 +58,16 @@
     return sum;
   }
 
+  /** Processors that tasks with a tail target reserve. */
+  get servingMilliprocessors(): number {
+    let sum = 0;
+    for (const {reference} of this.placed.values()) {
+      const {tailTargetMillis, size} = reference.step;
+      if (tailTargetMillis > 0) sum += size.milliprocessors;
+    }
+    return sum;
+  }
+
   /** Processors that filling tasks would use if they could. */
   get fillDemandMilliprocessors(): number {
     let sum = 0;
@@ -68,12 +78,16 @@
     return sum;
   }
 
-  /** Whether a task with a tail target is placed here. */
-  get serves(): boolean {
-    for (const {reference} of this.placed.values()) {
-      if (reference.step.tailTargetMillis > 0) return true;
+  /** Tails of the serving tasks here, as shares of their targets. */
+  get tails(): Array<{image: string; ratio: number}> {
+    const tails: Array<{image: string; ratio: number}> = [];
+    for (const [name, {reference}] of this.placed) {
+      const {tailTargetMillis, image} = reference.step;
+      if (tailTargetMillis === 0) continue;
+      const measure = this.running.get(name)?.measure ?? 0;
+      tails.push({image, ratio: measure / tailTargetMillis});
     }
-    return false;
+    return tails;
   }
 
   runOf(task: string, run: number): WorkerRun | undefined {
--- a/src/entry/workflows/pool_owner.ts
+++ b/src/entry/workflows/pool_owner.ts
@@ -1,5 +1,7 @@
 import type {TransactionalStore} from '../../backends/transactional_store.js';
 import {RunOutcome} from '../../backends/leased_worker.js';
+import {FillInterference} from '../../decisions/workflows/fill_interference.js';
+import {FillPacer} from '../../decisions/workflows/fill_pacer.js';
 import {planPlacements} from '../../decisions/workflows/placement_planner.js';
 import {parseTaskName, runKey} from '../../decisions/workflows/task_name.js';
 import {taskNameOf} from '../../decisions/workflows/workflow.js';
@@ -93,6 +95,8 @@
   private readonly book: WorkflowBook;
   private readonly roster = new WorkerRoster();
   private readonly health = new WorkerHealth();
+  private readonly interference = new FillInterference();
+  private readonly pacer = new FillPacer(this.interference);
   private readonly retries: RetryNotes;
   private readonly attachments = new Map<string, WorkerAttachment>();
   private readonly lastGrants = new Map<string, number>();
@@ -333,6 +337,7 @@
     const name = parseTaskName(end.task);
     if (!name || !isRunOutcome(end.outcome)) return effect();
     view.running.delete(runKey(end.task, end.run));
+    this.pacer.forget([runKey(end.task, end.run)]);
     const {outcome} = end;
     this.judge(view, name.workflow, end.task, outcome);
     const workflow = this.book.get(name.workflow);
@@ -417,6 +422,24 @@
       if (!run || run.checkpoint === '') continue;
       if (!reference.task.done) reference.task.checkpoint = run.checkpoint;
     }
+    this.paceFills(view);
+  }
+
+  private paceFills(view: WorkerView): void {
+    const {clock, logger} = this.options;
+    for (const {placed, percent} of this.pacer.decide(view, clock.now())) {
+      const task = taskNameOf(placed.reference);
+      const {run} = placed.placement;
+      this.attachments.get(view.agent)?.pace(task, run, percent);
+      const worst = Math.max(0, ...view.tails.map(({ratio}) => ratio));
+      logger.event(Events.TASK_PACED, {
+        task,
+        run,
+        percent,
+        worker: view.key,
+        worstTailShare: Math.round(worst * 100) / 100,
+      });
+    }
   }
 
   /** All runs at the worker have surely ended. */
@@ -506,6 +529,7 @@
       workflows: this.book.workflows,
       workers: this.usableWorkers(now),
       health: this.health,
+      interference: this.interference,
       termsOf: workflow => this.termsOf(workflow),
       mayPlace: reference => this.retries.mayPlace(taskNameOf(reference)),
       hasFailedOn: (reference, worker) =>
--- a/src/entry/workflows/worker_attachment.ts
+++ b/src/entry/workflows/worker_attachment.ts
@@ -9,6 +9,7 @@
 import {Events} from '../../observability/events.js';
 import type {Logger} from '../../observability/logger.js';
 import type {
+  PaceCommand,
   RunEnd,
   RunStatus,
   RunTraits,
@@ -65,6 +66,7 @@
   private lastSequence = 0;
   private readonly starts: StartCommand[] = [];
   private readonly stops: StopCommand[] = [];
+  private readonly paces: PaceCommand[] = [];
   private readonly sentAt = new Map<string, number>();
   private flushScheduled = false;
   private ended = false;
@@ -187,6 +189,15 @@
     this.scheduleFlush();
   }
 
+  /** Lets a run work at a share of its speed. */
+  pace(task: string, run: number, percent: number): void {
+    const {view} = this;
+    if (!view) return;
+    const {incarnation} = view.traits;
+    this.paces.push({incarnation, task, run, percent});
+    this.scheduleFlush();
+  }
+
   private noteUnexpected(
     view: WorkerView,
     name: string,
@@ -238,8 +249,10 @@
       starts: this.starts,
       stops: this.stops,
       traits,
+      paces: this.paces,
     });
     if (!sent) return;
+    this.paces.length = 0;
     this.starts.length = 0;
     this.stops.length = 0;
   }
--- a/src/entry/workflows/workflow_acceptor.ts
+++ b/src/entry/workflows/workflow_acceptor.ts
@@ -55,6 +55,11 @@
         workflow: id,
         queue,
         isRepeated: !result.succeeded,
+        tasks: spec.steps.reduce((sum, step) => sum + step.count, 0),
+        milliprocessors: spec.steps.reduce(
+          (sum, {count, size}) => sum + count * size.milliprocessors,
+          0,
+        ),
         tookMillis: Math.round(clock.now() - sentAt),
       });
       if (result.succeeded) owner.noteAccepted(spec);
--- a/src/platform/platform_worker.ts
+++ b/src/platform/platform_worker.ts
@@ -18,9 +18,9 @@
 import {messageOf} from '../utilities/base_error.js';
 
 /** The worker is on the same machine; longer than a busy one takes. */
-const CALL_TIMEOUT_MILLIS = 800;
+const CALL_TIMEOUT_MILLIS = 500;
 /** For the answer to a look that waits, beyond its wait. */
-const HOLD_GRACE_MILLIS = 800;
+const HOLD_GRACE_MILLIS = 400;
 /** One look that waits, starts and stops beside it. */
 const CONNECTIONS = 6;
 const REPLACED_STATUS = 421;
