Order workflows by worth for the work left, slow the least of them first, move what stands still

Cause: with more filling work than tails allow, all of it crawled: 60 runs shared the speed of 15, most ended too late to count. Slack as the order kept giving room to what was about to be late. Ruled out: too few processors (half of what serving tasks reserve was unused).

--- a/src/decisions/workflows/fill_pacer.ts
+++ b/src/decisions/workflows/fill_pacer.ts
@@ -3,9 +3,9 @@
 import type {WorkerView} from './worker_view.js';
 
 /** Share of its target at which a tail calls for less of what fills. */
-const HIGH_SHARE = 0.85;
+const HIGH_SHARE = 0.92;
 /** What pacing aims at, and up to what it lets filling runs work more. */
-const AIM_SHARE = 0.72;
+const AIM_SHARE = 0.8;
 /** A tail this far over its target is acted on at once. */
 const ALARMING_SHARE = 1.2;
 /** A measurement covers half a second; pacing takes a tenth to have effect. */
@@ -14,6 +14,8 @@
 const RAISE_PERCENT = 35;
 /** Share of all fills that is kept when none of them explains a tail. */
 const UNEXPLAINED_SHARE = 0.5;
+/** A run with a smaller part than this in an excess is left alone. */
+const LEAST_PART = 0.1;
 /** Changes smaller than this are not worth a call. */
 const LEAST_CHANGE_PERCENT = 5;
 
@@ -42,15 +44,19 @@
  * Paces filling runs so that serving runs beside them keep their tail targets.
  *
  * Load pattern: tails swing with the load of what serves and jump when a heavy
- * image begins beside it. The runs that press on the tail at risk are slowed,
- * the heaviest first, and let go again as far as the tails allow.
+ * image begins beside it. Of the runs that press on the tail at risk those that
+ * matter least are slowed first, for one that runs at full speed ends soon,
+ * and many that crawl never do.
  */
 export class FillPacer {
-  private readonly percents = new Map<string, number>();
   private readonly changedAt = new Map<string, number>();
   private readonly lastMeasured = new Map<string, string>();
 
-  constructor(private readonly interference: FillInterference) {}
+  constructor(
+    private readonly interference: FillInterference,
+    /** Negative if the left run is to be slowed after the right one. */
+    private readonly compare: (left: PlacedRun, right: PlacedRun) => number,
+  ) {}
 
   /** To be called with each listing; decides once a measurement. */
   decide(view: WorkerView, now: number): PaceDecision[] {
@@ -69,11 +75,7 @@
     const before = new Map(fills.map(fill => [fill.name, fill.percent]));
     if (worst >= HIGH_SHARE) this.lower(serving, fills);
     else this.raise(serving, fills);
-    return this.changes(view.key, fills, before, now);
-  }
-
-  forget(names: Iterable<string>): void {
-    for (const name of names) this.percents.delete(name);
+    return this.changes(view, fills, before, now);
   }
 
   private lower(
@@ -83,16 +85,17 @@
     for (const {image, ratio} of serving) {
       if (ratio < HIGH_SHARE) continue;
       let excess = ratio - AIM_SHARE;
-      const pressing = fills
-        .map(fill => ({fill, pressure: this.pressureOf(image, fill)}))
-        .sort((left, right) => right.pressure - left.pressure);
+      const pressing = [...fills]
+        .reverse()
+        .map(fill => ({fill, pressure: this.pressureOf(image, fill)}));
       const explained = pressing.reduce((sum, each) => sum + each.pressure, 0);
       if (explained < excess / 2) {
         for (const {fill} of pressing) scale(fill, UNEXPLAINED_SHARE);
         continue;
       }
       for (const {fill, pressure} of pressing) {
-        if (excess <= 0 || pressure <= 0) break;
+        if (excess <= 0) break;
+        if (pressure < LEAST_PART * (ratio - AIM_SHARE)) continue;
         const taken = Math.min(pressure, excess);
         scale(fill, 1 - taken / pressure);
         excess -= taken;
@@ -106,7 +109,6 @@
   ): void {
     const ratios = serving.map(({ratio}) => ratio);
     const slowed = fills.filter(({percent}) => percent < FULL_PERCENT);
-    slowed.sort((left, right) => left.percent - right.percent);
     for (const fill of slowed) {
       const {milliprocessors: size} = fill.placed.reference.step.size;
       let step = Math.min(RAISE_PERCENT, FULL_PERCENT - fill.percent);
@@ -132,7 +134,7 @@
   }
 
   private changes(
-    worker: string,
+    view: WorkerView,
     fills: readonly FillingRun[],
     before: ReadonlyMap<string, number>,
     now: number,
@@ -143,10 +145,10 @@
       const change = Math.abs(rounded - before.get(name)!);
       const isEdge = rounded === FULL_PERCENT && change > 0;
       if (change < LEAST_CHANGE_PERCENT && !isEdge) continue;
-      this.percents.set(name, rounded);
+      view.paces.set(name, rounded);
       decisions.push({placed, percent: rounded});
     }
-    if (decisions.length > 0) this.changedAt.set(worker, now);
+    if (decisions.length > 0) this.changedAt.set(view.key, now);
     return decisions;
   }
 
@@ -159,10 +161,10 @@
         name,
         placed,
         milliprocessors: run.measure,
-        percent: this.percents.get(name) ?? FULL_PERCENT,
+        percent: view.paces.get(name) ?? FULL_PERCENT,
       });
     }
-    return fills;
+    return fills.sort((left, right) => this.compare(left.placed, right.placed));
   }
 }
 
--- a/src/decisions/workflows/placement_planner.ts
+++ b/src/decisions/workflows/placement_planner.ts
@@ -6,11 +6,8 @@
 import type {WorkerView} from './worker_view.js';
 import type {FillInterference} from './fill_interference.js';
 import type {WorkerHealth} from './worker_health.js';
-import {
-  LATEST_OBJECTIVES,
-  objectiveMillis,
-  remainingChainMillis,
-} from './workflow_timing.js';
+import {compareRanks} from './workflow_order.js';
+import type {WorkflowOrder, WorkflowRank} from './workflow_order.js';
 
 const MILLIPROCESSORS = 1_000;
 /** Share of its processors that a filling task must find unused. */
@@ -18,8 +15,16 @@
 /** Share of their reservation that serving tasks use, on average. */
 const SERVING_USE_SHARE = 0.55;
 /** A tail expected above this share of its target keeps filling tasks away. */
-const HIGHEST_TAIL_SHARE = 1;
-const HIGH_TAIL_SHARE = 0.75;
+const HIGHEST_TAIL_SHARE = 0.9;
+const HIGH_TAIL_SHARE = 0.6;
+/**
+ * A workflow with nothing running for this long may press on tails, if this
+ * share of the pool's processors is not reserved.
+ */
+const LONGEST_WAIT_MILLIS = 1_500;
+const IDLE_SHARE = 0.4;
+/** For a serving task beside others of its image, so that images gather. */
+const SAME_IMAGE_BONUS = 0.25;
 /** Weight of a tail above the high share, against unused processors. */
 const TAIL_PENALTY = 2;
 /** A failure in a row weighs as much as this share of a worker's processors. */
@@ -66,8 +71,15 @@
     return worst;
   }
 
+  hasImage(image: string): boolean {
+    return this.tails.some(tail => tail.image === image);
+  }
+
   take(step: TaskReference['step'], interference: FillInterference): void {
     if (step.fills) this.addPressure(step, interference);
+    if (step.tailTargetMillis > 0) {
+      this.tails = [...this.tails, {image: step.image, ratio: 0}];
+    }
     const size = reservedSize(step);
     this.free = subtractResources(this.free, size);
     this.fillRoomMilliprocessors -= step.size.milliprocessors;
@@ -93,9 +105,7 @@
   readonly step: number;
   readonly tasks: readonly TaskReference[];
   readonly terms: QueueTerms;
-  /** Larger than any other for a step that is late already. */
-  readonly urgency: number;
-  readonly isHopeful: boolean;
+  readonly rank: WorkflowRank;
 }
 
 /** A decision: run the task there. */
@@ -111,6 +121,7 @@
   readonly workers: readonly WorkerView[];
   readonly health: WorkerHealth;
   readonly interference: FillInterference;
+  readonly order: WorkflowOrder;
   /** Undefined for a queue of which nothing is known. */
   readonly termsOf: (workflow: Workflow) => QueueTerms | undefined;
   /** Whether the task may be placed now, as far as earlier tries say. */
@@ -131,11 +142,10 @@
  * Decides which waiting tasks run where.
  *
  * Load pattern: short urgent workflows arrive steadily among large ones that
- * fill what is left. Urgent queues go first; among equals those that can still
- * be on time go before those that are late, the least slack first. Tasks that
- * reserve processors go to the worker that keeps most for others, and filling
- * tasks only to a worker with processors to spare, for one that crawls holds
- * back its whole workflow.
+ * fill what is left. Urgent queues go first, then the order of `WorkflowOrder`
+ * holds. Tasks that reserve processors go to the worker that keeps most for
+ * others, and filling tasks only to a worker with processors and tails to
+ * spare, for one that crawls holds back its whole workflow.
  */
 export function planPlacements(round: PlacementRound): PlannedRun[] {
   const candidates = round.workers.map(
@@ -155,6 +165,19 @@
   return planned;
 }
 
+/** Whether some worker has processors and tails to spare for the task. */
+export function hasPlaceForFill(
+  step: TaskReference['step'],
+  workers: readonly WorkerView[],
+  interference: FillInterference,
+): boolean {
+  return workers.some(view => {
+    const candidate = new Candidate(view, Infinity, 0);
+    if (view.isPaced || !mayRun(candidate, step, 0)) return false;
+    return candidate.expectedTail(step, interference) <= HIGH_TAIL_SHARE;
+  });
+}
+
 function waitingSteps(round: PlacementRound): WaitingStep[] {
   const waiting: WaitingStep[] = [];
   for (const workflow of round.workflows) {
@@ -175,7 +198,7 @@
   terms: QueueTerms,
 ): WaitingStep[] {
   const found: WaitingStep[] = [];
-  let slack: number | undefined;
+  let rank: WorkflowRank | undefined;
   for (const step of workflow.spec.steps.keys()) {
     const states = occurrence.tasks[step];
     if (!states.some(task => !task.done && task.placements.length === 0)) {
@@ -184,16 +207,8 @@
     if (!workflow.isStepOpen(occurrence, step)) continue;
     const tasks = waitingTasks(round, workflow, occurrence, step);
     if (tasks.length === 0) continue;
-    slack ??= slackMillis(round, workflow, occurrence, terms);
-    found.push({
-      workflow,
-      occurrence,
-      step,
-      tasks,
-      terms,
-      urgency: workflow.spec.steps[step].lasting ? -Infinity : slack,
-      isHopeful: workflow.spec.steps[step].lasting || slack > 0,
-    });
+    rank ??= round.order.rank(workflow, occurrence, terms, round.wallNow);
+    found.push({workflow, occurrence, step, tasks, terms, rank});
   }
   return found;
 }
@@ -218,27 +233,12 @@
   return tasks;
 }
 
-/** Time that may still be lost before the occurrence is late. */
-function slackMillis(
-  round: PlacementRound,
-  workflow: Workflow,
-  occurrence: Occurrence,
-  terms: QueueTerms,
-): number {
-  const age = round.wallNow - occurrence.dueAtMillis;
-  const left = remainingChainMillis(workflow, occurrence);
-  const objective = objectiveMillis(workflow, terms);
-  const slack = objective - age - left;
-  if (slack > 0) return slack;
-  return LATEST_OBJECTIVES * objective - age - left;
-}
-
+/** What is lasting goes first, since it is owed from the beginning. */
 function compareSteps(left: WaitingStep, right: WaitingStep): number {
-  if (left.terms.priority !== right.terms.priority) {
-    return left.terms.priority - right.terms.priority;
-  }
-  if (left.isHopeful !== right.isHopeful) return left.isHopeful ? -1 : 1;
-  return left.urgency - right.urgency;
+  const isLeftLasting = left.workflow.spec.steps[left.step].lasting;
+  const isRightLasting = right.workflow.spec.steps[right.step].lasting;
+  if (isLeftLasting !== isRightLasting) return isLeftLasting ? -1 : 1;
+  return compareRanks(left.rank, right.rank);
 }
 
 function placeTasks(
@@ -366,9 +366,13 @@
   const left = candidate.fillRoomMilliprocessors - step.size.milliprocessors;
   let score = left / Math.max(1, room.milliprocessors);
   score -= SUSPICION_PENALTY * suspicion;
+  if (step.tailTargetMillis > 0 && candidate.hasImage(step.image)) {
+    score += SAME_IMAGE_BONUS;
+  }
   if (step.fills) {
     const tail = candidate.expectedTail(step, round.interference);
-    if (tail > HIGHEST_TAIL_SHARE) return -Infinity;
+    const isCrowded = tail > HIGHEST_TAIL_SHARE || view.isPaced;
+    if (isCrowded && !mayPress(round, reference)) return -Infinity;
     score -= TAIL_PENALTY * Math.max(0, tail - HIGH_TAIL_SHARE);
   }
   if (step.dataRack !== '' && step.dataRack !== rack) score -= REMOTE_PENALTY;
@@ -377,6 +381,23 @@
   return score;
 }
 
+/** Whether the workflow has waited long enough to press on tails. */
+function mayPress(round: PlacementRound, reference: TaskReference): boolean {
+  const {workflow, occurrence} = reference;
+  for (const {task} of workflow.tasks()) {
+    if (task.placements.length > 0) return false;
+  }
+  if (round.wallNow - occurrence.dueAtMillis < LONGEST_WAIT_MILLIS)
+    return false;
+  let capacity = 0;
+  let reserved = 0;
+  for (const view of round.workers) {
+    capacity += view.traits.room.milliprocessors;
+    reserved += view.reserved.milliprocessors;
+  }
+  return reserved < (1 - IDLE_SHARE) * capacity;
+}
+
 function isOnRackOf(
   round: PlacementRound,
   used: ReadonlyMap<string, number>,
--- a/src/decisions/workflows/worker_view.ts
+++ b/src/decisions/workflows/worker_view.ts
@@ -4,6 +4,9 @@
 import {runKey} from './task_name.js';
 import type {PlacedRun} from './workflow.js';
 
+/** A run above it counts as not slowed. */
+const NEARLY_FULL_PERCENT = 80;
+
 /** What placement has to know of a worker. */
 export type WorkerTraits = Pick<
   WorkerReport,
@@ -37,6 +40,8 @@
   readonly running = new Map<string, WorkerRun>();
   /** What was placed here and is not known to have ended, by run key. */
   readonly placed = new Map<string, PlacedRun>();
+  /** Percent at which runs work, where that is less than all; by run key. */
+  readonly paces = new Map<string, number>();
   readonly unexpected = new Map<string, UnexpectedRun>();
 
   constructor(
@@ -78,6 +83,14 @@
     return sum;
   }
 
+  /** Whether some run is slowed for the sake of another. */
+  get isPaced(): boolean {
+    for (const [name, percent] of this.paces) {
+      if (percent < NEARLY_FULL_PERCENT && this.placed.has(name)) return true;
+    }
+    return false;
+  }
+
   /** Tails of the serving tasks here, as shares of their targets. */
   get tails(): Array<{image: string; ratio: number}> {
     const tails: Array<{image: string; ratio: number}> = [];
--- a/src/decisions/workflows/workflow_timing.ts
+++ b/src/decisions/workflows/workflow_timing.ts
@@ -1,5 +1,5 @@
 /** How long workflows take and when they are late. */
-import type {QueueConfiguration} from './workflow_types.js';
+import type {QueueConfiguration, StepSpec} from './workflow_types.js';
 import type {Occurrence, Workflow} from './workflow.js';
 
 /** A workflow counts for nothing after this many times its objective. */
@@ -37,3 +37,27 @@
 ): number {
   return terms.stretch * wholeChainMillis(workflow) + terms.latencyTargetMillis;
 }
+
+/** Work of the tasks that are not done, in core-milliseconds. */
+export function remainingWork(
+  workflow: Workflow,
+  occurrence: Occurrence,
+): number {
+  let sum = 0;
+  for (const [index, step] of workflow.spec.steps.entries()) {
+    const left = occurrence.tasks[index].filter(task => !task.done).length;
+    sum += left * workOfTask(step);
+  }
+  return sum;
+}
+
+/** Work of all tasks, in core-milliseconds. */
+export function wholeWork(workflow: Workflow): number {
+  let sum = 0;
+  for (const step of workflow.spec.steps) sum += step.count * workOfTask(step);
+  return sum;
+}
+
+function workOfTask(step: StepSpec): number {
+  return (step.estimateMillis * step.size.milliprocessors) / 1_000;
+}
--- a/src/entry/workflows/pool_owner.ts
+++ b/src/entry/workflows/pool_owner.ts
@@ -2,10 +2,20 @@
 import {RunOutcome} from '../../backends/leased_worker.js';
 import {FillInterference} from '../../decisions/workflows/fill_interference.js';
 import {FillPacer} from '../../decisions/workflows/fill_pacer.js';
-import {planPlacements} from '../../decisions/workflows/placement_planner.js';
+import {
+  hasPlaceForFill,
+  planPlacements,
+} from '../../decisions/workflows/placement_planner.js';
+import {StalledFills} from '../../decisions/workflows/stalled_fills.js';
+import {
+  compareRanks,
+  WorkflowOrder,
+} from '../../decisions/workflows/workflow_order.js';
+import type {WorkflowRank} from '../../decisions/workflows/workflow_order.js';
 import {parseTaskName, runKey} from '../../decisions/workflows/task_name.js';
 import {taskNameOf} from '../../decisions/workflows/workflow.js';
 import type {
+  PlacedRun,
   TaskReference,
   Workflow,
 } from '../../decisions/workflows/workflow.js';
@@ -96,7 +106,11 @@
   private readonly roster = new WorkerRoster();
   private readonly health = new WorkerHealth();
   private readonly interference = new FillInterference();
-  private readonly pacer = new FillPacer(this.interference);
+  private readonly order = new WorkflowOrder();
+  private readonly stalledFills = new StalledFills();
+  private readonly pacer = new FillPacer(this.interference, (left, right) =>
+    compareRanks(this.rankOf(left), this.rankOf(right)),
+  );
   private readonly retries: RetryNotes;
   private readonly attachments = new Map<string, WorkerAttachment>();
   private readonly lastGrants = new Map<string, number>();
@@ -194,7 +208,9 @@
   /** A workflow stands in the store. */
   noteWorkflow(spec: WorkflowSpec): void {
     if (!this.loaded || !this.book.add(spec)) return;
-    this.book.get(spec.id)?.openDue(this.options.clock.wallTime());
+    const workflow = this.book.get(spec.id);
+    if (workflow) this.order.note(workflow);
+    workflow?.openDue(this.options.clock.wallTime());
     this.schedulePlan();
   }
 
@@ -251,6 +267,7 @@
     try {
       const workflow = decodeWorkflow(decodeSpec(specText), progress);
       this.book.restore(workflow, inboxKeys);
+      this.order.note(workflow);
     } catch (error) {
       const reason = messageOf(error);
       this.options.logger.event(Events.UNEXPECTED_FAULT, {reason});
@@ -337,7 +354,6 @@
     const name = parseTaskName(end.task);
     if (!name || !isRunOutcome(end.outcome)) return effect();
     view.running.delete(runKey(end.task, end.run));
-    this.pacer.forget([runKey(end.task, end.run)]);
     const {outcome} = end;
     this.judge(view, name.workflow, end.task, outcome);
     const workflow = this.book.get(name.workflow);
@@ -397,6 +413,37 @@
     }
   }
 
+  /** Moves a filling run that stands still, if it would go on elsewhere. */
+  private moveStalled(): void {
+    const now = this.options.clock.now();
+    const workers = this.usableWorkers(now);
+    for (const view of workers) {
+      for (const placed of this.stalledFills.find(view, now)) {
+        const {reference, placement} = placed;
+        if (placement.stopping) continue;
+        const others = workers.filter(other => other !== view);
+        if (!hasPlaceForFill(reference.step, others, this.interference))
+          continue;
+        this.stopRun(placed, 'it stands still beside a serving task');
+      }
+    }
+  }
+
+  private stopRun({reference, placement}: PlacedRun, reason: string): void {
+    const task = taskNameOf(reference);
+    const {run, worker} = placement;
+    this.options.logger.event(Events.RUN_STOPPED, {task, run, worker, reason});
+    this.book.stop(reference, run);
+    this.attachments.get(agentOf(worker))?.stop(task, run);
+  }
+
+  private rankOf({reference}: PlacedRun): WorkflowRank {
+    const {workflow, occurrence} = reference;
+    const terms = this.termsOf(workflow) ?? workflow.spec.terms;
+    const wallNow = this.options.clock.wallTime();
+    return this.order.rank(workflow, occurrence, terms, wallNow);
+  }
+
   private takeResult(view: WorkerView, result: RunStartResult): void {
     if (result.refusal === '') return;
     const {clock, logger} = this.options;
@@ -467,6 +514,7 @@
       this.noteGrant(attachment.agent, attachment.grantedAt);
     }
     this.loseUnreachable();
+    this.moveStalled();
     if (this.book.openDue(this.options.clock.wallTime())) this.schedulePlan();
     this.schedulePlan();
   }
@@ -530,6 +578,7 @@
       workers: this.usableWorkers(now),
       health: this.health,
       interference: this.interference,
+      order: this.order,
       termsOf: workflow => this.termsOf(workflow),
       mayPlace: reference => this.retries.mayPlace(taskNameOf(reference)),
       hasFailedOn: (reference, worker) =>
