--- a/src/agent/workflows/worker_session.ts
+++ b/src/agent/workflows/worker_session.ts
@@ -34,8 +34,6 @@
 const OWNER_SILENT_MILLIS = 1_500;
 /** One decision a measurement of half a second and its effect. */
 const THROTTLE_MILLIS = 600;
-/** How often a start is sent anew after the token was raised meanwhile. */
-const FENCED_RETRIES = 3;
 
 /** A caller that waits for the answer to a look. */
 interface AwaitedLook {
@@ -77,6 +75,8 @@
   private answeredAt: number;
   private readonly beganAt: number;
   private silent = false;
+  /** Counts how often the owner was told of a lapse. */
+  private reportedLapses = 0;
   private looks = 0;
   private traits = new Map<string, RunTraits>();
   private readonly throttle = new TailThrottle();
@@ -104,10 +104,16 @@
     return Math.round(this.options.clock.now() - this.answeredAt);
   }
 
-  /** The worker is silent, and all that it ran has lapsed for sure. */
-  get isLapsed(): boolean {
+  /**
+   * Whether the worker is silent and all that it ran has lapsed for sure. From
+   * then on the owner may run it elsewhere, and starts under way are given up.
+   */
+  reportLapse(): boolean {
     if (!this.silent) return false;
-    return this.lease.isLapsed(this.options.longestLeaseMillis, this.beganAt);
+    const {longestLeaseMillis} = this.options;
+    if (!this.lease.isLapsed(longestLeaseMillis, this.beganAt)) return false;
+    this.reportedLapses++;
+    return true;
   }
 
   /** Undefined until the worker has listed its runs. */
@@ -202,23 +208,19 @@
 
   /** Empty if the worker has the run, else why it surely never begins. */
   private async tryStart(name: string, command: StartCommand): Promise<string> {
+    const lapses = this.reportedLapses;
     if (this.sent.has(name)) {
       if (!(await this.untilLooked())) return StartRefusal.REPLACED;
       if (this.isListed(name)) return '';
     }
-    for (let tries = 0; !this.closed; tries++) {
-      const leaseEnd = this.silent ? undefined : this.lease.end;
-      if (this.report.draining) return this.refuse(name, StartRefusal.REPLACED);
-      if (leaseEnd === undefined) {
-        return this.refuse(name, StartRefusal.LEASE_ENDED);
-      }
-      const token = this.options.token.value;
-      const refusal = await this.sendStart(name, command, leaseEnd, token);
-      const wasRaised = token !== this.options.token.value;
-      const isVoid = refusal === StartRefusal.FENCED && wasRaised;
-      if (!isVoid || tries >= FENCED_RETRIES) return refusal;
+    const leaseEnd = this.silent ? undefined : this.lease.end;
+    // The owner counts runs as ended once it was told of the lapse.
+    const isOutdated = lapses !== this.reportedLapses;
+    if (isOutdated || leaseEnd === undefined) {
+      return this.refuse(name, StartRefusal.LEASE_ENDED);
     }
-    return StartRefusal.REPLACED;
+    if (this.report.draining) return this.refuse(name, StartRefusal.REPLACED);
+    return this.sendStart(name, command, leaseEnd);
   }
 
   /** A refusal of this agent is true only if no start was ever sent. */
@@ -230,9 +232,8 @@
     name: string,
     command: StartCommand,
     leaseEnd: number,
-    fencingToken: number,
   ): Promise<string> {
-    const {worker} = this.options;
+    const {worker, token} = this.options;
     const {task, run, payload, checkpoint, ticket} = command;
     this.lease.noteSent(leaseEnd);
     this.sent.add(name);
@@ -244,7 +245,7 @@
         checkpoint,
         ticket,
         leaseEnd,
-        fencingToken,
+        fencingToken: token.value,
       });
       // The end of such a run is listed before the owner hears of this.
       if (refusal === StartRefusal.CLOSED) await this.untilLooked();
--- a/src/agent/workflows/workflow_agent.ts
+++ b/src/agent/workflows/workflow_agent.ts
@@ -38,6 +38,13 @@
   readonly openWorker: (report: WorkerReport) => LeasedWorker;
 }
 
+/** When an update was sent, on the clocks of the worker and of the agent. */
+interface SentUpdate {
+  readonly workerNow: number | undefined;
+  readonly steady: number;
+  readonly calendar: number;
+}
+
 /**
  * The agent beside one worker: the only caller of it. It carries out what the
  * owner of the pool decides, and prolongs the worker's lease for as long as
@@ -50,8 +57,8 @@
   private session: WorkerSession | undefined;
   private sequence = 0;
   private updatedAt = -Infinity;
-  /** Worker's time at which updates were sent, by sequence. */
-  private readonly openUpdates = new Map<number, number>();
+  /** Updates whose reply may still count, by sequence. */
+  private readonly openUpdates = new Map<number, SentUpdate>();
   private updateScheduled = false;
   private closed = false;
 
@@ -168,6 +175,7 @@
     for (const pace of commands.paces) {
       if (pace.incarnation === incarnation) session.pace(pace);
     }
+    if (!this.isCurrent(commands)) return;
     for (const start of commands.starts) {
       if (start.incarnation === incarnation) session.start(start);
     }
@@ -175,12 +183,31 @@
 
   /** The lease is counted from when the answered update was sent. */
   private extendLease(session: WorkerSession, commands: WorkerCommands): void {
-    const sentAt = this.openUpdates.get(commands.sequence);
+    const sent = this.openUpdates.get(commands.sequence);
     for (const sequence of this.openUpdates.keys()) {
       if (sequence < commands.sequence) this.openUpdates.delete(sequence);
     }
-    if (sentAt === undefined || commands.leaseMillis === 0) return;
-    session.lease.grant(sentAt + commands.leaseMillis);
+    if (sent?.workerNow === undefined || commands.leaseMillis === 0) return;
+    session.lease.grant(sent.workerNow + commands.leaseMillis);
+  }
+
+  /**
+   * Whether the owner can't have given the runs here up since it sent the
+   * commands: they may have waited in a connection that was cut. The steady
+   * clock stands still while a machine is suspended, the calendar may jump.
+   */
+  private isCurrent({sequence, starts}: WorkerCommands): boolean {
+    if (starts.length === 0) return true;
+    const sent = this.openUpdates.get(sequence);
+    const {clock, logger, longestLeaseMillis} = this.options;
+    const ageMillis = sent
+      ? Math.max(clock.now() - sent.steady, clock.wallTime() - sent.calendar)
+      : Infinity;
+    if (ageMillis < longestLeaseMillis) return true;
+    for (const {task, run} of starts) {
+      logger.event(Events.START_OUTDATED, {task, run, ageMillis});
+    }
+    return false;
   }
 
   private tick(): void {
@@ -208,8 +235,12 @@
     const sequence = ++this.sequence;
     this.updatedAt = this.options.clock.now();
     const results = session?.takeResults() ?? [];
-    const workerNow = session?.lease.workerNow;
-    if (workerNow !== undefined) this.openUpdates.set(sequence, workerNow);
+    const {clock} = this.options;
+    this.openUpdates.set(sequence, {
+      workerNow: session?.lease.workerNow,
+      steady: clock.now(),
+      calendar: clock.wallTime(),
+    });
     if (this.openUpdates.size > MAXIMUM_OPEN_UPDATES) {
       const [oldest] = this.openUpdates.keys();
       this.openUpdates.delete(oldest);
@@ -224,7 +255,7 @@
       ends: session?.pendingEnds ?? [],
       results,
       silentMillis: session?.silentMillis ?? 0,
-      lapsed: session?.isLapsed ?? false,
+      lapsed: session?.reportLapse() ?? false,
       starting: session?.startingNames ?? [],
     };
     if (!this.connection.send(update)) session?.returnResults(results);
--- a/src/entry/workflows/pool_entry.ts
+++ b/src/entry/workflows/pool_entry.ts
@@ -75,6 +75,7 @@
     });
     this.ownership = new PoolOwnership({
       store,
+      health: this.health,
       clock,
       logger,
       processName,
--- a/src/entry/workflows/pool_ownership.ts
+++ b/src/entry/workflows/pool_ownership.ts
@@ -7,6 +7,7 @@
 import {LeaseValidity} from './lease_validity.js';
 import {decodeOwner, encodeOwner} from '../../protocol/owner_record.js';
 import type {OwnerRecord} from '../../protocol/owner_record.js';
+import type {StoreHealth} from './store_health.js';
 import type {PoolOwner} from './pool_owner.js';
 import {StoreKeys} from '../../protocol/store_keys.js';
 
@@ -34,6 +35,7 @@
 
 export interface PoolOwnershipOptions {
   readonly store: TransactionalStore;
+  readonly health: StoreHealth;
   readonly clock: Clock;
   readonly logger: Logger;
   readonly processName: string;
@@ -105,8 +107,8 @@
 
   private async look(): Promise<void> {
     if (this.claim) return;
-    const {store, processName} = this.options;
-    const standing = await store.get(StoreKeys.OWNER);
+    const {store, health, processName} = this.options;
+    const standing = await health.watch(store.get(StoreKeys.OWNER));
     const record = standing && decodeOwner(standing.value);
     if (!standing || !record) return this.tryClaim(standing?.revision ?? 0);
     this.knownOwner = {address: record.address, epoch: record.epoch ?? 0};
@@ -200,8 +202,9 @@
     if (!claim) return true;
     const moment = claim.validity.moment();
     try {
-      const holds = await this.options.store.keepLeaseAlive(
-        claim.owner.leaseId,
+      const {store, health} = this.options;
+      const holds = await health.watch(
+        store.keepLeaseAlive(claim.owner.leaseId),
       );
       if (holds) claim.validity.noteRenewal(moment);
       else if (this.claim === claim) this.depose('its lease has lapsed');
--- a/src/entry/workflows/store_health.ts
+++ b/src/entry/workflows/store_health.ts
@@ -1,37 +1,53 @@
 import type {Clock} from '../../utilities/clock.js';
 
-/** Calls that fail for this long in a row mean that the store is away. */
-const AWAY_MILLIS = 600;
-/** While it is away one call in this time tries whether it is back. */
-const TRIAL_MILLIS = 250;
+/**
+ * A store that answers nothing for this long counts as away. Slow answers take
+ * up to a hundred times the usual 4 ms.
+ */
+const AWAY_MILLIS = 700;
 
 /** Whether calls to the store are worth their time. */
 export class StoreHealth {
-  private failingSince: number | undefined;
-  private triedAt = -Infinity;
+  /** When the calls under way were sent. */
+  private readonly pending = new Set<{readonly sentAt: number}>();
+  private answeredAt: number;
+  private failedSince: number | undefined;
 
-  constructor(private readonly clock: Clock) {}
-
-  noteSuccess(): void {
-    this.failingSince = undefined;
-  }
-
-  /** A call that was sent at this time has failed. */
-  noteFailure(sentAt: number): void {
-    this.failingSince ??= sentAt;
+  constructor(private readonly clock: Clock) {
+    this.answeredAt = clock.now();
   }
 
+  /** No call has been answered for a while, though some were made. */
   get isAway(): boolean {
-    const since = this.failingSince;
-    return since !== undefined && this.clock.now() - since > AWAY_MILLIS;
+    const now = this.clock.now();
+    const since = this.failedSince;
+    if (since !== undefined && now - since > AWAY_MILLIS) return true;
+    for (const {sentAt} of this.pending) {
+      const unansweredSince = Math.max(sentAt, this.answeredAt);
+      if (now - unansweredSince > AWAY_MILLIS) return true;
+    }
+    return false;
   }
 
-  /** Whether a call may be made now. */
-  mayTry(): boolean {
-    if (!this.isAway) return true;
-    const now = this.clock.now();
-    if (now - this.triedAt < TRIAL_MILLIS) return false;
-    this.triedAt = now;
-    return true;
+  /** Watches a call; what it brings goes on to the caller. */
+  async watch<Result>(call: Promise<Result>): Promise<Result> {
+    const entry = {sentAt: this.clock.now()};
+    this.pending.add(entry);
+    try {
+      const result = await call;
+      this.answeredAt = this.clock.now();
+      this.failedSince = undefined;
+      return result;
+    } catch (error) {
+      if (entry.sentAt >= this.answeredAt) {
+        this.failedSince = Math.min(
+          this.failedSince ?? entry.sentAt,
+          entry.sentAt,
+        );
+      }
+      throw error;
+    } finally {
+      this.pending.delete(entry);
+    }
   }
 }
--- a/src/entry/workflows/workflow_acceptor.ts
+++ b/src/entry/workflows/workflow_acceptor.ts
@@ -6,6 +6,7 @@
 import type {Logger} from '../../observability/logger.js';
 import {messageOf} from '../../utilities/base_error.js';
 import type {Clock} from '../../utilities/clock.js';
+import {withDeadline} from '../../utilities/deadline.js';
 import type {OwnerClient} from './owner_client.js';
 import {cancelKey, newKey, specKey} from '../../protocol/store_keys.js';
 import type {StoreHealth} from './store_health.js';
@@ -30,6 +31,12 @@
   readonly logger: Logger;
 }
 
+/**
+ * Time for the store to answer before the caller is told that nobody knows
+ * yet: well over its slow answers, and well under callers' deadlines.
+ */
+const ANSWER_MILLIS = 900;
+
 /**
  * Stores workflows and cancellations. Any entry may: the key of a workflow can
  * be created once, whoever takes the caller's repeated request.
@@ -37,20 +44,38 @@
 export class WorkflowAcceptor {
   constructor(private readonly options: WorkflowAcceptorOptions) {}
 
+  /** Resolves at the latest a second after the call. */
   async submit(spec: WorkflowSpec): Promise<Acceptance> {
+    const {id} = spec;
+    const {clock, health} = this.options;
+    if (health.isAway) return this.refuse(id, 'the store is away');
+    const stored = this.store(spec);
+    const acceptance = await withDeadline(clock, ANSWER_MILLIS, stored);
+    return acceptance ?? this.giveUp(id, 'the store has not answered yet');
+  }
+
+  /** Resolves at the latest a second after the call. */
+  async cancel(id: string): Promise<Acceptance> {
+    const {clock} = this.options;
+    const stored = this.storeCancellation(id);
+    const acceptance = await withDeadline(clock, ANSWER_MILLIS, stored);
+    return acceptance ?? this.giveUp(id, 'the store has not answered yet');
+  }
+
+  /** Goes on after the caller was answered, so that the owner hears of it. */
+  private async store(spec: WorkflowSpec): Promise<Acceptance> {
     const {store, health, clock, logger, owner} = this.options;
     const {id, queue} = spec;
-    if (!health.mayTry()) return this.refuse(id, 'the store is away');
     const sentAt = clock.now();
     try {
-      const result = await store.transact({
+      const call = store.transact({
         conditions: [{key: specKey(id), revision: 0}],
         puts: [
           {key: specKey(id), value: encodeSpec(spec)},
           {key: newKey(id), value: ''},
         ],
       });
-      health.noteSuccess();
+      const result = await health.watch(call);
       logger.event(Events.WORKFLOW_ACCEPTED, {
         workflow: id,
         queue,
@@ -65,32 +90,24 @@
       if (result.succeeded) owner.noteAccepted(spec);
       return Acceptance.STORED;
     } catch (error) {
-      health.noteFailure(sentAt);
       const reason = messageOf(error);
       if (error instanceof StoreRefusedError) return this.refuse(id, reason);
       return this.lookAfter(spec, reason);
     }
   }
 
-  async cancel(id: string): Promise<Acceptance> {
-    const {store, health, clock, logger, owner} = this.options;
-    const sentAt = clock.now();
+  private async storeCancellation(id: string): Promise<Acceptance> {
+    const {store, health, logger, owner} = this.options;
     try {
-      const spec = await store.get(specKey(id));
+      const spec = await health.watch(store.get(specKey(id)));
       if (!spec) return Acceptance.ABSENT;
-      await store.transact({
-        conditions: [],
-        puts: [{key: cancelKey(id), value: ''}],
-      });
-      health.noteSuccess();
+      const puts = [{key: cancelKey(id), value: ''}];
+      await health.watch(store.transact({conditions: [], puts}));
       logger.event(Events.WORKFLOW_CANCELLED, {workflow: id});
       owner.noteCancelled(id);
       return Acceptance.STORED;
     } catch (error) {
-      health.noteFailure(sentAt);
-      const reason = messageOf(error);
-      logger.event(Events.WORKFLOW_UNDECIDED, {workflow: id, reason});
-      return Acceptance.UNKNOWN;
+      return this.giveUp(id, messageOf(error));
     }
   }
 
@@ -99,27 +116,26 @@
     return Acceptance.REFUSED;
   }
 
+  private giveUp(id: string, reason: string): Acceptance {
+    const fields = {workflow: id, reason};
+    this.options.logger.event(Events.WORKFLOW_UNDECIDED, fields);
+    return Acceptance.UNKNOWN;
+  }
+
   /** The write may have taken effect: only the store can say. */
   private async lookAfter(
     spec: WorkflowSpec,
     reason: string,
   ): Promise<Acceptance> {
-    const {store, health, logger, owner} = this.options;
+    const {store, health, owner} = this.options;
     const {id} = spec;
     try {
-      const standing = await store.get(specKey(id));
-      health.noteSuccess();
-      if (standing) {
-        owner.noteAccepted(spec);
-        return Acceptance.STORED;
-      }
+      const standing = await health.watch(store.get(specKey(id)));
+      if (!standing) return this.giveUp(id, reason);
+      owner.noteAccepted(spec);
+      return Acceptance.STORED;
     } catch (error) {
-      logger.event(Events.WORKFLOW_UNDECIDED, {
-        workflow: id,
-        reason: messageOf(error),
-      });
+      return this.giveUp(id, messageOf(error));
     }
-    logger.event(Events.WORKFLOW_UNDECIDED, {workflow: id, reason});
-    return Acceptance.UNKNOWN;
   }
 }
--- a/src/entry/workflows/workflow_api.ts
+++ b/src/entry/workflows/workflow_api.ts
@@ -11,6 +11,7 @@
 import type {Logger} from '../../observability/logger.js';
 import {messageOf} from '../../utilities/base_error.js';
 import type {Clock} from '../../utilities/clock.js';
+import {withDeadline} from '../../utilities/deadline.js';
 import type {ApiAnswer, ApiCall} from '../http/api_types.js';
 import type {ConfigurationFollower} from './configuration_follower.js';
 import type {OwnerClient} from './owner_client.js';
@@ -45,6 +46,9 @@
 /** Seconds after which the store or an owner may be back. */
 const RETRY_AFTER_SECONDS = 1;
 
+/** Time for the store to answer, well under callers' deadlines. */
+const ANSWER_MILLIS = 900;
+
 /** Where a call goes. */
 interface Target {
   readonly queue: QueueConfiguration;
@@ -131,12 +135,15 @@
 
   /** For a workflow that the owner has not taken in, or without an owner. */
   private async showStored(workflow: string): Promise<ApiAnswer> {
-    const {store, documents, logger} = this.options;
+    const {store, documents, logger, clock} = this.options;
     try {
-      const [progress, spec] = await Promise.all([
+      const read = Promise.all([
         store.get(progressKey(workflow)),
         store.get(specKey(workflow)),
       ]);
+      const found = await withDeadline(clock, ANSWER_MILLIS, read);
+      if (!found) return later();
+      const [progress, spec] = found;
       if (!progress && !spec) return answer(410);
       const begun = progress ? WorkflowState.RUNNING : WorkflowState.QUEUED;
       const state = progress && decodeEndState(progress.value);
--- a/src/observability/events.ts
+++ b/src/observability/events.ts
@@ -399,6 +399,11 @@
     'warn',
     'The agent could not get a fencing token; it tries again.',
   ),
+  START_OUTDATED: event(
+    6059,
+    'warn',
+    'The order to start a run came too late to be obeyed.',
+  ),
   TASK_PACED: event(
     6058,
     'info',
--- a/src/platform/platform_store.ts
+++ b/src/platform/platform_store.ts
@@ -15,8 +15,8 @@
 } from '../backends/transactional_store.js';
 import {messageOf} from '../utilities/base_error.js';
 
-/** Twice the slowest answers that still let an owner keep its lease. */
-const DEFAULT_TIMEOUT_MILLIS = 1_500;
+/** Twice the slow answers of a store that is a hundred times slower. */
+const DEFAULT_TIMEOUT_MILLIS = 1_000;
 /** Answers come within the wait, and a transfer of up to 1 MB. */
 const WATCH_GRACE_MILLIS = 1_500;
 const CONNECTIONS = 8;
--- /dev/null
+++ b/tests/workflows/pool.test.ts
@@ -0,0 +1,209 @@
+import test from 'ava';
+import {VirtualPool} from './fixtures/virtual_pool.js';
+
+const ID = '00000000000000a1';
+
+function step(
+  count: number,
+  extra: Record<string, unknown> = {},
+): Record<string, unknown> {
+  return {Count: count, Cpu: 500, MemMb: 100, EstimateMs: 500, ...extra};
+}
+
+test('should run the steps of a workflow in order and show it done', async t => {
+  const pool = new VirtualPool({seed: 1});
+  await pool.run(3_000);
+  t.is(
+    await pool.submit(ID, [step(3), step(2, {After: [0]})], {millis: 500}),
+    200,
+  );
+  await pool.run(2_500);
+  t.is(await pool.state(ID), 'done');
+  const second = pool.history.runs.filter(run =>
+    run.task.startsWith(`${ID}.0.1.`),
+  );
+  const first = pool.history.runs.filter(run =>
+    run.task.startsWith(`${ID}.0.0.`),
+  );
+  t.is(first.length, 3);
+  t.is(second.length, 2);
+  const firstEnd = Math.max(...first.map(run => run.endedAt!));
+  t.true(second.every(run => run.startedAt >= firstEnd));
+  t.deepEqual(pool.history.violations(), []);
+});
+
+test('should take the same workflow once when it is submitted again elsewhere', async t => {
+  const pool = new VirtualPool({seed: 2});
+  await pool.run(3_000);
+  t.is(await pool.submit(ID, [step(1)], {millis: 200}, 'entry-0'), 200);
+  t.is(await pool.submit(ID, [step(1)], {millis: 200}, 'entry-1'), 200);
+  await pool.run(2_000);
+  t.is(pool.history.runs.length, 1);
+});
+
+test('should fail a workflow after the allowed failures of a task', async t => {
+  const pool = new VirtualPool({seed: 3});
+  await pool.run(3_000);
+  await pool.submit(ID, [step(1)], {millis: 100, fails: true});
+  await pool.run(8_000);
+  t.is(await pool.state(ID), 'failed');
+  t.is(pool.history.runs.length, 3);
+});
+
+test('should stop what runs of a cancelled workflow', async t => {
+  const pool = new VirtualPool({seed: 4});
+  await pool.run(3_000);
+  await pool.submit(ID, [step(2, {LongRunning: true})], {millis: 60_000});
+  await pool.run(1_000);
+  t.is(await pool.cancel(ID, 'entry-1'), 200);
+  await pool.run(2_000);
+  t.is(await pool.state(ID), 'cancelled');
+  t.true(pool.history.runs.every(run => run.outcome === 'stopped'));
+});
+
+test('should order no start before its placement is durable', async t => {
+  const pool = new VirtualPool({seed: 5});
+  await pool.run(3_000);
+  const owner = pool.ownerName!;
+  const other = pool.entryNames.find(name => name !== owner)!;
+  // The owner hears of the workflow, and can't write where it is to run.
+  pool.store.cutOff.add(owner);
+  await pool.submit(
+    ID,
+    [step(2, {LongRunning: true})],
+    {millis: 60_000},
+    other,
+  );
+  await pool.run(2_000);
+  t.deepEqual(pool.history.runs, []);
+  pool.store.cutOff.delete(owner);
+  await pool.run(6_000);
+  t.is(pool.history.runs.length, 2);
+  t.deepEqual(pool.history.violations(), []);
+});
+
+test('should keep what runs when another entry takes the pool over', async t => {
+  const pool = new VirtualPool({seed: 6, entries: 3});
+  await pool.run(3_000);
+  await pool.submit(ID, [step(4)], {millis: 7_000});
+  await pool.run(500);
+  const owner = pool.ownerName!;
+  pool.killEntry(owner);
+  await pool.run(9_000);
+  t.not(pool.ownerName, owner);
+  t.is(await pool.state(ID), 'done');
+  t.is(pool.history.runs.length, 4);
+  t.deepEqual(pool.history.violations(), []);
+});
+
+test('should adopt what runs after agents were restarted', async t => {
+  const pool = new VirtualPool({seed: 7});
+  await pool.run(3_000);
+  await pool.submit(ID, [step(3)], {millis: 5_000});
+  await pool.run(500);
+  for (const index of pool.workers.keys()) pool.restartAgent(index);
+  await pool.run(6_000);
+  t.is(await pool.state(ID), 'done');
+  t.is(pool.history.runs.length, 3);
+});
+
+test('should start tasks anew once the lease of a worker that is cut off has ended', async t => {
+  const pool = new VirtualPool({seed: 8});
+  await pool.run(3_000);
+  await pool.submit(ID, [step(3, {AntiAffinity: 1})], {millis: 20_000});
+  await pool.run(500);
+  pool.links.cutOff.add('agent-0');
+  await pool.run(9_000);
+  pool.links.cutOff.delete('agent-0');
+  await pool.run(40_000);
+  t.is(await pool.state(ID), 'done');
+  t.deepEqual(pool.history.violations(), []);
+});
+
+test('should start nothing in an evacuated failure domain', async t => {
+  const pool = new VirtualPool({seed: 9});
+  await pool.run(3_000);
+  pool.store.write('op/evacuate/domain-0', '{}');
+  await pool.run(1_500);
+  await pool.submit(ID, [step(6)], {millis: 200});
+  await pool.run(3_000);
+  t.is(await pool.state(ID), 'done');
+  t.true(pool.history.runs.every(run => run.worker !== 'worker-0'));
+});
+
+test('should see an evacuation although watches are deaf', async t => {
+  const pool = new VirtualPool({seed: 10});
+  await pool.run(3_000);
+  pool.store.faults.watchesDeaf = true;
+  pool.store.write('op/evacuate/domain-1', '{}');
+  await pool.run(1_500);
+  await pool.submit(ID, [step(6)], {millis: 200});
+  await pool.run(3_000);
+  t.true(pool.history.runs.every(run => run.worker !== 'worker-1'));
+});
+
+test('should refuse at once while the store is away', async t => {
+  const pool = new VirtualPool({seed: 11});
+  await pool.run(3_000);
+  pool.store.faults.down = true;
+  await pool.run(1_500);
+  const before = pool.clock.now();
+  t.is(await pool.submit(ID, [step(1)], {millis: 200}), 503);
+  t.true(pool.clock.now() - before < 50);
+  pool.store.faults.down = false;
+  await pool.run(8_000);
+  t.deepEqual(pool.history.runs, []);
+});
+
+test('should not say that a workflow is refused while the store may take it', async t => {
+  const pool = new VirtualPool({seed: 12});
+  await pool.run(3_000);
+  pool.store.faults.lostShare = 1;
+  pool.store.faults.lateMillis = 3_000;
+  t.is(await pool.submit(ID, [step(1)], {millis: 200}), 504);
+  pool.store.faults.lostShare = 0;
+  await pool.run(9_000);
+  t.is(await pool.state(ID), 'done');
+});
+
+test('should find the result of a start that was not answered', async t => {
+  const pool = new VirtualPool({seed: 13});
+  await pool.run(3_000);
+  for (const worker of pool.workers) worker.faults.lateShare = 0.3;
+  for (let index = 0; index < 8; index++) {
+    await pool.submit(`00000000000000b${index}`, [step(3)], {millis: 400});
+  }
+  await pool.run(10_000);
+  for (const worker of pool.workers) worker.faults.lateShare = 0;
+  await pool.run(20_000);
+  t.deepEqual(pool.history.violations(), []);
+  for (const id of pool.history.acceptedWorkflows) {
+    t.is(await pool.state(id), 'done');
+  }
+});
+
+test('should take a pool back at once when its owner begins anew', async t => {
+  const pool = new VirtualPool({seed: 14, entries: 1});
+  await pool.run(3_000);
+  pool.killEntry('entry-0');
+  pool.restartEntry('entry-0');
+  await pool.run(1_500);
+  t.is(pool.ownerName, 'entry-0');
+  await pool.submit(ID, [step(1)], {millis: 200});
+  await pool.run(3_000);
+  t.is(await pool.state(ID), 'done');
+});
+
+test('should let a worker that fails everything rest', async t => {
+  const pool = new VirtualPool({seed: 15});
+  await pool.run(3_000);
+  pool.workers[0].faults.failing = true;
+  for (let index = 0; index < 10; index++) {
+    await pool.submit(`00000000000000c${index}`, [step(2)], {millis: 400});
+    await pool.run(300);
+  }
+  await pool.run(6_000);
+  for (const id of pool.history.acceptedWorkflows) {
+    t.is(await pool.state(id), 'done');
+  }
+});
--- /dev/null
+++ b/tests/workflows/random_schedules.test.ts
@@ -0,0 +1,130 @@
+import test from 'ava';
+import {Random} from '../../src/utilities/random.js';
+import {VirtualPool} from './fixtures/virtual_pool.js';
+
+const FIRST_SEED = 1;
+const SEEDS = 24;
+const STEPS = 30;
+const LONGEST_STEP_MILLIS = 1_200;
+/** Leases end, a new owner is found, and the work is done again. */
+const RECOVERY_MILLIS = 60_000;
+
+/** Draws one fault, or the end of one. */
+function disturb(pool: VirtualPool, random: Random): void {
+  const worker = pool.workers[random.below(pool.workers.length)];
+  const index = random.below(pool.workers.length);
+  const entries = pool.entryNames;
+  const entry = entries[random.below(entries.length)];
+  switch (random.below(14)) {
+    case 0:
+      if (entries.length < 2) return;
+      pool.killEntry(entry);
+      pool.clock.schedule(random.below(3_000), () => pool.restartEntry(entry));
+      return;
+    case 1:
+      pool.restartAgent(index);
+      return;
+    case 2:
+      pool.killAgent(index);
+      pool.clock.schedule(random.below(4_000), () => pool.restartAgent(index));
+      return;
+    case 3:
+      pool.links.cutOff.add(`agent-${index}`);
+      pool.clock.schedule(random.below(9_000), () =>
+        pool.links.cutOff.delete(`agent-${index}`),
+      );
+      return;
+    case 4:
+      pool.store.faults.down = true;
+      pool.clock.schedule(random.below(5_000), () => {
+        pool.store.faults.down = false;
+      });
+      return;
+    case 5:
+      pool.store.faults.lostShare = 0.4;
+      pool.store.faults.lateMillis = random.below(5_000);
+      pool.clock.schedule(3_000, () => {
+        pool.store.faults.lostShare = 0;
+      });
+      return;
+    case 6:
+      pool.store.revoke('burdockmoor/owner');
+      return;
+    case 7:
+      pool.store.cutOff.add(entry);
+      pool.clock.schedule(random.below(6_000), () =>
+        pool.store.cutOff.delete(entry),
+      );
+      return;
+    case 8:
+      worker.faults.lateShare = 0.3;
+      pool.clock.schedule(3_000, () => {
+        worker.faults.lateShare = 0;
+      });
+      return;
+    case 9:
+      worker.crash();
+      pool.clock.schedule(random.below(3_000), () => worker.begin());
+      return;
+    case 10:
+      worker.faults.silent = true;
+      pool.clock.schedule(random.below(8_000), () => {
+        worker.faults.silent = false;
+      });
+      return;
+    case 11:
+      pool.links.cutOff.add(entry);
+      pool.clock.schedule(random.below(5_000), () =>
+        pool.links.cutOff.delete(entry),
+      );
+      return;
+    case 12:
+      pool.store.faults.refusing = true;
+      pool.clock.schedule(random.below(3_000), () => {
+        pool.store.faults.refusing = false;
+      });
+      return;
+    default:
+      pool.store.faults.watchesDeaf = !pool.store.faults.watchesDeaf;
+  }
+}
+
+/** Submits something through some entry. */
+async function submit(
+  pool: VirtualPool,
+  random: Random,
+  number: number,
+): Promise<void> {
+  const entries = pool.entryNames;
+  if (entries.length === 0) return;
+  const entry = entries[random.below(entries.length)];
+  const id = number.toString(16).padStart(16, '0');
+  const step = {Count: 1 + random.below(4), Cpu: 500, MemMb: 100};
+  const steps = random.unit() < 0.4 ? [step, {...step, After: [0]}] : [step];
+  const status = await pool.submit(
+    id,
+    steps,
+    {millis: 100 + random.below(2_000)},
+    entry,
+  );
+  if (status === 200 && random.unit() < 0.15) await pool.cancel(id, entry);
+}
+
+for (let seed = FIRST_SEED; seed < FIRST_SEED + SEEDS; seed++) {
+  test(`should run each task in one place and lose nothing, seed ${seed}`, async t => {
+    const pool = new VirtualPool({seed, entries: 3, workers: 4});
+    const random = new Random(seed + 1_000);
+    await pool.run(3_000);
+    for (let number = 1; number <= STEPS; number++) {
+      await submit(pool, random, number);
+      if (random.unit() < 0.5) disturb(pool, random);
+      await pool.run(random.below(LONGEST_STEP_MILLIS));
+    }
+    await pool.run(RECOVERY_MILLIS);
+    t.deepEqual(pool.history.violations(), []);
+    for (const id of pool.history.acceptedWorkflows) {
+      const state = await pool.state(id);
+      t.true(state === 'done' || state === 'cancelled', `${id} is ${state}`);
+    }
+  });
+}
