--- a/src/entry/workflows/pool_owner.ts
+++ b/src/entry/workflows/pool_owner.ts
@@ -6,6 +6,10 @@
   hasPlaceForFill,
   planPlacements,
 } from '../../decisions/workflows/placement_planner.js';
+import {
+  ProgressWatch,
+  Stall,
+} from '../../decisions/workflows/progress_watch.js';
 import {StalledFills} from '../../decisions/workflows/stalled_fills.js';
 import {
   compareRanks,
@@ -108,6 +112,7 @@
   private readonly interference = new FillInterference();
   private readonly order = new WorkflowOrder();
   private readonly stalledFills = new StalledFills();
+  private readonly progress = new ProgressWatch();
   private readonly pacer = new FillPacer(this.interference, (left, right) =>
     compareRanks(this.rankOf(left), this.rankOf(right)),
   );
@@ -354,6 +359,7 @@
     const name = parseTaskName(end.task);
     if (!name || !isRunOutcome(end.outcome)) return effect();
     view.running.delete(runKey(end.task, end.run));
+    this.progress.forget(runKey(end.task, end.run));
     const {outcome} = end;
     this.judge(view, name.workflow, end.task, outcome);
     const workflow = this.book.get(name.workflow);
@@ -368,7 +374,6 @@
       number: end.number,
       changed,
     });
-    if (!changed) effect();
     if (workflow) this.afterClosing(workflow, wasOpen);
     this.schedulePlan();
   }
@@ -393,6 +398,7 @@
   private afterClosing(workflow: Workflow, wasOpen: boolean): void {
     this.stopRuns(workflow);
     if (!wasOpen || workflow.isOpen) return;
+    this.progress.forgetWorkflow(workflow.id);
     this.options.logger.event(Events.WORKFLOW_ENDED, {
       workflow: workflow.id,
       state: workflow.state,
@@ -470,6 +476,34 @@
       if (!reference.task.done) reference.task.checkpoint = run.checkpoint;
     }
     this.paceFills(view);
+    this.giveUpStalled(view);
+  }
+
+  /** Has runs that don't advance begun anew elsewhere. */
+  private giveUpStalled(view: WorkerView): void {
+    const {clock, logger} = this.options;
+    const now = clock.now();
+    const stalled = this.progress.observe(view, now);
+    if (stalled.length === 0 || !this.hasOtherWorker(view, now)) return;
+    for (const {placed, stall} of stalled) {
+      this.retries.noteFailure(taskNameOf(placed.reference), view.key);
+      this.stopRun(placed, stall);
+    }
+    const stands = stalled.some(({stall}) => stall === Stall.STANDSTILL);
+    if (!stands || !this.health.noteStall(view.key, now)) return;
+    logger.event(Events.WORKER_RESTED, {
+      worker: view.key,
+      reason: 'what it runs stands still',
+    });
+  }
+
+  private hasOtherWorker(view: WorkerView, now: number): boolean {
+    return this.usableWorkers(now).some(
+      other =>
+        other !== view &&
+        other.traits.service === view.traits.service &&
+        this.health.allowance(other.key, other.placed.size, now) > 0,
+    );
   }
 
   private paceFills(view: WorkerView): void {
--- a/src/entry/workflows/workflow_book.ts
+++ b/src/entry/workflows/workflow_book.ts
@@ -143,15 +143,22 @@
     this.commit(reference.workflow);
   }
 
-  /** Takes in the end of a run; true if it changed anything. */
-  close(closing: RunClosing, now: number, effect?: () => void): boolean {
+  /**
+   * Takes in the end of a run; true if it changed anything. The effect comes
+   * when the end is durable, also of one that was taken in before.
+   */
+  close(closing: RunClosing, now: number, effect: () => void): boolean {
     const workflow = this.open.get(closing.name.workflow);
-    if (!workflow) return false;
+    if (!workflow) {
+      this.afterPending(effect);
+      return false;
+    }
     this.options.roster.removePlacement(nameOf(closing.name, closing.run));
     const terms = this.options.termsOf(workflow);
     const failures = terms?.maximumFailures ?? 1;
     const changed = workflow.close(closing, failures, now);
     if (changed) this.commit(workflow, effect);
+    else this.afterPending(effect);
     return changed;
   }
 
@@ -189,6 +196,14 @@
     }
   }
 
+  /** Calls the effect once all that was decided by now is durable. */
+  private afterPending(effect: () => void): void {
+    const {commits} = this.options;
+    if (commits.isIdle) return effect();
+    const nothing = {puts: [], removals: []};
+    commits.change('pending effects', () => nothing, effect);
+  }
+
   /** Writes the progress of a workflow with the next commit. */
   private commit(workflow: Workflow, effect?: () => void): void {
     const {id} = workflow;
