--- a/src/entry/workflows/pool_ownership.ts
+++ b/src/entry/workflows/pool_ownership.ts
@@ -11,13 +11,16 @@
 import type {PoolOwner} from './pool_owner.js';
 import {StoreKeys} from '../../protocol/store_keys.js';
 
-/** Time without the store after which another entry may own the pool. */
-export const OWNER_TTL_MILLIS = 3_000;
+/**
+ * Time without the store after which another entry may own the pool; several
+ * times the answers of a store that is a hundred times slower than usual.
+ */
+export const OWNER_TTL_MILLIS = 2_000;
 /** Four tries within the life of the lease. */
-const RENEWAL_MILLIS = 700;
+const RENEWAL_MILLIS = 450;
 const RENEWAL_RETRY_MILLIS = 150;
 /** How soon a pool without an owner is noticed. */
-const POLL_MILLIS = 400;
+const POLL_MILLIS = 300;
 
 /** What a claim brought. */
 export interface OwnershipClaim {
