--- a/import_rules.js
+++ b/import_rules.js
@@ -9,7 +9,7 @@
   },
   observability: {
     folders: ['utilities'],
-    packages: ['consola', 'hdr-histogram-js', 'modern-errors'],
+    packages: ['consola', 'hdr-histogram-js', 'modern-errors', 'node:fs'],
   },
   settings: {
     folders: ['utilities', 'observability'],
--- a/src/agent/workflows/workflow_agent.ts
+++ b/src/agent/workflows/workflow_agent.ts
@@ -91,6 +91,25 @@
     this.session?.close(reason);
   }
 
+  /** What this agent believes, for people. */
+  dumpState(): object {
+    const {session, report} = this;
+    return {
+      processName: this.options.processName,
+      hasToken: this.token !== undefined,
+      incarnation: report?.incarnation,
+      draining: report?.draining,
+      silentMillis: session?.silentMillis,
+      running: session?.runs?.map(({task, run, percent}) => ({
+        task,
+        run,
+        percent,
+      })),
+      starting: session?.startingNames,
+      endsToAcknowledge: session?.pendingEnds.length,
+    };
+  }
+
   /** The worker has said something of itself. */
   noteReport(report: WorkerReport): void {
     const before = this.report;
--- a/src/daemon/burdockmoor_fleet.ts
+++ b/src/daemon/burdockmoor_fleet.ts
@@ -31,7 +31,7 @@
 
 const agent = defineCommand({
   meta: {name: 'agent', description: 'Serve the worker on this machine'},
-  run: () => run((settings, logger) => new FleetAgentRole(settings, logger)),
+  run: () => run((...parts) => new FleetAgentRole(...parts)),
 });
 
 const main = defineCommand({
--- a/src/daemon/fleet_agent_role.ts
+++ b/src/daemon/fleet_agent_role.ts
@@ -1,9 +1,11 @@
+import type {Server} from 'node:http';
 import {ReportServer} from '../agent/workflows/report_server.js';
 import {WorkflowAgent} from '../agent/workflows/workflow_agent.js';
 import {agentKey, StoreKeys} from '../protocol/store_keys.js';
 import {decodeOwner} from '../protocol/owner_record.js';
 import {Events} from '../observability/events.js';
 import type {Logger} from '../observability/logger.js';
+import type {Metrics} from '../observability/metrics.js';
 import type {FleetProcessSettings} from '../platform/platform_settings.js';
 import {WORKER_REPORT_PREFIX} from '../platform/platform_paths.js';
 import {PlatformStore} from '../platform/platform_store.js';
@@ -11,18 +13,26 @@
 import {decodeWorkerReport} from '../platform/worker_reports.js';
 import {GrpcPoolLinkFactory} from '../protocol/grpc_pool_links.js';
 import {SystemClock} from '../utilities/clock.js';
-import {hostAndPort, runLeaseMillis} from './fleet_parts.js';
+import {
+  changedSettings,
+  hostAndPort,
+  METRICS_PORT,
+  runLeaseMillis,
+} from './fleet_parts.js';
 import type {RunningRole} from './process_runner.js';
+import {createStateServer} from './state_server.js';
 
 /** An agent on the users' platform, beside one worker. */
 export class FleetAgentRole implements RunningRole {
   private readonly agent: WorkflowAgent;
   private readonly reports: ReportServer;
   private readonly store: PlatformStore;
+  private readonly metricsServer: Server;
 
   constructor(
     private readonly settings: FleetProcessSettings,
     private readonly logger: Logger,
+    metrics: Metrics,
   ) {
     const {processName, processPort, seedHosts} = settings;
     this.store = new PlatformStore({address: settings.store.address});
@@ -43,6 +53,10 @@
       openWorker: report =>
         new PlatformWorker({address: report.address, id: report.id}),
     });
+    this.metricsServer = createStateServer({
+      metrics,
+      dumpState: async () => JSON.stringify(this.agent.dumpState()),
+    });
     this.reports = new ReportServer({
       prefix: WORKER_REPORT_PREFIX,
       decode: decodeWorkerReport,
@@ -53,6 +67,7 @@
   }
 
   async start(): Promise<void> {
+    this.metricsServer.listen(METRICS_PORT, this.settings.ip);
     const {reportAddress, failureDomain} = this.settings;
     if (reportAddress !== undefined) {
       const {host, port} = hostAndPort(reportAddress);
@@ -65,7 +80,12 @@
   /** What runs at the worker goes on; the next life of the agent adopts it. */
   async stop(reason: string): Promise<void> {
     this.reports.close();
+    this.metricsServer.close();
     this.agent.close(reason);
     this.store.close(reason);
   }
+
+  changedSettings(): string[] {
+    return changedSettings(this.settings);
+  }
 }
--- a/src/daemon/fleet_entry_role.ts
+++ b/src/daemon/fleet_entry_role.ts
@@ -24,9 +24,15 @@
 import {GrpcPoolLinkFactory} from '../protocol/grpc_pool_links.js';
 import type {GrpcServer} from '../protocol/grpc_server.js';
 import {SystemClock} from '../utilities/clock.js';
-import {hostAndPort, runLeaseMillis} from './fleet_parts.js';
+import {
+  changedSettings,
+  hostAndPort,
+  METRICS_PORT,
+  runLeaseMillis,
+} from './fleet_parts.js';
 import {createProcessServer} from './process_parts.js';
 import type {RunningRole} from './process_runner.js';
+import {createStateServer} from './state_server.js';
 
 /** The largest request body, until operators say otherwise. */
 const BODY_LIMIT_BYTES = 1_048_576;
@@ -39,6 +45,7 @@
   private readonly processServer: GrpcServer;
   private readonly callerServer: ApiServer;
   private readonly healthServer: Server;
+  private readonly metricsServer: Server;
 
   constructor(
     private readonly settings: FleetProcessSettings,
@@ -78,9 +85,14 @@
       const healthy = this.entry.isReady ? 200 : 503;
       response.writeHead(isHealth ? healthy : 404).end();
     });
+    this.metricsServer = createStateServer({
+      metrics,
+      dumpState: async () => JSON.stringify(this.entry.dumpState()),
+    });
   }
 
   async start(): Promise<void> {
+    this.metricsServer.listen(METRICS_PORT, this.settings.ip);
     const {ip, processPort, callerAddress, healthAddress} = this.settings;
     this.processServer.servePool(this.entry);
     await this.processServer.listen(`${ip}:${processPort}`);
@@ -106,7 +118,12 @@
     await new Promise(resolve => setTimeout(resolve, STOP_PAUSE_MILLIS));
     await this.callerServer.close();
     this.healthServer.close();
+    this.metricsServer.close();
     this.entry.dispose(reason);
     await this.processServer.close(reason);
   }
+
+  changedSettings(): string[] {
+    return changedSettings(this.settings);
+  }
 }
--- a/src/daemon/fleet_parts.ts
+++ b/src/daemon/fleet_parts.ts
@@ -1,8 +1,12 @@
+import {readPlatformSettings} from '../platform/platform_settings.js';
 import type {FleetProcessSettings} from '../platform/platform_settings.js';
 
 /** Leaves the worker's own limit a margin for its clock. */
 const LEASE_SHARE = 0.95;
 
+/** Port of metrics and state dumps; the deploy file names it too. */
+export const METRICS_PORT = 9464;
+
 /** How long runs go on without word from the owner, in milliseconds. */
 export function runLeaseMillis(settings: FleetProcessSettings): number {
   return Math.floor(settings.maximumLeaseMillis * LEASE_SHARE);
@@ -13,3 +17,12 @@
   const {hostname, port} = new URL(`http://${address}`);
   return {host: hostname, port: Number(port)};
 }
+
+/** Names of the settings that the platform has changed since the start. */
+export function changedSettings(inForce: FleetProcessSettings): string[] {
+  const present = readPlatformSettings();
+  const names = Object.keys(present) as Array<keyof FleetProcessSettings>;
+  return names.filter(
+    name => JSON.stringify(present[name]) !== JSON.stringify(inForce[name]),
+  );
+}
--- a/src/daemon/process_runner.ts
+++ b/src/daemon/process_runner.ts
@@ -1,11 +1,15 @@
 import {ConsoleLogger} from '../observability/console_logger.js';
 import type {ConsoleLoggerOptions} from '../observability/console_logger.js';
+import {BoundedOutput} from '../observability/bounded_output.js';
 import {Events} from '../observability/events.js';
 import type {Logger} from '../observability/logger.js';
 import {Metrics} from '../observability/metrics.js';
 import {messageOf} from '../utilities/base_error.js';
+import {SystemClock} from '../utilities/clock.js';
 
 const STOP_DEADLINE_MILLIS = 20_000;
+/** Time for the last log lines at the end; a reader may have stalled. */
+const LOG_DRAIN_MILLIS = 300;
 
 /** A role that runs until it is stopped. */
 export interface RunningRole {
@@ -13,6 +17,8 @@
   start(): Promise<void>;
   /** Resolves when the graceful shutdown is over. */
   stop(reason: string): Promise<void>;
+  /** Names of the settings that differ from those in force, after a reload. */
+  changedSettings?(): string[];
 }
 
 /** What every process has to know of itself. */
@@ -27,19 +33,29 @@
   createRole: (logger: Logger, metrics: Metrics) => RunningRole,
 ): Promise<void> {
   const metrics = new Metrics();
-  const logger = new ConsoleLogger({
+  const output = new BoundedOutput({
+    clock: new SystemClock(),
+    onDropped: lines => logger.event(Events.LOG_LINES_DROPPED, {lines}),
+  });
+  const logger: ConsoleLogger = new ConsoleLogger({
     processId: settings.process.id,
     metrics,
+    output: process.stdout.isTTY ? process.stdout : output,
     ...settings.logs,
   });
   logUncaught(logger);
   const role = createRole(logger, metrics);
-  stopOnSignals(role, logger);
+  stopOnSignals(role, logger, output);
+  reloadOnSignal(role, logger);
   await role.start();
 }
 
 /** Stops the role gracefully on SIGTERM or SIGINT, then ends the process. */
-function stopOnSignals(role: RunningRole, logger: Logger): void {
+function stopOnSignals(
+  role: RunningRole,
+  logger: Logger,
+  output: BoundedOutput,
+): void {
   let stopping = false;
   const stop = (signal: string): void => {
     if (stopping) return;
@@ -54,12 +70,12 @@
       () => {
         clearTimeout(cut);
         logger.event(Events.PROCESS_STOPPED, {signal});
-        process.exit(0);
+        void output.drain(LOG_DRAIN_MILLIS).then(() => process.exit(0));
       },
       (error: unknown) => {
         const reason = messageOf(error);
         logger.event(Events.UNEXPECTED_FAULT, {reason});
-        process.exit(1);
+        void output.drain(LOG_DRAIN_MILLIS).then(() => process.exit(1));
       },
     );
   };
@@ -67,6 +83,19 @@
   process.on('SIGINT', () => stop('SIGINT'));
 }
 
+/** Reads the settings anew on SIGHUP; the process goes on whatever they say. */
+function reloadOnSignal(role: RunningRole, logger: Logger): void {
+  process.on('SIGHUP', () => {
+    try {
+      const changed = role.changedSettings?.() ?? [];
+      logger.event(Events.SETTINGS_RELOADED, {changed: changed.join(' ')});
+    } catch (error) {
+      const reason = messageOf(error);
+      logger.event(Events.SETTINGS_REJECTED, {reason});
+    }
+  });
+}
+
 /** Logs what nothing caught; the process goes on with what it holds. */
 function logUncaught(logger: Logger): void {
   const log = (error: unknown): void =>
--- a/src/entry/workflows/pool_entry.ts
+++ b/src/entry/workflows/pool_entry.ts
@@ -143,6 +143,20 @@
     this.options.store.close(reason);
   }
 
+  /** What this entry believes, for people. */
+  dumpState(): object {
+    const {owner, known} = this.ownership;
+    return {
+      processName: this.options.processName,
+      isReady: this.isReady,
+      isStoreAway: this.health.isAway,
+      configurationVersion: this.configuration.table?.configuration.version,
+      configurationAgeMillis: Math.round(this.configuration.ageMillis),
+      knownOwner: known,
+      pool: owner?.dumpState(),
+    };
+  }
+
   call(call: ApiCall): Promise<ApiAnswer> {
     return this.api.handle(call);
   }
--- a/src/entry/workflows/pool_owner.ts
+++ b/src/entry/workflows/pool_owner.ts
@@ -244,6 +244,30 @@
     return this.book.countQueued(queue);
   }
 
+  /** Workers with what is placed on them, and open workflows, for people. */
+  dumpState(): object {
+    const now = this.options.clock.now();
+    return {
+      epoch: this.epoch,
+      workers: this.roster.all.map(view => ({
+        worker: view.key,
+        isAttached: this.attachments.has(view.agent),
+        heardMillisAgo: Math.round(now - view.heardAt),
+        silentMillis: view.silentMillis,
+        draining: view.traits.draining,
+        room: view.traits.room,
+        reserved: view.reserved,
+        runs: [...view.placed.keys()],
+        paces: Object.fromEntries(view.paces),
+      })),
+      workflows: [...this.book.workflows].map(({id, state, spec}) => ({
+        workflow: id,
+        state,
+        queue: spec.queue,
+      })),
+    };
+  }
+
   /** Configuration or failure domains have changed. */
   noteConfiguration(): void {
     this.schedulePlan();
--- a/src/observability/events.ts
+++ b/src/observability/events.ts
@@ -46,6 +46,16 @@
     'error',
     'Work was left when the time for a graceful shutdown was up.',
   ),
+  LOG_LINES_DROPPED: event(
+    1011,
+    'warn',
+    'Lines were dropped: they came too fast, or nobody read them.',
+  ),
+  SETTINGS_RELOADED: event(
+    1012,
+    'info',
+    'A signal asked for the settings to be read anew; what differs says whether a restart is needed.',
+  ),
   // 2xxx: entries.
   ENTRY_LEASE_LOST: event(
     2001,
@@ -399,14 +409,14 @@
     'warn',
     'The agent could not get a fencing token; it tries again.',
   ),
-  START_OUTDATED: event(
-    6059,
-    'warn',
-    'The order to start a run came too late to be obeyed.',
-  ),
   TASK_PACED: event(
     6058,
     'info',
     'The share at which a filling task works was changed.',
   ),
+  START_OUTDATED: event(
+    6059,
+    'warn',
+    'The order to start a run came too late to be obeyed.',
+  ),
 } as const;
--- a/tests/observability/catalogues.test.ts
+++ b/tests/observability/catalogues.test.ts
@@ -8,7 +8,7 @@
   const events = Object.values(Events);
   const numbers = events.map(event => event.number);
   t.is(new Set(numbers).size, numbers.length);
-  t.true(numbers.every(number => number >= 1000 && number < 6000));
+  t.true(numbers.every(number => number >= 1000 && number < 7000));
   t.deepEqual(
     numbers,
     [...numbers].sort((left, right) => left - right),
--- /dev/null
+++ b/tests/workflows/fleet_daemon.test.ts
@@ -0,0 +1,108 @@
+import {spawn} from 'node:child_process';
+import type {ChildProcessWithoutNullStreams} from 'node:child_process';
+import {mkdtempSync, writeFileSync} from 'node:fs';
+import {createServer} from 'node:net';
+import {tmpdir} from 'node:os';
+import {join} from 'node:path';
+import test from 'ava';
+
+const DAEMON = 'build/src/daemon/burdockmoor_fleet.js';
+const LINE_DEADLINE_MILLIS = 20_000;
+const HOST = '127.0.0.1';
+
+/** Ports that were free a moment ago. */
+async function freePorts(count: number): Promise<number[]> {
+  const servers = Array.from({length: count}, () => createServer());
+  const ports: number[] = [];
+  for (const server of servers) {
+    await new Promise<void>(resolve => server.listen(0, HOST, resolve));
+    ports.push((server.address() as {port: number}).port);
+  }
+  for (const server of servers) server.close();
+  return ports;
+}
+
+/** The settings of an agent, as the deploy file's template renders them. */
+function settingsOf([processPort, reportPort, storePort]: number[]): object {
+  return {
+    NodeName: 'side-1',
+    Ip: HOST,
+    Zone: 'zone-1',
+    PortRange: [processPort, processPort + 1],
+    Seeds: [],
+    Listen: {Control: `${HOST}:${reportPort}`},
+    Bounds: {
+      HoldMaxMs: 6_000,
+      DrainMs: 2_000,
+      GraceS: 6,
+      cancel_ms: 3_000,
+      early_ms: 250,
+      status_s: 120,
+      RemoteFactor: 1.5,
+      RestoreMs: 100,
+      GraceStopMs: 200,
+      HarmMs: 4_000,
+      GangWaitMs: 3_000,
+    },
+    platform: {
+      Address: `${HOST}:${storePort}`,
+      WritesPerS: 400,
+      ReadsPerS: 2_000,
+      TtlMinMs: 1_000,
+    },
+  };
+}
+
+/** Waits for a log line with the event, on standard output. */
+function untilEvent(
+  child: ChildProcessWithoutNullStreams,
+  name: string,
+): Promise<void> {
+  return new Promise((resolve, reject) => {
+    let text = '';
+    const deadline = setTimeout(
+      () => reject(new Error(`no ${name} in: ${text}`)),
+      LINE_DEADLINE_MILLIS,
+    );
+    child.stdout.on('data', (chunk: Buffer) => {
+      text += chunk.toString('utf8');
+      if (!text.includes(`"name":"${name}"`)) return;
+      clearTimeout(deadline);
+      resolve();
+    });
+  });
+}
+
+function untilExit(
+  child: ChildProcessWithoutNullStreams,
+): Promise<number | null> {
+  return new Promise(resolve => child.on('exit', code => resolve(code)));
+}
+
+test('should go on after SIGHUP and end well after SIGTERM', async t => {
+  const file = join(mkdtempSync(join(tmpdir(), 'fleet-')), 'settings.json');
+  writeFileSync(file, JSON.stringify(settingsOf(await freePorts(3))));
+  const env = {...process.env, BURDOCKMOOR_CONFIG: file};
+  const child = spawn(process.execPath, [DAEMON, 'agent'], {env});
+  t.teardown(() => child.kill('SIGKILL'));
+  await untilEvent(child, 'PROCESS_STARTED');
+  const reloaded = untilEvent(child, 'SETTINGS_RELOADED');
+  child.kill('SIGHUP');
+  await reloaded;
+  const ended = untilExit(child);
+  child.kill('SIGTERM');
+  t.is(await ended, 0);
+});
+
+test('should name the field at fault of settings that cannot be used', async t => {
+  const file = join(mkdtempSync(join(tmpdir(), 'fleet-')), 'settings.json');
+  writeFileSync(file, JSON.stringify({NodeName: 'side-1', Ip: 5}));
+  const env = {...process.env, BURDOCKMOOR_CONFIG: file};
+  const child = spawn(process.execPath, [DAEMON, 'agent'], {env});
+  let text = '';
+  child.stderr.on('data', (chunk: Buffer) => {
+    text += chunk.toString('utf8');
+  });
+  t.is(await untilExit(child), 2);
+  t.regex(text, /Ip/);
+});
