--- a/src/daemon/fleet_agent_role.ts
+++ b/src/daemon/fleet_agent_role.ts
@@ -16,7 +16,7 @@
 import {
   changedSettings,
   hostAndPort,
-  METRICS_PORT,
+  listenForMetrics,
   runLeaseMillis,
 } from './fleet_parts.js';
 import type {RunningRole} from './process_runner.js';
@@ -67,7 +67,7 @@
   }
 
   async start(): Promise<void> {
-    this.metricsServer.listen(METRICS_PORT, this.settings.ip);
+    listenForMetrics(this.metricsServer, this.settings.ip, this.logger);
     const {reportAddress, failureDomain} = this.settings;
     if (reportAddress !== undefined) {
       const {host, port} = hostAndPort(reportAddress);
--- a/src/daemon/fleet_entry_role.ts
+++ b/src/daemon/fleet_entry_role.ts
@@ -27,7 +27,7 @@
 import {
   changedSettings,
   hostAndPort,
-  METRICS_PORT,
+  listenForMetrics,
   runLeaseMillis,
 } from './fleet_parts.js';
 import {createProcessServer} from './process_parts.js';
@@ -92,7 +92,7 @@
   }
 
   async start(): Promise<void> {
-    this.metricsServer.listen(METRICS_PORT, this.settings.ip);
+    listenForMetrics(this.metricsServer, this.settings.ip, this.logger);
     const {ip, processPort, callerAddress, healthAddress} = this.settings;
     this.processServer.servePool(this.entry);
     await this.processServer.listen(`${ip}:${processPort}`);
--- a/src/daemon/fleet_parts.ts
+++ b/src/daemon/fleet_parts.ts
@@ -1,3 +1,6 @@
+import type {Server} from 'node:http';
+import {Events} from '../observability/events.js';
+import type {Logger} from '../observability/logger.js';
 import {readPlatformSettings} from '../platform/platform_settings.js';
 import type {FleetProcessSettings} from '../platform/platform_settings.js';
 
@@ -5,7 +8,21 @@
 const LEASE_SHARE = 0.95;
 
 /** Port of metrics and state dumps; the deploy file names it too. */
-export const METRICS_PORT = 9464;
+const METRICS_PORT = 9464;
+
+/** Serves metrics; a port that can't be had is no reason to end. */
+export function listenForMetrics(
+  server: Server,
+  host: string,
+  logger: Logger,
+): void {
+  server.on('error', error =>
+    logger.event(Events.UNEXPECTED_FAULT, {
+      reason: `Metrics are not served: ${error.message}.`,
+    }),
+  );
+  server.listen(METRICS_PORT, host);
+}
 
 /** How long runs go on without word from the owner, in milliseconds. */
 export function runLeaseMillis(settings: FleetProcessSettings): number {
--- a/src/entry/workflows/pool_owner.ts
+++ b/src/entry/workflows/pool_owner.ts
@@ -1,25 +1,8 @@
 import type {TransactionalStore} from '../../backends/transactional_store.js';
-import {RunOutcome} from '../../backends/leased_worker.js';
-import {FillInterference} from '../../decisions/workflows/fill_interference.js';
-import {FillPacer} from '../../decisions/workflows/fill_pacer.js';
-import {
-  hasPlaceForFill,
-  planPlacements,
-} from '../../decisions/workflows/placement_planner.js';
-import {
-  ProgressWatch,
-  Stall,
-} from '../../decisions/workflows/progress_watch.js';
-import {StalledFills} from '../../decisions/workflows/stalled_fills.js';
-import {
-  compareRanks,
-  WorkflowOrder,
-} from '../../decisions/workflows/workflow_order.js';
-import type {WorkflowRank} from '../../decisions/workflows/workflow_order.js';
+import {planPlacements} from '../../decisions/workflows/placement_planner.js';
 import {parseTaskName, runKey} from '../../decisions/workflows/task_name.js';
 import {taskNameOf} from '../../decisions/workflows/workflow.js';
 import type {
-  PlacedRun,
   TaskReference,
   Workflow,
 } from '../../decisions/workflows/workflow.js';
@@ -32,7 +15,6 @@
   WorkflowSpec,
   WorkflowState,
 } from '../../decisions/workflows/workflow_types.js';
-import {WorkerHealth} from '../../decisions/workflows/worker_health.js';
 import type {
   WorkerTraits,
   WorkerView,
@@ -57,6 +39,7 @@
 import type {LeaseValidity} from './lease_validity.js';
 import type {OwnerRecord} from '../../protocol/owner_record.js';
 import {RetryNotes} from './retry_notes.js';
+import {RunSupervisor} from './run_supervisor.js';
 import {lastPart, specKey, StoreKeys} from '../../protocol/store_keys.js';
 import {
   blamesWorker,
@@ -108,14 +91,7 @@
   private readonly commits: CommitLog;
   private readonly book: WorkflowBook;
   private readonly roster = new WorkerRoster();
-  private readonly health = new WorkerHealth();
-  private readonly interference = new FillInterference();
-  private readonly order = new WorkflowOrder();
-  private readonly stalledFills = new StalledFills();
-  private readonly progress = new ProgressWatch();
-  private readonly pacer = new FillPacer(this.interference, (left, right) =>
-    compareRanks(this.rankOf(left), this.rankOf(right)),
-  );
+  private readonly supervisor: RunSupervisor;
   private readonly retries: RetryNotes;
   private readonly attachments = new Map<string, WorkerAttachment>();
   private readonly lastGrants = new Map<string, number>();
@@ -144,6 +120,18 @@
       roster: this.roster,
       termsOf: workflow => this.termsOf(workflow),
     });
+    this.supervisor = new RunSupervisor({
+      clock,
+      logger,
+      book: this.book,
+      retries: this.retries,
+      termsOf: workflow => this.termsOf(workflow),
+      usableWorkers: () => this.usableWorkers(clock.now()),
+      sendStop: (worker, task, run) =>
+        this.attachmentTo(worker)?.stop(task, run),
+      sendPace: (worker, task, run, percent) =>
+        this.attachmentTo(worker)?.pace(task, run, percent),
+    });
   }
 
   get epoch(): number {
@@ -214,7 +202,7 @@
   noteWorkflow(spec: WorkflowSpec): void {
     if (!this.loaded || !this.book.add(spec)) return;
     const workflow = this.book.get(spec.id);
-    if (workflow) this.order.note(workflow);
+    if (workflow) this.supervisor.order.note(workflow);
     workflow?.openDue(this.options.clock.wallTime());
     this.schedulePlan();
   }
@@ -273,11 +261,6 @@
     this.schedulePlan();
   }
 
-  /** What is on its way to the store is waited for by the caller. */
-  get isDurable(): boolean {
-    return this.commits.isIdle;
-  }
-
   close(reason: string): void {
     if (this.closedReason !== undefined) return;
     this.closedReason = reason;
@@ -296,7 +279,7 @@
     try {
       const workflow = decodeWorkflow(decodeSpec(specText), progress);
       this.book.restore(workflow, inboxKeys);
-      this.order.note(workflow);
+      this.supervisor.order.note(workflow);
     } catch (error) {
       const reason = messageOf(error);
       this.options.logger.event(Events.UNEXPECTED_FAULT, {reason});
@@ -349,7 +332,7 @@
     for (const other of this.roster.all) {
       if (other === view || other.agent !== view.agent) continue;
       this.roster.forget(other.key);
-      this.health.forget(other.key);
+      this.supervisor.health.forget(other.key);
     }
   }
 
@@ -383,9 +366,8 @@
     const name = parseTaskName(end.task);
     if (!name || !isRunOutcome(end.outcome)) return effect();
     view.running.delete(runKey(end.task, end.run));
-    this.progress.forget(runKey(end.task, end.run));
     const {outcome} = end;
-    this.judge(view, name.workflow, end.task, outcome);
+    this.supervisor.noteEnd(view, name.workflow, end);
     const workflow = this.book.get(name.workflow);
     const wasOpen = workflow?.isOpen ?? false;
     const closing = {name, run: end.run, outcome, checkpoint: end.checkpoint};
@@ -402,27 +384,10 @@
     this.schedulePlan();
   }
 
-  private judge(
-    view: WorkerView,
-    workflow: string,
-    task: string,
-    outcome: RunOutcome,
-  ): void {
-    if (outcome === RunOutcome.DONE) this.health.noteSuccess(view.key);
-    if (outcome !== RunOutcome.FAILED) return;
-    const now = this.options.clock.now();
-    this.retries.noteFailure(task, view.key);
-    if (!this.health.noteFailure(view.key, workflow, now)) return;
-    this.options.logger.event(Events.WORKER_RESTED, {
-      worker: view.key,
-      reason: 'it fails what it runs',
-    });
-  }
-
   private afterClosing(workflow: Workflow, wasOpen: boolean): void {
     this.stopRuns(workflow);
     if (!wasOpen || workflow.isOpen) return;
-    this.progress.forgetWorkflow(workflow.id);
+    this.supervisor.forgetWorkflow(workflow.id);
     this.options.logger.event(Events.WORKFLOW_ENDED, {
       workflow: workflow.id,
       state: workflow.state,
@@ -431,49 +396,23 @@
     });
   }
 
+  /** The stream to a worker, if its agent is attached and it is that life. */
+  private attachmentTo(worker: string): WorkerAttachment | undefined {
+    const attachment = this.attachments.get(agentOf(worker));
+    return attachment?.view?.key === worker ? attachment : undefined;
+  }
+
   /** Tells the workers of all runs that are to end. */
   private stopRuns(workflow: Workflow): void {
     for (const reference of workflow.tasks()) {
       for (const placement of reference.task.placements) {
         if (!placement.stopping) continue;
-        const attachment = this.attachments.get(agentOf(placement.worker));
-        if (attachment?.view?.key !== placement.worker) continue;
-        attachment.stop(taskNameOf(reference), placement.run);
-      }
-    }
-  }
-
-  /** Moves a filling run that stands still, if it would go on elsewhere. */
-  private moveStalled(): void {
-    const now = this.options.clock.now();
-    const workers = this.usableWorkers(now);
-    for (const view of workers) {
-      for (const placed of this.stalledFills.find(view, now)) {
-        const {reference, placement} = placed;
-        if (placement.stopping) continue;
-        const others = workers.filter(other => other !== view);
-        if (!hasPlaceForFill(reference.step, others, this.interference))
-          continue;
-        this.stopRun(placed, 'it stands still beside a serving task');
+        const {worker, run} = placement;
+        this.attachmentTo(worker)?.stop(taskNameOf(reference), run);
       }
     }
   }
 
-  private stopRun({reference, placement}: PlacedRun, reason: string): void {
-    const task = taskNameOf(reference);
-    const {run, worker} = placement;
-    this.options.logger.event(Events.RUN_STOPPED, {task, run, worker, reason});
-    this.book.stop(reference, run);
-    this.attachments.get(agentOf(worker))?.stop(task, run);
-  }
-
-  private rankOf({reference}: PlacedRun): WorkflowRank {
-    const {workflow, occurrence} = reference;
-    const terms = this.termsOf(workflow) ?? workflow.spec.terms;
-    const wallNow = this.options.clock.wallTime();
-    return this.order.rank(workflow, occurrence, terms, wallNow);
-  }
-
   private takeResult(view: WorkerView, result: RunStartResult): void {
     if (result.refusal === '') return;
     const {clock, logger} = this.options;
@@ -487,7 +426,7 @@
     });
     this.retries.noteRefusal(result.task);
     if (blamesWorker(result.refusal)) {
-      this.health.noteRefusal(view.key, clock.now());
+      this.supervisor.health.noteRefusal(view.key, clock.now());
     }
     this.book.closeUnfinished(name, result.run);
     this.schedulePlan();
@@ -499,52 +438,7 @@
       if (!run || run.checkpoint === '') continue;
       if (!reference.task.done) reference.task.checkpoint = run.checkpoint;
     }
-    this.paceFills(view);
-    this.giveUpStalled(view);
-  }
-
-  /** Has runs that don't advance begun anew elsewhere. */
-  private giveUpStalled(view: WorkerView): void {
-    const {clock, logger} = this.options;
-    const now = clock.now();
-    const stalled = this.progress.observe(view, now);
-    if (stalled.length === 0 || !this.hasOtherWorker(view, now)) return;
-    for (const {placed, stall} of stalled) {
-      this.retries.noteFailure(taskNameOf(placed.reference), view.key);
-      this.stopRun(placed, stall);
-    }
-    const stands = stalled.some(({stall}) => stall === Stall.STANDSTILL);
-    if (!stands || !this.health.noteStall(view.key, now)) return;
-    logger.event(Events.WORKER_RESTED, {
-      worker: view.key,
-      reason: 'what it runs stands still',
-    });
-  }
-
-  private hasOtherWorker(view: WorkerView, now: number): boolean {
-    return this.usableWorkers(now).some(
-      other =>
-        other !== view &&
-        other.traits.service === view.traits.service &&
-        this.health.allowance(other.key, other.placed.size, now) > 0,
-    );
-  }
-
-  private paceFills(view: WorkerView): void {
-    const {clock, logger} = this.options;
-    for (const {placed, percent} of this.pacer.decide(view, clock.now())) {
-      const task = taskNameOf(placed.reference);
-      const {run} = placed.placement;
-      this.attachments.get(view.agent)?.pace(task, run, percent);
-      const worst = Math.max(0, ...view.tails.map(({ratio}) => ratio));
-      logger.event(Events.TASK_PACED, {
-        task,
-        run,
-        percent,
-        worker: view.key,
-        worstTailShare: Math.round(worst * 100) / 100,
-      });
-    }
+    this.supervisor.noteListing(view);
   }
 
   /** All runs at the worker have surely ended. */
@@ -572,7 +466,7 @@
       this.noteGrant(attachment.agent, attachment.grantedAt);
     }
     this.loseUnreachable();
-    this.moveStalled();
+    this.supervisor.moveStalledFills();
     if (this.book.openDue(this.options.clock.wallTime())) this.schedulePlan();
     this.schedulePlan();
   }
@@ -634,9 +528,9 @@
     const planned = planPlacements({
       workflows: this.book.workflows,
       workers: this.usableWorkers(now),
-      health: this.health,
-      interference: this.interference,
-      order: this.order,
+      health: this.supervisor.health,
+      interference: this.supervisor.interference,
+      order: this.supervisor.order,
       termsOf: workflow => this.termsOf(workflow),
       mayPlace: reference => this.retries.mayPlace(taskNameOf(reference)),
       hasFailedOn: (reference, worker) =>
@@ -647,7 +541,7 @@
     for (const {reference, worker, run} of planned) {
       const task = taskNameOf(reference);
       const placed = this.book.place(reference, worker, run, durable =>
-        this.attachments.get(worker.agent)?.start(durable),
+        this.attachmentTo(worker.key)?.start(durable),
       );
       logger.event(Events.RUN_PLACED, {
         task,
