--- a/src/entry/workflows/pool_ownership.ts
+++ b/src/entry/workflows/pool_ownership.ts
@@ -4,6 +4,7 @@
 import type {Logger} from '../../observability/logger.js';
 import {messageOf} from '../../utilities/base_error.js';
 import type {Clock} from '../../utilities/clock.js';
+import {withDeadline} from '../../utilities/deadline.js';
 import {LeaseValidity} from './lease_validity.js';
 import {decodeOwner, encodeOwner} from '../../protocol/owner_record.js';
 import type {OwnerRecord} from '../../protocol/owner_record.js';
@@ -19,6 +20,8 @@
 /** Four tries within the life of the lease. */
 const RENEWAL_MILLIS = 450;
 const RENEWAL_RETRY_MILLIS = 150;
+/** A renewal without an answer by then is sent anew. */
+const RENEWAL_ANSWER_MILLIS = 600;
 /** How soon a pool without an owner is noticed. */
 const POLL_MILLIS = 300;
 
@@ -196,19 +199,31 @@
   private async renew(): Promise<void> {
     while (this.closedReason === undefined) {
       const renewed = await this.renewOnce();
+      this.deposeIfLapsed();
       await this.pause(renewed ? RENEWAL_MILLIS : RENEWAL_RETRY_MILLIS);
     }
   }
 
+  /**
+   * Agents have to look for another owner once there may be one, also if this
+   * entry alone can't reach the store and nothing tells it.
+   */
+  private deposeIfLapsed(): void {
+    const {claim} = this;
+    if (!claim || claim.validity.isValid) return;
+    this.depose('its lease could not be renewed in time');
+  }
+
   private async renewOnce(): Promise<boolean> {
     const {claim} = this;
     if (!claim) return true;
     const moment = claim.validity.moment();
     try {
       const {store, health} = this.options;
-      const holds = await health.watch(
-        store.keepLeaseAlive(claim.owner.leaseId),
-      );
+      const renewal = health.watch(store.keepLeaseAlive(claim.owner.leaseId));
+      const {clock} = this.options;
+      const holds = await withDeadline(clock, RENEWAL_ANSWER_MILLIS, renewal);
+      if (holds === undefined) return false;
       if (holds) claim.validity.noteRenewal(moment);
       else if (this.claim === claim) this.depose('its lease has lapsed');
       return true;
--- a/src/utilities/deadline.ts
+++ b/src/utilities/deadline.ts
@@ -18,6 +18,7 @@
       },
       (error: unknown) => {
         timer.cancel();
+        // Harmless once the time was up.
         reject(error);
       },
     );
--- a/tests/workflows/pool.test.ts
+++ b/tests/workflows/pool.test.ts
@@ -244,3 +244,16 @@
   t.is(again.length, 1);
   t.deepEqual(pool.history.violations(), []);
 });
+
+test('should send agents to the new owner while the old one cannot reach the store', async t => {
+  const pool = new VirtualPool({seed: 18});
+  await pool.run(3_000);
+  const owner = pool.ownerName!;
+  const other = pool.entryNames.find(name => name !== owner)!;
+  pool.store.cutOff.add(owner);
+  await pool.run(3_500);
+  t.is(pool.ownerName, other);
+  await pool.submit(ID, [step(2)], {millis: 300}, other);
+  await pool.run(1_000);
+  t.is(await pool.state(ID, other), 'done');
+});
