--- /dev/null
+++ b/tests/platform/documents.test.ts
@@ -0,0 +1,128 @@
+import test from 'ava';
+import {
+  decodeConfiguration,
+  evacuatedDomainOf,
+} from '../../src/platform/operator_documents.js';
+import {
+  parsePlatformSettings,
+  PlatformSettingsError,
+} from '../../src/platform/platform_settings.js';
+import {
+  decodeSubmission,
+  isWorkflowId,
+} from '../../src/platform/submissions.js';
+import {decodeWorkerReport} from '../../src/platform/worker_reports.js';
+
+const REPORT = {
+  Service: 'huvo11a',
+  Address: '10.128.0.9:8080',
+  Zone: 'sfax-port',
+  Version: 'v1',
+  Capacity: 8,
+  State: 'ready',
+  ColdLeftMs: 0,
+  FreeCapacity: {Cpu: 16_000, MemMb: 32_768, Gpu: 0},
+  Labels: ['a', 'r1-3'],
+  ClockMs: 482_113,
+  Sequence: 4,
+  born: 1_700_000_000_000,
+};
+
+test('should read what a worker says of itself', t => {
+  const report = decodeWorkerReport('i-1', JSON.stringify(REPORT));
+  t.is(report?.incarnation, 'i-1@1700000000000');
+  t.is(report?.rack, 'r1-3');
+  t.false(report?.draining);
+  t.is(report?.room.milliprocessors, 16_000);
+});
+
+const ALIEN_REPORTS: Array<[name: string, text: string]> = [
+  ['a field is missing', JSON.stringify({...REPORT, Address: undefined})],
+  ['a field has another type', JSON.stringify({...REPORT, Sequence: 'four'})],
+  ['the state is unknown', JSON.stringify({...REPORT, State: 'asleep'})],
+  ['the room is no room', JSON.stringify({...REPORT, FreeCapacity: 3})],
+  ['it is not JSON', '\u0000\u0001{'],
+  ['it is a list', '[]'],
+];
+for (const [name, text] of ALIEN_REPORTS) {
+  test(`should find no worker in a report when ${name}`, t => {
+    t.is(decodeWorkerReport('i-1', text), undefined);
+  });
+}
+
+test('should read a configuration and fill in what is left out', t => {
+  const configuration = decodeConfiguration(
+    JSON.stringify({
+      Version: 7,
+      Routes: [
+        {
+          Name: 'r-1',
+          Host: 'nony24.example',
+          Prefix: '/lohu930/',
+          Type: 'unsafe',
+          TimeoutMs: 3_000,
+          TargetLatencyMs: 250,
+          Priority: 0,
+          Service: 'huvo11a',
+          MaxAttempts: 4,
+          Stretch: 1.5,
+        },
+      ],
+      Services: [{Name: 'huvo11a', NewField: 1}],
+    }),
+  );
+  t.is(configuration?.version, 7);
+  t.is(configuration?.queues[0].maximumFailures, 4);
+  t.false(configuration?.services[0].refusesOverload);
+});
+
+test('should not take broken bytes for a configuration', t => {
+  t.is(decodeConfiguration('{"Version":'), undefined);
+  t.is(decodeConfiguration('{"Version":"7"}'), undefined);
+});
+
+test('should tell evacuations from other keys', t => {
+  t.is(evacuatedDomainOf('op/evacuate/tema'), 'tema');
+  t.is(evacuatedDomainOf('op/wave/1'), undefined);
+});
+
+test('should read the steps of a submission and fill in what is left out', t => {
+  const submission = decodeSubmission(
+    JSON.stringify({
+      Spec: 'text',
+      Steps: [
+        {Count: 4, Cpu: 500},
+        {Count: 2, After: [0], Checkpoints: true},
+      ],
+    }),
+  );
+  t.is(submission?.steps[0].size.milliprocessors, 500);
+  t.deepEqual(submission?.steps[1].after, [0]);
+  t.true(submission?.steps[1].checkpoints);
+  t.is(submission?.schedule, undefined);
+});
+
+const BAD_SUBMISSIONS: Array<[name: string, value: unknown]> = [
+  ['it has no steps', {Spec: '', Steps: []}],
+  ['a step comes after itself', {Steps: [{Count: 1, After: [0]}]}],
+  ['a count is negative', {Steps: [{Count: -1}]}],
+  ['the payload is too long', {Spec: 'x'.repeat(4_001), Steps: [{Count: 1}]}],
+];
+for (const [name, value] of BAD_SUBMISSIONS) {
+  test(`should refuse a submission when ${name}`, t => {
+    t.is(decodeSubmission(JSON.stringify(value)), undefined);
+  });
+}
+
+test('should know the ids of workflows', t => {
+  t.true(isWorkflowId('5c0e7a21d94b36f8'));
+  t.false(isWorkflowId('5c0e7a21d94b36f'));
+  t.false(isWorkflowId('5c0e7a21d94b36fg'));
+});
+
+test('should name the settings at fault', t => {
+  const error = t.throws(() => parsePlatformSettings('{"NodeName":"n"}'), {
+    instanceOf: PlatformSettingsError,
+  });
+  t.regex(error.message, /Ip/);
+});
--- /dev/null
+++ b/tests/platform/http_fake.ts
@@ -0,0 +1,49 @@
+import {createServer} from 'node:http';
+import type {AddressInfo} from 'node:net';
+import type {ExecutionContext} from 'ava';
+
+/** What was asked of a fake server. */
+export interface SeenCall {
+  readonly method: string;
+  readonly path: string;
+  readonly headers: Readonly<Record<string, string | string[] | undefined>>;
+  readonly body: unknown;
+}
+
+export interface FakeAnswer {
+  readonly status: number;
+  readonly body?: unknown;
+}
+
+/** A server that gives the answers in order; undefined is no answer at all. */
+export async function serveAnswers(
+  t: ExecutionContext,
+  answers: Array<FakeAnswer | undefined>,
+): Promise<{address: string; seen: SeenCall[]}> {
+  const seen: SeenCall[] = [];
+  const server = createServer((request, response) => {
+    let text = '';
+    request.on('data', (chunk: Buffer) => {
+      text += chunk.toString('utf8');
+    });
+    request.on('end', () => {
+      seen.push({
+        method: request.method ?? '',
+        path: request.url ?? '',
+        headers: request.headers,
+        body: text === '' ? undefined : JSON.parse(text),
+      });
+      const answer = answers.shift();
+      if (!answer) return;
+      response.writeHead(answer.status);
+      response.end(JSON.stringify(answer.body ?? {}));
+    });
+  });
+  await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve));
+  t.teardown(() => {
+    server.closeAllConnections();
+    server.close();
+  });
+  const {port} = server.address() as AddressInfo;
+  return {address: `127.0.0.1:${port}`, seen};
+}
--- /dev/null
+++ b/tests/platform/platform_worker.test.ts
@@ -0,0 +1,112 @@
+import test from 'ava';
+import type {
+  StartRefusal,
+  WorkerStart,
+} from '../../src/backends/leased_worker.js';
+import {
+  WorkerRefusedError,
+  WorkerUnavailableError,
+} from '../../src/backends/platform_errors.js';
+import {PlatformWorker} from '../../src/platform/platform_worker.js';
+import {serveAnswers} from './http_fake.js';
+
+const START: WorkerStart = {
+  task: '5c0e7a21d94b36f8.0.1.17',
+  run: 2,
+  payload: 'text',
+  checkpoint: '',
+  ticket: '',
+  leaseEnd: 486_000.7,
+  fencingToken: 7,
+};
+
+test('should start a run on the named incarnation, in whole milliseconds', async t => {
+  const {address, seen} = await serveAnswers(t, [
+    {status: 200, body: {ClockMs: 1}},
+  ]);
+  const worker = new PlatformWorker({address, id: 'i-1'});
+  t.is(await worker.start(START), undefined);
+  t.is(seen[0].headers['x-target-instance'], 'i-1');
+  t.deepEqual(seen[0].body, {
+    Task: START.task,
+    Run: 2,
+    Spec: 'text',
+    ExpiresMs: 486_000,
+    FencingToken: 7,
+  });
+  worker.close('test');
+});
+
+const REFUSALS: Array<
+  [status: number, reason: string | undefined, refusal: StartRefusal]
+> = [
+  [409, 'room', 'room'],
+  [409, 'fence', 'fence'],
+  [409, 'something new', 'rejected'],
+  [421, undefined, 'replaced'],
+  [400, undefined, 'rejected'],
+  [429, undefined, 'rejected'],
+  [503, undefined, 'rejected'],
+];
+for (const [status, reason, refusal] of REFUSALS) {
+  test(`should read ${status} ${reason ?? ''} as ${refusal}`, async t => {
+    const {address} = await serveAnswers(t, [{status, body: {Reason: reason}}]);
+    const worker = new PlatformWorker({address, id: 'i-1'});
+    t.is(await worker.start(START), refusal);
+    worker.close('test');
+  });
+}
+
+for (const answer of [undefined, {status: 500}]) {
+  test(`should not know what became of a start after ${answer?.status ?? 'silence'}`, async t => {
+    const {address} = await serveAnswers(t, [answer]);
+    const worker = new PlatformWorker({address, id: 'i-1'});
+    const call = worker.start(START);
+    await t.throwsAsync(call, {instanceOf: WorkerUnavailableError});
+    worker.close('test');
+  });
+}
+
+test('should read the lists of a hold and leave out rows that say nothing', async t => {
+  const {address, seen} = await serveAnswers(t, [
+    {
+      status: 200,
+      body: {
+        ClockMs: 482_113,
+        Running: [['a.0.1.17', 2, 'c1', 41, 300], 'junk', ['b', 'c']],
+        Ended: [
+          [58, 'a.0.1.9', 1, 'done', ''],
+          [59, 'a.0.1.8', 1, 'exploded', ''],
+        ],
+      },
+    },
+  ]);
+  const worker = new PlatformWorker({address, id: 'i-1'});
+  const listing = await worker.hold({
+    fencingToken: 7,
+    acknowledgedEnd: 57,
+    leaseEnd: 486_000,
+    waitMillis: 10,
+  });
+  t.deepEqual(seen[0].body, {
+    FencingToken: 7,
+    LastSeen: 57,
+    ExpiresMs: 486_000,
+    WaitMs: 10,
+  });
+  t.deepEqual(listing.running, [
+    {task: 'a.0.1.17', run: 2, checkpoint: 'c1', percent: 41, measure: 300},
+  ]);
+  t.deepEqual(listing.ends, [
+    {number: 58, task: 'a.0.1.9', run: 1, outcome: 'done', checkpoint: ''},
+  ]);
+  worker.close('test');
+});
+
+test('should say that another incarnation answers a hold', async t => {
+  const {address} = await serveAnswers(t, [{status: 421}]);
+  const worker = new PlatformWorker({address, id: 'i-1'});
+  const call = worker.hold({fencingToken: 7, acknowledgedEnd: 0});
+  await t.throwsAsync(call, {instanceOf: WorkerRefusedError});
+  worker.close('test');
+});
--- /dev/null
+++ b/tests/workflows/decisions.test.ts
@@ -0,0 +1,388 @@
+import test from 'ava';
+import {FillInterference} from '../../src/decisions/workflows/fill_interference.js';
+import {FillPacer} from '../../src/decisions/workflows/fill_pacer.js';
+import {planPlacements} from '../../src/decisions/workflows/placement_planner.js';
+import type {PlannedRun} from '../../src/decisions/workflows/placement_planner.js';
+import {
+  ProgressWatch,
+  Stall,
+} from '../../src/decisions/workflows/progress_watch.js';
+import {QueueTable} from '../../src/decisions/workflows/queue_table.js';
+import {StalledFills} from '../../src/decisions/workflows/stalled_fills.js';
+import {TailThrottle} from '../../src/decisions/workflows/tail_throttle.js';
+import {
+  formatTaskName,
+  parseTaskName,
+  runKey,
+} from '../../src/decisions/workflows/task_name.js';
+import {Workflow} from '../../src/decisions/workflows/workflow.js';
+import {
+  decodeWorkflow,
+  encodeProgress,
+} from '../../src/decisions/workflows/workflow_codec.js';
+import {
+  compareRanks,
+  Prospect,
+  WorkflowOrder,
+} from '../../src/decisions/workflows/workflow_order.js';
+import type {
+  StepSpec,
+  WorkflowSpec,
+} from '../../src/decisions/workflows/workflow_types.js';
+import {WorkerHealth} from '../../src/decisions/workflows/worker_health.js';
+import {WorkerView} from '../../src/decisions/workflows/worker_view.js';
+
+const TERMS = {
+  service: 'service',
+  priority: 1,
+  maximumFailures: 3,
+  stretch: 2,
+  latencyTargetMillis: 1_000,
+};
+
+function stepOf(change: Partial<StepSpec> = {}): StepSpec {
+  return {
+    count: 1,
+    size: {milliprocessors: 1_000, memoryMegabytes: 100, accelerators: 0},
+    estimateMillis: 1_000,
+    after: [],
+    checkpoints: false,
+    gang: false,
+    rackLocal: false,
+    requiredLabel: '',
+    dataRack: '',
+    spreadLimit: 0,
+    speculative: false,
+    lasting: false,
+    image: '',
+    tailTargetMillis: 0,
+    fills: false,
+    mayMiss: 0,
+    ...change,
+  };
+}
+
+function workflowOf(
+  id: string,
+  steps: StepSpec[],
+  change: Partial<WorkflowSpec> = {},
+): Workflow {
+  return new Workflow({
+    id,
+    queue: 'queue',
+    terms: TERMS,
+    payload: '',
+    steps,
+    acceptedAtMillis: 0,
+    ...change,
+  });
+}
+
+function workerOf(key: string, milliprocessors = 4_000): WorkerView {
+  return new WorkerView(key, key, {
+    incarnation: key,
+    service: 'service',
+    failureDomain: 'domain',
+    rack: 'r1',
+    labels: ['a', 'r1'],
+    room: {milliprocessors, memoryMegabytes: 10_000, accelerators: 0},
+    draining: false,
+    remainingMillis: 0,
+  });
+}
+
+function plan(
+  workflows: Workflow[],
+  workers: WorkerView[],
+  change: {
+    health?: WorkerHealth;
+    interference?: FillInterference;
+    failedOn?: string;
+  } = {},
+): PlannedRun[] {
+  const order = new WorkflowOrder();
+  for (const workflow of workflows) order.note(workflow);
+  return planPlacements({
+    workflows,
+    workers,
+    health: change.health ?? new WorkerHealth(),
+    interference: change.interference ?? new FillInterference(),
+    order,
+    termsOf: workflow => workflow.spec.terms,
+    mayPlace: () => true,
+    hasFailedOn: (_reference, worker) => worker === change.failedOn,
+    now: 0,
+    wallNow: 0,
+  });
+}
+
+/** Puts a task on a worker and gives it a measure. */
+function put(
+  view: WorkerView,
+  workflow: Workflow,
+  measure: number,
+  percent = 0,
+): string {
+  const [reference] = workflow.tasks();
+  const run = workflow.place(reference, view.key);
+  const placement = reference.task.placementOf(run)!;
+  const task = formatTaskName(reference.name);
+  const name = runKey(task, run);
+  view.placed.set(name, {reference, placement, isDurable: true});
+  view.running.set(name, {task, run, checkpoint: '', percent, measure});
+  return name;
+}
+
+test('should never place more on a worker than it has room for', t => {
+  const workers = [workerOf('one'), workerOf('two')];
+  const planned = plan([workflowOf('a', [stepOf({count: 20})])], workers);
+  t.is(planned.length, 8);
+});
+
+test('should place a step only when those before it are done', t => {
+  const workflow = workflowOf('a', [stepOf(), stepOf({after: [0]})]);
+  const planned = plan([workflow], [workerOf('one')]);
+  t.deepEqual(
+    planned.map(({reference}) => reference.name.step),
+    [0],
+  );
+});
+
+test('should keep to the most tasks of a step on a worker', t => {
+  const workers = [workerOf('one'), workerOf('two')];
+  const steps = [stepOf({count: 6, spreadLimit: 1})];
+  t.is(plan([workflowOf('a', steps)], workers).length, 2);
+});
+
+test('should place a task only on workers with its label and service', t => {
+  const steps = [stepOf({requiredLabel: 'b'})];
+  t.is(plan([workflowOf('a', steps)], [workerOf('one')]).length, 0);
+  const elsewhere = workflowOf('a', [stepOf()], {
+    terms: {...TERMS, service: 'other'},
+  });
+  t.is(plan([elsewhere], [workerOf('one')]).length, 0);
+});
+
+test('should place all members of a gang under one run or none', t => {
+  const gang = workflowOf('a', [stepOf({count: 5, gang: true})]);
+  t.is(plan([gang], [workerOf('one')]).length, 0);
+  const planned = plan([gang], [workerOf('one'), workerOf('two')]);
+  t.is(planned.length, 5);
+  t.deepEqual([...new Set(planned.map(({run}) => run))], [1]);
+});
+
+test('should try a task elsewhere that failed on a worker', t => {
+  const workers = [workerOf('one', 8_000), workerOf('two')];
+  const [planned] = plan([workflowOf('a', [stepOf()])], workers, {
+    failedOn: 'one',
+  });
+  t.is(planned.worker.key, 'two');
+});
+
+test('should count half of what serving tasks reserve as unused by them', t => {
+  const view = workerOf('one');
+  const serving = workflowOf('s', [
+    stepOf({
+      lasting: true,
+      tailTargetMillis: 50,
+      size: {milliprocessors: 3_800, memoryMegabytes: 1, accelerators: 0},
+    }),
+  ]);
+  put(view, serving, 10);
+  const fills = workflowOf('f', [stepOf({count: 4, fills: true})]);
+  const planned = plan([fills], [view]);
+  t.true(planned.length >= 1);
+  t.true(planned.length < 4);
+});
+
+test('should keep a filling image from the serving one that it presses on', t => {
+  const interference = new FillInterference();
+  for (let round = 0; round < 30; round++) {
+    interference.observe('served', 1.8, [
+      {image: 'heavy', milliprocessors: 1_000},
+    ]);
+    interference.observe('served', 0.4, [
+      {image: 'light', milliprocessors: 1_000},
+    ]);
+  }
+  const view = workerOf('one');
+  const serving = workflowOf('s', [
+    stepOf({lasting: true, tailTargetMillis: 100, image: 'served'}),
+  ]);
+  put(view, serving, 40);
+  const fill = (image: string): Workflow =>
+    workflowOf(image, [stepOf({fills: true, image})]);
+  t.is(plan([fill('heavy')], [view], {interference}).length, 0);
+  t.is(plan([fill('light')], [view], {interference}).length, 1);
+});
+
+test('should put first what is worth most for the work left', t => {
+  const order = new WorkflowOrder();
+  const small = workflowOf('small', [stepOf()]);
+  const large = workflowOf('large', [stepOf({count: 20})]);
+  for (const workflow of [small, large]) order.note(workflow);
+  const rank = (
+    workflow: Workflow,
+    now = 0,
+  ): ReturnType<WorkflowOrder['rank']> =>
+    order.rank(workflow, workflow.occurrences.get(0)!, TERMS, now);
+  t.true(compareRanks(rank(small), rank(large)) < 0);
+  t.is(rank(small).prospect, Prospect.ON_TIME);
+  t.is(rank(small, 2_500).prospect, Prospect.LATE);
+  t.is(rank(small, 60_000).prospect, Prospect.HOPELESS);
+  t.true(compareRanks(rank(large), rank(small, 2_500)) < 0);
+});
+
+test('should slow what matters least and let it go again', t => {
+  const interference = new FillInterference();
+  const pacer = new FillPacer(interference, (left, right) =>
+    left.reference.workflow.id < right.reference.workflow.id ? -1 : 1,
+  );
+  const view = workerOf('one', 16_000);
+  const serving = workflowOf('s', [
+    stepOf({lasting: true, tailTargetMillis: 100, image: 'served'}),
+  ]);
+  const servingName = put(view, serving, 40);
+  const fill = (id: string): Workflow =>
+    workflowOf(id, [stepOf({fills: true, image: 'heavy'})]);
+  put(view, fill('first'), 1_000);
+  const last = put(view, fill('second'), 1_000);
+  t.deepEqual(pacer.decide(view, 0), []);
+  const measure = (tail: number): void => {
+    const run = view.running.get(servingName)!;
+    view.running.set(servingName, {...run, measure: tail});
+  };
+  measure(130);
+  const slowed = pacer.decide(view, 1_000);
+  t.true(slowed.length > 0);
+  t.true((view.paces.get(last) ?? 100) < 100);
+  t.deepEqual(pacer.decide(view, 2_000), [], 'one decision a measurement');
+  for (let second = 3; second < 20; second++) {
+    measure(30 + second / 10);
+    pacer.decide(view, second * 1_000);
+  }
+  t.is(view.paces.get(last), 100);
+});
+
+test('should move what stands still and keeps checkpoints', t => {
+  const stalled = new StalledFills();
+  const view = workerOf('one');
+  const keeps = stepOf({fills: true, checkpoints: true});
+  const name = put(view, workflowOf('a', [keeps]), 0);
+  const other = put(view, workflowOf('b', [stepOf({fills: true})]), 0);
+  view.paces.set(name, 0);
+  view.paces.set(other, 0);
+  t.deepEqual(stalled.find(view, 0), []);
+  t.deepEqual(stalled.find(view, 1_500), []);
+  const found = stalled.find(view, 2_500);
+  t.deepEqual(
+    found.map(({reference}) => reference.workflow.id),
+    ['a'],
+  );
+});
+
+test('should let a worker rest after failures of different workflows', t => {
+  const health = new WorkerHealth();
+  t.false(health.noteFailure('one', 'a', 0));
+  t.false(health.noteFailure('one', 'a', 100));
+  t.true(health.noteFailure('one', 'b', 200));
+  t.is(health.allowance('one', 0, 300), 0);
+  t.is(health.allowance('one', 0, 3_300), 1);
+  t.is(health.allowance('one', 1, 3_300), 0);
+  t.true(health.noteFailure('one', 'c', 3_400));
+  t.is(health.allowance('one', 0, 9_000), 0);
+  health.noteSuccess('one');
+  t.is(health.allowance('one', 0, 9_000), Infinity);
+});
+
+test('should find a task that stands still, and one slower than its siblings', t => {
+  const watch = new ProgressWatch();
+  const workflow = workflowOf('a', [stepOf({count: 4})]);
+  const views = ['one', 'two', 'three', 'four'].map(key => workerOf(key));
+  const names = views.map((view, index) => {
+    const reference = [...workflow.tasks()][index];
+    const run = workflow.place(reference, view.key);
+    const placement = reference.task.placementOf(run)!;
+    const task = formatTaskName(reference.name);
+    view.placed.set(runKey(task, run), {reference, placement, isDurable: true});
+    return {task, run, name: runKey(task, run)};
+  });
+  const found = new Map<string, Stall>();
+  const speeds = [0.06, 0.06, 0.006, 0];
+  for (let now = 0; now <= 1_600; now += 400) {
+    for (const [index, view] of views.entries()) {
+      const {task, run, name} = names[index];
+      const percent = Math.floor(now * speeds[index]);
+      view.running.set(name, {task, run, checkpoint: '', percent, measure: 0});
+      for (const {stall} of watch.observe(view, now))
+        found.set(view.key, stall);
+    }
+  }
+  t.deepEqual(
+    [...found],
+    [
+      ['three', Stall.SLOW],
+      ['four', Stall.STANDSTILL],
+    ],
+  );
+});
+
+test('should halve what fills when a tail is over its target and no owner speaks', t => {
+  const throttle = new TailThrottle();
+  t.is(throttle.decide([{tailMillis: 60, targetMillis: 50}]), 50);
+  t.is(throttle.decide([{tailMillis: 20, targetMillis: 50}]), 50);
+  t.is(throttle.decide([{tailMillis: 20, targetMillis: 50}]), 70);
+});
+
+test('should find the queue with the longest prefix', t => {
+  const queue = {
+    ...TERMS,
+    name: 'short',
+    host: 'a.example',
+    prefix: '/x/',
+    timeoutMillis: 1,
+  };
+  const table = new QueueTable({
+    version: 1,
+    queues: [queue, {...queue, name: 'long', prefix: '/x/y/'}],
+    services: [],
+    maximumBodyBytes: 1,
+    maximumHeaderBytes: 1,
+  });
+  t.is(table.find('A.example:80', '/x/y/z')?.name, 'long');
+  t.is(table.find('a.example', '/x/z')?.name, 'short');
+  t.is(table.find('b.example', '/x/z'), undefined);
+});
+
+test('should read back the progress of a workflow as it was written', t => {
+  const workflow = workflowOf('a', [stepOf({count: 3}), stepOf({after: [0]})]);
+  const references = [...workflow.tasks()];
+  workflow.place(references[0], 'one');
+  workflow.place(references[1], 'two');
+  const name = references[0].name;
+  workflow.close({name, run: 1, outcome: 'done', checkpoint: ''}, 3, 5);
+  const again = decodeWorkflow(workflow.spec, encodeProgress(workflow));
+  t.is(encodeProgress(again), encodeProgress(workflow));
+  t.true([...again.tasks()][0].task.done);
+  t.is([...again.tasks()][1].task.placements[0].worker, 'two');
+});
+
+test('should open the occurrences of a schedule as they fall due', t => {
+  const schedule = {times: 3, firstAtMillis: 1_000, intervalMillis: 500};
+  const workflow = workflowOf('a', [stepOf()], {schedule});
+  t.false(workflow.openDue(999));
+  t.true(workflow.openDue(1_500));
+  t.is(workflow.occurrences.size, 2);
+  t.false(workflow.openDue(1_500));
+});
+
+test('should parse only names of tasks', t => {
+  t.deepEqual(parseTaskName('abc.0.1.17'), {
+    workflow: 'abc',
+    occurrence: 0,
+    step: 1,
+    index: 17,
+  });
+  t.is(parseTaskName('abc.0.1'), undefined);
+  t.is(parseTaskName('abc.0.x.1'), undefined);
+});
