Slow filling runs also if none presses much alone, and those that others had paced

Runs with less than a tenth of an excess were left alone, all of them if there were many; its test passed before as well, since learning raises their part, and stays as a guard.

--- a/src/agent/workflows/worker_session.ts
+++ b/src/agent/workflows/worker_session.ts
@@ -405,7 +405,8 @@
   /** Lets a run work at a share of its speed. */
   pace({task, run, percent}: Omit<PaceCommand, 'incarnation'>): void {
     const name = runKey(task, run);
-    if (this.closed || (this.paced.get(name) ?? 100) === percent) return;
+    // The life of the agent before this one may have paced it otherwise.
+    if (this.closed || this.paced.get(name) === percent) return;
     this.paced.set(name, percent);
     void this.carryOutPace(name, task, run, percent);
   }
--- a/src/decisions/workflows/fill_pacer.ts
+++ b/src/decisions/workflows/fill_pacer.ts
@@ -14,8 +14,10 @@
 const RAISE_PERCENT = 35;
 /** Share of all fills that is kept when none of them explains a tail. */
 const UNEXPLAINED_SHARE = 0.5;
-/** A run with a smaller part than this in an excess is left alone. */
-const LEAST_PART = 0.1;
+/** A run at less than this stands still. */
+const LEAST_PERCENT = 10;
+/** A run that uses less than this share of its processors was slowed before. */
+const SLOWED_SHARE = 0.6;
 /** Changes smaller than this are not worth a call. */
 const LEAST_CHANGE_PERCENT = 5;
 
@@ -94,8 +96,7 @@
         continue;
       }
       for (const {fill, pressure} of pressing) {
-        if (excess <= 0) break;
-        if (pressure < LEAST_PART * (ratio - AIM_SHARE)) continue;
+        if (excess <= 0 || pressure <= 0) continue;
         const taken = Math.min(pressure, excess);
         scale(fill, 1 - taken / pressure);
         excess -= taken;
@@ -141,9 +142,11 @@
   ): PaceDecision[] {
     const decisions: PaceDecision[] = [];
     for (const {name, placed, percent} of fills) {
-      const rounded = Math.round(percent);
+      const isStill = percent < LEAST_PERCENT && percent < before.get(name)!;
+      const rounded = isStill ? 0 : Math.round(percent);
       const change = Math.abs(rounded - before.get(name)!);
-      const isEdge = rounded === FULL_PERCENT && change > 0;
+      const isLast = rounded === FULL_PERCENT || rounded === 0;
+      const isEdge = isLast && change > 0;
       if (change < LEAST_CHANGE_PERCENT && !isEdge) continue;
       view.paces.set(name, rounded);
       decisions.push({placed, percent: rounded});
@@ -161,7 +164,7 @@
         name,
         placed,
         milliprocessors: run.measure,
-        percent: view.paces.get(name) ?? FULL_PERCENT,
+        percent: view.paces.get(name) ?? percentOf(placed, run.measure),
       });
     }
     return fills.sort((left, right) => this.compare(left.placed, right.placed));
@@ -189,3 +192,10 @@
 function toLoad(fill: FillingRun): {image: string; milliprocessors: number} {
   return {image: imageOf(fill), milliprocessors: fill.milliprocessors};
 }
+
+/** The pace of a run that an owner before this one may have slowed. */
+function percentOf({reference}: PlacedRun, measure: number): number {
+  const {milliprocessors} = reference.step.size;
+  const share = measure / Math.max(1, milliprocessors);
+  return share < SLOWED_SHARE ? FULL_PERCENT * share : FULL_PERCENT;
+}
--- a/tests/workflows/decisions.test.ts
+++ b/tests/workflows/decisions.test.ts
@@ -264,6 +264,33 @@
   t.is(view.paces.get(last), 100);
 });
 
+test('should slow many filling runs of which none presses much', t => {
+  const interference = new FillInterference();
+  const pacer = new FillPacer(interference, () => 0);
+  const view = workerOf('one', 64_000);
+  const serving = workflowOf('s', [
+    stepOf({lasting: true, tailTargetMillis: 100, image: 'served'}),
+  ]);
+  put(view, serving, 130);
+  for (let index = 0; index < 12; index++) {
+    const fill = stepOf({fills: true, image: `image-${index}`});
+    put(view, workflowOf(`fill-${index}`, [fill]), 1_000);
+  }
+  t.true(pacer.decide(view, 0).length > 0);
+});
+
+test('should let go what an owner before this one had slowed', t => {
+  const pacer = new FillPacer(new FillInterference(), () => 0);
+  const view = workerOf('one');
+  const serving = workflowOf('s', [
+    stepOf({lasting: true, tailTargetMillis: 100, image: 'served'}),
+  ]);
+  put(view, serving, 30);
+  put(view, workflowOf('f', [stepOf({fills: true, image: 'light'})]), 100);
+  const [decision] = pacer.decide(view, 0);
+  t.true(decision.percent > 10);
+});
+
 test('should move what stands still and keeps checkpoints', t => {
   const stalled = new StalledFills();
   const view = workerOf('one');
