--- a/src/decisions/workflows/placement_planner.ts
+++ b/src/decisions/workflows/placement_planner.ts
@@ -71,6 +71,11 @@
     return worst;
   }
 
+  /** The worst tail over its target, with what this round has added. */
+  get worstTail(): number {
+    return Math.max(0, ...this.tails.map(({ratio}) => ratio));
+  }
+
   hasImage(image: string): boolean {
     return this.tails.some(tail => tail.image === image);
   }
@@ -372,7 +377,8 @@
   if (step.fills) {
     const tail = candidate.expectedTail(step, round.interference);
     const isCrowded = tail > HIGHEST_TAIL_SHARE || view.isPaced;
-    if (isCrowded && !mayPress(round, reference)) return -Infinity;
+    const mayTry = candidate.worstTail < HIGHEST_TAIL_SHARE;
+    if (isCrowded && !(mayTry && mayPress(round, reference))) return -Infinity;
     score -= TAIL_PENALTY * Math.max(0, tail - HIGH_TAIL_SHARE);
   }
   if (step.dataRack !== '' && step.dataRack !== rack) score -= REMOTE_PENALTY;
--- a/tests/workflows/decisions.test.ts
+++ b/tests/workflows/decisions.test.ts
@@ -216,6 +216,29 @@
   t.is(plan([fill('light')], [view], {interference}).length, 1);
 });
 
+test('should never add filling work where a tail is over its target', t => {
+  const interference = new FillInterference();
+  for (let round = 0; round < 30; round++) {
+    interference.observe('served', 1.8, [
+      {image: 'heavy', milliprocessors: 1_000},
+    ]);
+  }
+  // It has waited long enough to press on a tail that has room.
+  const fill = workflowOf(
+    'f',
+    [stepOf({count: 3, fills: true, image: 'heavy'})],
+    {acceptedAtMillis: -5_000},
+  );
+  const serving = workflowOf('s', [
+    stepOf({lasting: true, tailTargetMillis: 100, image: 'served'}),
+  ]);
+  const view = workerOf('one', 16_000);
+  const name = put(view, serving, 130);
+  t.is(plan([fill], [view], {interference}).length, 0);
+  view.running.set(name, {...view.running.get(name)!, measure: 40});
+  t.is(plan([fill], [view], {interference}).length, 1);
+});
+
 test('should put first what is worth most for the work left', t => {
   const order = new WorkflowOrder();
   const small = workflowOf('small', [stepOf()]);
