--- a/src/backends/leased_worker.ts
+++ b/src/backends/leased_worker.ts
@@ -97,9 +97,6 @@
   readonly waitMillis?: number;
 }
 
-/** Another incarnation of the worker answers at its address. */
-export const WORKER_REPLACED = 'replaced';
-
 /**
  * Calls to one incarnation of a worker. They reject with a
  * WorkerUnavailableError when no answer came; the call may then be carried out
