Let executors refuse requests that come after the agent's last check has gone stale

No check of the sender can close that gap, so each request now carries the calendar time of the VM after which the executor must not begin it, 1 s after the check; an executor that gets it later answers that it did not run. The stand-ins of processes and of virtual time keep to it.

Ruled out: a later check in the agent (the plan freezes it after any check). Before: found_plans failed, 'draining upstream'. After: passes, as do the other plans, and a test of the HTTP client.

Also: notes on tries at tasks are forgotten with their workflow (they grew for as long as an owner lived; the test failed before), received JSON is parsed in one place, platform settings that nothing reads are gone, and the test of the paused agent names the count and shows the runs when it fails.

--- a/bench/fleet/fleet_records.ts
+++ b/bench/fleet/fleet_records.ts
@@ -56,22 +56,29 @@
   }
 
   tally(): TaskTally {
-    const byTask = new Map<string, AttemptRun[]>();
     const attempts = this.attempts();
-    for (const run of attempts) {
+    const ended = attempts.filter(run => run.finished);
+    const finished = new Set(ended.map(run => run.task)).size;
+    const twice = this.runsTwice().length;
+    const overSize = this.countOverSize();
+    return {started: attempts.length, finished, twice, overSize};
+  }
+
+  /**
+   * The attempts of each task that finished more than once, or that ran in two
+   * places at a time.
+   */
+  runsTwice(): ReadonlyArray<readonly AttemptRun[]> {
+    const byTask = new Map<string, AttemptRun[]>();
+    for (const run of this.attempts()) {
       const runs = byTask.get(run.task) ?? [];
       runs.push(run);
       byTask.set(run.task, runs);
     }
-    let finished = 0;
-    let twice = 0;
-    for (const runs of byTask.values()) {
+    return [...byTask.values()].filter(runs => {
       const times = runs.filter(run => run.finished).length;
-      if (times > 0) finished++;
-      if (times > 1 || overlap(runs)) twice++;
-    }
-    const overSize = this.countOverSize();
-    return {started: attempts.length, finished, twice, overSize};
+      return times > 1 || overlap(runs);
+    });
   }
 
   /** Starts on a VM from one calendar time to another. */
--- a/src/agent/commands/serve_requests.ts
+++ b/src/agent/commands/serve_requests.ts
@@ -26,6 +26,13 @@
 /** When a caller refused for other reasons than a full queue may come back. */
 const RETRY_AFTER_MILLIS = 500;
 
+/**
+ * Until when the executor may begin what is sent to it. It is far above the
+ * time of a send, and below the few seconds in which an upstream that shuts
+ * down may still get work.
+ */
+const START_VALIDITY_MILLIS = 1_000;
+
 /** A request in the queue or on the executor. */
 interface Admitted {
   readonly request: ServeRequest;
@@ -160,6 +167,7 @@
           headers: request.headers.map(({name, value}) => [name, value]),
           body: request.body,
           deadlineMillis,
+          startByMillis: this.context.clock.wallTime() + START_VALIDITY_MILLIS,
         }),
         deadlineMillis,
         `${request.method} ${request.path}`,
--- a/src/backends/executor.ts
+++ b/src/backends/executor.ts
@@ -7,6 +7,12 @@
   readonly headers: ReadonlyArray<readonly [name: string, value: string]>;
   readonly body: Uint8Array;
   readonly deadlineMillis: number;
+  /**
+   * Calendar time of the VM, in milliseconds since 1970, after which the
+   * executor must not begin: an agent may be suspended between its last check
+   * and the send.
+   */
+  readonly startByMillis: number;
 }
 
 export interface ExecutorAnswer {
@@ -17,7 +23,7 @@
 
 /** What is known of a request that brought no whole answer. */
 export const ExecutorFailure = {
-  /** No byte of the request left: it did not run. */
+  /** No byte left, or the executor got it too late: it did not run. */
   NOT_SENT: 'notSent',
   /** It may have run. */
   UNKNOWN: 'unknown',
--- a/src/backends/http_executor.ts
+++ b/src/backends/http_executor.ts
@@ -1,4 +1,5 @@
 import {messageOf} from '../utilities/base_error.js';
+import {SystemClock} from '../utilities/clock.js';
 import type {Clock} from '../utilities/clock.js';
 import {ExecutorFailure} from './executor.js';
 import type {Executor, ExecutorAnswer, ExecutorRequest} from './executor.js';
@@ -9,6 +10,10 @@
 const DEFAULT_PROBE_TIMEOUT_MILLIS = 1_000;
 const PROBE_PATH = '/health';
 const REQUEST_ID_HEADER = 'x-request-id';
+/** Calendar time in milliseconds since 1970 after which nothing may begin. */
+const START_BY_HEADER = 'x-start-by-milliseconds';
+/** In the answer to a request that came after its start-by time. */
+const NOT_RUN_HEADER = 'x-not-run';
 /** Headers that concern one connection only, and those set here. */
 const OWN_HEADERS = new Set([
   'connection',
@@ -21,6 +26,7 @@
   'te',
   'trailer',
   REQUEST_ID_HEADER,
+  START_BY_HEADER,
 ]);
 
 export interface HttpExecutorOptions {
@@ -41,6 +47,7 @@
 export class HttpExecutor implements Executor {
   private readonly connections: HttpConnections;
   private readonly probeTimeoutMillis: number;
+  private readonly clock: Clock;
   private probes = 0;
 
   constructor(options: HttpExecutorOptions) {
@@ -48,6 +55,7 @@
       ...options,
       connections: options.connections ?? DEFAULT_CONNECTIONS,
     });
+    this.clock = options.clock ?? new SystemClock();
     this.probeTimeoutMillis =
       options.timeoutMillis ?? DEFAULT_PROBE_TIMEOUT_MILLIS;
   }
@@ -57,18 +65,28 @@
     const headers = request.headers.filter(
       ([name]) => !OWN_HEADERS.has(name.toLowerCase()),
     );
-    try {
-      return await this.connections.call({
+    const startBy = `${Math.floor(request.startByMillis)}`;
+    const answer = await this.connections
+      .call({
         method,
         path,
-        headers: [...headers, [REQUEST_ID_HEADER, requestId]],
+        headers: [
+          ...headers,
+          [REQUEST_ID_HEADER, requestId],
+          [START_BY_HEADER, startBy],
+        ],
         body,
         timeoutMillis: request.deadlineMillis,
         findFault: answered => describeCrossing(requestId, answered),
+      })
+      .catch(thrown => {
+        throw toExecutorError(thrown);
       });
-    } catch (thrown) {
-      throw toExecutorError(thrown);
-    }
+    const notRun = answer.headers.find(([name]) => name === NOT_RUN_HEADER);
+    if (!notRun) return answer;
+    const failure = ExecutorFailure.NOT_SENT;
+    const message = `the executor did not run ${requestId}: ${notRun[1]}`;
+    throw new ExecutorError(message, {props: {failure}});
   }
 
   async probe(): Promise<void> {
@@ -80,6 +98,7 @@
       headers: [],
       body: Buffer.alloc(0),
       deadlineMillis: this.probeTimeoutMillis,
+      startByMillis: this.clock.wallTime() + this.probeTimeoutMillis,
     });
   }
 
--- a/src/daemon/fleet_agent_role.ts
+++ b/src/daemon/fleet_agent_role.ts
@@ -35,7 +35,7 @@
     metrics: Metrics,
   ) {
     const {processName, processPort, seedHosts} = settings;
-    this.store = new PlatformStore({address: settings.store.address});
+    this.store = new PlatformStore({address: settings.storeAddress});
     this.agent = new WorkflowAgent({
       processName,
       store: this.store,
--- a/src/daemon/fleet_entry_role.ts
+++ b/src/daemon/fleet_entry_role.ts
@@ -56,7 +56,7 @@
       processName: settings.processName,
       address: `${settings.ip}:${settings.processPort}`,
       nonce: randomUUID(),
-      store: new PlatformStore({address: settings.store.address}),
+      store: new PlatformStore({address: settings.storeAddress}),
       links: new GrpcPoolLinkFactory(),
       operatorDocuments: {
         prefix: OPERATOR_PREFIX,
--- a/src/entry/workflows/pool_owner.ts
+++ b/src/entry/workflows/pool_owner.ts
@@ -105,7 +105,10 @@
   constructor(private readonly options: PoolOwnerOptions) {
     const {clock, store, logger, metrics, owner, revision} = options;
     this.ownedSince = clock.now();
-    this.retries = new RetryNotes(clock);
+    this.retries = new RetryNotes(
+      clock,
+      id => this.book.get(id)?.isOpen ?? false,
+    );
     this.commits = new CommitLog({
       store,
       clock,
@@ -214,6 +217,7 @@
     const workflow = this.book.get(id);
     const changed = this.book.cancel(id, clock.wallTime());
     if (!changed) return;
+    this.supervisor.forgetWorkflow(id);
     logger.event(Events.WORKFLOW_ENDED, {workflow: id, state: 'cancelled'});
     if (workflow) this.stopRuns(workflow);
     this.schedulePlan();
@@ -237,6 +241,7 @@
     const now = this.options.clock.now();
     return {
       epoch: this.epoch,
+      workflowsWithNotes: this.retries.size,
       workers: this.roster.all.map(view => ({
         worker: view.key,
         isAttached: this.attachments.has(view.agent),
--- a/src/entry/workflows/retry_notes.ts
+++ b/src/entry/workflows/retry_notes.ts
@@ -1,39 +1,74 @@
+import {parseTaskName} from '../../decisions/workflows/task_name.js';
 import type {Clock} from '../../utilities/clock.js';
 
 /** Pause after a start that the worker did not take. */
 const REFUSAL_PAUSE_MILLIS = 60;
 
-/** What is remembered of tries at tasks; a new owner begins without it. */
+interface TaskNotes {
+  /** The task is not to be placed before this time. */
+  notBefore: number;
+  /** Workers on which the task has failed or stood still. */
+  readonly failedOn: Set<string>;
+}
+
+/**
+ * What is remembered of tries at the tasks of open workflows; a new owner
+ * begins without it.
+ */
 export class RetryNotes {
-  private readonly notBefore = new Map<string, number>();
-  private readonly failedOn = new Map<string, Set<string>>();
+  private readonly byWorkflow = new Map<string, Map<string, TaskNotes>>();
 
-  constructor(private readonly clock: Clock) {}
+  constructor(
+    private readonly clock: Clock,
+    /** What ends late of an ended workflow is not remembered. */
+    private readonly isOpen: (workflow: string) => boolean,
+  ) {}
+
+  /** Workflows of which anything is remembered. */
+  get size(): number {
+    return this.byWorkflow.size;
+  }
 
   mayPlace(task: string): boolean {
-    const time = this.notBefore.get(task);
-    if (time === undefined) return true;
-    if (this.clock.now() < time) return false;
-    this.notBefore.delete(task);
-    return true;
+    const notes = this.find(task);
+    return notes === undefined || this.clock.now() >= notes.notBefore;
   }
 
   hasFailedOn(task: string, worker: string): boolean {
-    return this.failedOn.get(task)?.has(worker) ?? false;
+    return this.find(task)?.failedOn.has(worker) ?? false;
   }
 
   noteRefusal(task: string): void {
-    this.notBefore.set(task, this.clock.now() + REFUSAL_PAUSE_MILLIS);
+    const notes = this.open(task);
+    if (notes) notes.notBefore = this.clock.now() + REFUSAL_PAUSE_MILLIS;
   }
 
   noteFailure(task: string, worker: string): void {
-    const workers = this.failedOn.get(task);
-    if (workers) workers.add(worker);
-    else this.failedOn.set(task, new Set([worker]));
+    this.open(task)?.failedOn.add(worker);
+  }
+
+  forgetWorkflow(id: string): void {
+    this.byWorkflow.delete(id);
+  }
+
+  private find(task: string): TaskNotes | undefined {
+    return this.byWorkflow.get(workflowOf(task))?.get(task);
   }
 
-  forget(task: string): void {
-    this.notBefore.delete(task);
-    this.failedOn.delete(task);
+  private open(task: string): TaskNotes | undefined {
+    const workflow = workflowOf(task);
+    if (!this.isOpen(workflow)) return undefined;
+    const tasks = this.byWorkflow.get(workflow) ?? new Map<string, TaskNotes>();
+    this.byWorkflow.set(workflow, tasks);
+    const notes = tasks.get(task) ?? {
+      notBefore: -Infinity,
+      failedOn: new Set<string>(),
+    };
+    tasks.set(task, notes);
+    return notes;
   }
 }
+
+function workflowOf(task: string): string {
+  return parseTaskName(task)?.workflow ?? '';
+}
--- a/src/entry/workflows/run_supervisor.ts
+++ b/src/entry/workflows/run_supervisor.ts
@@ -76,6 +76,7 @@
   /** A workflow has ended. */
   forgetWorkflow(id: string): void {
     this.progress.forgetWorkflow(id);
+    this.options.retries.forgetWorkflow(id);
   }
 
   /** The runs of a worker were listed anew. */
--- a/src/platform/operator_documents.ts
+++ b/src/platform/operator_documents.ts
@@ -8,6 +8,7 @@
   string,
 } from 'valibot';
 import type {FleetConfiguration} from '../decisions/workflows/workflow_types.js';
+import {parseReceived} from './received_json.js';
 
 /** Everything that operators write. */
 export const OPERATOR_PREFIX = 'op/';
@@ -56,7 +57,7 @@
 export function decodeConfiguration(
   text: string,
 ): FleetConfiguration | undefined {
-  const parsed = safeParse(configurationSchema, parseJson(text));
+  const parsed = safeParse(configurationSchema, parseReceived(text));
   if (!parsed.success) return undefined;
   const {output: from} = parsed;
   return {
@@ -92,12 +93,3 @@
   if (!key.startsWith(EVACUATION_PREFIX)) return undefined;
   return key.slice(EVACUATION_PREFIX.length);
 }
-
-function parseJson(text: string): unknown {
-  try {
-    return JSON.parse(text);
-  } catch {
-    // The caller logs a document that can't be used.
-    return undefined;
-  }
-}
--- a/src/platform/platform_settings.ts
+++ b/src/platform/platform_settings.ts
@@ -1,7 +1,6 @@
 import {readFileSync} from 'node:fs';
 import {
   array,
-  boolean,
   fallback,
   flatten,
   number,
@@ -11,6 +10,7 @@
   string,
 } from 'valibot';
 import {BaseError} from '../utilities/base_error.js';
+import {parseReceived} from './received_json.js';
 
 /** Names the variable that holds the path of the settings file. */
 const SETTINGS_VARIABLE = 'BURDOCKMOOR_CONFIG';
@@ -26,8 +26,6 @@
   Zone: string(),
   PortRange: array(number()),
   Seeds: fallback(array(string()), []),
-  app: optional(string()),
-  Hint: optional(string()),
   Listen: object({
     Front: optional(string()),
     Ready: optional(string()),
@@ -35,24 +33,9 @@
   }),
   Bounds: object({
     HoldMaxMs: number(),
-    DrainMs: number(),
-    GraceS: number(),
-    cancel_ms: number(),
-    early_ms: number(),
     status_s: number(),
-    RemoteFactor: number(),
-    RestoreMs: number(),
-    GraceStopMs: number(),
-    HarmMs: number(),
-    GangWaitMs: number(),
-    RequireFence: fallback(boolean(), false),
-  }),
-  platform: object({
-    Address: string(),
-    WritesPerS: number(),
-    ReadsPerS: number(),
-    TtlMinMs: number(),
   }),
+  platform: object({Address: string()}),
 });
 
 /** What a process of the fleet learns from the platform at its start. */
@@ -70,29 +53,12 @@
   readonly healthAddress?: string;
   /** HOST:PORT at which the worker reports. */
   readonly reportAddress?: string;
-  /** HOST:PORT of the worker beside an agent. */
-  readonly workerAddress?: string;
-  /** HOST:PORT of the service that allows workers for a step. */
-  readonly adviceAddress?: string;
-  readonly store: {
-    readonly address: string;
-    readonly writesPerSecond: number;
-    readonly readsPerSecond: number;
-    readonly minimumTtlMillis: number;
-  };
+  /** HOST:PORT of the store. */
+  readonly storeAddress: string;
   /** The longest lease that a worker grants. */
   readonly maximumLeaseMillis: number;
-  /** How long a worker goes on after it was told that its end is known. */
-  readonly drainMillis: number;
-  /** From the signal to stop to the kill. */
-  readonly stopGraceMillis: number;
   /** How long the state of an ended workflow is kept. */
   readonly keptMillis: number;
-  /** How much longer a task works away from its data. */
-  readonly remoteFactor: number;
-  readonly restoreMillis: number;
-  /** How long a serving task may miss its target because of others. */
-  readonly harmMillis: number;
 }
 
 const MILLIS_PER_SECOND = 1_000;
@@ -112,11 +78,13 @@
  * @throws PlatformSettingsError that names the fields at fault.
  */
 export function parsePlatformSettings(text: string): FleetProcessSettings {
-  const parsed = safeParse(settingsSchema, parseJson(text));
+  const parsed = safeParse(settingsSchema, parseReceived(text));
   if (!parsed.success) {
-    const fields = Object.keys(flatten(parsed.issues).nested ?? {}).join(', ');
+    const {nested} = flatten(parsed.issues);
     throw new PlatformSettingsError(
-      `The platform's settings lack good values for ${fields}.`,
+      nested
+        ? `The platform's settings lack good values for ${Object.keys(nested).join(', ')}.`
+        : 'The platform settings are not a JSON object.',
     );
   }
   const {output: from} = parsed;
@@ -130,30 +98,8 @@
     callerAddress: listen.Front,
     healthAddress: listen.Ready,
     reportAddress: listen.Control,
-    workerAddress: from.app,
-    adviceAddress: from.Hint,
-    store: {
-      address: platform.Address,
-      writesPerSecond: platform.WritesPerS,
-      readsPerSecond: platform.ReadsPerS,
-      minimumTtlMillis: platform.TtlMinMs,
-    },
+    storeAddress: platform.Address,
     maximumLeaseMillis: bounds.HoldMaxMs,
-    drainMillis: bounds.DrainMs,
-    stopGraceMillis: bounds.GraceS * MILLIS_PER_SECOND,
     keptMillis: bounds.status_s * MILLIS_PER_SECOND,
-    remoteFactor: bounds.RemoteFactor,
-    restoreMillis: bounds.RestoreMs,
-    harmMillis: bounds.HarmMs,
   };
 }
-
-function parseJson(text: string): unknown {
-  try {
-    return JSON.parse(text);
-  } catch (error) {
-    throw new PlatformSettingsError('The platform settings are not JSON.', {
-      cause: error,
-    });
-  }
-}
--- a/src/platform/submissions.ts
+++ b/src/platform/submissions.ts
@@ -18,6 +18,7 @@
   WorkflowSchedule,
   WorkflowState,
 } from '../decisions/workflows/workflow_types.js';
+import {parseReceived} from './received_json.js';
 
 /** What a caller hands in; id and queue stand in the path. */
 export interface Submission {
@@ -72,7 +73,7 @@
 
 /** Undefined when the text is no good submission. */
 export function decodeSubmission(text: string): Submission | undefined {
-  const parsed = safeParse(submissionSchema, parseJson(text));
+  const parsed = safeParse(submissionSchema, parseReceived(text));
   if (!parsed.success) return undefined;
   const {output: from} = parsed;
   if (Buffer.byteLength(from.Spec) > MAXIMUM_PAYLOAD_BYTES) return undefined;
@@ -115,15 +116,6 @@
   };
 }
 
-function parseJson(text: string): unknown {
-  try {
-    return JSON.parse(text);
-  } catch {
-    // The caller is answered that the body is no submission.
-    return undefined;
-  }
-}
-
 /** The body that shows callers the state of a workflow. */
 export function encodeState(state: WorkflowState): string {
   return JSON.stringify({State: state});
--- a/src/platform/worker_reports.ts
+++ b/src/platform/worker_reports.ts
@@ -9,6 +9,7 @@
   union,
 } from 'valibot';
 import type {WorkerReport} from '../backends/leased_worker.js';
+import {parseReceived} from './received_json.js';
 
 const roomSchema = object({
   /** Thousandths of a core of the whole worker, not what is left of them. */
@@ -36,7 +37,7 @@
   id: string,
   text: string,
 ): WorkerReport | undefined {
-  const parsed = safeParse(reportSchema, parseJson(text));
+  const parsed = safeParse(reportSchema, parseReceived(text));
   if (!parsed.success || id === '') return undefined;
   const {output: from} = parsed;
   const labels = from.Labels;
@@ -59,12 +60,3 @@
     },
   };
 }
-
-function parseJson(text: string): unknown {
-  try {
-    return JSON.parse(text);
-  } catch {
-    // The caller logs a report that can't be used.
-    return undefined;
-  }
-}
--- a/tests/backends/http_executor.test.ts
+++ b/tests/backends/http_executor.test.ts
@@ -39,6 +39,7 @@
     headers: [['x-team', 'asantewaa']],
     body: Buffer.from(`body of ${requestId}`),
     deadlineMillis,
+    startByMillis: Infinity,
   };
 }
 
@@ -163,3 +164,10 @@
   t.true((await probe) instanceof ExecutorError);
   await t.notThrowsAsync(() => executor.probe());
 });
+
+test('should hear that a request that came too late did not run', async t => {
+  const {executor, standIn} = await openFixture(t);
+  const late = {...request('request-1'), startByMillis: Date.now() - 1};
+  t.is(await failureOf(executor.send(late)), ExecutorFailure.NOT_SENT);
+  t.is(standIn.runs.length, 0);
+});
--- a/tests/history/virtual_executor.ts
+++ b/tests/history/virtual_executor.ts
@@ -47,7 +47,8 @@
     const agent = machine.vm;
     this.hooks.reached('executorSend.before', {agent});
     await this.agentClock.resumed();
-    if (machine.refusing) throw failure(ExecutorFailure.NOT_SENT);
+    const isLate = this.vmClock.wallTime() > request.startByMillis;
+    if (machine.refusing || isLate) throw failure(ExecutorFailure.NOT_SENT);
     const ran = this.run(request.requestId, request.deadlineMillis);
     await this.wait(ran, request.deadlineMillis);
     this.hooks.reached('executorSend.after', {agent});
--- a/tests/processes/night_fixture.ts
+++ b/tests/processes/night_fixture.ts
@@ -101,16 +101,16 @@
     t.deepEqual(tally.faults, []);
     t.is(tally.served, REQUESTS_AFTER);
     const during = this.load.tally(fleet.records);
-    t.is(during.ranTwice, 0);
+    t.is(during.ranTwice, 0, 'requests that ran twice');
     t.deepEqual(
       during.faults.filter(fault => fault.startsWith('answer of')),
       [],
     );
-    const {finished, twice, overSize} = fleet.records.tally();
-    t.is(finished, TASKS);
-    t.is(twice, 0);
-    t.is(overSize, 0);
-    t.is(this.openWatcherRuns(), 1);
+    const {finished, overSize} = fleet.records.tally();
+    t.is(finished, TASKS, 'finished tasks');
+    t.deepEqual(fleet.records.runsTwice(), []);
+    t.is(overSize, 0, 'starts beyond the size of a VM');
+    t.is(this.openWatcherRuns(), 1, 'watchers that run');
   }
 
   private get teamPath(): string {
--- a/tests/stand_ins/executor_stand_in.ts
+++ b/tests/stand_ins/executor_stand_in.ts
@@ -11,6 +11,8 @@
 const DEFAULT_CONNECTIONS = 64;
 const DEFAULT_RUN_MILLIS = 5;
 const REQUEST_ID_HEADER = 'x-request-id';
+const START_BY_HEADER = 'x-start-by-milliseconds';
+const NOT_RUN_HEADER = 'x-not-run';
 const RUN_MILLIS_PARAMETER = 'runMillis';
 
 export interface ExecutorFaults {
@@ -89,10 +91,28 @@
       this.reply(requestIdOf(call.request), call);
       return;
     }
+    if (this.isLate(call)) {
+      this.refuseLate(call);
+      return;
+    }
     this.waiting.push(call);
     this.runWaiting();
   }
 
+  /** Whether the request's agent was suspended while it sent the request. */
+  private isLate({request}: StandInCall): boolean {
+    const startBy = Number(request.headers[START_BY_HEADER] ?? Infinity);
+    return this.clock.wallTime() > startBy;
+  }
+
+  private refuseLate({request, response}: StandInCall): void {
+    const headers = {
+      [REQUEST_ID_HEADER]: requestIdOf(request),
+      [NOT_RUN_HEADER]: 'late',
+    };
+    replyJson(response, 503, {}, headers);
+  }
+
   protected control({path, response}: StandInCall): object {
     if (path === '/control/runs') return this.runs;
     if (path === '/control/silence-connections') {
--- a/tests/workflows/pool.test.ts
+++ b/tests/workflows/pool.test.ts
@@ -50,6 +50,26 @@
   t.is(pool.history.runs.length, 3);
 });
 
+test('should forget the tries at tasks once their workflow has ended', async t => {
+  const pool = new VirtualPool({seed: 3});
+  const countNotes = () => {
+    const dump = pool.dumpState(pool.ownerName!) as {
+      pool: {workflowsWithNotes: number};
+    };
+    return dump.pool.workflowsWithNotes;
+  };
+  await pool.run(3_000);
+  await pool.submit(ID, [step(2)], {millis: 700, fails: true});
+  const cancelled = '00000000000000a2';
+  await pool.submit(cancelled, [step(1)], {millis: 900, fails: true});
+  await pool.run(1_500);
+  t.is(countNotes(), 2);
+  await pool.cancel(cancelled);
+  await pool.run(8_000);
+  t.is(await pool.state(ID), 'failed');
+  t.is(countNotes(), 0);
+});
+
 test('should stop what runs of a cancelled workflow', async t => {
   const pool = new VirtualPool({seed: 4});
   await pool.run(3_000);
