Move what lasts from workers that drain, and take a worker's leave as the end of its runs

It waited for the lease of an agent that was stopped a second later, and for that of the owner before it: 19 s without the tasks.

Ruled out: the shorter lease (still over the bound, and loses work in every store outage); taking refused connections for an end (a cut may refuse).

The owner now stops runs that last or keep checkpoints on a draining worker if they have a place elsewhere, and the agent reports all runs as ended once the worker has said that it ends and answers no look for half a second. A place is sought only among workers of the same service.

--- a/src/agent/workflows/worker_session.ts
+++ b/src/agent/workflows/worker_session.ts
@@ -30,6 +30,8 @@
 const FAILED_PAUSE_MILLIS = 150;
 /** A worker that did not answer for this long gets no longer lease. */
 const SILENT_MILLIS = 1_500;
+/** A worker that said it ends, and lives, would answer a look in this time. */
+const LEAVING_MILLIS = LOOK_MILLIS + 100;
 /** From then on the agent guards the tails of what serves by itself. */
 const OWNER_SILENT_MILLIS = 1_500;
 /** One decision a measurement of half a second and its effect. */
@@ -75,6 +77,8 @@
   private answeredAt: number;
   private readonly beganAt: number;
   private silent = false;
+  /** When the worker said that it ends. */
+  private leftAt = Infinity;
   /** Counts how often the owner was told of a lapse. */
   private reportedLapses = 0;
   private looks = 0;
@@ -105,17 +109,33 @@
   }
 
   /**
-   * Whether the worker is silent and all that it ran has lapsed for sure. From
-   * then on the owner may run it elsewhere, and starts under way are given up.
+   * Whether all that the worker ran has surely ended: it said that it ends and
+   * answers no more, or it is silent and its lease is over. From then on the
+   * owner may run it elsewhere, and starts under way are given up.
    */
   reportLapse(): boolean {
-    if (!this.silent) return false;
     const {longestLeaseMillis} = this.options;
-    if (!this.lease.isLapsed(longestLeaseMillis, this.beganAt)) return false;
+    const hasLapsed =
+      this.silent && this.lease.isLapsed(longestLeaseMillis, this.beganAt);
+    if (!hasLapsed && !this.hasLeft) return false;
     this.reportedLapses++;
     return true;
   }
 
+  /** The worker has said that it ends now. */
+  noteLeaving(): void {
+    const {clock, observer} = this.options;
+    this.leftAt = Math.min(this.leftAt, clock.now());
+    clock.schedule(LEAVING_MILLIS + 1, () => {
+      if (!this.closed && this.hasLeft) observer.onNews();
+    });
+  }
+
+  private get hasLeft(): boolean {
+    const since = Math.max(this.leftAt, this.answeredAt);
+    return this.options.clock.now() - since > LEAVING_MILLIS;
+  }
+
   /** Undefined until the worker has listed its runs. */
   get runs(): readonly WorkerRun[] | undefined {
     return this.hasListed ? this.running : undefined;
--- a/src/agent/workflows/workflow_agent.ts
+++ b/src/agent/workflows/workflow_agent.ts
@@ -131,7 +131,9 @@
   /** The worker with this id ends. */
   noteLeaving(id: string): void {
     const {report} = this;
-    if (report?.id !== id || report.draining) return;
+    if (report?.id !== id) return;
+    this.session?.noteLeaving();
+    if (report.draining) return;
     this.noteReport({
       ...report,
       draining: true,
--- a/src/decisions/workflows/placement_planner.ts
+++ b/src/decisions/workflows/placement_planner.ts
@@ -170,16 +170,21 @@
   return planned;
 }
 
-/** Whether some worker has processors and tails to spare for the task. */
-export function hasPlaceForFill(
+/**
+ * Whether some worker has room for the task; for a filling one, processors and
+ * tails to spare.
+ */
+export function hasPlace(
   step: TaskReference['step'],
   workers: readonly WorkerView[],
   interference: FillInterference,
 ): boolean {
   return workers.some(view => {
     const candidate = new Candidate(view, Infinity, 0);
-    if (view.isPaced || !mayRun(candidate, step, 0)) return false;
-    return candidate.expectedTail(step, interference) <= HIGH_TAIL_SHARE;
+    if (!mayRun(candidate, step, 0)) return false;
+    if (!step.fills) return true;
+    const tail = candidate.expectedTail(step, interference);
+    return !view.isPaced && tail <= HIGH_TAIL_SHARE;
   });
 }
 
--- a/src/entry/workflows/pool_owner.ts
+++ b/src/entry/workflows/pool_owner.ts
@@ -129,6 +129,7 @@
       book: this.book,
       retries: this.retries,
       termsOf: workflow => this.termsOf(workflow),
+      attachedWorkers: () => this.attachedWorkers(),
       usableWorkers: () => this.usableWorkers(clock.now()),
       sendStop: (worker, task, run) =>
         this.attachmentTo(worker)?.stop(task, run),
@@ -472,6 +473,7 @@
     }
     this.loseUnreachable();
     this.supervisor.moveStalledFills();
+    this.supervisor.moveFromLeaving();
     if (this.book.openDue(this.options.clock.wallTime())) this.schedulePlan();
     this.schedulePlan();
   }
@@ -560,11 +562,16 @@
     }
   }
 
+  private attachedWorkers(): WorkerView[] {
+    return this.roster.all.filter(
+      view => this.attachments.get(view.agent)?.view === view,
+    );
+  }
+
   private usableWorkers(now: number): WorkerView[] {
     const {configuration} = this.options;
-    return this.roster.all.filter(view => {
+    return this.attachedWorkers().filter(view => {
       const {traits, heardAt, silentMillis, listed} = view;
-      if (this.attachments.get(view.agent)?.view !== view) return false;
       if (!listed || now - heardAt > FRESH_MILLIS) return false;
       if (silentMillis > SILENT_MILLIS || traits.draining) return false;
       return !configuration.isEvacuated(traits.failureDomain);
--- a/src/entry/workflows/run_supervisor.ts
+++ b/src/entry/workflows/run_supervisor.ts
@@ -1,7 +1,8 @@
-import {hasPlaceForFill} from '../../decisions/workflows/placement_planner.js';
+import {hasPlace} from '../../decisions/workflows/placement_planner.js';
 import {RunOutcome} from '../../backends/leased_worker.js';
 import {FillInterference} from '../../decisions/workflows/fill_interference.js';
 import {FillPacer} from '../../decisions/workflows/fill_pacer.js';
+import {findRunsToMove} from '../../decisions/workflows/leaving_workers.js';
 import {
   ProgressWatch,
   Stall,
@@ -33,6 +34,8 @@
   readonly book: WorkflowBook;
   readonly retries: RetryNotes;
   readonly termsOf: (workflow: Workflow) => QueueTerms | undefined;
+  /** Workers whose agents are attached. */
+  readonly attachedWorkers: () => WorkerView[];
   /** Workers that may be given tasks. */
   readonly usableWorkers: () => WorkerView[];
   /** Tells the worker of a run to end it. */
@@ -88,19 +91,35 @@
   /** Moves filling runs that stand still, if they would go on elsewhere. */
   moveStalledFills(): void {
     const now = this.options.clock.now();
-    const workers = this.options.usableWorkers();
-    for (const view of workers) {
-      const others = workers.filter(other => other !== view);
+    for (const view of this.options.usableWorkers()) {
       for (const placed of this.stalledFills.find(view, now)) {
-        const {reference, placement} = placed;
-        if (placement.stopping) continue;
-        const {step} = reference;
-        if (!hasPlaceForFill(step, others, this.interference)) continue;
+        if (placed.placement.stopping) continue;
+        if (!this.hasPlaceElsewhere(view, placed)) continue;
         this.stopRun(placed, 'it stands still beside a serving task');
       }
     }
   }
 
+  /** Moves runs from workers that are about to leave. */
+  moveFromLeaving(): void {
+    for (const view of this.options.attachedWorkers()) {
+      const isPlacedElsewhere = (placed: PlacedRun): boolean =>
+        this.hasPlaceElsewhere(view, placed);
+      for (const placed of findRunsToMove(view, isPlacedElsewhere)) {
+        this.stopRun(placed, 'its worker is about to leave');
+      }
+    }
+  }
+
+  private hasPlaceElsewhere(view: WorkerView, placed: PlacedRun): boolean {
+    const others = this.options
+      .usableWorkers()
+      .filter(
+        other => other !== view && other.traits.service === view.traits.service,
+      );
+    return hasPlace(placed.reference.step, others, this.interference);
+  }
+
   private paceFills(view: WorkerView): void {
     const {clock, logger, sendPace} = this.options;
     for (const {placed, percent} of this.pacer.decide(view, clock.now())) {
--- a/tests/workflows/pool.test.ts
+++ b/tests/workflows/pool.test.ts
@@ -277,3 +277,40 @@
   await pool.run(1_000);
   t.is(await pool.state(ID, other), 'done');
 });
+
+test('should move what lasts from a worker that is about to leave', async t => {
+  const pool = new VirtualPool({seed: 21});
+  await pool.run(3_000);
+  await pool.submit(ID, [step(3, {LongRunning: true, AntiAffinity: 2})], {
+    millis: 60_000,
+    lasting: true,
+  });
+  await pool.run(1_000);
+  const [first] = pool.history.runs;
+  const index = pool.workers.findIndex(({name}) => name === first.worker);
+  pool.workers[index].faults.draining = true;
+  pool.workers[index].remainingMillis = 3_500;
+  await pool.run(1_500);
+  const open = pool.history.runs.filter(run => run.endedAt === undefined);
+  t.is(open.length, 3);
+  t.true(open.every(run => run.worker !== first.worker));
+  t.deepEqual(pool.history.violations(), []);
+});
+
+test('should begin anew at once what a worker ran that has left', async t => {
+  const pool = new VirtualPool({seed: 22});
+  await pool.run(3_000);
+  await pool.submit(ID, [step(3)], {millis: 4_000});
+  await pool.run(1_000);
+  const [first] = pool.history.runs;
+  const index = pool.workers.findIndex(({name}) => name === first.worker);
+  pool.workers[index].faults.draining = true;
+  await pool.run(1_000);
+  pool.removeWorker(index);
+  await pool.run(1_500);
+  const open = pool.history.runs.filter(run => run.endedAt === undefined);
+  t.is(open.length, 3);
+  await pool.run(6_000);
+  t.is(await pool.state(ID), 'done');
+  t.deepEqual(pool.history.violations(), []);
+});
