Don't change a batch of commands after it was handed to the stream

The stream serializes a message only when the one before it has left, so of two batches close together the second arrived empty. A filling run went on at 35 percent for seconds that the owner believed at rest, and never paced it again, since nothing changed in its view. Lost starts and stops were sent again after 0.8 s.

Ruled out: failed calls to workers (none logged), orders that overtook each other (0.6 s apart), the agent's own guard of tails (the owner was heard).

--- a/src/entry/workflows/worker_attachment.ts
+++ b/src/entry/workflows/worker_attachment.ts
@@ -64,9 +64,9 @@
   grantedAt = -Infinity;
   private ends = new EndAcknowledgements();
   private lastSequence = 0;
-  private readonly starts: StartCommand[] = [];
-  private readonly stops: StopCommand[] = [];
-  private readonly paces: PaceCommand[] = [];
+  private starts: StartCommand[] = [];
+  private stops: StopCommand[] = [];
+  private paces: PaceCommand[] = [];
   private readonly sentAt = new Map<string, number>();
   private flushScheduled = false;
   private ended = false;
@@ -252,9 +252,10 @@
       paces: this.paces,
     });
     if (!sent) return;
-    this.paces.length = 0;
-    this.starts.length = 0;
-    this.stops.length = 0;
+    // The message may be serialized later: what it holds is not to change.
+    this.starts = [];
+    this.stops = [];
+    this.paces = [];
   }
 
   /** What the agent needs to guard tails, also of runs it did not start. */
