Learn the pressure of images from changes of tails, and let alone what does not press

Recorded measurements show why: three pairs of images in four do nothing to each other, the rest multiply a tail by up to ten. The former model added a baseline for each image, so each swing of the load of what serves was put down to whatever filled beside it, and harmless work was paced and kept away.

Work that doesn't press on a tail is neither paced for it nor kept from its worker; a paced worker takes such work; placement prefers the worker on which the image presses least. A tail over its target that the pressing fills don't explain has all of them slowed after 1.2 s (4 s are allowed).

--- a/src/decisions/workflows/fill_interference.ts
+++ b/src/decisions/workflows/fill_interference.ts
@@ -1,58 +1,131 @@
 /**
  * Load pattern: a filling task lengthens the tail of a task that serves beside
- * it, by an amount that depends on the pair of images: one filling image in a
- * dozen takes a serving one over its target by itself, most do next to nothing.
+ * it, by an amount that depends on the pair of images. Three pairs in four do
+ * next to nothing to each other; of the rest a single filling task can take a
+ * serving one over its target. Beside that the tail follows the load of what
+ * serves, which swings from second to second.
  */
 
-/** Processors that a filling run uses, by its image. */
-export interface FillLoad {
+/** The tail of a serving task. */
+export interface Tail {
   readonly image: string;
-  readonly milliprocessors: number;
+  /** The tail over its target; 0 before the first measurement. */
+  readonly ratio: number;
 }
 
-/** Tail over target of a serving task with nothing beside it, until learned. */
-const FIRST_BASELINE = 0.35;
-/** Tail over target for each processor of a pair that was never seen. */
-const FIRST_PRESSURE = 0.04;
-/** Share of an error that one observation corrects. */
-const LEARNING_RATE = 0.4;
-const BASELINE_RATE = 0.05;
-const MILLIPROCESSORS = 1_000;
-/** Keeps small loads from being blamed for large errors. */
-const LEAST_SQUARE = 1;
-
-/** Learns the pressure of each pair of images by normalized least squares. */
+/** A measured tail and what filled beside it at that time. */
+export interface TailSample extends Tail {
+  /** Share of the worker's processors that each filling image used. */
+  readonly fillShares: ReadonlyMap<string, number>;
+}
+
+/**
+ * The pressure of a pair before it was seen: about the mean of the pairs
+ * measured on days of two deployments, and their variance.
+ */
+const FIRST_PRESSURE = 2;
+const FIRST_VARIANCE = 20;
+/**
+ * Images change over time, so that no pair is known for good. Of 0.1 to 10 this
+ * foretold recorded changes of tails best.
+ */
+const LEAST_VARIANCE = 1;
+/** Changes of less than this share of the processors say nothing. */
+const LEAST_CHANGE = 0.01;
+/**
+ * Standard deviation by which the logarithm of a tail changes in half a second
+ * with nothing changed beside it, as measured.
+ */
+const NOISE = 0.2;
+const NOISE_MILLIS = 500;
+/** A tail below this share of its target was not measured yet. */
+const LEAST_RATIO = 0.02;
+/** A pair that lengthens a tail by a smaller share than this is let alone. */
+export const LEAST_PRESSURE = 0.03;
+/** What a tail without a measurement is taken to be, of its target. */
+const UNMEASURED_RATIO = 0.35;
+/** Samples closer together overlap, and farther apart the load has changed. */
+const LEAST_ELAPSED_MILLIS = 300;
+const MOST_ELAPSED_MILLIS = 1_500;
+
+interface Estimate {
+  pressure: number;
+  variance: number;
+}
+
+/**
+ * Learns the pressure of each pair of images from how a tail changes as the
+ * filling work beside it changes. Filling work multiplies the tail that the
+ * load gives, so the logarithms add up. A Kalman filter weighs each change by
+ * what is known of the pairs in question and by how much tails change anyway.
+ */
 export class FillInterference {
-  private readonly baselines = new Map<string, number>();
-  private readonly pressures = new Map<string, number>();
+  private readonly estimates = new Map<string, Estimate>();
 
-  /** Tail over target that one processor of the filling image adds. */
+  /**
+   * Logarithm of the factor by which the filling image would lengthen the tail
+   * if it used all processors of a worker.
+   */
   pressure(serving: string, filling: string): number {
-    return this.pressures.get(pairKey(serving, filling)) ?? FIRST_PRESSURE;
+    const estimate = this.estimates.get(pairKey(serving, filling));
+    return estimate?.pressure ?? FIRST_PRESSURE;
   }
 
-  /** Takes in a measured tail, as a share of its target. */
-  observe(serving: string, ratio: number, fills: readonly FillLoad[]): void {
-    const baseline = this.baselines.get(serving) ?? FIRST_BASELINE;
-    const processors = new Map<string, number>();
-    for (const {image, milliprocessors} of fills) {
-      const before = processors.get(image) ?? 0;
-      processors.set(image, before + milliprocessors / MILLIPROCESSORS);
-    }
-    let predicted = baseline;
-    let square = LEAST_SQUARE;
-    for (const [image, count] of processors) {
-      predicted += this.pressure(serving, image) * count;
-      square += count * count;
+  /** Whether so much of the filling image matters to the serving one. */
+  presses(serving: string, filling: string, share: number): boolean {
+    return this.pressure(serving, filling) * share >= LEAST_PRESSURE;
+  }
+
+  /** The tail over its target once the filling image uses so much more. */
+  expectedRatio(tail: Tail, filling: string, share: number): number {
+    const ratio = tail.ratio < LEAST_RATIO ? UNMEASURED_RATIO : tail.ratio;
+    return ratio * Math.exp(this.pressure(tail.image, filling) * share);
+  }
+
+  /** Takes in two measurements of one serving task. */
+  observe(before: TailSample, after: TailSample, elapsedMillis: number): void {
+    if (elapsedMillis < LEAST_ELAPSED_MILLIS) return;
+    if (elapsedMillis > MOST_ELAPSED_MILLIS) return;
+    if (Math.min(before.ratio, after.ratio) < LEAST_RATIO) return;
+    const changes = changesBetween(before.fillShares, after.fillShares);
+    if (changes.length === 0) return;
+    let variance = NOISE ** 2 * (elapsedMillis / NOISE_MILLIS);
+    let expected = 0;
+    for (const {image, change} of changes) {
+      const estimate = this.estimateOf(after.image, image);
+      variance += estimate.variance * change ** 2;
+      expected += estimate.pressure * change;
     }
-    const error = ratio - predicted;
-    this.baselines.set(serving, Math.max(0, baseline + BASELINE_RATE * error));
-    for (const [image, count] of processors) {
-      const change = (LEARNING_RATE * error * count) / square;
-      const pressure = this.pressure(serving, image) + change;
-      this.pressures.set(pairKey(serving, image), Math.max(0, pressure));
+    const error = Math.log(after.ratio / before.ratio) - expected;
+    for (const {image, change} of changes) {
+      const estimate = this.estimateOf(after.image, image);
+      const gain = (estimate.variance * change) / variance;
+      estimate.pressure = Math.max(0, estimate.pressure + gain * error);
+      const left = estimate.variance * (1 - gain * change);
+      estimate.variance = Math.max(LEAST_VARIANCE, left);
     }
   }
+
+  private estimateOf(serving: string, filling: string): Estimate {
+    const key = pairKey(serving, filling);
+    const known = this.estimates.get(key);
+    if (known) return known;
+    const first = {pressure: FIRST_PRESSURE, variance: FIRST_VARIANCE};
+    this.estimates.set(key, first);
+    return first;
+  }
+}
+
+function changesBetween(
+  before: ReadonlyMap<string, number>,
+  after: ReadonlyMap<string, number>,
+): Array<{image: string; change: number}> {
+  const changes: Array<{image: string; change: number}> = [];
+  for (const image of new Set([...before.keys(), ...after.keys()])) {
+    const change = (after.get(image) ?? 0) - (before.get(image) ?? 0);
+    if (Math.abs(change) >= LEAST_CHANGE) changes.push({image, change});
+  }
+  return changes;
 }
 
 function pairKey(serving: string, filling: string): string {
--- a/src/decisions/workflows/fill_pacer.ts
+++ b/src/decisions/workflows/fill_pacer.ts
@@ -1,4 +1,5 @@
-import type {FillInterference} from './fill_interference.js';
+import {LEAST_PRESSURE} from './fill_interference.js';
+import type {FillInterference, TailSample} from './fill_interference.js';
 import type {PlacedRun} from './workflow.js';
 import type {WorkerView} from './worker_view.js';
 
@@ -12,12 +13,21 @@
 const SETTLING_MILLIS = 650;
 const FULL_PERCENT = 100;
 const RAISE_PERCENT = 35;
-/** Share of all fills that is kept when none of them explains a tail. */
-const UNEXPLAINED_SHARE = 0.5;
+/**
+ * A tail over its target that the fills known to press don't explain for this
+ * long may come from any of them; then this share of all is kept. The tail may
+ * be over its target for 4 s.
+ */
+const UNEXPLAINED_MILLIS = 1_200;
+const UNEXPLAINED_SHARE = 0.4;
 /** A run at less than this stands still. */
 const LEAST_PERCENT = 10;
 /** A run that uses less than this share of its processors was slowed before. */
 const SLOWED_SHARE = 0.6;
+/** Samples closer together are of the same half second. */
+const LEAST_SAMPLE_MILLIS = 400;
+/** A serving run with all of its start-up behind it. */
+const AT_WORK_PERCENT = 100;
 /** Changes smaller than this are not worth a call. */
 const LEAST_CHANGE_PERCENT = 5;
 
@@ -42,6 +52,18 @@
   readonly ratio: number;
 }
 
+/** What is remembered of one worker from measurement to measurement. */
+interface PacedWorker {
+  /** When a pace was changed last. */
+  changedAt: number;
+  measured: string;
+  measuredAt: number;
+  /** Since when a tail is over its target without an explanation. */
+  unexplainedSince: number;
+  /** The last samples of the serving runs that were at work, by run. */
+  samples: ReadonlyMap<string, TailSample>;
+}
+
 /**
  * Paces filling runs so that serving runs beside them keep their tail targets.
  *
@@ -51,8 +73,7 @@
  * and many that crawl never do.
  */
 export class FillPacer {
-  private readonly changedAt = new Map<string, number>();
-  private readonly lastMeasured = new Map<string, string>();
+  private readonly workers = new Map<string, PacedWorker>();
 
   constructor(
     private readonly interference: FillInterference,
@@ -64,95 +85,128 @@
   decide(view: WorkerView, now: number): PaceDecision[] {
     const serving = view.tails;
     const fills = this.fillingRuns(view);
+    const worker = this.workerOf(view.key);
     const measured = measurementOf(view);
-    if (measured === this.lastMeasured.get(view.key)) return [];
-    this.lastMeasured.set(view.key, measured);
-    for (const {image, ratio} of serving) {
-      this.interference.observe(image, ratio, fills.map(toLoad));
-    }
+    if (measured === worker.measured) return [];
+    worker.measured = measured;
+    this.learn(view, worker, fills, now);
     if (fills.length === 0) return [];
     const worst = Math.max(0, ...serving.map(({ratio}) => ratio));
-    const age = now - (this.changedAt.get(view.key) ?? -Infinity);
+    const age = now - worker.changedAt;
     if (age < SETTLING_MILLIS && worst < ALARMING_SHARE) return [];
     const before = new Map(fills.map(fill => [fill.name, fill.percent]));
-    if (worst >= HIGH_SHARE) this.lower(serving, fills);
-    else this.raise(serving, fills);
-    return this.changes(view, fills, before, now);
+    const room = view.traits.room.milliprocessors;
+    if (worst <= 1) worker.unexplainedSince = Infinity;
+    if (worst < HIGH_SHARE) this.raise(serving, fills, room);
+    else if (!this.lower(serving, fills, room)) {
+      worker.unexplainedSince = Math.min(worker.unexplainedSince, now);
+      const unexplained = now - worker.unexplainedSince;
+      if (unexplained >= UNEXPLAINED_MILLIS) {
+        for (const fill of fills) scale(fill, UNEXPLAINED_SHARE);
+      }
+    }
+    const decisions = changesOf(view, fills, before);
+    if (decisions.length > 0) worker.changedAt = now;
+    return decisions;
+  }
+
+  /** The worker is gone. */
+  forget(worker: string): void {
+    this.workers.delete(worker);
+  }
+
+  private workerOf(key: string): PacedWorker {
+    const known = this.workers.get(key);
+    if (known) return known;
+    const worker: PacedWorker = {
+      changedAt: -Infinity,
+      measured: '',
+      measuredAt: -Infinity,
+      unexplainedSince: Infinity,
+      samples: new Map(),
+    };
+    this.workers.set(key, worker);
+    return worker;
+  }
+
+  private learn(
+    view: WorkerView,
+    worker: PacedWorker,
+    fills: readonly FillingRun[],
+    now: number,
+  ): void {
+    const elapsed = now - worker.measuredAt;
+    const samples = samplesOf(view, fills);
+    if (elapsed < LEAST_SAMPLE_MILLIS) return;
+    for (const [name, sample] of samples) {
+      const before = worker.samples.get(name);
+      if (before) this.interference.observe(before, sample, elapsed);
+    }
+    worker.samples = samples;
+    worker.measuredAt = now;
   }
 
+  /**
+   * Slows the fills that press on tails at risk. False if one is over its
+   * target and they don't explain it.
+   */
   private lower(
     serving: readonly ServingRun[],
     fills: readonly FillingRun[],
-  ): void {
+    room: number,
+  ): boolean {
+    let isExplained = true;
     for (const {image, ratio} of serving) {
       if (ratio < HIGH_SHARE) continue;
-      let excess = ratio - AIM_SHARE;
+      let excess = Math.log(ratio / AIM_SHARE);
       const pressing = [...fills]
         .reverse()
-        .map(fill => ({fill, pressure: this.pressureOf(image, fill)}));
+        .map(fill => ({fill, pressure: this.pressureOf(image, fill, room)}))
+        .filter(({pressure}) => pressure >= LEAST_PRESSURE);
       const explained = pressing.reduce((sum, each) => sum + each.pressure, 0);
-      if (explained < excess / 2) {
-        for (const {fill} of pressing) scale(fill, UNEXPLAINED_SHARE);
-        continue;
-      }
+      if (ratio > 1 && explained < excess / 2) isExplained = false;
       for (const {fill, pressure} of pressing) {
-        if (excess <= 0 || pressure <= 0) continue;
+        if (excess <= 0) break;
         const taken = Math.min(pressure, excess);
         scale(fill, 1 - taken / pressure);
         excess -= taken;
       }
     }
+    return isExplained;
   }
 
   private raise(
     serving: readonly ServingRun[],
     fills: readonly FillingRun[],
+    room: number,
   ): void {
     const ratios = serving.map(({ratio}) => ratio);
     const slowed = fills.filter(({percent}) => percent < FULL_PERCENT);
     for (const fill of slowed) {
-      const {milliprocessors: size} = fill.placed.reference.step.size;
-      let step = Math.min(RAISE_PERCENT, FULL_PERCENT - fill.percent);
+      const share = fill.placed.reference.step.size.milliprocessors / room;
+      const isLight = serving.every(
+        ({image}) => !this.interference.presses(image, imageOf(fill), share),
+      );
+      const most = isLight ? FULL_PERCENT : RAISE_PERCENT;
+      let step = Math.min(most, FULL_PERCENT - fill.percent);
       for (const [index, {image}] of serving.entries()) {
         const pressure =
-          this.interference.pressure(image, imageOf(fill)) * (size / 1_000);
-        const room = AIM_SHARE - ratios[index];
-        if (pressure <= 0) continue;
-        step = Math.min(step, (FULL_PERCENT * Math.max(0, room)) / pressure);
+          this.interference.pressure(image, imageOf(fill)) * share;
+        if (pressure < LEAST_PRESSURE) continue;
+        const left = Math.max(0, Math.log(AIM_SHARE / ratios[index]));
+        step = Math.min(step, (FULL_PERCENT * left) / pressure);
       }
       fill.percent += step;
       for (const [index, {image}] of serving.entries()) {
         const pressure = this.interference.pressure(image, imageOf(fill));
-        const added = (size / 1_000) * (step / FULL_PERCENT);
-        ratios[index] += pressure * added;
+        ratios[index] *= Math.exp(pressure * share * (step / FULL_PERCENT));
       }
     }
   }
 
-  private pressureOf(serving: string, fill: FillingRun): number {
+  private pressureOf(serving: string, fill: FillingRun, room: number): number {
     const pressure = this.interference.pressure(serving, imageOf(fill));
-    return (pressure * fill.milliprocessors) / 1_000;
-  }
-
-  private changes(
-    view: WorkerView,
-    fills: readonly FillingRun[],
-    before: ReadonlyMap<string, number>,
-    now: number,
-  ): PaceDecision[] {
-    const decisions: PaceDecision[] = [];
-    for (const {name, placed, percent} of fills) {
-      const isStill = percent < LEAST_PERCENT && percent < before.get(name)!;
-      const rounded = isStill ? 0 : Math.round(percent);
-      const change = Math.abs(rounded - before.get(name)!);
-      const isLast = rounded === FULL_PERCENT || rounded === 0;
-      const isEdge = isLast && change > 0;
-      if (change < LEAST_CHANGE_PERCENT && !isEdge) continue;
-      view.paces.set(name, rounded);
-      decisions.push({placed, percent: rounded});
-    }
-    if (decisions.length > 0) this.changedAt.set(view.key, now);
-    return decisions;
+    return (pressure * fill.milliprocessors) / room;
   }
 
   private fillingRuns(view: WorkerView): FillingRun[] {
@@ -171,6 +225,49 @@
   }
 }
 
+/** Sets the new paces, where they differ enough from those before. */
+function changesOf(
+  view: WorkerView,
+  fills: readonly FillingRun[],
+  before: ReadonlyMap<string, number>,
+): PaceDecision[] {
+  const decisions: PaceDecision[] = [];
+  for (const {name, placed, percent} of fills) {
+    const isStill = percent < LEAST_PERCENT && percent < before.get(name)!;
+    const rounded = isStill ? 0 : Math.round(percent);
+    const change = Math.abs(rounded - before.get(name)!);
+    const isLast = rounded === FULL_PERCENT || rounded === 0;
+    const isEdge = isLast && change > 0;
+    if (change < LEAST_CHANGE_PERCENT && !isEdge) continue;
+    view.paces.set(name, rounded);
+    decisions.push({placed, percent: rounded});
+  }
+  return decisions;
+}
+
+function samplesOf(
+  view: WorkerView,
+  fills: readonly FillingRun[],
+): Map<string, TailSample> {
+  const {room} = view.traits;
+  const fillShares = new Map<string, number>();
+  for (const fill of fills) {
+    const share = fill.milliprocessors / room.milliprocessors;
+    const image = imageOf(fill);
+    fillShares.set(image, (fillShares.get(image) ?? 0) + share);
+  }
+  const samples = new Map<string, TailSample>();
+  for (const [name, {reference}] of view.placed) {
+    const {tailTargetMillis, image} = reference.step;
+    const run = view.running.get(name);
+    if (!run || tailTargetMillis === 0 || run.percent < AT_WORK_PERCENT)
+      continue;
+    const ratio = run.measure / tailTargetMillis;
+    samples.set(name, {image, ratio, fillShares});
+  }
+  return samples;
+}
+
 /** Listings come more often than measurements: equal ones are one. */
 function measurementOf(view: WorkerView): string {
   const values: string[] = [];
@@ -189,10 +286,6 @@
   return fill.placed.reference.step.image;
 }
 
-function toLoad(fill: FillingRun): {image: string; milliprocessors: number} {
-  return {image: imageOf(fill), milliprocessors: fill.milliprocessors};
-}
-
 /** The pace of a run that an owner before this one may have slowed. */
 function percentOf({reference}: PlacedRun, measure: number): number {
   const {milliprocessors} = reference.step.size;
--- a/src/decisions/workflows/placement_planner.ts
+++ b/src/decisions/workflows/placement_planner.ts
@@ -9,7 +9,6 @@
 import {compareRanks} from './workflow_order.js';
 import type {WorkflowOrder, WorkflowRank} from './workflow_order.js';
 
-const MILLIPROCESSORS = 1_000;
 /** Share of its processors that a filling task must find unused. */
 const LEAST_FILL_SHARE = 0.7;
 /** Share of their reservation that serving tasks use, on average. */
@@ -57,20 +56,36 @@
     this.tails = view.tails;
   }
 
-  /** The worst tail over its target once the filling task works here. */
+  /**
+   * The worst tail over its target once the filling task works here, of those
+   * on which it presses.
+   */
   expectedTail(
     step: TaskReference['step'],
     interference: FillInterference,
   ): number {
     let worst = 0;
-    const processors = step.size.milliprocessors / MILLIPROCESSORS;
-    for (const {image, ratio} of this.tails) {
-      const pressure = interference.pressure(image, step.image);
-      worst = Math.max(worst, ratio + pressure * processors);
+    const share = this.shareOf(step);
+    for (const tail of this.tails) {
+      if (!interference.presses(tail.image, step.image, share)) continue;
+      const ratio = interference.expectedRatio(tail, step.image, share);
+      worst = Math.max(worst, ratio);
     }
     return worst;
   }
 
+  /** The largest pressure of the filling task on what serves here. */
+  pressureOf(
+    step: TaskReference['step'],
+    interference: FillInterference,
+  ): number {
+    const share = this.shareOf(step);
+    const pressures = this.tails.map(
+      ({image}) => interference.pressure(image, step.image) * share,
+    );
+    return Math.max(0, ...pressures);
+  }
+
   /** The worst tail over its target, with what this round has added. */
   get worstTail(): number {
     return Math.max(0, ...this.tails.map(({ratio}) => ratio));
@@ -95,12 +110,18 @@
     step: TaskReference['step'],
     interference: FillInterference,
   ): void {
-    const processors = step.size.milliprocessors / MILLIPROCESSORS;
-    this.tails = this.tails.map(({image, ratio}) => ({
-      image,
-      ratio: ratio + interference.pressure(image, step.image) * processors,
+    const share = this.shareOf(step);
+    this.tails = this.tails.map(tail => ({
+      image: tail.image,
+      ratio: interference.expectedRatio(tail, step.image, share),
     }));
   }
+
+  /** Share of the worker's processors that the filling task may use. */
+  private shareOf({size}: TaskReference['step']): number {
+    const {room} = this.view.traits;
+    return size.milliprocessors / Math.max(1, room.milliprocessors);
+  }
 }
 
 /** Tasks of one step that wait for a worker. */
@@ -184,7 +205,7 @@
     if (!mayRun(candidate, step, 0)) return false;
     if (!step.fills) return true;
     const tail = candidate.expectedTail(step, interference);
-    return !view.isPaced && tail <= HIGH_TAIL_SHARE;
+    return tail === 0 || (!view.isPaced && tail <= HIGH_TAIL_SHARE);
   });
 }
 
@@ -381,10 +402,12 @@
   }
   if (step.fills) {
     const tail = candidate.expectedTail(step, round.interference);
-    const isCrowded = tail > HIGHEST_TAIL_SHARE || view.isPaced;
+    const presses = tail > 0;
+    const isCrowded = tail > HIGHEST_TAIL_SHARE || (presses && view.isPaced);
     const mayTry = candidate.worstTail < HIGHEST_TAIL_SHARE;
     if (isCrowded && !(mayTry && mayPress(round, reference))) return -Infinity;
     score -= TAIL_PENALTY * Math.max(0, tail - HIGH_TAIL_SHARE);
+    score -= candidate.pressureOf(step, round.interference);
   }
   if (step.dataRack !== '' && step.dataRack !== rack) score -= REMOTE_PENALTY;
   if (step.rackLocal && !isOnRackOf(round, used, rack)) score -= REMOTE_PENALTY;
--- a/src/entry/workflows/pool_owner.ts
+++ b/src/entry/workflows/pool_owner.ts
@@ -338,7 +338,7 @@
     for (const other of this.roster.all) {
       if (other === view || other.agent !== view.agent) continue;
       this.roster.forget(other.key);
-      this.supervisor.health.forget(other.key);
+      this.supervisor.forgetWorker(other.key);
     }
   }
 
--- a/src/entry/workflows/run_supervisor.ts
+++ b/src/entry/workflows/run_supervisor.ts
@@ -82,6 +82,12 @@
     this.options.retries.forgetWorkflow(id);
   }
 
+  /** A worker is gone for good. */
+  forgetWorker(key: string): void {
+    this.health.forget(key);
+    this.pacer.forget(key);
+  }
+
   /** The runs of a worker were listed anew. */
   noteListing(view: WorkerView): void {
     this.paceFills(view);
