Keep filling work from tails that it is expected to take over 0.75 of their target

Placement let a tail come up to 0.9 of its target, pacing aims at 0.8, and the load of what serves swings by more than that in between.

--- a/src/decisions/workflows/placement_planner.ts
+++ b/src/decisions/workflows/placement_planner.ts
@@ -13,8 +13,11 @@
 const LEAST_FILL_SHARE = 0.7;
 /** Share of their reservation that serving tasks use, on average. */
 const SERVING_USE_SHARE = 0.55;
-/** A tail expected above this share of its target keeps filling tasks away. */
-const HIGHEST_TAIL_SHARE = 0.9;
+/**
+ * A tail expected above this share of its target keeps filling tasks away. It is
+ * below what pacing aims at, as the load of what serves swings in between.
+ */
+const HIGHEST_TAIL_SHARE = 0.75;
 const HIGH_TAIL_SHARE = 0.6;
 /**
  * A workflow with nothing running for this long may press on tails, if this
