Send callers away for longer the longer the store is away; tests of leaving workers and paced tails

What has lasted for a while will likely last as long again.

What a round knows of a worker has its own file.

--- a/src/decisions/workflows/placement_planner.ts
+++ b/src/decisions/workflows/placement_planner.ts
@@ -1,18 +1,12 @@
-import {fitsInto, subtractResources} from '../../utilities/resources.js';
-import type {Resources} from '../../utilities/resources.js';
 import type {TaskReference, Workflow, Occurrence} from './workflow.js';
 import type {QueueTerms} from './workflow_types.js';
-import {reservedSize} from './worker_view.js';
+import {PlacementCandidate} from './placement_candidate.js';
 import type {WorkerView} from './worker_view.js';
 import type {FillInterference} from './fill_interference.js';
 import type {WorkerHealth} from './worker_health.js';
 import {compareRanks} from './workflow_order.js';
 import type {WorkflowOrder, WorkflowRank} from './workflow_order.js';
 
-/** Share of its processors that a filling task must find unused. */
-const LEAST_FILL_SHARE = 0.7;
-/** Share of their reservation that serving tasks use, on average. */
-const SERVING_USE_SHARE = 0.55;
 /**
  * A tail expected above this share of its target keeps filling tasks away. It is
  * below what pacing aims at, as the load of what serves swings in between.
@@ -36,97 +30,6 @@
 /** For a rack away from the data, or away from the other tasks of the step. */
 const REMOTE_PENALTY = 0.5;
 
-/** A worker with what this round has left of it. */
-class Candidate {
-  free: Resources;
-  fillRoomMilliprocessors: number;
-  allowance: number;
-  /** Tails over their targets, with what this round has added. */
-  private tails: ReadonlyArray<{image: string; ratio: number}>;
-
-  constructor(
-    readonly view: WorkerView,
-    allowance: number,
-    readonly suspicion: number,
-  ) {
-    const {room} = view.traits;
-    this.free = subtractResources(room, view.reserved);
-    this.fillRoomMilliprocessors =
-      this.free.milliprocessors +
-      (1 - SERVING_USE_SHARE) * view.servingMilliprocessors -
-      view.fillDemandMilliprocessors;
-    this.allowance = allowance;
-    this.tails = view.tails;
-  }
-
-  /**
-   * The worst tail over its target once the filling task works here, of those
-   * on which it presses.
-   */
-  expectedTail(
-    step: TaskReference['step'],
-    interference: FillInterference,
-  ): number {
-    let worst = 0;
-    const share = this.shareOf(step);
-    for (const tail of this.tails) {
-      if (!interference.presses(tail.image, step.image, share)) continue;
-      const ratio = interference.expectedRatio(tail, step.image, share);
-      worst = Math.max(worst, ratio);
-    }
-    return worst;
-  }
-
-  /** The largest pressure of the filling task on what serves here. */
-  pressureOf(
-    step: TaskReference['step'],
-    interference: FillInterference,
-  ): number {
-    const share = this.shareOf(step);
-    const pressures = this.tails.map(
-      ({image}) => interference.pressure(image, step.image) * share,
-    );
-    return Math.max(0, ...pressures);
-  }
-
-  /** The worst tail over its target, with what this round has added. */
-  get worstTail(): number {
-    return Math.max(0, ...this.tails.map(({ratio}) => ratio));
-  }
-
-  hasImage(image: string): boolean {
-    return this.tails.some(tail => tail.image === image);
-  }
-
-  take(step: TaskReference['step'], interference: FillInterference): void {
-    if (step.fills) this.addPressure(step, interference);
-    if (step.tailTargetMillis > 0) {
-      this.tails = [...this.tails, {image: step.image, ratio: 0}];
-    }
-    const size = reservedSize(step);
-    this.free = subtractResources(this.free, size);
-    this.fillRoomMilliprocessors -= step.size.milliprocessors;
-    this.allowance--;
-  }
-
-  private addPressure(
-    step: TaskReference['step'],
-    interference: FillInterference,
-  ): void {
-    const share = this.shareOf(step);
-    this.tails = this.tails.map(tail => ({
-      image: tail.image,
-      ratio: interference.expectedRatio(tail, step.image, share),
-    }));
-  }
-
-  /** Share of the worker's processors that the filling task may use. */
-  private shareOf({size}: TaskReference['step']): number {
-    const {room} = this.view.traits;
-    return size.milliprocessors / Math.max(1, room.milliprocessors);
-  }
-}
-
 /** Tasks of one step that wait for a worker. */
 interface WaitingStep {
   readonly workflow: Workflow;
@@ -179,7 +82,7 @@
 export function planPlacements(round: PlacementRound): PlannedRun[] {
   const candidates = round.workers.map(
     view =>
-      new Candidate(
+      new PlacementCandidate(
         view,
         round.health.allowance(view.key, view.placed.size, round.now),
         round.health.suspicion(view.key),
@@ -204,8 +107,8 @@
   interference: FillInterference,
 ): boolean {
   return workers.some(view => {
-    const candidate = new Candidate(view, Infinity, 0);
-    if (!mayRun(candidate, step, 0)) return false;
+    const candidate = new PlacementCandidate(view, Infinity, 0);
+    if (!candidate.mayRun(step, 0)) return false;
     if (!step.fills) return true;
     const tail = candidate.expectedTail(step, interference);
     return tail === 0 || (!view.isPaced && tail <= HIGH_TAIL_SHARE);
@@ -278,7 +181,7 @@
 function placeTasks(
   round: PlacementRound,
   waiting: WaitingStep,
-  candidates: readonly Candidate[],
+  candidates: readonly PlacementCandidate[],
 ): PlannedRun[] {
   const planned: PlannedRun[] = [];
   const used = usedWorkers(waiting);
@@ -296,7 +199,7 @@
 function placeGang(
   round: PlacementRound,
   waiting: WaitingStep,
-  candidates: readonly Candidate[],
+  candidates: readonly PlacementCandidate[],
 ): PlannedRun[] {
   const {occurrence, step, tasks} = waiting;
   const members = occurrence.tasks[step];
@@ -328,7 +231,7 @@
 function take(
   round: PlacementRound,
   reference: TaskReference,
-  candidate: Candidate,
+  candidate: PlacementCandidate,
   used: Map<string, number>,
 ): void {
   candidate.take(reference.step, round.interference);
@@ -351,18 +254,18 @@
   round: PlacementRound,
   waiting: WaitingStep,
   reference: TaskReference,
-  candidates: readonly Candidate[],
+  candidates: readonly PlacementCandidate[],
   used: ReadonlyMap<string, number>,
-): Candidate | undefined {
+): PlacementCandidate | undefined {
   const {step} = reference;
   const allowed = round.allowedWorkers?.(reference);
-  let best: Candidate | undefined;
+  let best: PlacementCandidate | undefined;
   let bestScore = -Infinity;
   for (const candidate of candidates) {
     const {view} = candidate;
     if (view.traits.service !== waiting.terms.service) continue;
     if (allowed && !allowed.has(view.traits.incarnation)) continue;
-    if (!mayRun(candidate, step, used.get(view.key) ?? 0)) continue;
+    if (!candidate.mayRun(step, used.get(view.key) ?? 0)) continue;
     const score = scoreOf(round, reference, candidate, used);
     if (score <= bestScore) continue;
     best = candidate;
@@ -371,27 +274,11 @@
   return best;
 }
 
-function mayRun(
-  candidate: Candidate,
-  step: TaskReference['step'],
-  tasksOfStep: number,
-): boolean {
-  if (candidate.allowance < 1) return false;
-  const {requiredLabel, spreadLimit, fills, size} = step;
-  const {labels} = candidate.view.traits;
-  if (requiredLabel !== '' && !labels.includes(requiredLabel)) return false;
-  if (spreadLimit > 0 && tasksOfStep >= spreadLimit) return false;
-  if (!fitsInto(reservedSize(step), candidate.free)) return false;
-  if (!fills) return true;
-  const needed = LEAST_FILL_SHARE * size.milliprocessors;
-  return candidate.fillRoomMilliprocessors >= needed;
-}
-
 /** Larger is better: the share of processors that stay unused, less penalties. */
 function scoreOf(
   round: PlacementRound,
   reference: TaskReference,
-  candidate: Candidate,
+  candidate: PlacementCandidate,
   used: ReadonlyMap<string, number>,
 ): number {
   const {step} = reference;
--- a/src/entry/workflows/pool_entry.ts
+++ b/src/entry/workflows/pool_entry.ts
@@ -113,6 +113,7 @@
       acceptor,
       owner: this.ownerClient,
       store,
+      health: this.health,
       documents: options.callerDocuments,
       clock,
       logger,
--- a/src/entry/workflows/store_health.ts
+++ b/src/entry/workflows/store_health.ts
@@ -19,14 +19,18 @@
 
   /** No call has been answered for a while, though some were made. */
   get isAway(): boolean {
+    return this.unansweredMillis > AWAY_MILLIS;
+  }
+
+  /** How long no call has been answered, of those that were made. */
+  get unansweredMillis(): number {
     const now = this.clock.now();
-    const since = this.failedSince;
-    if (since !== undefined && now - since > AWAY_MILLIS) return true;
+    let longest = this.failedSince === undefined ? 0 : now - this.failedSince;
     for (const {sentAt} of this.pending) {
       const unansweredSince = Math.max(sentAt, this.answeredAt);
-      if (now - unansweredSince > AWAY_MILLIS) return true;
+      longest = Math.max(longest, now - unansweredSince);
     }
-    return false;
+    return longest;
   }
 
   /** Watches a call; what it brings goes on to the caller. */
--- a/src/entry/workflows/workflow_api.ts
+++ b/src/entry/workflows/workflow_api.ts
@@ -1,4 +1,5 @@
 import type {TransactionalStore} from '../../backends/transactional_store.js';
+import {returnAfterSeconds} from '../../decisions/workflows/return_time.js';
 import {decodeEndState} from '../../decisions/workflows/workflow_codec.js';
 import {WorkflowState} from '../../decisions/workflows/workflow_types.js';
 import type {
@@ -17,6 +18,7 @@
 import type {OwnerClient} from './owner_client.js';
 import {progressKey, specKey} from '../../protocol/store_keys.js';
 import {Acceptance} from './workflow_acceptor.js';
+import type {StoreHealth} from './store_health.js';
 import type {WorkflowAcceptor} from './workflow_acceptor.js';
 
 /** How callers' documents are read and written. */
@@ -38,14 +40,12 @@
   readonly acceptor: WorkflowAcceptor;
   readonly owner: OwnerClient;
   readonly store: TransactionalStore;
+  readonly health: StoreHealth;
   readonly documents: CallerDocuments;
   readonly clock: Clock;
   readonly logger: Logger;
 }
 
-/** Seconds after which the store or an owner may be back. */
-const RETRY_AFTER_SECONDS = 1;
-
 /** Time for the store to answer, well under callers' deadlines. */
 const ANSWER_MILLIS = 900;
 
@@ -77,12 +77,12 @@
     const {configuration} = this.options;
     const path = call.target.split('?', 1)[0];
     const host = call.headers.get('host') ?? '';
-    if (!configuration.table) return later();
+    if (!configuration.table) return this.later();
     let queue = configuration.table.find(host, path);
     if (!queue) {
       const isSure = await configuration.refresh();
       queue = configuration.table.find(host, path);
-      if (!queue) return isSure ? answer(404) : later();
+      if (!queue) return isSure ? answer(404) : this.later();
     }
     return {queue, workflow: path.slice(queue.prefix.length)};
   }
@@ -116,7 +116,7 @@
     const acceptance = await acceptor.submit(spec);
     if (acceptance === Acceptance.STORED) return answer(200);
     // Nobody knows yet: the caller has to ask again under the same id.
-    return acceptance === Acceptance.UNKNOWN ? answer(504) : later();
+    return acceptance === Acceptance.UNKNOWN ? answer(504) : this.later();
   }
 
   private async cancel(workflow: string): Promise<ApiAnswer> {
@@ -142,7 +142,7 @@
         store.get(specKey(workflow)),
       ]);
       const found = await withDeadline(clock, ANSWER_MILLIS, read);
-      if (!found) return later();
+      if (!found) return this.later();
       const [progress, spec] = found;
       if (!progress && !spec) return answer(410);
       const begun = progress ? WorkflowState.RUNNING : WorkflowState.QUEUED;
@@ -151,7 +151,7 @@
     } catch (error) {
       const reason = messageOf(error);
       logger.event(Events.WORKFLOW_UNDECIDED, {workflow, reason});
-      return later();
+      return this.later();
     }
   }
 
@@ -162,9 +162,17 @@
     if (call.method !== 'GET') return answer(405);
     const {owner, documents} = this.options;
     const waiting = await owner.countWaiting(queue.name);
-    if (waiting === undefined) return later();
+    if (waiting === undefined) return this.later();
     return answer(200, documents.encodeWaiting(waiting));
   }
+
+  /** Not run: the caller may come back. */
+  private later(): ApiAnswer {
+    const {unansweredMillis} = this.options.health;
+    const seconds = returnAfterSeconds(unansweredMillis);
+    const headers = [['retry-after', String(seconds)]] as const;
+    return {status: 503, headers, body: Buffer.alloc(0)};
+  }
 }
 
 function answer(status: number, body = ''): ApiAnswer {
@@ -172,9 +180,3 @@
     body === '' ? [] : [['content-type', 'application/json']];
   return {status, headers, body: Buffer.from(body)};
 }
-
-/** Not run: the caller may come back. */
-function later(): ApiAnswer {
-  const headers = [['retry-after', String(RETRY_AFTER_SECONDS)]] as const;
-  return {status: 503, headers, body: Buffer.alloc(0)};
-}
--- a/tests/workflows/decisions.test.ts
+++ b/tests/workflows/decisions.test.ts
@@ -2,6 +2,7 @@
 import {FillInterference} from '../../src/decisions/workflows/fill_interference.js';
 import type {TailSample} from '../../src/decisions/workflows/fill_interference.js';
 import {FillPacer} from '../../src/decisions/workflows/fill_pacer.js';
+import {findRunsToMove} from '../../src/decisions/workflows/leaving_workers.js';
 import {planPlacements} from '../../src/decisions/workflows/placement_planner.js';
 import type {PlannedRun} from '../../src/decisions/workflows/placement_planner.js';
 import {
@@ -9,6 +10,7 @@
   Stall,
 } from '../../src/decisions/workflows/progress_watch.js';
 import {QueueTable} from '../../src/decisions/workflows/queue_table.js';
+import {returnAfterSeconds} from '../../src/decisions/workflows/return_time.js';
 import {StalledFills} from '../../src/decisions/workflows/stalled_fills.js';
 import {TailThrottle} from '../../src/decisions/workflows/tail_throttle.js';
 import {
@@ -17,6 +19,7 @@
   runKey,
 } from '../../src/decisions/workflows/task_name.js';
 import {Workflow} from '../../src/decisions/workflows/workflow.js';
+import type {PlacedRun} from '../../src/decisions/workflows/workflow.js';
 import {
   decodeWorkflow,
   encodeProgress,
@@ -403,6 +406,99 @@
   t.is(view.paces.get(light) ?? 100, 100);
 });
 
+test('should slow all that fills when nothing known explains a tail for long', t => {
+  const interference = new FillInterference();
+  for (let round = 0; round < 30; round++) {
+    observeStart(interference, 'light', 0.4, 0.4);
+  }
+  const pacer = new FillPacer(interference, () => 0);
+  const view = workerOf('one', 16_000);
+  const serving = workflowOf('s', [
+    stepOf({lasting: true, tailTargetMillis: 100, image: 'served'}),
+  ]);
+  const name = put(view, serving, 150);
+  const light = stepOf({fills: true, image: 'light'});
+  const fill = put(view, workflowOf('l', [light]), 1_000);
+  for (let millis = 0; millis <= 3_900; millis += 300) {
+    const run = view.running.get(name)!;
+    view.running.set(name, {...run, measure: 150 + millis / 1_000});
+    pacer.decide(view, millis);
+    if (millis < 1_000) t.is(view.paces.get(fill) ?? 100, 100);
+  }
+  // A tail may be over its target for 4 s.
+  t.is(view.paces.get(fill), 0);
+});
+
+test('should place what does not press beside a tail over its target', t => {
+  const interference = new FillInterference();
+  for (let round = 0; round < 30; round++) {
+    observeStart(interference, 'heavy', 0.4, 1.8);
+    observeStart(interference, 'light', 0.4, 0.4);
+  }
+  const view = workerOf('one', 16_000);
+  const serving = workflowOf('s', [
+    stepOf({lasting: true, tailTargetMillis: 100, image: 'served'}),
+  ]);
+  put(view, serving, 120);
+  const fill = (image: string): Workflow =>
+    workflowOf(image, [stepOf({fills: true, image})]);
+  t.is(plan([fill('light')], [view], {interference}).length, 1);
+  t.is(plan([fill('heavy')], [view], {interference}).length, 0);
+});
+
+test('should put a filling image where it presses least', t => {
+  const interference = new FillInterference();
+  for (let round = 0; round < 30; round++) {
+    observeStart(interference, 'heavy', 0.4, 1.8);
+    interference.observe(
+      {image: 'calm', ratio: 0.4, fillShares: new Map()},
+      {image: 'calm', ratio: 0.4, fillShares: new Map([['heavy', 0.25]])},
+      500,
+    );
+  }
+  const serve = (image: string): Workflow =>
+    workflowOf(image, [stepOf({lasting: true, tailTargetMillis: 100, image})]);
+  // The other worker has more processors unused.
+  const touchy = workerOf('touchy', 17_000);
+  const calm = workerOf('calm', 16_000);
+  put(touchy, serve('served'), 30);
+  put(calm, serve('calm'), 30);
+  const heavy = workflowOf('h', [stepOf({fills: true, image: 'heavy'})]);
+  const [planned] = plan([heavy], [touchy, calm], {interference});
+  t.is(planned.worker.key, 'calm');
+});
+
+test('should move from a leaving worker what lasts or keeps checkpoints', t => {
+  const view = workerOf('one');
+  view.traits = {...view.traits, draining: true, remainingMillis: 3_000};
+  const lasts = put(view, workflowOf('a', [stepOf({lasting: true})]), 0, 100);
+  const keeps = stepOf({checkpoints: true, estimateMillis: 4_000});
+  const long = put(view, workflowOf('b', [keeps]), 0, 10);
+  put(view, workflowOf('c', [keeps]), 0, 80);
+  put(view, workflowOf('d', [stepOf({estimateMillis: 9_000})]), 0, 10);
+  const names = (found: PlacedRun[]): string[] =>
+    found.map(({reference, placement}) =>
+      runKey(formatTaskName(reference.name), placement.run),
+    );
+  t.deepEqual(names(findRunsToMove(view, () => true)), [lasts, long]);
+  t.deepEqual(
+    findRunsToMove(view, () => false),
+    [],
+  );
+  view.traits = {...view.traits, draining: false};
+  t.deepEqual(
+    findRunsToMove(view, () => true),
+    [],
+  );
+});
+
+test('should send callers away for longer the longer the store is away', t => {
+  t.is(returnAfterSeconds(0), 1);
+  t.is(returnAfterSeconds(900), 1);
+  t.is(returnAfterSeconds(2_100), 3);
+  t.is(returnAfterSeconds(60_000), 4);
+});
+
 test('should let a worker rest after failures of different workflows', t => {
   const health = new WorkerHealth();
   t.false(health.noteFailure('one', 'a', 0));
--- a/tests/workflows/random_schedules.test.ts
+++ b/tests/workflows/random_schedules.test.ts
@@ -1,4 +1,5 @@
 import test from 'ava';
+import type {ExecutionContext} from 'ava';
 import {Random} from '../../src/utilities/random.js';
 import {VirtualPool} from './fixtures/virtual_pool.js';
 
@@ -9,6 +10,10 @@
  * acknowledged before it was durable, and its task was run again.
  */
 const FOUND_SEEDS = [104, 105, 119, 197, 212];
+/** Seeds of schedules in which workers drain and leave as well. */
+const FIRST_LEAVING_SEED = 301;
+const LEAVING_SEEDS = 12;
+const DRAIN_MILLIS = 2_500;
 const STEPS = 30;
 const LONGEST_STEP_MILLIS = 1_200;
 /** Leases end, a new owner is found, and the work is done again. */
@@ -94,6 +99,19 @@
   }
 }
 
+/** A worker drains, leaves and comes back empty. */
+function drain(pool: VirtualPool, random: Random): void {
+  const index = random.below(pool.workers.length);
+  const worker = pool.workers[index];
+  if (!worker.isUp || worker.faults.draining) return;
+  worker.faults.draining = true;
+  worker.remainingMillis = DRAIN_MILLIS;
+  pool.clock.schedule(DRAIN_MILLIS, () => {
+    pool.removeWorker(index);
+    pool.clock.schedule(500 + random.below(3_000), () => worker.begin());
+  });
+}
+
 /** Submits something through some entry. */
 async function submit(
   pool: VirtualPool,
@@ -115,23 +133,38 @@
   if (status === 200 && random.unit() < 0.15) await pool.cancel(id, entry);
 }
 
+async function runSchedule(
+  t: ExecutionContext,
+  seed: number,
+  disturbances: ReadonlyArray<(pool: VirtualPool, random: Random) => void>,
+): Promise<void> {
+  const pool = new VirtualPool({seed, entries: 3, workers: 4});
+  const random = new Random(seed + 1_000);
+  await pool.run(3_000);
+  for (let number = 1; number <= STEPS; number++) {
+    await submit(pool, random, number);
+    for (const act of disturbances) {
+      if (random.unit() < 0.5) act(pool, random);
+    }
+    await pool.run(random.below(LONGEST_STEP_MILLIS));
+  }
+  await pool.run(RECOVERY_MILLIS);
+  t.deepEqual(pool.history.violations(), []);
+  for (const id of pool.history.acceptedWorkflows) {
+    const state = await pool.state(id);
+    t.true(state === 'done' || state === 'cancelled', `${id} is ${state}`);
+  }
+}
+
 const seeds = Array.from({length: SEEDS}, (_, index) => FIRST_SEED + index);
 
 for (const seed of [...seeds, ...FOUND_SEEDS]) {
-  test(`should run each task in one place and lose nothing, seed ${seed}`, async t => {
-    const pool = new VirtualPool({seed, entries: 3, workers: 4});
-    const random = new Random(seed + 1_000);
-    await pool.run(3_000);
-    for (let number = 1; number <= STEPS; number++) {
-      await submit(pool, random, number);
-      if (random.unit() < 0.5) disturb(pool, random);
-      await pool.run(random.below(LONGEST_STEP_MILLIS));
-    }
-    await pool.run(RECOVERY_MILLIS);
-    t.deepEqual(pool.history.violations(), []);
-    for (const id of pool.history.acceptedWorkflows) {
-      const state = await pool.state(id);
-      t.true(state === 'done' || state === 'cancelled', `${id} is ${state}`);
-    }
-  });
+  test(`should run each task in one place and lose nothing, seed ${seed}`, t =>
+    runSchedule(t, seed, [disturb]));
+}
+
+for (let index = 0; index < LEAVING_SEEDS; index++) {
+  const seed = FIRST_LEAVING_SEED + index;
+  test(`should lose nothing as workers leave, seed ${seed}`, t =>
+    runSchedule(t, seed, [disturb, drain]));
 }
