--- a/import_rules.js
+++ b/import_rules.js
@@ -78,6 +78,13 @@
   },
   cli: {
     folders: ['utilities', 'observability', 'settings'],
-    packages: ['citty', 'consola', 'undici', 'node:process', 'node:fs'],
+    packages: [
+      'citty',
+      'consola',
+      'undici',
+      'node:process',
+      'node:fs',
+      'node:readline',
+    ],
   },
 };
--- a/src/cli/burdockmoor.ts
+++ b/src/cli/burdockmoor.ts
@@ -1,5 +1,7 @@
 #!/usr/bin/env node
+import {createReadStream} from 'node:fs';
 import process from 'node:process';
+import {createInterface} from 'node:readline';
 import {SystemClock} from '../utilities/clock.js';
 import {runTool} from './tool.js';
 
@@ -8,6 +10,8 @@
 process.exitCode = await runTool(process.argv.slice(2), {
   environment: process.env,
   clock: new SystemClock(),
+  readLines: file =>
+    createInterface({input: file ? createReadStream(file) : process.stdin}),
   write: text => process.stdout.write(text),
   writeError: text => process.stderr.write(text),
 });
--- /dev/null
+++ b/src/cli/log_commands.ts
@@ -0,0 +1,40 @@
+import {ExitCodes} from './exit_codes.js';
+import {parseLogLine} from './log_line.js';
+import {formatTrace, RequestTrace} from './request_trace.js';
+import {defineToolCommand} from './tool_command.js';
+import {toolError} from './tool_error.js';
+
+/** `burdockmoor log …` and, for short, `burdockmoor trace` */
+
+export const traceRequest = defineToolCommand({
+  name: 'trace',
+  description:
+    'Tell from the logs of all processes what happened to a request or workflow, and where its time went',
+  example: 'burdockmoor log trace 26a85b09c1d2e3f4 entry.log agent.log',
+  needsEntry: false,
+  takesFiles: true,
+  args: {
+    id: {
+      type: 'positional',
+      description:
+        'Its id; files with logs may follow, else they are read from standard input',
+      required: true,
+    },
+  },
+  async run(session, {id, _: [, ...files]}) {
+    const trace = new RequestTrace(id);
+    const {readLines} = session.surroundings;
+    for (const file of files.length > 0 ? files : [undefined]) {
+      for await (const text of readLines(file)) {
+        const line = parseLogLine(text);
+        if (line) trace.add(line);
+      }
+    }
+    if (trace.isEmpty) {
+      const message = `No line of the logs names ${id}.`;
+      throw toolError(ExitCodes.NOT_FOUND, message);
+    }
+    const result = {...trace.summarize(), lines: trace.lines()};
+    session.show(result, formatTrace(trace));
+  },
+});
--- a/src/cli/tool.ts
+++ b/src/cli/tool.ts
@@ -11,6 +11,7 @@
   showJob,
   submitJob,
 } from './job_commands.js';
+import {traceRequest} from './log_commands.js';
 import {callService, listServices} from './service_commands.js';
 import {
   applySettings,
@@ -83,19 +84,29 @@
     description: 'List services and call them',
     commands: {list: listServices, call: callService},
   },
+  log: {
+    description: 'Read the logs of all processes',
+    commands: {trace: traceRequest},
+  },
   state: {
     description: 'Look into a process',
     commands: {dump: dumpState},
   },
 };
 
+/** Commands that may be called without their group. */
+const SHORTHANDS: Readonly<Record<string, readonly string[]>> = {
+  trace: ['log', 'trace'],
+};
+
 const HELP_OPTIONS: ReadonlySet<string> = new Set(['--help', '-h']);
 
 /** Runs the tool and resolves to its exit status. */
 export async function runTool(
-  rawArguments: readonly string[],
+  givenArguments: readonly string[],
   surroundings: ToolSurroundings,
 ): Promise<number> {
+  const rawArguments = expandShorthand(givenArguments);
   const json = rawArguments.includes('--json');
   try {
     const help = await helpFor(rawArguments);
@@ -107,6 +118,12 @@
   }
 }
 
+function expandShorthand(given: readonly string[]): readonly string[] {
+  const [first = '', ...rest] = given;
+  if (!Object.hasOwn(SHORTHANDS, first)) return given;
+  return [...SHORTHANDS[first], ...rest];
+}
+
 /** The help that was asked for; undefined when a command is to be run. */
 async function helpFor(
   rawArguments: readonly string[],
@@ -127,8 +144,10 @@
   surroundings: ToolSurroundings,
 ): Promise<void> {
   const [groupName, commandName, ...rest] = rawArguments;
-  const invocation = findCommand(groupName, commandName).parse(rest);
-  const session = openSession(invocation, surroundings);
+  const command = findCommand(groupName, commandName);
+  const invocation = command.parse(rest);
+  const entries = command.needsEntry ? entryUrls(invocation, surroundings) : [];
+  const session = openSession(invocation, surroundings, entries);
   try {
     await invocation.run(session);
   } finally {
@@ -136,16 +155,23 @@
   }
 }
 
-function openSession(
+function entryUrls(
   {common}: ToolInvocation,
-  surroundings: ToolSurroundings,
-): ToolSession {
-  const {environment} = surroundings;
+  {environment}: ToolSurroundings,
+): string[] {
   const entries = common.entry ?? environment.BURDOCKMOOR_ENTRY;
   if (!entries) {
     throw usageError('Name an entry by --entry URL or BURDOCKMOOR_ENTRY.');
   }
-  const urls = entries.split(',').map(url => url.trim());
+  return entries.split(',').map(url => url.trim());
+}
+
+function openSession(
+  {common}: ToolInvocation,
+  surroundings: ToolSurroundings,
+  urls: readonly string[],
+): ToolSession {
+  const {environment} = surroundings;
   const author =
     common.author ??
     environment.BURDOCKMOOR_AUTHOR ??
--- a/src/cli/tool_command.ts
+++ b/src/cli/tool_command.ts
@@ -39,6 +39,8 @@
   /** A command line that works against the playground. */
   readonly example: string;
   readonly definition: CommandDef;
+  /** False for commands that work without an entry. */
+  readonly needsEntry: boolean;
   /** @throws ToolError for a wrong command line. */
   readonly parse: (rawArguments: readonly string[]) => ToolInvocation;
 }
@@ -54,18 +56,23 @@
   description: string;
   example: string;
   args: Arguments;
+  needsEntry?: boolean;
+  /** Whether names of files may follow the other words. */
+  takesFiles?: boolean;
   run: (session: ToolSession, args: ParsedArgs<Arguments>) => Promise<void>;
 }): ToolCommand {
   const {name, description, example, run} = options;
+  const {needsEntry = true, takesFiles = false} = options;
   const args = {...options.args, ...COMMON_ARGUMENTS};
   return {
     description,
     example,
+    needsEntry,
     definition: defineCommand<ArgsDef>({meta: {name, description}, args}),
     parse: rawArguments => {
       checkOptionNames(rawArguments, args);
       const parsed = parseOrFail(rawArguments, args);
-      checkExtraWords(parsed._, options.args);
+      if (!takesFiles) checkExtraWords(parsed._, options.args);
       return {
         common: parsed as unknown as ParsedArgs<typeof COMMON_ARGUMENTS>,
         run: session =>
--- a/src/cli/tool_session.ts
+++ b/src/cli/tool_session.ts
@@ -7,6 +7,8 @@
 export interface ToolSurroundings {
   readonly environment: Readonly<Record<string, string | undefined>>;
   readonly clock: Clock;
+  /** The lines of a file, or of standard input. */
+  readLines(file?: string): AsyncIterable<string>;
   /** Results. */
   write(text: string): void;
   /** Progress and errors. */
