Bring agents to a new owner at once, and not after another silence

An agent that had left the silent owner attached to it again as long as the store named it, waited out a second silence, and then asked all entries, of which the dead one answers after 0.7 s.

Ruled out: the claim itself (1.9 s after the loss, within 2.3 s).

Agents whose owner is silent for 0.7 s, or has not answered yet, ask the store five times a second and go where it points; entries are asked only while the store names the owner that fell silent.

--- a/src/agent/workflows/owner_connection.ts
+++ b/src/agent/workflows/owner_connection.ts
@@ -15,6 +15,11 @@
 
 /** An owner that does not answer updates for this long is left. */
 const SILENT_MILLIS = 1_300;
+/**
+ * An owner that is silent for longer than it answers updates at its slowest is
+ * in doubt: the store may name another by now.
+ */
+const DOUBT_MILLIS = 700;
 const RETRY_MILLIS = 250;
 const WATCHDOG_MILLIS = 200;
 
@@ -40,6 +45,8 @@
   private link: PoolLink | undefined;
   private attachment: Attachment<WorkerUpdate> | undefined;
   private address = '';
+  /** Where an owner was that fell silent. */
+  private silentAddress = '';
   private heardAt = 0;
   private highestEpoch = 0;
   private isConfirmed = false;
@@ -69,6 +76,7 @@
     while (!this.closed) {
       if (this.attachment) {
         this.leaveIfSilent();
+        await this.leaveIfReplaced();
         await this.pause(WATCHDOG_MILLIS);
         continue;
       }
@@ -81,9 +89,32 @@
   private leaveIfSilent(): void {
     const silentMillis = this.options.clock.now() - this.heardAt;
     if (silentMillis < SILENT_MILLIS) return;
+    this.silentAddress = this.address;
     this.leave(`no word for ${Math.round(silentMillis)} ms`);
   }
 
+  /** Asks the store while the owner is in doubt, or has not answered yet. */
+  private async leaveIfReplaced(): Promise<void> {
+    const {address, link, isConfirmed} = this;
+    const silentMillis = this.options.clock.now() - this.heardAt;
+    if (!link || (isConfirmed && silentMillis < DOUBT_MILLIS)) return;
+    const present = await this.readOwner();
+    if (present === undefined || present === address) return;
+    if (link === this.link) this.leave('the store names another owner');
+  }
+
+  private async readOwner(): Promise<string | undefined> {
+    const {store, ownerKey, decodeOwner, logger} = this.options;
+    try {
+      const owner = await store.get(ownerKey);
+      return owner && decodeOwner(owner.value)?.address;
+    } catch (error) {
+      const reason = messageOf(error);
+      logger.event(Events.OPERATOR_KEYS_STALE, {reason, keys: 'owner'});
+      return undefined;
+    }
+  }
+
   private attachTo(address: string): void {
     const {links, clock, onAttached} = this.options;
     this.address = address;
@@ -113,6 +144,7 @@
     if (!this.isConfirmed) {
       this.isConfirmed = true;
       this.tries = 0;
+      this.silentAddress = '';
       logger.event(Events.OWNER_ATTACHED, {
         address: this.address,
         epoch: commands.epoch,
@@ -136,29 +168,30 @@
     link.close(reason);
   }
 
-  /** Asks the store, and by turns the entries that were ever heard of. */
+  /**
+   * Asks the store. If it names the owner that fell silent, the entries that
+   * were ever heard of are asked by turns.
+   */
   private async findOwner(): Promise<string | undefined> {
     const byStore = await this.askStore();
-    if (byStore !== undefined && this.tries++ % 2 === 0) return byStore;
+    const isNews = byStore !== undefined && byStore !== this.silentAddress;
+    if (isNews || (byStore && this.tries++ % 2 === 0)) return byStore;
     return (await this.askEntries()) ?? byStore;
   }
 
   private async askStore(): Promise<string | undefined> {
-    const {store, ownerKey, entryPrefix, decodeOwner} = this.options;
+    const [owner] = await Promise.all([this.readOwner(), this.readEntries()]);
+    return owner;
+  }
+
+  private async readEntries(): Promise<void> {
+    const {store, entryPrefix, logger} = this.options;
     try {
-      const [owner, entries] = await Promise.all([
-        store.get(ownerKey),
-        store.list(entryPrefix),
-      ]);
+      const entries = await store.list(entryPrefix);
       for (const {value} of entries.values) this.entries.add(value);
-      return owner && decodeOwner(owner.value)?.address;
     } catch (error) {
       const reason = messageOf(error);
-      this.options.logger.event(Events.OPERATOR_KEYS_STALE, {
-        reason,
-        keys: 'owner',
-      });
-      return undefined;
+      logger.event(Events.OPERATOR_KEYS_STALE, {reason, keys: 'entries'});
     }
   }
 
--- a/tests/workflows/pool.test.ts
+++ b/tests/workflows/pool.test.ts
@@ -314,3 +314,24 @@
   t.is(await pool.state(ID), 'done');
   t.deepEqual(pool.history.violations(), []);
 });
+
+test('should bring agents to a new owner soon after it has the pool', async t => {
+  const pool = new VirtualPool({seed: 23, entries: 3, workers: 6});
+  await pool.run(3_000);
+  const former = pool.ownerName!;
+  // Its machine is gone: nothing answers, and no connection breaks.
+  pool.links.cutOff.add(former);
+  pool.store.cutOff.add(former);
+  let owner = former;
+  for (let waited = 0; owner === former && waited < 4_000; waited += 20) {
+    await pool.run(20);
+    owner = pool.ownerName ?? former;
+  }
+  t.not(owner, former);
+  await pool.run(500);
+  const dump = pool.dumpState(owner) as {
+    pool: {workers: Array<{isAttached: boolean}>};
+  };
+  const attached = dump.pool.workers.filter(({isAttached}) => isAttached);
+  t.is(attached.length, 6);
+});
