List the metrics, and the events of workflows, from the code

docs/EVENTS.md had none of the events above 6000, as its page knew no range for them; nothing checked that. Both lists are now held against the code by tests (the one of events failed before).

--- a/tests/docs/pages.test.ts
+++ b/tests/docs/pages.test.ts
@@ -2,6 +2,8 @@
 import {dirname, join} from 'node:path';
 import test from 'ava';
 import {Events} from '../../src/observability/events.js';
+import {ResultCodes} from '../../src/observability/result_codes.js';
+import {findMetrics, sourceFiles} from '../../tools/pages/metrics_page.js';
 import {generatedPages} from '../../tools/pages/pages.js';
 
 const EVENT_HEADING = /^#+ .*?`([A-Z][A-Z_]+)`/gm;
@@ -29,6 +31,29 @@
   t.deepEqual([...told].sort(), [...alarms].sort());
 });
 
+test('should list every event and result code', t => {
+  const events = readFileSync('docs/EVENTS.md', 'utf8');
+  for (const [name, {number}] of Object.entries(Events)) {
+    t.true(events.includes(`| ${number} | ${name} |`), name);
+  }
+  const codes = readFileSync('docs/RESULT_CODES.md', 'utf8');
+  for (const {number} of Object.values(ResultCodes)) {
+    t.true(codes.includes(`| ${number} |`), `${number}`);
+  }
+});
+
+test('should list every metric that the code asks for', t => {
+  const asked = sourceFiles('src')
+    .filter(file => !file.endsWith('observability/metrics.ts'))
+    .flatMap(file => [
+      ...readFileSync(file, 'utf8').matchAll(
+        /[mM]etrics\s*\??\s*\.(?:counter|gauge|latency|observe)\(/g,
+      ),
+    ]);
+  t.true(findMetrics().length > 0);
+  t.is(findMetrics().length, asked.length);
+});
+
 test('should link only to files that exist', t => {
   for (const page of PAGES) {
     for (const [, target] of readFileSync(page, 'utf8').matchAll(LINK)) {
--- a/tools/pages/catalogue_pages.ts
+++ b/tools/pages/catalogue_pages.ts
@@ -17,6 +17,7 @@
   {title: 'Shards and jobs', first: 3000, end: 4000},
   {title: 'Agents', first: 4000, end: 5000},
   {title: 'The store', first: 5000, end: 6000},
+  {title: 'Workflows and their workers', first: 6000, end: 7000},
 ];
 
 const CODE_RANGES: readonly Range[] = [
--- a/tools/pages/pages.ts
+++ b/tools/pages/pages.ts
@@ -1,5 +1,6 @@
 import {eventsPage, resultCodesPage} from './catalogue_pages.js';
 import {cliPage} from './cli_page.js';
+import {metricsPage} from './metrics_page.js';
 import {settingsPage} from './settings_page.js';
 
 /** The pages that are written from the code, by file. */
@@ -8,4 +9,5 @@
   ['docs/EVENTS.md', eventsPage],
   ['docs/RESULT_CODES.md', resultCodesPage],
   ['docs/CLI.md', cliPage],
+  ['docs/METRICS.md', metricsPage],
 ]);
