Let one piece of code serve where the change had written it twice

- Gangs are placed by the loop that places tasks.
- Less work on the hot path: whether the pool is idle is found once a round and not once a task and worker; fills are ranked only when there is a new measurement; pressures are read once a fill; a worker is found by its key.
- Nothing used: isStepCurrent, wantedPlacements, runOf, TailThrottle.share, highestSeen, allowedWorkers, and what openDue returned.

Faults: a gang that found no room gave back processors, but not the tails that it had reckoned with in that round; progress of lost runs stayed in memory after their workflow had ended.

--- a/src/agent/commands/graceful_shutdown.ts
+++ b/src/agent/commands/graceful_shutdown.ts
@@ -4,6 +4,7 @@
 import type {AttemptStopper} from './attempt_stopper.js';
 import {evictionIntent} from './attempt_stopper.js';
 import type {ServeRequests} from './serve_requests.js';
+import {pause} from '../../utilities/pause.js';
 
 const CHECK_PERIOD_MILLIS = 50;
 
@@ -32,7 +33,7 @@
       this.stopper.stop(attempt, evictionIntent(`the agent stops: ${reason}`));
     }
     while (!this.isDone() && this.context.clock.now() < endsAt) {
-      await this.pause();
+      await pause(this.context.clock, CHECK_PERIOD_MILLIS);
     }
     await announced;
   }
@@ -44,10 +45,4 @@
     }
     return !this.reports.hasReports;
   }
-
-  private pause(): Promise<void> {
-    return new Promise(resolve => {
-      this.context.clock.schedule(CHECK_PERIOD_MILLIS, resolve);
-    });
-  }
 }
--- a/src/agent/workflows/owner_connection.ts
+++ b/src/agent/workflows/owner_connection.ts
@@ -12,6 +12,7 @@
 } from '../../protocol/pool_links.js';
 import {messageOf} from '../../utilities/base_error.js';
 import type {Clock} from '../../utilities/clock.js';
+import {pause} from '../../utilities/pause.js';
 
 /** An owner that does not answer updates for this long is left. */
 const SILENT_MILLIS = 1_300;
@@ -77,11 +78,12 @@
       if (this.attachment) {
         this.leaveIfSilent();
         await this.leaveIfReplaced();
-        await this.pause(WATCHDOG_MILLIS);
+        await pause(this.options.clock, WATCHDOG_MILLIS);
         continue;
       }
       const address = await this.findOwner();
-      if (address === undefined || this.closed) await this.pause(RETRY_MILLIS);
+      if (address === undefined || this.closed)
+        await pause(this.options.clock, RETRY_MILLIS);
       else this.attachTo(address);
     }
   }
@@ -220,8 +222,4 @@
       link.close('the owner was asked for');
     }
   }
-
-  private pause(millis: number): Promise<void> {
-    return new Promise(resolve => this.options.clock.schedule(millis, resolve));
-  }
 }
--- a/src/agent/workflows/worker_lease.ts
+++ b/src/agent/workflows/worker_lease.ts
@@ -1,8 +1,6 @@
+import {longestLeaseLife} from '../../decisions/workflows/lease_life.js';
 import type {Clock} from '../../utilities/clock.js';
 
-/** The worker's clock may be this much slower than the agent's. */
-const CLOCK_DRIFT = 1.02;
-const LAPSE_MARGIN_MILLIS = 300;
 /** A start needs at least this much of the lease to be worth sending. */
 const LEAST_LEASE_MILLIS = 300;
 
@@ -58,10 +56,9 @@
     const now = this.clock.now();
     const {reading} = this;
     // An agent before this one may have prolonged it just before the start.
-    const inherited = startedAt + longestLeaseMillis * CLOCK_DRIFT;
-    if (now < inherited + LAPSE_MARGIN_MILLIS) return false;
+    if (now < startedAt + longestLeaseLife(longestLeaseMillis)) return false;
     if (!reading || this.sentEnd === -Infinity) return true;
-    const left = Math.max(0, this.sentEnd - reading.workerClock) * CLOCK_DRIFT;
-    return now > reading.receivedAt + left + LAPSE_MARGIN_MILLIS;
+    const left = Math.max(0, this.sentEnd - reading.workerClock);
+    return now > reading.receivedAt + longestLeaseLife(left);
   }
 }
--- a/src/agent/workflows/workflow_agent.ts
+++ b/src/agent/workflows/workflow_agent.ts
@@ -14,6 +14,9 @@
 import {OwnerConnection} from './owner_connection.js';
 import type {OwnerConnectionOptions} from './owner_connection.js';
 import {WorkerSession} from './worker_session.js';
+import {longestSince, momentOf} from '../../utilities/moment.js';
+import type {Moment} from '../../utilities/moment.js';
+import {pause} from '../../utilities/pause.js';
 
 const TOKEN_RETRY_MILLIS = 250;
 /** An update goes out at least this often, to renew the lease. */
@@ -41,8 +44,7 @@
 /** When an update was sent, on the clocks of the worker and of the agent. */
 interface SentUpdate {
   readonly workerNow: number | undefined;
-  readonly steady: number;
-  readonly calendar: number;
+  readonly sentAt: Moment;
 }
 
 /**
@@ -176,7 +178,7 @@
       } catch (error) {
         const reason = messageOf(error);
         logger.event(Events.TOKEN_FAILED, {reason});
-        await this.pause(TOKEN_RETRY_MILLIS);
+        await pause(this.options.clock, TOKEN_RETRY_MILLIS);
       }
     }
   }
@@ -214,16 +216,13 @@
 
   /**
    * Whether the owner can't have given the runs here up since it sent the
-   * commands: they may have waited in a connection that was cut. The steady
-   * clock stands still while a machine is suspended, the calendar may jump.
+   * commands: they may have waited in a connection that was cut.
    */
   private isCurrent({sequence, starts}: WorkerCommands): boolean {
     if (starts.length === 0) return true;
     const sent = this.openUpdates.get(sequence);
     const {clock, logger, longestLeaseMillis} = this.options;
-    const ageMillis = sent
-      ? Math.max(clock.now() - sent.steady, clock.wallTime() - sent.calendar)
-      : Infinity;
+    const ageMillis = sent ? longestSince(clock, sent.sentAt) : Infinity;
     if (ageMillis < longestLeaseMillis) return true;
     for (const {task, run} of starts) {
       logger.event(Events.START_OUTDATED, {task, run, ageMillis});
@@ -256,11 +255,9 @@
     const sequence = ++this.sequence;
     this.updatedAt = this.options.clock.now();
     const results = session?.takeResults() ?? [];
-    const {clock} = this.options;
     this.openUpdates.set(sequence, {
       workerNow: session?.lease.workerNow,
-      steady: clock.now(),
-      calendar: clock.wallTime(),
+      sentAt: momentOf(this.options.clock),
     });
     if (this.openUpdates.size > MAXIMUM_OPEN_UPDATES) {
       const [oldest] = this.openUpdates.keys();
@@ -281,10 +278,6 @@
     };
     if (!this.connection.send(update)) session?.returnResults(results);
   }
-
-  private pause(millis: number): Promise<void> {
-    return new Promise(resolve => this.options.clock.schedule(millis, resolve));
-  }
 }
 
 /** A late report of an earlier life, or of an earlier state, is not news. */
--- a/src/backends/settling_store.ts
+++ b/src/backends/settling_store.ts
@@ -4,6 +4,7 @@
 import {StoreBudgetError} from './platform_errors.js';
 import {ABSENT_REVISION} from './store.js';
 import type {Store, StoredValue, SwapResult} from './store.js';
+import {pause} from '../utilities/pause.js';
 
 const DEFAULT_FIRST_BACKOFF_MILLIS = 50;
 const DEFAULT_MAXIMUM_BACKOFF_MILLIS = 1_000;
@@ -87,18 +88,12 @@
       );
       if (settled) return settled;
       if (!settlement.failed) continue;
-      const pause = this.options.random.jitter(backoff, BACKOFF_JITTER_SHARE);
-      if (clock.now() + pause >= deadline) return settlement.giveUp();
-      await this.pause(pause);
+      const wait = this.options.random.jitter(backoff, BACKOFF_JITTER_SHARE);
+      if (clock.now() + wait >= deadline) return settlement.giveUp();
+      await pause(clock, wait);
       backoff = Math.min(2 * backoff, this.maximumBackoffMillis);
     }
   }
-
-  private pause(delayMillis: number): Promise<void> {
-    return new Promise(resolve =>
-      this.options.clock.schedule(delayMillis, resolve),
-    );
-  }
 }
 
 /** What is known so far of one write. */
--- a/src/cli/request_trace.ts
+++ b/src/cli/request_trace.ts
@@ -76,9 +76,11 @@
   constructor(private readonly id: string) {}
 
   add(line: LogLine): void {
+    const {name} = line;
     if (this.isOwn(line)) this.own.push(line);
-    else if (SURROUNDING_EVENTS.has(line.name)) this.surrounding.push(line);
-    else if (WORKER_EVENTS.has(line.name)) this.surrounding.push(line);
+    else if (SURROUNDING_EVENTS.has(name) || WORKER_EVENTS.has(name)) {
+      this.surrounding.push(line);
+    }
   }
 
   get isEmpty(): boolean {
--- a/src/cli/tool_session.ts
+++ b/src/cli/tool_session.ts
@@ -1,4 +1,5 @@
 import type {Clock} from '../utilities/clock.js';
+import {pause} from '../utilities/pause.js';
 import type {EntryClient} from './entry_client.js';
 
 const JSON_INDENT = 2;
@@ -38,8 +39,6 @@
   }
 
   pause(millis: number): Promise<void> {
-    return new Promise(resolve => {
-      this.surroundings.clock.schedule(millis, resolve);
-    });
+    return pause(this.surroundings.clock, millis);
   }
 }
--- a/src/daemon/entry_role.ts
+++ b/src/daemon/entry_role.ts
@@ -16,6 +16,7 @@
 import {runRole} from './process_runner.js';
 import type {RunningRole} from './process_runner.js';
 import {readOrExit} from './settings_exit.js';
+import {pause} from '../utilities/pause.js';
 
 const READY_DEADLINE_MILLIS = 5_000;
 const READY_POLL_MILLIS = 50;
@@ -93,7 +94,7 @@
     this.stopping = true;
     this.entry.drain();
     this.callerServer.drain();
-    await this.pause(this.settings.limits.drainMillis);
+    await pause(this.clock, this.settings.limits.drainMillis);
     await this.entry.stop(reason);
     await this.callerServer.close();
     await this.processServer.close(reason);
@@ -106,13 +107,9 @@
     const deadline = this.clock.now() + READY_DEADLINE_MILLIS;
     while (!this.stopping && this.clock.now() < deadline) {
       if (this.entry.knowsAgents()) return;
-      await this.pause(READY_POLL_MILLIS);
+      await pause(this.clock, READY_POLL_MILLIS);
     }
   }
-
-  private pause(millis: number): Promise<void> {
-    return new Promise(resolve => this.clock.schedule(millis, resolve));
-  }
 }
 
 /** Runs an entry until a signal stops it. */
--- a/src/decisions/workflows/fill_pacer.ts
+++ b/src/decisions/workflows/fill_pacer.ts
@@ -1,5 +1,5 @@
 import {LEAST_PRESSURE} from './fill_interference.js';
-import type {FillInterference, TailSample} from './fill_interference.js';
+import type {FillInterference, Tail, TailSample} from './fill_interference.js';
 import type {PlacedRun} from './workflow.js';
 import type {WorkerView} from './worker_view.js';
 
@@ -46,12 +46,6 @@
   percent: number;
 }
 
-/** A serving run and its tail over its target. */
-interface ServingRun {
-  readonly image: string;
-  readonly ratio: number;
-}
-
 /** What is remembered of one worker from measurement to measurement. */
 interface PacedWorker {
   /** When a pace was changed last. */
@@ -83,12 +77,12 @@
 
   /** To be called with each listing; decides once a measurement. */
   decide(view: WorkerView, now: number): PaceDecision[] {
-    const serving = view.tails;
-    const fills = this.fillingRuns(view);
     const worker = this.workerOf(view.key);
     const measured = measurementOf(view);
     if (measured === worker.measured) return [];
     worker.measured = measured;
+    const serving = view.tails;
+    const fills = this.fillingRuns(view);
     this.learn(view, worker, fills, now);
     if (fills.length === 0) return [];
     const worst = Math.max(0, ...serving.map(({ratio}) => ratio));
@@ -151,7 +145,7 @@
    * target and they don't explain it.
    */
   private lower(
-    serving: readonly ServingRun[],
+    serving: readonly Tail[],
     fills: readonly FillingRun[],
     room: number,
   ): boolean {
@@ -176,7 +170,7 @@
   }
 
   private raise(
-    serving: readonly ServingRun[],
+    serving: readonly Tail[],
     fills: readonly FillingRun[],
     room: number,
   ): void {
@@ -184,22 +178,20 @@
     const slowed = fills.filter(({percent}) => percent < FULL_PERCENT);
     for (const fill of slowed) {
       const share = fill.placed.reference.step.size.milliprocessors / room;
-      const isLight = serving.every(
-        ({image}) => !this.interference.presses(image, imageOf(fill), share),
+      const pressures = serving.map(
+        ({image}) => this.interference.pressure(image, imageOf(fill)) * share,
       );
+      const isLight = pressures.every(pressure => pressure < LEAST_PRESSURE);
       const most = isLight ? FULL_PERCENT : RAISE_PERCENT;
       let step = Math.min(most, FULL_PERCENT - fill.percent);
-      for (const [index, {image}] of serving.entries()) {
-        const pressure =
-          this.interference.pressure(image, imageOf(fill)) * share;
+      for (const [index, pressure] of pressures.entries()) {
         if (pressure < LEAST_PRESSURE) continue;
         const left = Math.max(0, Math.log(AIM_SHARE / ratios[index]));
         step = Math.min(step, (FULL_PERCENT * left) / pressure);
       }
       fill.percent += step;
-      for (const [index, {image}] of serving.entries()) {
-        const pressure = this.interference.pressure(image, imageOf(fill));
-        ratios[index] *= Math.exp(pressure * share * (step / FULL_PERCENT));
+      for (const [index, pressure] of pressures.entries()) {
+        ratios[index] *= Math.exp(pressure * (step / FULL_PERCENT));
       }
     }
   }
--- a/src/decisions/workflows/placement_candidate.ts
+++ b/src/decisions/workflows/placement_candidate.ts
@@ -85,6 +85,17 @@
     return this.fillRoomMilliprocessors >= needed;
   }
 
+  /** Keeps what this round has left; the result brings that back. */
+  save(): () => void {
+    const {free, fillRoomMilliprocessors, allowance, tails} = this;
+    return () => {
+      this.free = free;
+      this.fillRoomMilliprocessors = fillRoomMilliprocessors;
+      this.allowance = allowance;
+      this.tails = tails;
+    };
+  }
+
   /** Takes room for the task, in this round. */
   take(step: TaskReference['step'], interference: FillInterference): void {
     if (step.fills) this.addPressure(step, interference);
--- a/src/decisions/workflows/placement_planner.ts
+++ b/src/decisions/workflows/placement_planner.ts
@@ -60,16 +60,17 @@
   readonly mayPlace: (reference: TaskReference) => boolean;
   /** Whether the task has failed on the worker. */
   readonly hasFailedOn: (reference: TaskReference, worker: string) => boolean;
-  /** Workers that may run the step; undefined if all may. */
-  readonly allowedWorkers?: (
-    reference: TaskReference,
-  ) => ReadonlySet<string> | undefined;
   /** Monotonic time in milliseconds. */
   readonly now: number;
   /** Calendar time in milliseconds. */
   readonly wallNow: number;
 }
 
+/** A round with what is the same for all of its tasks. */
+interface PlanningRound extends PlacementRound {
+  readonly isPoolIdle: boolean;
+}
+
 /**
  * Decides which waiting tasks run where.
  *
@@ -79,7 +80,8 @@
  * others, and filling tasks only to a worker with processors and tails to
  * spare, for one that crawls holds back its whole workflow.
  */
-export function planPlacements(round: PlacementRound): PlannedRun[] {
+export function planPlacements(given: PlacementRound): PlannedRun[] {
+  const round = {...given, isPoolIdle: isPoolIdle(given.workers)};
   const candidates = round.workers.map(
     view =>
       new PlacementCandidate(
@@ -179,9 +181,10 @@
 }
 
 function placeTasks(
-  round: PlacementRound,
+  round: PlanningRound,
   waiting: WaitingStep,
   candidates: readonly PlacementCandidate[],
+  run?: number,
 ): PlannedRun[] {
   const planned: PlannedRun[] = [];
   const used = usedWorkers(waiting);
@@ -189,15 +192,17 @@
     const candidate = chooseWorker(round, waiting, reference, candidates, used);
     // Tasks of a step are alike: the next finds no room either.
     if (!candidate) break;
-    take(round, reference, candidate, used);
-    planned.push({reference, worker: candidate.view});
+    const {key} = candidate.view;
+    candidate.take(reference.step, round.interference);
+    used.set(key, (used.get(key) ?? 0) + 1);
+    planned.push({reference, worker: candidate.view, run});
   }
   return planned;
 }
 
 /** Places all members at once or none, under one run number. */
 function placeGang(
-  round: PlacementRound,
+  round: PlanningRound,
   waiting: WaitingStep,
   candidates: readonly PlacementCandidate[],
 ): PlannedRun[] {
@@ -205,38 +210,11 @@
   const members = occurrence.tasks[step];
   if (tasks.length < members.length) return [];
   const run = 1 + Math.max(...members.map(member => member.lastRun));
-  const before = candidates.map(
-    ({free, fillRoomMilliprocessors, allowance}) => ({
-      free,
-      fillRoomMilliprocessors,
-      allowance,
-    }),
-  );
-  const planned: PlannedRun[] = [];
-  const used = usedWorkers(waiting);
-  for (const reference of tasks) {
-    const candidate = chooseWorker(round, waiting, reference, candidates, used);
-    if (!candidate) {
-      for (const [index, each] of candidates.entries()) {
-        Object.assign(each, before[index]);
-      }
-      return [];
-    }
-    take(round, reference, candidate, used);
-    planned.push({reference, worker: candidate.view, run});
-  }
-  return planned;
-}
-
-function take(
-  round: PlacementRound,
-  reference: TaskReference,
-  candidate: PlacementCandidate,
-  used: Map<string, number>,
-): void {
-  candidate.take(reference.step, round.interference);
-  const {key} = candidate.view;
-  used.set(key, (used.get(key) ?? 0) + 1);
+  const restores = candidates.map(candidate => candidate.save());
+  const planned = placeTasks(round, waiting, candidates, run);
+  if (planned.length === tasks.length) return planned;
+  for (const restore of restores) restore();
+  return [];
 }
 
 /** How many tasks of the step each worker has. */
@@ -251,20 +229,18 @@
 }
 
 function chooseWorker(
-  round: PlacementRound,
+  round: PlanningRound,
   waiting: WaitingStep,
   reference: TaskReference,
   candidates: readonly PlacementCandidate[],
   used: ReadonlyMap<string, number>,
 ): PlacementCandidate | undefined {
   const {step} = reference;
-  const allowed = round.allowedWorkers?.(reference);
   let best: PlacementCandidate | undefined;
   let bestScore = -Infinity;
   for (const candidate of candidates) {
     const {view} = candidate;
     if (view.traits.service !== waiting.terms.service) continue;
-    if (allowed && !allowed.has(view.traits.incarnation)) continue;
     if (!candidate.mayRun(step, used.get(view.key) ?? 0)) continue;
     const score = scoreOf(round, reference, candidate, used);
     if (score <= bestScore) continue;
@@ -276,7 +252,7 @@
 
 /** Larger is better: the share of processors that stay unused, less penalties. */
 function scoreOf(
-  round: PlacementRound,
+  round: PlanningRound,
   reference: TaskReference,
   candidate: PlacementCandidate,
   used: ReadonlyMap<string, number>,
@@ -306,16 +282,21 @@
 }
 
 /** Whether the workflow has waited long enough to press on tails. */
-function mayPress(round: PlacementRound, reference: TaskReference): boolean {
+function mayPress(round: PlanningRound, reference: TaskReference): boolean {
   const {workflow, occurrence} = reference;
   for (const {task} of workflow.tasks()) {
     if (task.placements.length > 0) return false;
   }
   if (round.wallNow - occurrence.dueAtMillis < LONGEST_WAIT_MILLIS)
     return false;
+  return round.isPoolIdle;
+}
+
+/** Whether much of the pool's processors is not reserved. */
+function isPoolIdle(workers: readonly WorkerView[]): boolean {
   let capacity = 0;
   let reserved = 0;
-  for (const view of round.workers) {
+  for (const view of workers) {
     capacity += view.traits.room.milliprocessors;
     reserved += view.reserved.milliprocessors;
   }
--- a/src/decisions/workflows/progress_watch.ts
+++ b/src/decisions/workflows/progress_watch.ts
@@ -82,8 +82,10 @@
 
   /** Nothing more is to be known of the workflow. */
   forgetWorkflow(id: string): void {
-    for (const step of this.durations.keys()) {
-      if (step.startsWith(`${id}.`)) this.durations.delete(step);
+    for (const known of [this.progress, this.durations]) {
+      for (const name of known.keys()) {
+        if (name.startsWith(`${id}.`)) known.delete(name);
+      }
     }
   }
 
--- a/src/decisions/workflows/tail_throttle.ts
+++ b/src/decisions/workflows/tail_throttle.ts
@@ -28,10 +28,6 @@
   private percent = FULL_PERCENT;
   private calmLooks = 0;
 
-  get share(): number {
-    return this.percent;
-  }
-
   /** The percent from now on, given a new measurement of all serving runs. */
   decide(tails: readonly ServingTail[]): number {
     const worst = Math.max(
--- a/src/decisions/workflows/task_state.ts
+++ b/src/decisions/workflows/task_state.ts
@@ -26,11 +26,6 @@
     return this.placements.find(placement => placement.run === run);
   }
 
-  /** Runs that are to go on. */
-  get wantedPlacements(): readonly Placement[] {
-    return this.placements.filter(placement => !placement.stopping);
-  }
-
   close(run: number): void {
     this.placements = this.placements.filter(each => each.run !== run);
   }
--- a/src/decisions/workflows/worker_view.ts
+++ b/src/decisions/workflows/worker_view.ts
@@ -1,7 +1,7 @@
 import type {WorkerReport, WorkerRun} from '../../backends/leased_worker.js';
 import {NO_RESOURCES, addResources} from '../../utilities/resources.js';
 import type {Resources} from '../../utilities/resources.js';
-import {runKey} from './task_name.js';
+import type {Tail} from './fill_interference.js';
 import type {PlacedRun} from './workflow.js';
 
 /** A run above it counts as not slowed. */
@@ -92,8 +92,8 @@
   }
 
   /** Tails of the serving tasks here, as shares of their targets. */
-  get tails(): Array<{image: string; ratio: number}> {
-    const tails: Array<{image: string; ratio: number}> = [];
+  get tails(): Tail[] {
+    const tails: Tail[] = [];
     for (const [name, {reference}] of this.placed) {
       const {tailTargetMillis, image} = reference.step;
       if (tailTargetMillis === 0) continue;
@@ -102,10 +102,6 @@
     }
     return tails;
   }
-
-  runOf(task: string, run: number): WorkerRun | undefined {
-    return this.running.get(runKey(task, run));
-  }
 }
 
 /** Filling tasks reserve memory and accelerators, and no processors. */
--- a/src/decisions/workflows/workflow.ts
+++ b/src/decisions/workflows/workflow.ts
@@ -132,12 +132,6 @@
     );
   }
 
-  /** Whether some task of the step is not done, and its turn has come. */
-  isStepCurrent(occurrence: Occurrence, step: number): boolean {
-    const isDone = occurrence.tasks[step].every(task => task.done);
-    return !isDone && this.isStepOpen(occurrence, step);
-  }
-
   /** Gives out the next run of a task. */
   place({task}: TaskReference, worker: string, run = task.lastRun + 1): number {
     task.lastRun = run;
--- a/src/decisions/workflows/workflow_timing.ts
+++ b/src/decisions/workflows/workflow_timing.ts
@@ -10,22 +10,25 @@
   workflow: Workflow,
   occurrence: Occurrence,
 ): number {
-  const {steps} = workflow.spec;
-  const ends: number[] = [];
-  for (const [index, step] of steps.entries()) {
-    const begin = Math.max(0, ...step.after.map(earlier => ends[earlier]));
+  return longestChain(workflow.spec.steps, (step, index) => {
     const isDone = occurrence.tasks[index].every(task => task.done);
-    ends.push(isDone ? 0 : begin + step.estimateMillis);
-  }
-  return Math.max(0, ...ends);
+    return isDone ? 0 : step.estimateMillis;
+  });
 }
 
 /** The longest chain of all steps, in milliseconds. */
 export function wholeChainMillis(workflow: Workflow): number {
+  return longestChain(workflow.spec.steps, step => step.estimateMillis);
+}
+
+function longestChain(
+  steps: readonly StepSpec[],
+  millisOf: (step: StepSpec, index: number) => number,
+): number {
   const ends: number[] = [];
-  for (const step of workflow.spec.steps) {
+  for (const [index, step] of steps.entries()) {
     const begin = Math.max(0, ...step.after.map(earlier => ends[earlier]));
-    ends.push(begin + step.estimateMillis);
+    ends.push(begin + millisOf(step, index));
   }
   return Math.max(0, ...ends);
 }
--- a/src/entry/workflows/commit_log.ts
+++ b/src/entry/workflows/commit_log.ts
@@ -7,12 +7,13 @@
 import {StoreRefusedError} from '../../backends/platform_errors.js';
 import {Events} from '../../observability/events.js';
 import type {Logger} from '../../observability/logger.js';
-import type {Metrics} from '../../observability/metrics.js';
+import type {LatencyHistogram, Metrics} from '../../observability/metrics.js';
 import {messageOf} from '../../utilities/base_error.js';
 import type {Clock} from '../../utilities/clock.js';
 import {decodeOwner, encodeOwner} from '../../protocol/owner_record.js';
 import type {OwnerRecord} from '../../protocol/owner_record.js';
 import {StoreKeys} from '../../protocol/store_keys.js';
+import {pause} from '../../utilities/pause.js';
 
 /** A transaction takes 32 rows; two are the owner's key and its condition. */
 const MAXIMUM_ROWS = 28;
@@ -54,11 +55,16 @@
   private sequence: number;
   private revision: number;
   private running = false;
+  private readonly commitTimes: LatencyHistogram;
   private closedReason: string | undefined;
 
   constructor(private readonly options: CommitLogOptions) {
     this.sequence = options.owner.sequence;
     this.revision = options.revision;
+    this.commitTimes = options.metrics.latency(
+      'commit_seconds',
+      'From a decision being sent to its commit.',
+    );
   }
 
   /** Whether everything that was decided is durable. */
@@ -101,7 +107,7 @@
   private async commitNext(): Promise<void> {
     const {puts, removals, effects} = this.takeBatch();
     const sequence = this.sequence + 1;
-    const {owner, clock, metrics} = this.options;
+    const {owner, clock} = this.options;
     const value = encodeOwner({...owner, sequence});
     const begunAt = clock.now();
     const committed = await this.untilDecided(
@@ -111,9 +117,7 @@
     );
     if (!committed || this.closedReason !== undefined) return;
     this.sequence = sequence;
-    metrics
-      .latency('commit_seconds', 'From a decision being sent to its commit.')
-      .record(clock.now() - begunAt);
+    this.commitTimes.record(clock.now() - begunAt);
     for (const effect of effects) effect();
   }
 
@@ -170,7 +174,7 @@
           return false;
         }
         logger.event(Events.COMMIT_RETRIED, {reason, tries, sequence});
-        await this.pause(RETRY_MILLIS);
+        await pause(this.options.clock, RETRY_MILLIS);
       }
     }
     return false;
@@ -189,9 +193,4 @@
     // An earlier try was written although its answer was lost.
     return record.sequence === sequence ? standing.revision : undefined;
   }
-
-  private pause(millis: number): Promise<void> {
-    const {clock} = this.options;
-    return new Promise(resolve => clock.schedule(millis, resolve));
-  }
 }
--- a/src/entry/workflows/configuration_follower.ts
+++ b/src/entry/workflows/configuration_follower.ts
@@ -5,6 +5,7 @@
 import type {Logger} from '../../observability/logger.js';
 import {messageOf} from '../../utilities/base_error.js';
 import type {Clock} from '../../utilities/clock.js';
+import {pause} from '../../utilities/pause.js';
 
 /** Half of the time in which a change has to be in force. */
 const POLL_MILLIS = 1_000;
@@ -76,7 +77,10 @@
   private async poll(): Promise<void> {
     while (!this.closed) {
       await this.read();
-      await this.pause(this.current ? POLL_MILLIS : FIRST_POLL_MILLIS);
+      await pause(
+        this.options.clock,
+        this.current ? POLL_MILLIS : FIRST_POLL_MILLIS,
+      );
     }
   }
 
@@ -87,7 +91,7 @@
       try {
         revision ??= await this.read();
         if (revision === undefined) {
-          await this.pause(WATCH_PAUSE_MILLIS);
+          await pause(this.options.clock, WATCH_PAUSE_MILLIS);
           continue;
         }
         const changes = await store.changesAfter(
@@ -102,7 +106,7 @@
         const reason = messageOf(error);
         logger.event(Events.OPERATOR_KEYS_STALE, {reason, keys: 'watch'});
         revision = undefined;
-        await this.pause(WATCH_PAUSE_MILLIS);
+        await pause(this.options.clock, WATCH_PAUSE_MILLIS);
       }
     }
   }
@@ -158,8 +162,4 @@
     logger.event(Events.DOMAIN_EVACUATED, {failureDomains: after});
     onChange();
   }
-
-  private pause(millis: number): Promise<void> {
-    return new Promise(resolve => this.options.clock.schedule(millis, resolve));
-  }
 }
--- a/src/entry/workflows/end_acknowledgements.ts
+++ b/src/entry/workflows/end_acknowledgements.ts
@@ -4,7 +4,6 @@
  */
 export class EndAcknowledgements {
   private readonly waiting = new Map<number, boolean>();
-  private highestSeen = 0;
   private durable = 0;
 
   /** Ends up to this number can't be lost. */
@@ -16,7 +15,6 @@
   begin(number: number): boolean {
     if (number <= this.durable || this.waiting.has(number)) return false;
     this.waiting.set(number, false);
-    this.highestSeen = Math.max(this.highestSeen, number);
     return true;
   }
 
--- a/src/entry/workflows/pool_entry.ts
+++ b/src/entry/workflows/pool_entry.ts
@@ -22,6 +22,7 @@
 } from '../../protocol/pool_links.js';
 import {messageOf} from '../../utilities/base_error.js';
 import type {Clock} from '../../utilities/clock.js';
+import {pause} from '../../utilities/pause.js';
 import type {ApiAnswer, ApiCall} from '../http/api_types.js';
 import {ConfigurationFollower} from './configuration_follower.js';
 import type {OperatorDocuments} from './configuration_follower.js';
@@ -210,9 +211,7 @@
         const reason = messageOf(error);
         logger.event(Events.REGISTRATION_FAILED, {reason});
       }
-      await new Promise<void>(resolve =>
-        clock.schedule(REGISTRATION_PAUSE_MILLIS, resolve),
-      );
+      await pause(clock, REGISTRATION_PAUSE_MILLIS);
     }
   }
 }
--- a/src/entry/workflows/pool_owner.ts
+++ b/src/entry/workflows/pool_owner.ts
@@ -38,6 +38,7 @@
 import {CommitLog} from './commit_log.js';
 import type {LeaseValidity} from './lease_validity.js';
 import type {OwnerRecord} from '../../protocol/owner_record.js';
+import {PoolAttachments} from './pool_attachments.js';
 import {RetryNotes} from './retry_notes.js';
 import {RunSupervisor} from './run_supervisor.js';
 import {lastPart, specKey, StoreKeys} from '../../protocol/store_keys.js';
@@ -46,7 +47,7 @@
   isRunOutcome,
   WorkerAttachment,
 } from './worker_attachment.js';
-import {agentOf, WorkerRoster} from './worker_roster.js';
+import {agentOf, workerKey, WorkerRoster} from './worker_roster.js';
 import {WorkflowBook} from './workflow_book.js';
 
 const TICK_MILLIS = 100;
@@ -59,9 +60,6 @@
 const FRESH_MILLIS = 1_200;
 /** A worker that did not answer its agent for this long is given nothing. */
 const SILENT_MILLIS = 900;
-/** Workers' clocks may be this much slow. */
-const CLOCK_DRIFT = 1.02;
-const LAPSE_MARGIN_MILLIS = 300;
 
 export interface PoolOwnerOptions {
   readonly store: TransactionalStore;
@@ -93,8 +91,7 @@
   private readonly roster = new WorkerRoster();
   private readonly supervisor: RunSupervisor;
   private readonly retries: RetryNotes;
-  private readonly attachments = new Map<string, WorkerAttachment>();
-  private readonly lastGrants = new Map<string, number>();
+  private readonly attachments: PoolAttachments;
   private readonly lastTerms = new Map<string, QueueTerms>();
   private readonly ownedSince: number;
   private readonly timers = new Set<Timer>();
@@ -105,6 +102,7 @@
   constructor(private readonly options: PoolOwnerOptions) {
     const {clock, store, logger, metrics, owner, revision} = options;
     this.ownedSince = clock.now();
+    this.attachments = new PoolAttachments(options);
     this.retries = new RetryNotes(
       clock,
       id => this.book.get(id)?.isOpen ?? false,
@@ -132,9 +130,9 @@
       attachedWorkers: () => this.attachedWorkers(),
       usableWorkers: () => this.usableWorkers(clock.now()),
       sendStop: (worker, task, run) =>
-        this.attachmentTo(worker)?.stop(task, run),
+        this.attachments.to(worker)?.stop(task, run),
       sendPace: (worker, task, run, percent) =>
-        this.attachmentTo(worker)?.pace(task, run, percent),
+        this.attachments.to(worker)?.pace(task, run, percent),
     });
   }
 
@@ -190,13 +188,13 @@
       epoch: this.epoch,
       leaseMillis: () => this.leaseMillis(),
       news: {
-        onAttached: from => this.noteAttached(from),
+        onAttached: from => this.attachments.add(from),
         onWorker: (agent, traits) => this.meet(agent, traits),
         onEnd: (view, end, effect) => this.takeEnd(view, end, effect),
         onRefusal: (view, result) => this.takeResult(view, result),
         onListing: view => this.takeListing(view),
         onLapsed: view => this.loseRuns(view.key, 'the lease has lapsed'),
-        onDetached: (from, reason) => this.detach(from, reason),
+        onDetached: (from, reason) => this.attachments.remove(from, reason),
         describeRun: task => this.describe(task),
       },
     });
@@ -245,7 +243,7 @@
       workflowsWithNotes: this.retries.size,
       workers: this.roster.all.map(view => ({
         worker: view.key,
-        isAttached: this.attachments.has(view.agent),
+        isAttached: this.attachments.hasAgent(view.agent),
         heardMillisAgo: Math.round(now - view.heardAt),
         silentMillis: view.silentMillis,
         draining: view.traits.draining,
@@ -272,9 +270,7 @@
     this.closedReason = reason;
     for (const timer of this.timers) timer.cancel();
     this.commits.close(reason);
-    for (const attachment of [...this.attachments.values()]) {
-      attachment.close(reason);
-    }
+    this.attachments.close(reason);
   }
 
   private restore(
@@ -312,10 +308,8 @@
 
   private meet(agent: string, traits: WorkerTraits): WorkerView {
     const {logger} = this.options;
-    const isKnown = this.roster.all.some(
-      view =>
-        view.agent === agent && view.traits.incarnation === traits.incarnation,
-    );
+    const key = workerKey(agent, traits.incarnation);
+    const isKnown = this.roster.get(key) !== undefined;
     const view = this.roster.report(agent, traits);
     if (isKnown) return view;
     logger.event(Events.WORKER_JOINED, {
@@ -342,31 +336,6 @@
     }
   }
 
-  private detach(attachment: WorkerAttachment, reason: string): void {
-    const {agent, view, grantedAt} = attachment;
-    this.noteGrant(agent, grantedAt);
-    if (this.attachments.get(agent) !== attachment) return;
-    this.attachments.delete(agent);
-    this.options.logger.event(Events.WORKER_GONE, {
-      worker: view?.key ?? agent,
-      reason,
-    });
-  }
-
-  private noteGrant(agent: string, grantedAt: number): void {
-    const last = this.lastGrants.get(agent) ?? -Infinity;
-    this.lastGrants.set(agent, Math.max(last, grantedAt));
-  }
-
-  /** The agent has said who it is. */
-  private noteAttached(attachment: WorkerAttachment): void {
-    const {agent} = attachment;
-    const before = this.attachments.get(agent);
-    if (before === attachment) return;
-    this.attachments.set(agent, attachment);
-    before?.close('the agent has attached anew');
-  }
-
   private takeEnd(view: WorkerView, end: RunEnd, effect: () => void): void {
     const {clock, logger} = this.options;
     const name = parseTaskName(end.task);
@@ -402,19 +371,13 @@
     });
   }
 
-  /** The stream to a worker, if its agent is attached and it is that life. */
-  private attachmentTo(worker: string): WorkerAttachment | undefined {
-    const attachment = this.attachments.get(agentOf(worker));
-    return attachment?.view?.key === worker ? attachment : undefined;
-  }
-
   /** Tells the workers of all runs that are to end. */
   private stopRuns(workflow: Workflow): void {
     for (const reference of workflow.tasks()) {
       for (const placement of reference.task.placements) {
         if (!placement.stopping) continue;
         const {worker, run} = placement;
-        this.attachmentTo(worker)?.stop(taskNameOf(reference), run);
+        this.attachments.to(worker)?.stop(taskNameOf(reference), run);
       }
     }
   }
@@ -468,26 +431,19 @@
   }
 
   private tick(): void {
-    for (const attachment of this.attachments.values()) {
-      this.noteGrant(attachment.agent, attachment.grantedAt);
-    }
+    this.attachments.noteGrants();
     this.loseUnreachable();
     this.supervisor.moveStalledFills();
     this.supervisor.moveFromLeaving();
-    if (this.book.openDue(this.options.clock.wallTime())) this.schedulePlan();
+    this.book.openDue(this.options.clock.wallTime());
     this.schedulePlan();
   }
 
-  /** Runs whose lease has ended, since nobody can have prolonged it. */
+  /** Runs whose lease has ended for sure. */
   private loseUnreachable(): void {
-    const {clock, ownerTtlMillis, runLeaseMillis} = this.options;
-    const now = clock.now();
-    const longest = runLeaseMillis * CLOCK_DRIFT + LAPSE_MARGIN_MILLIS;
     for (const key of this.roster.occupiedKeys) {
-      const granted = this.lastGrants.get(agentOf(key)) ?? -Infinity;
-      // The owner before this one may not have known of its end at once.
-      const last = Math.max(granted, this.ownedSince + ownerTtlMillis);
-      if (now > last + longest) this.loseRuns(key, 'the agent is not heard');
+      if (!this.attachments.hasLapsed(key)) continue;
+      this.loseRuns(key, 'the agent is not heard');
     }
   }
 
@@ -548,7 +504,7 @@
     for (const {reference, worker, run} of planned) {
       const task = taskNameOf(reference);
       const placed = this.book.place(reference, worker, run, durable =>
-        this.attachmentTo(worker.key)?.start(durable),
+        this.attachments.to(worker.key)?.start(durable),
       );
       logger.event(Events.RUN_PLACED, {
         task,
@@ -563,9 +519,7 @@
   }
 
   private attachedWorkers(): WorkerView[] {
-    return this.roster.all.filter(
-      view => this.attachments.get(view.agent)?.view === view,
-    );
+    return this.roster.all.filter(view => this.attachments.isCurrent(view));
   }
 
   private usableWorkers(now: number): WorkerView[] {
--- a/src/entry/workflows/pool_ownership.ts
+++ b/src/entry/workflows/pool_ownership.ts
@@ -5,12 +5,14 @@
 import {messageOf} from '../../utilities/base_error.js';
 import type {Clock} from '../../utilities/clock.js';
 import {withDeadline} from '../../utilities/deadline.js';
+import {momentOf} from '../../utilities/moment.js';
 import {LeaseValidity} from './lease_validity.js';
 import {decodeOwner, encodeOwner} from '../../protocol/owner_record.js';
 import type {OwnerRecord} from '../../protocol/owner_record.js';
 import type {StoreHealth} from './store_health.js';
 import type {PoolOwner} from './pool_owner.js';
 import {StoreKeys} from '../../protocol/store_keys.js';
+import {pause} from '../../utilities/pause.js';
 
 /**
  * Time without the store after which another entry may own the pool; several
@@ -107,7 +109,7 @@
         const reason = messageOf(error);
         this.options.logger.event(Events.POOL_CLAIM_FAILED, {reason});
       }
-      await this.pause(POLL_MILLIS);
+      await pause(this.options.clock, POLL_MILLIS);
     }
   }
 
@@ -128,7 +130,7 @@
     if (this.closedReason !== undefined || !this.options.isEligible()) return;
     const {store, clock, processName, address} = this.options;
     const validity = new LeaseValidity(clock, OWNER_TTL_MILLIS);
-    const moment = validity.moment();
+    const moment = momentOf(clock);
     const lease = await store.grantLease(OWNER_TTL_MILLIS);
     validity.noteRenewal(moment);
     const owner: OwnerRecord = {
@@ -200,7 +202,10 @@
     while (this.closedReason === undefined) {
       const renewed = await this.renewOnce();
       this.deposeIfLapsed();
-      await this.pause(renewed ? RENEWAL_MILLIS : RENEWAL_RETRY_MILLIS);
+      await pause(
+        this.options.clock,
+        renewed ? RENEWAL_MILLIS : RENEWAL_RETRY_MILLIS,
+      );
     }
   }
 
@@ -217,11 +222,10 @@
   private async renewOnce(): Promise<boolean> {
     const {claim} = this;
     if (!claim) return true;
-    const moment = claim.validity.moment();
+    const {store, health, clock} = this.options;
+    const moment = momentOf(clock);
     try {
-      const {store, health} = this.options;
       const renewal = health.watch(store.keepLeaseAlive(claim.owner.leaseId));
-      const {clock} = this.options;
       const holds = await withDeadline(clock, RENEWAL_ANSWER_MILLIS, renewal);
       if (holds === undefined) return false;
       if (holds) claim.validity.noteRenewal(moment);
@@ -236,8 +240,4 @@
       return false;
     }
   }
-
-  private pause(millis: number): Promise<void> {
-    return new Promise(resolve => this.options.clock.schedule(millis, resolve));
-  }
 }
--- a/src/entry/workflows/worker_attachment.ts
+++ b/src/entry/workflows/worker_attachment.ts
@@ -159,10 +159,16 @@
   private reconcile(view: WorkerView, starting: ReadonlySet<string>): void {
     for (const [name, placed] of view.placed) {
       if (starting.has(name)) continue;
-      const isRunning = view.running.has(name);
-      if (placed.placement.stopping) this.stopAgain(name, placed);
-      else if (!isRunning) this.startAgain(name, placed);
-      else this.sentAt.delete(name);
+      const {reference, placement} = placed;
+      if (!placement.stopping && view.running.has(name)) {
+        this.sentAt.delete(name);
+      } else if (this.isRecent(name)) {
+        continue;
+      } else if (placement.stopping) {
+        this.stop(taskNameOf(reference), placement.run);
+      } else {
+        this.start(placed);
+      }
     }
     view.unexpected.clear();
     for (const [name, run] of view.running) {
@@ -170,16 +176,6 @@
     }
   }
 
-  private startAgain(name: string, placed: PlacedRun): void {
-    if (this.isRecent(name)) return;
-    this.start(placed);
-  }
-
-  private stopAgain(name: string, {reference, placement}: PlacedRun): void {
-    if (this.isRecent(name)) return;
-    this.stop(taskNameOf(reference), placement.run);
-  }
-
   /** Has the worker end a run, or never begin it. */
   stop(task: string, run: number): void {
     const {view} = this;
--- a/src/entry/workflows/workflow_acceptor.ts
+++ b/src/entry/workflows/workflow_acceptor.ts
@@ -47,17 +47,20 @@
   /** Resolves at the latest a second after the call. */
   async submit(spec: WorkflowSpec): Promise<Acceptance> {
     const {id} = spec;
-    const {clock, health} = this.options;
-    if (health.isAway) return this.refuse(id, 'the store is away');
-    const stored = this.store(spec);
-    const acceptance = await withDeadline(clock, ANSWER_MILLIS, stored);
-    return acceptance ?? this.giveUp(id, 'the store has not answered yet');
+    if (this.options.health.isAway) return this.refuse(id, 'the store is away');
+    return this.inTime(id, this.store(spec));
   }
 
   /** Resolves at the latest a second after the call. */
-  async cancel(id: string): Promise<Acceptance> {
+  cancel(id: string): Promise<Acceptance> {
+    return this.inTime(id, this.storeCancellation(id));
+  }
+
+  private async inTime(
+    id: string,
+    stored: Promise<Acceptance>,
+  ): Promise<Acceptance> {
     const {clock} = this.options;
-    const stored = this.storeCancellation(id);
     const acceptance = await withDeadline(clock, ANSWER_MILLIS, stored);
     return acceptance ?? this.giveUp(id, 'the store has not answered yet');
   }
--- a/src/entry/workflows/workflow_book.ts
+++ b/src/entry/workflows/workflow_book.ts
@@ -173,14 +173,10 @@
   }
 
   /** Opens what is due on a schedule by the calendar time. */
-  openDue(now: number): boolean {
-    let opened = false;
+  openDue(now: number): void {
     for (const workflow of this.open.values()) {
-      if (!workflow.openDue(now)) continue;
-      opened = true;
-      this.commit(workflow);
+      if (workflow.openDue(now)) this.commit(workflow);
     }
-    return opened;
   }
 
   /** Forgets what ended before the calendar time, here and in the store. */
--- a/src/platform/platform_store.ts
+++ b/src/platform/platform_store.ts
@@ -14,6 +14,7 @@
   TransactionResult,
 } from '../backends/transactional_store.js';
 import {messageOf} from '../utilities/base_error.js';
+import {parseAnswer} from './received_json.js';
 
 /** Twice the slow answers of a store that is a hundred times slower. */
 const DEFAULT_TIMEOUT_MILLIS = 1_000;
@@ -180,14 +181,12 @@
   throw new StoreRefusedError(message);
 }
 
-function decode<Body>(answer: HttpAnswer): Body {
-  try {
-    return JSON.parse(answer.body.toString('utf8') || '{}') as Body;
-  } catch (error) {
-    throw new StoreUnavailableError("The store's answer is not JSON.", {
-      cause: error,
-    });
-  }
+function decode<Body>({body}: HttpAnswer): Body {
+  return parseAnswer<Body>(
+    body,
+    cause =>
+      new StoreUnavailableError("The store's answer is not JSON.", {cause}),
+  );
 }
 
 function toStoredValue(item: WireItem): StoredValue {
--- a/src/platform/platform_worker.ts
+++ b/src/platform/platform_worker.ts
@@ -16,6 +16,7 @@
   WorkerUnavailableError,
 } from '../backends/platform_errors.js';
 import {messageOf} from '../utilities/base_error.js';
+import {parseAnswer} from './received_json.js';
 
 /** The worker is on the same machine; longer than a busy one takes. */
 const CALL_TIMEOUT_MILLIS = 500;
@@ -154,14 +155,12 @@
   throw new WorkerRefusedError(reason);
 }
 
-function decode<Body>(answer: HttpAnswer): Body {
-  try {
-    return JSON.parse(answer.body.toString('utf8') || '{}') as Body;
-  } catch (error) {
-    throw new WorkerUnavailableError("The worker's answer is not JSON.", {
-      cause: error,
-    });
-  }
+function decode<Body>({body}: HttpAnswer): Body {
+  return parseAnswer<Body>(
+    body,
+    cause =>
+      new WorkerUnavailableError("The worker's answer is not JSON.", {cause}),
+  );
 }
 
 function toRun(row: unknown): WorkerRun[] {
--- a/src/platform/received_json.ts
+++ b/src/platform/received_json.ts
@@ -9,3 +9,19 @@
     return undefined;
   }
 }
+
+/**
+ * The body of an answer; an empty one is an empty object.
+ *
+ * @throws What `toError` makes of a body that is not JSON.
+ */
+export function parseAnswer<Body>(
+  body: Buffer,
+  toError: (cause: unknown) => Error,
+): Body {
+  try {
+    return JSON.parse(body.toString('utf8') || '{}') as Body;
+  } catch (error) {
+    throw toError(error);
+  }
+}
--- a/src/protocol/grpc_links.ts
+++ b/src/protocol/grpc_links.ts
@@ -92,11 +92,8 @@
     request: ForwardCallRequest,
     deadlineMillis: number,
   ): Promise<ForwardCallReply> {
-    return this.channel.call(
-      'ForwardCall',
-      deadlineMillis,
-      (stub, metadata, options, callback) =>
-        stub.forwardCall(request, metadata, options, callback),
+    return this.channel.call('ForwardCall', deadlineMillis, (stub, ...rest) =>
+      stub.forwardCall(request, ...rest),
     );
   }
 
@@ -104,8 +101,7 @@
     return this.channel.call(
       'ExchangePeers',
       PEER_DEADLINE_MILLIS,
-      (stub, metadata, options, callback) =>
-        stub.exchangePeers(request, metadata, options, callback),
+      (stub, ...rest) => stub.exchangePeers(request, ...rest),
     );
   }
 
@@ -131,8 +127,7 @@
     return this.channel.call(
       'Serve',
       request.deadlineMillis + ANSWER_GRACE_MILLIS,
-      (stub, metadata, options, callback) =>
-        stub.serve(request, metadata, options, callback),
+      (stub, ...rest) => stub.serve(request, ...rest),
     );
   }
 
@@ -164,8 +159,7 @@
     return this.channel.call(
       'DumpState',
       CONTROL_DEADLINE_MILLIS,
-      (stub, metadata, options, callback) =>
-        stub.dumpState({}, metadata, options, callback),
+      (stub, ...rest) => stub.dumpState({}, ...rest),
     );
   }
 
--- a/src/protocol/grpc_pool_links.ts
+++ b/src/protocol/grpc_pool_links.ts
@@ -69,8 +69,7 @@
     return this.channel.call(
       'FindOwner',
       CALL_DEADLINE_MILLIS,
-      (stub, metadata, options, callback) =>
-        stub.findOwner({}, metadata, options, callback),
+      (stub, ...rest) => stub.findOwner({}, ...rest),
     );
   }
 
@@ -78,8 +77,7 @@
     return this.channel.call(
       'NoteWorkflow',
       CALL_DEADLINE_MILLIS,
-      (stub, metadata, options, callback) =>
-        stub.noteWorkflow(request, metadata, options, callback),
+      (stub, ...rest) => stub.noteWorkflow(request, ...rest),
     );
   }
 
@@ -87,8 +85,7 @@
     return this.channel.call(
       'ShowWorkflow',
       CALL_DEADLINE_MILLIS,
-      (stub, metadata, options, callback) =>
-        stub.showWorkflow(request, metadata, options, callback),
+      (stub, ...rest) => stub.showWorkflow(request, ...rest),
     );
   }
 
@@ -96,8 +93,7 @@
     return this.channel.call(
       'CountWaiting',
       CALL_DEADLINE_MILLIS,
-      (stub, metadata, options, callback) =>
-        stub.countWaiting(request, metadata, options, callback),
+      (stub, ...rest) => stub.countWaiting(request, ...rest),
     );
   }
 
