Add switches for optional parts of the scheduler

Cause: the parts for scarce capacity must be off unless a deployment's settings turn them on. Change: the settings file that the template renders has a section `scheduling`; an unknown name in it is an error that names it. Result: all features off; decisions are those of before. Tests of platform, docs and the daemon pass.

--- a/src/daemon/fleet_entry_role.ts
+++ b/src/daemon/fleet_entry_role.ts
@@ -76,6 +76,7 @@
       },
       runLeaseMillis: runLeaseMillis(settings),
       retentionMillis: settings.keptMillis,
+      features: settings.features,
       clock: new SystemClock(),
       logger,
       metrics,
--- a/src/decisions/workflows/workflow.ts
+++ b/src/decisions/workflows/workflow.ts
@@ -266,6 +266,11 @@
   readonly placement: Placement;
   /** True if the placement is stored, so that its start may be ordered. */
   isDurable: boolean;
+  /**
+   * Time on the owner's clock at which the start was confirmed; undefined
+   * before that, and for a run that an earlier owner started.
+   */
+  startedAt?: number;
 }
 
 /** Returns the name of the task in the form that workers use. */
--- a/src/entry/workflows/pool_entry.ts
+++ b/src/entry/workflows/pool_entry.ts
@@ -1,4 +1,5 @@
 import type {TransactionalStore} from '../../backends/transactional_store.js';
+import type {SchedulingFeatures} from '../../decisions/workflows/scheduling_features.js';
 import {decodeSpec} from '../../decisions/workflows/workflow_codec.js';
 import {Events} from '../../observability/events.js';
 import type {Logger} from '../../observability/logger.js';
@@ -53,6 +54,7 @@
   readonly runLeaseMillis: number;
   /** How long the state of an ended workflow is kept. */
   readonly retentionMillis: number;
+  readonly features: SchedulingFeatures;
   readonly clock: Clock;
   readonly logger: Logger;
   readonly metrics: Metrics;
@@ -99,6 +101,7 @@
           ownerTtlMillis: OWNER_TTL_MILLIS,
           runLeaseMillis: options.runLeaseMillis,
           retentionMillis: options.retentionMillis,
+          features: options.features,
           onDeposed,
         }),
     });
--- a/src/entry/workflows/pool_owner.ts
+++ b/src/entry/workflows/pool_owner.ts
@@ -1,4 +1,5 @@
 import type {TransactionalStore} from '../../backends/transactional_store.js';
+import type {SchedulingFeatures} from '../../decisions/workflows/scheduling_features.js';
 import {planPlacements} from '../../decisions/workflows/placement_planner.js';
 import {parseTaskName, runKey} from '../../decisions/workflows/task_name.js';
 import {taskNameOf} from '../../decisions/workflows/workflow.js';
@@ -80,6 +81,7 @@
   readonly runLeaseMillis: number;
   /** How long the state of an ended workflow is kept. */
   readonly retentionMillis: number;
+  readonly features: SchedulingFeatures;
   readonly onDeposed: (reason: string) => void;
 }
 
@@ -408,8 +410,12 @@
   }
 
   private handleStartResult(view: WorkerView, result: RunStartResult): void {
-    if (result.refusal === '') return;
     const {clock, logger} = this.options;
+    if (result.refusal === '') {
+      const started = view.placed.get(runKey(result.task, result.run));
+      if (started) started.startedAt ??= clock.now();
+      return;
+    }
     const name = parseTaskName(result.task);
     if (!name) return;
     logger.event(Events.RUN_REFUSED, {
--- a/src/entry/workflows/run_supervisor.ts
+++ b/src/entry/workflows/run_supervisor.ts
@@ -1,5 +1,7 @@
 import {RunOutcome} from '../../backends/leased_worker.js';
 import {ImageInterference} from '../../decisions/workflows/image_interference.js';
+import type {DurationSource} from '../../decisions/workflows/durations/duration_source.js';
+import {SubmittedDurations} from '../../decisions/workflows/durations/submitted_durations.js';
 import {BestEffortPacer} from '../../decisions/workflows/best_effort_pacer.js';
 import {IdleWorkflows} from '../../decisions/workflows/idle_workflows.js';
 import {findRunsToMove} from '../../decisions/workflows/leaving_workers.js';
@@ -60,6 +62,7 @@
   readonly interference = new ImageInterference();
   readonly order = new WorkflowOrder();
   readonly idle = new IdleWorkflows();
+  readonly durations: DurationSource = new SubmittedDurations();
   private readonly stalledBestEffortRuns = new SlowedRunFinder();
   private readonly progressMonitor = new ProgressMonitor();
   private readonly pacer = new BestEffortPacer(
--- a/src/platform/platform_settings.ts
+++ b/src/platform/platform_settings.ts
@@ -1,14 +1,18 @@
 import {readFileSync} from 'node:fs';
 import {
   array,
+  boolean,
   fallback,
   flatten,
   number,
   object,
   optional,
   safeParse,
+  strictObject,
   string,
 } from 'valibot';
+import {NO_SCHEDULING_FEATURES} from '../decisions/workflows/scheduling_features.js';
+import type {SchedulingFeatures} from '../decisions/workflows/scheduling_features.js';
 import {BaseError} from '../utilities/base_error.js';
 import {parseJsonOrUndefined} from './json_parsing.js';
 
@@ -20,7 +24,7 @@
   'PlatformSettingsError',
 );
 
-const settingsSchema = object({
+const platformSchema = object({
   NodeName: string(),
   Ip: string(),
   Zone: string(),
@@ -46,6 +50,24 @@
   platform: object({Address: string()}),
 });
 
+const featureSchema = optional(boolean(), false);
+
+/** The file that the deploy template renders. */
+const settingsSchema = object({
+  platform: platformSchema,
+  scheduling: optional(
+    strictObject({
+      probes: featureSchema,
+      sharedInterference: featureSchema,
+      learnedDurations: featureSchema,
+      copies: featureSchema,
+      reservations: featureSchema,
+      admission: featureSchema,
+    }),
+    NO_SCHEDULING_FEATURES,
+  ),
+});
+
 /** Settings that the platform passes to a process of the fleet at its start. */
 export interface FleetProcessSettings {
   readonly processName: string;
@@ -71,6 +93,8 @@
   readonly maximumLeaseMillis: number;
   /** Time for which the state of an ended workflow is kept. */
   readonly keptMillis: number;
+  /** Optional parts of the scheduler that this deployment turns on. */
+  readonly features: SchedulingFeatures;
 }
 
 const MILLIS_PER_SECOND = 1_000;
@@ -99,7 +123,7 @@
         : 'The platform settings are not a JSON object.',
     );
   }
-  const {output: settings} = parsed;
+  const {platform: settings, scheduling: features} = parsed.output;
   const {Bounds: bounds, platform, Listen: listen, Limits: limits} = settings;
   return {
     processName: settings.NodeName,
@@ -115,5 +139,6 @@
     linkMegabits: limits.LinkMbps,
     maximumLeaseMillis: bounds.HoldMaxMs,
     keptMillis: bounds.status_s * MILLIS_PER_SECOND,
+    features,
   };
 }
--- a/tests/platform/documents.test.ts
+++ b/tests/platform/documents.test.ts
@@ -7,6 +7,7 @@
   parsePlatformSettings,
   PlatformSettingsError,
 } from '../../src/platform/platform_settings.js';
+import {NO_SCHEDULING_FEATURES} from '../../src/decisions/workflows/scheduling_features.js';
 import {
   decodeSubmission,
   isWorkflowId,
@@ -124,8 +125,41 @@
 });
 
 test('should name invalid settings', t => {
-  const error = t.throws(() => parsePlatformSettings('{"NodeName":"n"}'), {
+  const error = t.throws(
+    () => parsePlatformSettings('{"platform":{"NodeName":"n"}}'),
+    {
+      instanceOf: PlatformSettingsError,
+    },
+  );
+  t.regex(error.message, /Ip/);
+});
+
+const PLATFORM_SETTINGS = {
+  NodeName: 'front-1',
+  Ip: '10.1.0.13',
+  Zone: 'sfax-port',
+  PortRange: [7_720, 7_735],
+  Listen: {},
+  Bounds: {HoldMaxMs: 6_000, status_s: 120},
+  platform: {Address: '10.200.1.7:8169'},
+};
+
+test('should turn on only the scheduling features that settings name', t => {
+  const text = JSON.stringify({
+    scheduling: {copies: true},
+    platform: PLATFORM_SETTINGS,
+  });
+  const {features} = parsePlatformSettings(text);
+  t.deepEqual(features, {...NO_SCHEDULING_FEATURES, copies: true});
+});
+
+test('should name an unknown scheduling feature', t => {
+  const text = JSON.stringify({
+    scheduling: {copys: true},
+    platform: PLATFORM_SETTINGS,
+  });
+  const error = t.throws(() => parsePlatformSettings(text), {
     instanceOf: PlatformSettingsError,
   });
-  t.regex(error.message, /Ip/);
+  t.regex(error.message, /scheduling\.copys/);
 });
--- a/tests/workflows/fleet_daemon.test.ts
+++ b/tests/workflows/fleet_daemon.test.ts
@@ -24,7 +24,7 @@
 
 /** The settings of an agent, as the deploy file's template renders them. */
 function settingsOf([processPort, reportPort, storePort]: number[]): object {
-  return {
+  const platform = {
     NodeName: 'side-1',
     Ip: HOST,
     Zone: 'zone-1',
@@ -51,6 +51,7 @@
       TtlMinMs: 1_000,
     },
   };
+  return {scheduling: {}, platform};
 }
 
 /** Waits for a log line with the event, on standard output. */
@@ -96,7 +97,7 @@
 
 test('should name the invalid field of unusable settings', async t => {
   const file = join(mkdtempSync(join(tmpdir(), 'fleet-')), 'settings.json');
-  writeFileSync(file, JSON.stringify({NodeName: 'side-1', Ip: 5}));
+  writeFileSync(file, JSON.stringify({platform: {NodeName: 'side-1', Ip: 5}}));
   const env = {...process.env, BURDOCKMOOR_CONFIG: file};
   const child = spawn(process.execPath, [DAEMON, 'agent'], {env});
   let text = '';
