Limit unmeasured best-effort runs beside tails, and keep learned pairs

New owners knew no pair. Change: with the switch probes, a second unmeasured run starts beside a tail only if the likely maximum of its interference keeps the target. With sharedInterference, owners keep the pairs in the store.

--- a/src/decisions/workflows/image_interference.ts
+++ b/src/decisions/workflows/image_interference.ts
@@ -56,6 +56,14 @@
 const MINIMUM_ELAPSED_MILLIS = 300;
 const MAXIMUM_ELAPSED_MILLIS = 1_500;
 
+/** What was learned about a pair of images. */
+export interface LearnedPair {
+  readonly latencyCriticalImage: string;
+  readonly bestEffortImage: string;
+  readonly interference: number;
+  readonly variance: number;
+}
+
 interface Estimate {
   interference: number;
   variance: number;
@@ -71,6 +79,54 @@
 export class ImageInterference {
   /** By the latency-critical image, then by the best-effort one. */
   private readonly estimates = new Map<string, Map<string, Estimate>>();
+  private changes = 0;
+
+  /** Grows with each change of an estimate. */
+  get changeCount(): number {
+    return this.changes;
+  }
+
+  /** Returns all estimates that differ from the initial one. */
+  learnedPairs(): LearnedPair[] {
+    const pairs: LearnedPair[] = [];
+    for (const [latencyCriticalImage, ofImage] of this.estimates) {
+      for (const [bestEffortImage, estimate] of ofImage) {
+        pairs.push({latencyCriticalImage, bestEffortImage, ...estimate});
+      }
+    }
+    return pairs;
+  }
+
+  /** Adopts what an earlier owner of the pool has learned. */
+  restore(pairs: readonly LearnedPair[]): void {
+    for (const pair of pairs) {
+      const estimate = this.estimateOf(
+        pair.latencyCriticalImage,
+        pair.bestEffortImage,
+      );
+      estimate.interference = pair.interference;
+      estimate.variance = pair.variance;
+    }
+  }
+
+  /**
+   * Returns the upper end of what is likely for the pair: the estimate plus
+   * one standard deviation.
+   */
+  likelyMaximum(latencyCriticalImage: string, bestEffortImage: string): number {
+    const {interference, variance} = this.estimates
+      .get(latencyCriticalImage)
+      ?.get(bestEffortImage) ?? {
+      interference: INITIAL_INTERFERENCE,
+      variance: INITIAL_VARIANCE,
+    };
+    return interference + Math.sqrt(variance);
+  }
+
+  /** Returns the tail ratio; a usual one for a run without a measurement. */
+  ratioOf({ratio}: Tail): number {
+    return ratio < MINIMUM_RATIO ? UNMEASURED_RATIO : ratio;
+  }
 
   /**
    * Returns the logarithm of the factor by which the best-effort image would
@@ -109,9 +165,9 @@
 
   /** Returns the tail ratio expected if the image uses this much more. */
   expectedRatio(tail: Tail, bestEffortImage: string, share: number): number {
-    const ratio = tail.ratio < MINIMUM_RATIO ? UNMEASURED_RATIO : tail.ratio;
     return (
-      ratio * Math.exp(this.interferenceOf(tail.image, bestEffortImage) * share)
+      this.ratioOf(tail) *
+      Math.exp(this.interferenceOf(tail.image, bestEffortImage) * share)
     );
   }
 
@@ -132,6 +188,7 @@
       variance += estimate.variance * change ** 2;
       expected += estimate.interference * change;
     }
+    this.changes++;
     const error = Math.log(after.ratio / before.ratio) - expected;
     for (const {image, change} of changes) {
       const estimate = this.estimateOf(after.image, image);
--- a/src/decisions/workflows/placement_candidate.ts
+++ b/src/decisions/workflows/placement_candidate.ts
@@ -1,6 +1,7 @@
 import {fitsInto, subtractResources} from '../../utilities/resources.js';
 import type {Resources} from '../../utilities/resources.js';
 import type {ImageInterference, Tail} from './image_interference.js';
+import type {ProbeLimit} from './tails/probe_limit.js';
 import {reservedSize} from './worker_view.js';
 import type {WorkerView} from './worker_view.js';
 import type {TaskReference} from './workflow.js';
@@ -17,11 +18,13 @@
   allowance: number;
   /** Tail ratios, including the effect of placements of this round. */
   private tails: readonly Tail[];
+  private readonly measuredTails: readonly Tail[];
 
   constructor(
     readonly view: WorkerView,
     allowance: number,
     readonly suspicion: number,
+    private readonly probeLimit?: ProbeLimit,
   ) {
     const {room: capacity} = view.traits;
     this.free = subtractResources(capacity, view.reserved);
@@ -30,7 +33,8 @@
       (1 - LATENCY_CRITICAL_USE_SHARE) * view.latencyCriticalMilliprocessors -
       view.bestEffortDemandMilliprocessors;
     this.allowance = allowance;
-    this.tails = view.tails;
+    this.measuredTails = view.tails;
+    this.tails = probeLimit?.expectedTails(view.tails) ?? view.tails;
   }
 
   /**
@@ -85,6 +89,9 @@
     if (spreadLimit > 0 && tasksOfStep >= spreadLimit) return false;
     if (!fitsInto(reservedSize(step), this.free)) return false;
     if (!fills || sharesProcessors) return true;
+    if (this.probeLimit && !this.isProbeAllowed(this.probeLimit, step)) {
+      return false;
+    }
     const needed = MINIMUM_UNUSED_SHARE * size.milliprocessors;
     return this.expectedUnusedMilliprocessors >= needed;
   }
@@ -92,7 +99,9 @@
   /** Saves the free capacity and returns a function that restores it. */
   save(): () => void {
     const {free, expectedUnusedMilliprocessors, allowance, tails} = this;
+    const restoreProbes = this.probeLimit?.save();
     return () => {
+      restoreProbes?.();
       this.free = free;
       this.expectedUnusedMilliprocessors = expectedUnusedMilliprocessors;
       this.allowance = allowance;
@@ -102,7 +111,10 @@
 
   /** Reserves capacity for the task in this round. */
   reserve(step: TaskReference['step'], interference: ImageInterference): void {
-    if (step.fills) this.addInterference(step, interference);
+    if (step.fills) {
+      this.addInterference(step, interference);
+      this.probeLimit?.add(step, this.shareOf(step));
+    }
     if (step.tailTargetMillis > 0) {
       this.tails = [...this.tails, {image: step.image, ratio: 0}];
     }
@@ -123,6 +135,13 @@
     }));
   }
 
+  private isProbeAllowed(
+    probeLimit: ProbeLimit,
+    step: TaskReference['step'],
+  ): boolean {
+    return probeLimit.allows(step, this.shareOf(step), this.measuredTails);
+  }
+
   /** Share of the worker's processors that the best-effort task may use. */
   private shareOf({size}: TaskReference['step']): number {
     const {room: capacity} = this.view.traits;
--- a/src/decisions/workflows/placement_planner.ts
+++ b/src/decisions/workflows/placement_planner.ts
@@ -3,6 +3,7 @@
 import {PlacementCandidate} from './placement_candidate.js';
 import {findWaitingSteps} from './waiting_steps.js';
 import type {WaitingSearch, WaitingStep} from './waiting_steps.js';
+import {ProbeLimit} from './tails/probe_limit.js';
 import type {WorkerHealth} from './worker_health.js';
 import {WorkerScores} from './worker_scores.js';
 import type {WorkerScoresOptions} from './worker_scores.js';
@@ -37,6 +38,8 @@
   readonly workersThatFailed: (reference: TaskReference) => ReadonlySet<string>;
   /** Returns how long a workflow has had no placed runs, in milliseconds. */
   readonly idleMillis: (workflow: Workflow) => number;
+  /** True if `ProbeLimit` applies. */
+  readonly limitsProbes?: boolean;
   /** Monotonic time in milliseconds. */
   readonly now: number;
 }
@@ -62,13 +65,14 @@
   private cachedIsPoolIdle: boolean | undefined;
 
   constructor(private readonly round: PlacementRound) {
-    const {workers, health, now} = round;
+    const {workers, health, interference, limitsProbes, now} = round;
     this.candidates = workers.map(
       view =>
         new PlacementCandidate(
           view,
           health.allowance(view.key, view.placed.size, now),
           health.suspicion(view.key),
+          limitsProbes ? new ProbeLimit(view, interference) : undefined,
         ),
     );
   }
--- a/src/decisions/workflows/worker_view.ts
+++ b/src/decisions/workflows/worker_view.ts
@@ -48,6 +48,8 @@
   private readonly runs = new Map<string, PlacedRun>();
   /** Of `runs`, those with a tail target. */
   private readonly latencyCriticalRuns = new Map<string, PlacedRun>();
+  /** Of `runs`, those of best-effort tasks. */
+  private readonly fillingRuns = new Map<string, PlacedRun>();
   private placedSize: Resources = NO_RESOURCES;
   private latencyCriticalDemand = 0;
   private bestEffortDemand = 0;
@@ -69,6 +71,7 @@
     this.runs.set(name, run);
     const {step} = run.reference;
     if (step.tailTargetMillis > 0) this.latencyCriticalRuns.set(name, run);
+    if (step.fills) this.fillingRuns.set(name, run);
     this.placedSize = addResources(this.placedSize, reservedSize(step));
     this.countDemand(step, 1);
   }
@@ -78,11 +81,17 @@
     if (!run) return;
     this.runs.delete(name);
     this.latencyCriticalRuns.delete(name);
+    this.fillingRuns.delete(name);
     const {step} = run.reference;
     this.placedSize = subtractResources(this.placedSize, reservedSize(step));
     this.countDemand(step, -1);
   }
 
+  /** Runs of best-effort tasks that are placed here, by run key. */
+  get bestEffortRuns(): ReadonlyMap<string, PlacedRun> {
+    return this.fillingRuns;
+  }
+
   /** Reserved capacity, including that of runs that are being stopped. */
   get reserved(): Resources {
     let sum = this.placedSize;
--- a/src/entry/workflows/pool_owner.ts
+++ b/src/entry/workflows/pool_owner.ts
@@ -39,6 +39,7 @@
 import {CoalescedAction} from '../../utilities/coalesced_action.js';
 import type {ConfigurationFollower} from './configuration_follower.js';
 import {CommitLog} from './commit_log.js';
+import {LearnedInterference} from './learned_interference.js';
 import type {LeaseValidity} from './lease_validity.js';
 import type {OwnerRecord} from '../../protocol/owner_record.js';
 import {PoolAttachments} from './pool_attachments.js';
@@ -57,6 +58,8 @@
 /** Well below the time within which a cancellation must take effect. */
 const INBOX_POLL_INTERVAL_MILLIS = 1_000;
 const EXPIRY_INTERVAL_MILLIS = 5_000;
+/** A new owner lacks what was learned in this time. */
+const LEARNED_SAVE_INTERVAL_MILLIS = 2_000;
 /** Ended workflows are kept for this multiple of the promised time. */
 const RETENTION_FACTOR = 1.2;
 /** No run is placed if the worker's agent sent no message for this long. */
@@ -97,6 +100,7 @@
   private readonly supervisor: RunSupervisor;
   private readonly retries: RetryHistory;
   private readonly attachments: PoolAttachments;
+  private readonly learnedInterference: LearnedInterference;
   private readonly lastTerms = new Map<string, QueueTerms>();
   private readonly ownedSince: number;
   private readonly timers = new Set<Timer>();
@@ -144,6 +148,12 @@
       sendPace: (worker, task, run, percent) =>
         this.attachments.find(worker)?.pace(task, run, percent),
     });
+    this.learnedInterference = new LearnedInterference({
+      store,
+      commits: this.commits,
+      logger,
+      interference: this.supervisor.interference,
+    });
   }
 
   get epoch(): number {
@@ -152,11 +162,12 @@
 
   /** Loads the workflows from the store; must complete before other calls. */
   async load(): Promise<void> {
-    const {store, logger, clock} = this.options;
+    const {store, logger, clock, features} = this.options;
     const [specs, progress, inbox] = await Promise.all([
       store.list(StoreKeys.SPEC_PREFIX),
       store.list(StoreKeys.PROGRESS_PREFIX),
       store.list(StoreKeys.INBOX_PREFIX),
+      features.sharedInterference ? this.learnedInterference.load() : undefined,
     ]);
     const progressById = new Map(
       progress.values.map(({key, value}) => [lastKeySegment(key), value]),
@@ -183,6 +194,11 @@
     this.scheduleEvery(TICK_INTERVAL_MILLIS, () => this.tick());
     this.scheduleEvery(INBOX_POLL_INTERVAL_MILLIS, () => void this.readInbox());
     this.scheduleEvery(EXPIRY_INTERVAL_MILLIS, () => this.expire());
+    if (features.sharedInterference) {
+      this.scheduleEvery(LEARNED_SAVE_INTERVAL_MILLIS, () =>
+        this.learnedInterference.save(),
+      );
+    }
     for (const {key} of inbox.values) {
       if (key.startsWith(StoreKeys.CANCEL_PREFIX))
         this.cancel(lastKeySegment(key));
@@ -539,6 +555,7 @@
       workersThatFailed: reference =>
         this.retries.workersThatFailed(taskNameOf(reference)),
       idleMillis: workflow => idle.idleMillis(workflow, now),
+      limitsProbes: this.options.features.probes,
       now,
       wallNow: clock.wallTime(),
     });
--- a/src/observability/events.ts
+++ b/src/observability/events.ts
@@ -467,4 +467,14 @@
     'warn',
     'The command to start a run arrived too late and was ignored.',
   ),
+  INTERFERENCE_RESTORED: eventType(
+    6070,
+    'info',
+    'The owner has adopted the interference of images that an earlier owner learned.',
+  ),
+  INTERFERENCE_NOT_RESTORED: eventType(
+    6071,
+    'warn',
+    'The stored interference of images is not usable; the owner learns it anew.',
+  ),
 } as const;
--- a/src/protocol/store_keys.ts
+++ b/src/protocol/store_keys.ts
@@ -18,6 +18,8 @@
   NEW_PREFIX,
   CANCEL_PREFIX,
   ENTRY_PREFIX: `${ROOT}entries/`,
+  /** What owners have learned about pairs of images. */
+  LEARNED_INTERFERENCE: `${ROOT}learned/interference`,
 } as const;
 
 /** Key of the workflow that a customer submitted; written once. */
--- a/tests/workflows/decisions.test.ts
+++ b/tests/workflows/decisions.test.ts
@@ -31,72 +31,16 @@
   ExpectedOutcome,
   WorkflowOrder,
 } from '../../src/decisions/workflows/workflow_order.js';
-import type {
-  StepSpec,
-  WorkflowSpec,
-} from '../../src/decisions/workflows/workflow_types.js';
 import {WorkerHealth} from '../../src/decisions/workflows/worker_health.js';
 import {WorkerView} from '../../src/decisions/workflows/worker_view.js';
 import {Random} from '../../src/utilities/random.js';
-
-const TERMS = {
-  service: 'service',
-  priority: 1,
-  maximumFailures: 3,
-  stretch: 2,
-  latencyTargetMillis: 1_000,
-};
-
-function stepOf(change: Partial<StepSpec> = {}): StepSpec {
-  return {
-    count: 1,
-    size: {milliprocessors: 1_000, memoryMegabytes: 100, accelerators: 0},
-    estimateMillis: 1_000,
-    after: [],
-    checkpoints: false,
-    gang: false,
-    rackLocal: false,
-    requiredLabel: '',
-    dataRack: '',
-    spreadLimit: 0,
-    speculative: false,
-    lasting: false,
-    image: '',
-    tailTargetMillis: 0,
-    fills: false,
-    mayMiss: 0,
-    ...change,
-  };
-}
-
-function workflowOf(
-  id: string,
-  steps: StepSpec[],
-  change: Partial<WorkflowSpec> = {},
-): Workflow {
-  return new Workflow({
-    id,
-    queue: 'queue',
-    terms: TERMS,
-    payload: '',
-    steps,
-    acceptedAtMillis: 0,
-    ...change,
-  });
-}
-
-function workerOf(key: string, milliprocessors = 4_000): WorkerView {
-  return new WorkerView(key, key, {
-    incarnation: key,
-    service: 'service',
-    failureDomain: 'domain',
-    rack: 'r1',
-    labels: ['a', 'r1'],
-    room: {milliprocessors, memoryMegabytes: 10_000, accelerators: 0},
-    draining: false,
-    remainingMillis: 0,
-  });
-}
+import {
+  put,
+  stepOf,
+  TERMS,
+  workerOf,
+  workflowOf,
+} from './fixtures/workflow_builders.js';
 
 function plan(
   workflows: Workflow[],
@@ -125,23 +69,6 @@
   });
 }
 
-/** Places a task on a worker with a measured value. */
-function put(
-  view: WorkerView,
-  workflow: Workflow,
-  measure: number,
-  percent = 0,
-): string {
-  const [reference] = workflow.tasks();
-  const run = workflow.place(reference, view.key);
-  const placement = reference.task.placementOf(run)!;
-  const task = formatTaskName(reference.name);
-  const name = runKey(task, run);
-  view.addRun(name, {reference, placement, isDurable: true});
-  view.running.set(name, {task, run, checkpoint: '', percent, measure});
-  return name;
-}
-
 /** Observes a best-effort image that starts to use a quarter of a worker. */
 function observeStart(
   interference: ImageInterference,
