Explain a placement by the code that places

Operators can't see why a workflow is not placed: a round of placement only keeps the scores of workers, and a worker that is ruled out loses its reason. The checks of PlacementCandidate and WorkerScores now return what rules a worker out, and rounds only ask whether there is anything. Live rounds have no observer and decide as before.

--- a/src/decisions/workflows/placement_candidate.ts
+++ b/src/decisions/workflows/placement_candidate.ts
@@ -1,6 +1,7 @@
 import {fitsInto, subtractResources} from '../../utilities/resources.js';
 import type {Resources} from '../../utilities/resources.js';
 import type {ImageInterference, Tail} from './image_interference.js';
+import {PlacementObstacle} from './placement_obstacle.js';
 import {reservedSize} from './worker_view.js';
 import type {WorkerView} from './worker_view.js';
 import type {TaskReference} from './workflow.js';
@@ -78,15 +79,29 @@
     tasksOfStep: number,
     sharesProcessors = false,
   ): boolean {
-    if (this.allowance < 1) return false;
+    return !this.obstacleFor(step, tasksOfStep, sharesProcessors);
+  }
+
+  /** Returns what rules the worker out beside this number of tasks. */
+  obstacleFor(
+    step: TaskReference['step'],
+    tasksOfStep: number,
+    sharesProcessors = false,
+  ): PlacementObstacle | undefined {
+    if (this.allowance < 1) return PlacementObstacle.COOLDOWN;
     const {requiredLabel, spreadLimit, fills, size} = step;
     const {labels} = this.view.traits;
-    if (requiredLabel !== '' && !labels.includes(requiredLabel)) return false;
-    if (spreadLimit > 0 && tasksOfStep >= spreadLimit) return false;
-    if (!fitsInto(reservedSize(step), this.free)) return false;
-    if (!fills || sharesProcessors) return true;
+    if (requiredLabel !== '' && !labels.includes(requiredLabel))
+      return PlacementObstacle.LABEL;
+    if (spreadLimit > 0 && tasksOfStep >= spreadLimit)
+      return PlacementObstacle.SPREAD;
+    if (!fitsInto(reservedSize(step), this.free))
+      return PlacementObstacle.CAPACITY;
+    if (!fills || sharesProcessors) return undefined;
     const needed = MINIMUM_UNUSED_SHARE * size.milliprocessors;
-    return this.expectedUnusedMilliprocessors >= needed;
+    return this.expectedUnusedMilliprocessors >= needed
+      ? undefined
+      : PlacementObstacle.UNUSED_PROCESSORS;
   }
 
   /** Saves the free capacity and returns a function that restores it. */
--- a/src/decisions/workflows/placement_planner.ts
+++ b/src/decisions/workflows/placement_planner.ts
@@ -5,7 +5,7 @@
 import type {WaitingSearch, WaitingStep} from './waiting_steps.js';
 import type {WorkerHealth} from './worker_health.js';
 import {WorkerScores} from './worker_scores.js';
-import type {WorkerScoresOptions} from './worker_scores.js';
+import type {WorkerAssessment, WorkerScoresOptions} from './worker_scores.js';
 import type {WorkerView} from './worker_view.js';
 import type {TaskReference, Workflow} from './workflow.js';
 
@@ -39,6 +39,18 @@
   readonly idleMillis: (workflow: Workflow) => number;
   /** Monotonic time in milliseconds. */
   readonly now: number;
+  /** Absent in live rounds. */
+  readonly observer?: PlacementObserver;
+}
+
+/** Receives what a round decides by, without an effect on the round. */
+export interface PlacementObserver {
+  /** Called before each step is placed. */
+  onStep(waiting: WaitingStep, assess: () => WorkerAssessment[]): void;
+  /** Called when a task of the step has found no worker. */
+  onUnplaced(waiting: WaitingStep, assess: () => WorkerAssessment[]): void;
+  /** Called at the end, to assess workers for steps that were not waiting. */
+  onEnd(assess: (waiting: WaitingStep) => WorkerAssessment[]): void;
 }
 
 /**
@@ -75,14 +87,22 @@
 
   plan(): PlannedRun[] {
     const planned: PlannedRun[] = [];
+    const {observer} = this.round;
     for (const waiting of findWaitingSteps(this.round)) {
+      observer?.onStep(waiting, () => this.assess(waiting));
       const step = waiting.workflow.spec.steps[waiting.step];
       if (step.gang) planned.push(...this.placeGang(waiting));
       else planned.push(...this.placeStep(waiting, step));
     }
+    observer?.onEnd(waiting => this.assess(waiting));
     return planned;
   }
 
+  private assess(waiting: WaitingStep): WorkerAssessment[] {
+    const mayInterfere = this.mayInterfere(waiting);
+    return this.scoresFor(waiting, {mayInterfere}).assessments();
+  }
+
   /** Places all tasks that fit, unless equal ones did not fit before. */
   private placeStep(
     waiting: WaitingStep,
@@ -120,23 +140,33 @@
     allowed: Pick<WorkerScoresOptions, 'mayInterfere' | 'sharesProcessors'>,
     run?: number,
   ): PlannedRun[] {
+    const scores = this.scoresFor(waiting, allowed);
+    const planned: PlannedRun[] = [];
+    for (const reference of waiting.tasks) {
+      const candidate = scores.reserveBest(reference);
+      // Tasks of a step are identical: the next does not fit either.
+      if (!candidate) {
+        this.round.observer?.onUnplaced(waiting, () => scores.assessments());
+        break;
+      }
+      planned.push({reference, worker: candidate.view, run});
+    }
+    return planned;
+  }
+
+  private scoresFor(
+    waiting: WaitingStep,
+    allowed: Pick<WorkerScoresOptions, 'mayInterfere' | 'sharesProcessors'>,
+  ): WorkerScores {
     const {interference, workersThatFailed} = this.round;
     const {candidates} = this;
-    const scores = new WorkerScores({
+    return new WorkerScores({
       waiting,
       candidates,
       interference,
       workersThatFailed,
       ...allowed,
     });
-    const planned: PlannedRun[] = [];
-    for (const reference of waiting.tasks) {
-      const candidate = scores.reserveBest(reference);
-      // Tasks of a step are identical: the next does not fit either.
-      if (!candidate) break;
-      planned.push({reference, worker: candidate.view, run});
-    }
-    return planned;
   }
 
   /** Places all members at once or none, under one run number. */
--- a/src/decisions/workflows/worker_scores.ts
+++ b/src/decisions/workflows/worker_scores.ts
@@ -1,6 +1,9 @@
+import type {ReservationNote} from './explaining/explanation.js';
 import type {ImageInterference} from './image_interference.js';
 import type {PlacementCandidate} from './placement_candidate.js';
+import {PlacementObstacle} from './placement_obstacle.js';
 import type {WaitingStep} from './waiting_steps.js';
+import type {WorkerView} from './worker_view.js';
 import type {TaskReference} from './workflow.js';
 import type {StepSpec} from './workflow_types.js';
 
@@ -44,6 +47,18 @@
   readonly workersThatFailed: (reference: TaskReference) => ReadonlySet<string>;
 }
 
+/** How suitable a worker is for a task of a step. */
+export interface WorkerAssessment {
+  readonly view: WorkerView;
+  /** Undefined for a worker that is ruled out. */
+  readonly score?: number;
+  readonly obstacle?: PlacementObstacle;
+  /** True if its rack is not that of the data or of the other tasks. */
+  readonly isOnOtherRack: boolean;
+  /** Absent if the worker is not reserved for another step. */
+  readonly reservation?: ReservationNote;
+}
+
 /**
  * Scores the workers for the tasks of one step. The tasks are alike, so that a
  * score changes only where one of them was placed.
@@ -79,6 +94,20 @@
     return candidate;
   }
 
+  /** Returns all workers with their present scores and obstacles. */
+  assessments(): WorkerAssessment[] {
+    return this.options.candidates.map(candidate => {
+      const {view} = candidate;
+      const result = this.assess(candidate);
+      const {rack} = view.traits;
+      const isOnOtherRack =
+        this.isAwayFromData(rack) || this.isAwayFromTasks(rack);
+      return typeof result === 'number'
+        ? {view, score: result, isOnOtherRack}
+        : {view, obstacle: result, isOnOtherRack};
+    });
+  }
+
   private bestFor(reference: TaskReference): number {
     const {candidates, workersThatFailed} = this.options;
     const failedOn = workersThatFailed(reference);
@@ -105,15 +134,25 @@
     this.tasksOfStep.set(worker, (this.tasksOfStep.get(worker) ?? 0) + 1);
   }
 
-  /** Returns the share of processors left unused, less penalties. */
   private score(candidate: PlacementCandidate): number {
+    const result = this.assess(candidate);
+    return typeof result === 'number' ? result : -Infinity;
+  }
+
+  /**
+   * Returns the share of processors left unused, less penalties, or what rules
+   * the worker out.
+   */
+  private assess(candidate: PlacementCandidate): number | PlacementObstacle {
     const {step} = this;
     const {view, suspicion} = candidate;
     const {service, room: capacity, rack} = view.traits;
-    if (service !== this.options.waiting.terms.service) return -Infinity;
+    if (service !== this.options.waiting.terms.service)
+      return PlacementObstacle.SERVICE;
     const tasksHere = this.tasksOfStep.get(view.key) ?? 0;
     const {sharesProcessors = false} = this.options;
-    if (!candidate.mayRun(step, tasksHere, sharesProcessors)) return -Infinity;
+    const obstacle = candidate.obstacleFor(step, tasksHere, sharesProcessors);
+    if (obstacle) return obstacle;
     const left =
       candidate.expectedUnusedMilliprocessors - step.size.milliprocessors;
     let score = left / Math.max(1, capacity.milliprocessors);
@@ -122,9 +161,18 @@
       score += SAME_IMAGE_BONUS;
     }
     if (step.fills) score -= this.tailPenalty(candidate);
-    if (step.dataRack !== '' && step.dataRack !== rack) score -= REMOTE_PENALTY;
-    if (step.rackLocal && !this.isOnRackOf(rack)) score -= REMOTE_PENALTY;
-    return score;
+    if (this.isAwayFromData(rack)) score -= REMOTE_PENALTY;
+    if (this.isAwayFromTasks(rack)) score -= REMOTE_PENALTY;
+    return score === -Infinity ? PlacementObstacle.TAIL : score;
+  }
+
+  private isAwayFromData(rack: string): boolean {
+    const {dataRack} = this.step;
+    return dataRack !== '' && dataRack !== rack;
+  }
+
+  private isAwayFromTasks(rack: string): boolean {
+    return this.step.rackLocal && !this.isOnRackOf(rack);
   }
 
   /** Infinite if a best-effort task would raise the tail ratios too far. */
--- a/src/decisions/workflows/workflow_order.ts
+++ b/src/decisions/workflows/workflow_order.ts
@@ -51,6 +51,14 @@
     this.meanWork.set(queue, mean + MEAN_SMOOTHING * (work - mean));
   }
 
+  /** Returns a copy that includes the workflow; this one does not change. */
+  including(workflow: Workflow): WorkflowOrder {
+    const copy = new WorkflowOrder();
+    for (const [queue, mean] of this.meanWork) copy.meanWork.set(queue, mean);
+    copy.record(workflow);
+    return copy;
+  }
+
   rank(
     workflow: Workflow,
     occurrence: Occurrence,
