Ask the owner for explanations through any entry

Only the owner of the pool has the state that placement decides by. PoolOwner.explainPlacement explains on that state and names the workers that no round uses with their reason; usableWorkers follows from the same check. Entries ask it by the call ExplainPlacement, and answer POST /placement/explain on the state server: 400 with the field, 405, 413, and 503 with result code 506 (no owner) or 507 (owner busy), as explanations take at most a twentieth of the owner's time. The state dump is equal before and after an explanation, and the owner then places as it was told, in tests on virtual time.

--- a/src/daemon/fleet_entry_role.ts
+++ b/src/daemon/fleet_entry_role.ts
@@ -25,6 +25,7 @@
 import {GrpcPoolLinkFactory} from '../protocol/grpc_pool_links.js';
 import type {GrpcServer} from '../protocol/grpc_server.js';
 import {SystemClock} from '../utilities/clock.js';
+import {answerExplanation} from './explanation_responses.js';
 import {
   changedSettings,
   hostAndPort,
@@ -93,6 +94,7 @@
     this.metricsServer = createStateServer({
       metrics,
       dumpState: async () => JSON.stringify(this.entry.dumpState()),
+      explainPlacement: body => answerExplanation(this.entry, body),
     });
   }
 
--- a/src/entry/workflows/owner_client.ts
+++ b/src/entry/workflows/owner_client.ts
@@ -5,6 +5,8 @@
 import type {Logger} from '../../observability/logger.js';
 import type {PoolLink, PoolLinkFactory} from '../../protocol/pool_links.js';
 import {messageOf} from '../../utilities/base_error.js';
+import {ExplanationStatus, notExplained} from './explanation_result.js';
+import type {ExplanationResult} from './explanation_result.js';
 import type {PoolOwnership} from './pool_ownership.js';
 
 export interface OwnerClientOptions {
@@ -64,6 +66,19 @@
     return reply?.owned ? reply.waiting : undefined;
   }
 
+  /** Asks the owner where the tasks of the workflow would be placed now. */
+  async explainPlacement(spec: WorkflowSpec): Promise<ExplanationResult> {
+    const {owner} = this.options.ownership;
+    if (owner) return owner.explainPlacement(spec);
+    const record = encodeSpec(spec);
+    const reply = await this.request(link => link.explainPlacement({record}));
+    if (!reply?.owned) return notExplained(ExplanationStatus.NO_OWNER);
+    const {explanation} = reply;
+    return explanation === ''
+      ? notExplained(ExplanationStatus.BUSY)
+      : {status: ExplanationStatus.EXPLAINED, explanation};
+  }
+
   close(reason: string): void {
     this.link?.close(reason);
     this.link = undefined;
--- a/src/entry/workflows/pool_entry.ts
+++ b/src/entry/workflows/pool_entry.ts
@@ -7,6 +7,8 @@
 import type {
   CountWaitingReply,
   CountWaitingRequest,
+  ExplainPlacementReply,
+  ExplainPlacementRequest,
   FindOwnerReply,
   NoteWorkflowReply,
   NoteWorkflowRequest,
@@ -27,6 +29,12 @@
 import type {ApiResponse, ApiCall} from '../http/api_types.js';
 import {ConfigurationFollower} from './configuration_follower.js';
 import type {OperatorDocuments} from './configuration_follower.js';
+import {ExplanationClient} from './explanation_client.js';
+import {ExplanationStatus} from './explanation_result.js';
+import type {
+  ExplainedWorkflow,
+  ExplanationResult,
+} from './explanation_result.js';
 import {OwnerClient} from './owner_client.js';
 import {PoolOwner} from './pool_owner.js';
 import {OWNER_TTL_MILLIS, PoolOwnership} from './pool_ownership.js';
@@ -67,6 +75,7 @@
   private readonly ownerClient: OwnerClient;
   private readonly health: StoreHealth;
   private readonly api: WorkflowApi;
+  private readonly explanations: ExplanationClient;
   private isStopping = false;
 
   constructor(private readonly options: PoolEntryOptions) {
@@ -110,6 +119,11 @@
       links: options.links,
       logger,
     });
+    this.explanations = new ExplanationClient({
+      configuration: this.configuration,
+      owner: this.ownerClient,
+      clock,
+    });
     const acceptor = new WorkflowAcceptor({
       store,
       health: this.health,
@@ -167,6 +181,11 @@
     };
   }
 
+  /** Asks the owner where the tasks of the workflow would be placed now. */
+  explain(workflow: ExplainedWorkflow): Promise<ExplanationResult> {
+    return this.explanations.explain(workflow);
+  }
+
   call(call: ApiCall): Promise<ApiResponse> {
     return this.api.handle(call);
   }
@@ -207,6 +226,15 @@
     return {owned: true, waiting: owner.countQueued(request.queue)};
   }
 
+  async explainPlacement({
+    record,
+  }: ExplainPlacementRequest): Promise<ExplainPlacementReply> {
+    const {owner} = this.ownership;
+    if (!owner) return {owned: false, explanation: ''};
+    const {status, explanation} = owner.explainPlacement(decodeSpec(record));
+    return {owned: status !== ExplanationStatus.NO_OWNER, explanation};
+  }
+
   private handleConfigurationChange(): void {
     this.ownership.notifyEligible();
     this.ownership.owner?.handleConfigurationChange();
--- a/src/entry/workflows/pool_owner.ts
+++ b/src/entry/workflows/pool_owner.ts
@@ -1,6 +1,10 @@
 import type {TransactionalStore} from '../../backends/transactional_store.js';
 import type {SchedulingFeatures} from '../../decisions/workflows/scheduling_features.js';
+import {explainPlacement} from '../../decisions/workflows/explaining/placement_explainer.js';
+import type {UnusableWorker} from '../../decisions/workflows/explaining/placement_explainer.js';
+import {PlacementObstacle} from '../../decisions/workflows/placement_obstacle.js';
 import {planPlacements} from '../../decisions/workflows/placement_planner.js';
+import type {PlacementRound} from '../../decisions/workflows/placement_planner.js';
 import {parseTaskName, runKey} from '../../decisions/workflows/task_name.js';
 import {taskNameOf} from '../../decisions/workflows/workflow.js';
 import type {
@@ -37,8 +41,11 @@
 import {messageOf} from '../../utilities/base_error.js';
 import type {Clock, Timer} from '../../utilities/clock.js';
 import {CoalescedAction} from '../../utilities/coalesced_action.js';
+import {ShareLimit} from '../../utilities/share_limit.js';
 import type {ConfigurationFollower} from './configuration_follower.js';
 import {CommitLog} from './commit_log.js';
+import {ExplanationStatus, notExplained} from './explanation_result.js';
+import type {ExplanationResult} from './explanation_result.js';
 import type {LeaseValidity} from './lease_validity.js';
 import type {OwnerRecord} from '../../protocol/owner_record.js';
 import {PoolAttachments} from './pool_attachments.js';
@@ -63,6 +70,8 @@
 const MAXIMUM_MESSAGE_AGE_MILLIS = 1_200;
 /** Leaves most of the processor time to commits and streams. */
 const MAXIMUM_PLANNING_SHARE = 0.3;
+/** Explanations must not delay placement noticeably. */
+const MAXIMUM_EXPLAINING_SHARE = 0.05;
 /** No run is placed on a worker whose last response is older than this. */
 const MAXIMUM_RESPONSE_AGE_MILLIS = 900;
 
@@ -101,6 +110,7 @@
   private readonly ownedSince: number;
   private readonly timers = new Set<Timer>();
   private readonly planningAction: CoalescedAction;
+  private readonly explainingLimit: ShareLimit;
   private loaded = false;
   private closedReason: string | undefined;
 
@@ -112,6 +122,7 @@
       maximumShare: MAXIMUM_PLANNING_SHARE,
       action: () => this.plan(),
     });
+    this.explainingLimit = new ShareLimit(clock, MAXIMUM_EXPLAINING_SHARE);
     this.attachments = new PoolAttachments(options);
     this.retries = new RetryHistory(
       clock,
@@ -251,6 +262,18 @@
     return this.workflowRegistry.countQueued(queue);
   }
 
+  /**
+   * Explains where the tasks of a workflow that is not stored would be placed
+   * now, without an effect on the state.
+   */
+  explainPlacement(spec: WorkflowSpec): ExplanationResult {
+    if (!this.canPlace) return notExplained(ExplanationStatus.NO_OWNER);
+    const explanation = this.explainingLimit.run(() => this.explain(spec));
+    return explanation === undefined
+      ? notExplained(ExplanationStatus.BUSY)
+      : {status: ExplanationStatus.EXPLAINED, explanation};
+  }
+
   /** Returns workers with their runs, and open workflows, for operators. */
   dumpState(): object {
     const now = this.options.clock.now();
@@ -523,25 +546,11 @@
   }
 
   private plan(): void {
-    const {clock, logger, validity} = this.options;
-    if (!this.loaded || !validity.isValid) return;
+    const {clock, logger} = this.options;
+    if (!this.canPlace) return;
     const now = clock.now();
-    const {idle} = this.supervisor;
-    idle.observe(this.workflowRegistry.workflows, now);
-    const planned = planPlacements({
-      workflows: this.workflowRegistry.workflows,
-      workers: this.usableWorkers(now),
-      health: this.supervisor.health,
-      interference: this.supervisor.interference,
-      order: this.supervisor.order,
-      termsOf: workflow => this.termsOf(workflow),
-      mayPlace: reference => this.retries.mayPlace(taskNameOf(reference)),
-      workersThatFailed: reference =>
-        this.retries.workersThatFailed(taskNameOf(reference)),
-      idleMillis: workflow => idle.idleMillis(workflow, now),
-      now,
-      wallNow: clock.wallTime(),
-    });
+    this.supervisor.idle.observe(this.workflowRegistry.workflows, now);
+    const planned = planPlacements(this.placementRound(now));
     for (const {reference, worker, run} of planned) {
       const task = taskNameOf(reference);
       const placed = this.workflowRegistry.place(
@@ -562,6 +571,53 @@
     }
   }
 
+  /** Returns an explanation as JSON. */
+  private explain(spec: WorkflowSpec): string {
+    const {clock, logger} = this.options;
+    const now = clock.now();
+    const round = this.placementRound(now);
+    const explanation = explainPlacement({
+      round: {
+        ...round,
+        // A workflow may have been placed since its last observation.
+        idleMillis: workflow =>
+          workflow.hasPlacements ? 0 : round.idleMillis(workflow),
+      },
+      spec: {...spec, acceptedAtMillis: clock.wallTime()},
+      unusableWorkers: this.unusableWorkers(now),
+    });
+    const text = JSON.stringify(explanation);
+    logger.event(Events.PLACEMENT_EXPLAINED, {
+      queue: spec.queue,
+      steps: spec.steps.length,
+      tookMillis: Math.round(clock.now() - now),
+    });
+    return text;
+  }
+
+  private get canPlace(): boolean {
+    return this.loaded && this.options.validity.isValid;
+  }
+
+  /** Returns the input of a round of placement. */
+  private placementRound(now: number): PlacementRound {
+    const {health, interference, order, idle} = this.supervisor;
+    return {
+      workflows: this.workflowRegistry.workflows,
+      workers: this.usableWorkers(now),
+      health,
+      interference,
+      order,
+      termsOf: workflow => this.termsOf(workflow),
+      mayPlace: reference => this.retries.mayPlace(taskNameOf(reference)),
+      workersThatFailed: reference =>
+        this.retries.workersThatFailed(taskNameOf(reference)),
+      idleMillis: workflow => idle.idleMillis(workflow, now),
+      now,
+      wallNow: this.options.clock.wallTime(),
+    };
+  }
+
   private attachedWorkers(): WorkerView[] {
     return this.workerRegistry.all.filter(view =>
       this.attachments.isCurrent(view),
@@ -569,15 +625,35 @@
   }
 
   private usableWorkers(now: number): WorkerView[] {
-    const {configuration} = this.options;
-    return this.attachedWorkers().filter(view => {
-      const {traits, lastMessageAt, silentMillis, hasRunList} = view;
-      if (!hasRunList || now - lastMessageAt > MAXIMUM_MESSAGE_AGE_MILLIS)
-        return false;
-      if (silentMillis > MAXIMUM_RESPONSE_AGE_MILLIS || traits.draining)
-        return false;
-      return !configuration.isEvacuated(traits.failureDomain);
-    });
+    return this.workerRegistry.all.filter(
+      view => this.obstacleTo(view, now) === undefined,
+    );
+  }
+
+  private unusableWorkers(now: number): UnusableWorker[] {
+    const unusable: UnusableWorker[] = [];
+    for (const view of this.workerRegistry.all) {
+      const obstacle = this.obstacleTo(view, now);
+      if (obstacle) unusable.push({view, obstacle});
+    }
+    return unusable;
+  }
+
+  /** Returns why no task at all is placed on the worker now. */
+  private obstacleTo(
+    view: WorkerView,
+    now: number,
+  ): PlacementObstacle | undefined {
+    const {traits, lastMessageAt, silentMillis, hasRunList} = view;
+    if (!this.attachments.isCurrent(view)) return PlacementObstacle.DETACHED;
+    if (!hasRunList || now - lastMessageAt > MAXIMUM_MESSAGE_AGE_MILLIS)
+      return PlacementObstacle.SILENCE;
+    if (silentMillis > MAXIMUM_RESPONSE_AGE_MILLIS)
+      return PlacementObstacle.SILENCE;
+    if (traits.draining) return PlacementObstacle.DRAIN;
+    return this.options.configuration.isEvacuated(traits.failureDomain)
+      ? PlacementObstacle.EVACUATION
+      : undefined;
   }
 
   /** Returns the queue's terms; for a removed queue, the last known ones. */
--- a/src/observability/events.ts
+++ b/src/observability/events.ts
@@ -467,4 +467,10 @@
     'warn',
     'The command to start a run arrived too late and was ignored.',
   ),
+  // 611x: explanations of placement.
+  PLACEMENT_EXPLAINED: eventType(
+    6110,
+    'info',
+    'The owner explained to an operator where a workflow would be placed.',
+  ),
 } as const;
--- a/src/observability/result_codes.ts
+++ b/src/observability/result_codes.ts
@@ -239,4 +239,16 @@
     503,
     'Not sent: too many calls to the other process are pending.',
   ),
+  POOL_WITHOUT_OWNER: resultCode(
+    506,
+    'POOL_WITHOUT_OWNER',
+    503,
+    'Not done: the pool has no owner that responds at this moment.',
+  ),
+  OWNER_BUSY: resultCode(
+    507,
+    'OWNER_BUSY',
+    503,
+    'Not done: the owner of the pool is busy with calls of this kind.',
+  ),
 } as const;
--- a/src/protocol/call_methods.ts
+++ b/src/protocol/call_methods.ts
@@ -68,4 +68,9 @@
     'CountWaiting',
     PoolServiceService.countWaiting,
   ),
+  EXPLAIN_PLACEMENT: defineMethod(
+    4,
+    'ExplainPlacement',
+    PoolServiceService.explainPlacement,
+  ),
 } as const;
--- a/src/protocol/grpc_pool_links.ts
+++ b/src/protocol/grpc_pool_links.ts
@@ -3,6 +3,8 @@
 import type {
   CountWaitingReply,
   CountWaitingRequest,
+  ExplainPlacementReply,
+  ExplainPlacementRequest,
   FindOwnerReply,
   NoteWorkflowReply,
   NoteWorkflowRequest,
@@ -102,6 +104,12 @@
     return this.callOwner(PoolMethods.COUNT_WAITING, request);
   }
 
+  explainPlacement(
+    request: ExplainPlacementRequest,
+  ): Promise<ExplainPlacementReply> {
+    return this.callOwner(PoolMethods.EXPLAIN_PLACEMENT, request);
+  }
+
   close(reason: string): void {
     this.stream.close(reason);
     this.channel.close();
--- a/src/protocol/grpc_server.ts
+++ b/src/protocol/grpc_server.ts
@@ -113,6 +113,9 @@
       countWaiting: this.createUnaryHandler(request =>
         handlers.countWaiting(request),
       ),
+      explainPlacement: this.createUnaryHandler(request =>
+        handlers.explainPlacement(request),
+      ),
       streamCalls: this.createStreamHandler([
         createCallHandler(PoolMethods.NOTE_WORKFLOW, request =>
           handlers.noteWorkflow(request),
@@ -123,6 +126,9 @@
         createCallHandler(PoolMethods.COUNT_WAITING, request =>
           handlers.countWaiting(request),
         ),
+        createCallHandler(PoolMethods.EXPLAIN_PLACEMENT, request =>
+          handlers.explainPlacement(request),
+        ),
       ]),
     } satisfies PoolServiceServer);
   }
--- a/src/protocol/pool_links.ts
+++ b/src/protocol/pool_links.ts
@@ -2,6 +2,8 @@
 import type {
   CountWaitingReply,
   CountWaitingRequest,
+  ExplainPlacementReply,
+  ExplainPlacementRequest,
   FindOwnerReply,
   NoteWorkflowReply,
   NoteWorkflowRequest,
@@ -35,6 +37,9 @@
   noteWorkflow(request: NoteWorkflowRequest): Promise<NoteWorkflowReply>;
   showWorkflow(request: ShowWorkflowRequest): Promise<ShowWorkflowReply>;
   countWaiting(request: CountWaitingRequest): Promise<CountWaitingReply>;
+  explainPlacement(
+    request: ExplainPlacementRequest,
+  ): Promise<ExplainPlacementReply>;
   close(reason: string): void;
 }
 
@@ -47,6 +52,9 @@
   noteWorkflow(request: NoteWorkflowRequest): Promise<NoteWorkflowReply>;
   showWorkflow(request: ShowWorkflowRequest): Promise<ShowWorkflowReply>;
   countWaiting(request: CountWaitingRequest): Promise<CountWaitingReply>;
+  explainPlacement(
+    request: ExplainPlacementRequest,
+  ): Promise<ExplainPlacementReply>;
 }
 
 /** Opens links by HOST:PORT; the caller must close them. */
--- a/tests/protocol/pool_stream.test.ts
+++ b/tests/protocol/pool_stream.test.ts
@@ -50,6 +50,10 @@
   async countWaiting() {
     return {owned: true, waiting: 3};
   }
+
+  async explainPlacement({record}: {record: string}) {
+    return {owned: true, explanation: record};
+  }
 }
 
 async function startServer(
@@ -128,6 +132,8 @@
   await until(() => errors.length > 0);
   const link = new GrpcPoolLinkFactory().openPool(address);
   t.is((await link.countWaiting({queue: 'queue'})).waiting, 3);
+  const explained = await link.explainPlacement({record: '{}'});
+  t.deepEqual(explained, {owned: true, explanation: '{}'});
   t.is((await link.findOwner()).epoch, 7);
   link.close('the test has ended');
   client.close();
