Add the command `burdockmoor place explain`

Operators had to read logs and state dumps to find why tasks wait. The command describes a workflow by options or a file, asks an entry, and shows a table of steps with what they wait for and of ranked workers with what rules each out.

--- a/src/cli/api_types.ts
+++ b/src/cli/api_types.ts
@@ -116,3 +116,50 @@
     readonly text: string;
   }>;
 }
+
+/** Numbers of workers by what rules them out, or `suitable`. */
+export type WorkerCounts = Readonly<Record<string, number>>;
+
+export interface StepWait {
+  readonly kind: 'steps' | 'workers' | 'gang';
+  readonly steps: readonly number[];
+  readonly workers: WorkerCounts;
+}
+
+export interface StepPlacement {
+  readonly step: number;
+  readonly tasks: number;
+  readonly placedTasks: number;
+  readonly waitsFor?: StepWait;
+  readonly ranked: ReadonlyArray<{
+    readonly worker: string;
+    readonly failureDomain: string;
+    readonly rack: string;
+    readonly tasks: number;
+    readonly score?: number;
+    readonly obstacle?: string;
+    readonly isOnOtherRack: boolean;
+    readonly heardMillisAgo: number;
+    readonly reservation?: {
+      readonly holder: string;
+      readonly endsInMillis: number;
+    };
+  }>;
+  readonly notRanked: WorkerCounts;
+  readonly tasksNotRanked: number;
+}
+
+export interface PlacementExplanation {
+  readonly queue: string;
+  readonly service: string;
+  readonly priority: number;
+  readonly stateAgeMillis: number;
+  readonly usableWorkers: number;
+  readonly unusableWorkers: number;
+  readonly steps: readonly StepPlacement[];
+  readonly refusal?: {
+    readonly status: number;
+    readonly retryAfterSeconds: number;
+    readonly reason: string;
+  };
+}
--- a/src/cli/exit_codes.ts
+++ b/src/cli/exit_codes.ts
@@ -52,6 +52,8 @@
   [ResultCodes.STORE_OUTCOME_UNKNOWN.number, ExitCodes.UNKNOWN],
   [ResultCodes.INTERNAL.number, ExitCodes.FAULT],
   [ResultCodes.PROCESS_UNREACHABLE.number, ExitCodes.NOT_DONE],
+  [ResultCodes.POOL_WITHOUT_OWNER.number, ExitCodes.NOT_DONE],
+  [ResultCodes.OWNER_BUSY.number, ExitCodes.NOT_DONE],
 ]);
 
 const HTTP_CONFLICT = 409;
--- a/src/cli/settings_commands.ts
+++ b/src/cli/settings_commands.ts
@@ -1,6 +1,4 @@
-import {readFileSync} from 'node:fs';
 import {withKey} from '../settings/ini_edit.js';
-import {messageOf} from '../utilities/base_error.js';
 import type {
   SettingsBranch,
   SettingsHistory,
@@ -14,6 +12,7 @@
 } from './settings_change.js';
 import type {WaitOptions} from './settings_change.js';
 import {formatTable, formatTime, orHyphen} from './table.js';
+import {readTextFile} from './text_file.js';
 import {
   WAIT_ARGUMENTS,
   defineToolCommand,
@@ -100,7 +99,7 @@
   },
   async run(session, args) {
     const {branch, file} = args;
-    const content = readFile(file);
+    const content = readTextFile(file);
     const text = content.replace(REVISION_LINE, '');
     const given = parseWholeNumber('revision', args.revision);
     const revision = given ?? parseRevision(content);
@@ -190,11 +189,3 @@
   const match = REVISION_LINE.exec(content);
   return match ? Number(match[1]) : undefined;
 }
-
-function readFile(file: string): string {
-  try {
-    return readFileSync(file, 'utf8');
-  } catch (error) {
-    throw createUsageError(`${file} can't be read: ${messageOf(error)}.`);
-  }
-}
--- a/src/cli/tool.ts
+++ b/src/cli/tool.ts
@@ -20,6 +20,7 @@
   showHistory,
   showStatus,
 } from './settings_commands.js';
+import {explainPlacement} from './place_commands.js';
 import {dumpState} from './state_commands.js';
 import type {ToolCommand, ToolInvocation} from './tool_command.js';
 import {ToolError, createUsageError} from './tool_error.js';
@@ -88,6 +89,10 @@
     description: 'Read the logs of all processes',
     commands: {trace: traceRequest},
   },
+  place: {
+    description: 'Explain where tasks would be placed',
+    commands: {explain: explainPlacement},
+  },
   state: {
     description: 'Inspect the state of a process',
     commands: {dump: dumpState},
