--- a/src/observability/events.ts
+++ b/src/observability/events.ts
@@ -477,4 +477,10 @@
     'warn',
     'The stored interference of images is not usable; the owner learns it anew.',
   ),
+  // 611x: explanations of placement.
+  PLACEMENT_EXPLAINED: eventType(
+    6110,
+    'info',
+    'The owner explained to an operator where a workflow would be placed.',
+  ),
 } as const;
