Record the start of a run when a list or an end shows it

PlacedRun.startedAt was set from a successful start result, but agents send results only for refused starts, so it was never set. The owner now keeps the time of its start command once a run list or the end of the run shows that the worker has the run. Run lists are up to 0.45 s apart, so the time of the first list would shorten a task of 0.9 s by up to half.

Result: runs started by the present owner have a start time; runs of an earlier owner have none, as before. No message and no decision changes.

--- a/src/decisions/workflows/workflow.ts
+++ b/src/decisions/workflows/workflow.ts
@@ -267,8 +267,8 @@
   /** True if the placement is stored, so that its start may be ordered. */
   isDurable: boolean;
   /**
-   * Time on the owner's clock at which the start was confirmed; undefined
-   * before that, and for a run that an earlier owner started.
+   * Time on the owner's clock of the start command, set once the worker is
+   * known to have the run; undefined for a run that an earlier owner started.
    */
   startedAt?: number;
 }
--- a/src/entry/workflows/worker_attachment.ts
+++ b/src/entry/workflows/worker_attachment.ts
@@ -162,7 +162,7 @@
   private acceptEnd(view: WorkerView, end: RunEnd): void {
     if (!this.ends.recordEnd(end.number)) return;
     const {ends} = this;
-    this.commandedAt.delete(runKey(end.task, end.run));
+    this.confirmStart(view, runKey(end.task, end.run));
     this.options.listener.onEnd(view, end, () => {
       if (ends.markDurable(end.number) && ends === this.ends)
         this.scheduleFlush();
@@ -191,13 +191,24 @@
     this.traits.push({task, run, fills, tailTargetMillis});
   }
 
+  /**
+   * Called when a run list or an end shows that the worker has the run. Run
+   * lists are up to half a second late, so the start counts from its command.
+   */
+  private confirmStart(view: WorkerView, name: string): void {
+    const placed = view.placed.get(name);
+    const commandedAt = this.commandedAt.get(name);
+    this.commandedAt.delete(name);
+    if (placed && !placed.placement.stopping) placed.startedAt ??= commandedAt;
+  }
+
   /** Resends commands that show no effect, and stops unexpected runs. */
   private reconcile(view: WorkerView, starting: ReadonlySet<string>): void {
     for (const [name, placed] of view.placed) {
       if (starting.has(name)) continue;
       const {reference, placement} = placed;
       if (!placement.stopping && view.running.has(name)) {
-        this.commandedAt.delete(name);
+        this.confirmStart(view, name);
       } else if (this.wasCommandedRecently(name)) {
         continue;
       } else if (placement.stopping) {
