Learn durations of tasks from the ends of runs

Estimates are off by up to a factor of two, alike for all tasks of a step, and some tasks take several times as long as the others.

DurationTable learns the median and the 90th percentile: for a step from its ended and running tasks, else for its image or queue from ratios of several steps. Runs that were paced, stalled, resumed, short of processors or on a worker under suspicion do not count. WorkflowOrder uses the median for what remains; objective and total work keep the estimate. The switch is learnedDurations; without it the order uses SubmittedDurations.

--- a/src/decisions/workflows/workflow_order.ts
+++ b/src/decisions/workflows/workflow_order.ts
@@ -1,3 +1,5 @@
+import type {DurationSource} from './durations/duration_source.js';
+import {SubmittedDurations} from './durations/submitted_durations.js';
 import type {Occurrence, Workflow} from './workflow.js';
 import type {QueueTerms} from './workflow_types.js';
 import {
@@ -43,6 +45,11 @@
 export class WorkflowOrder {
   private readonly meanWork = new Map<string, number>();
 
+  constructor(
+    /** Of what remains; the objective is known to callers by the estimates. */
+    private readonly durations: DurationSource = new SubmittedDurations(),
+  ) {}
+
   /** Includes a new workflow in the mean work of its queue. */
   record(workflow: Workflow): void {
     const {queue} = workflow.spec;
@@ -59,13 +66,36 @@
   ): WorkflowRank {
     const mean = Math.max(1, this.meanWork.get(workflow.spec.queue) ?? 1);
     const total = totalWork(workflow) / mean;
-    const left = Math.max(1, remainingWork(workflow, occurrence)) / mean;
+    const work = remainingWork(workflow, occurrence, this.durations);
+    const left = Math.max(1, work) / mean;
     return {
       priority: terms.priority,
-      expectedOutcome: expectedOutcomeOf(workflow, occurrence, terms, wallNow),
+      expectedOutcome: this.expectedOutcomeOf(
+        workflow,
+        occurrence,
+        terms,
+        wallNow,
+      ),
       density: (FIXED_VALUE + VALUE_OF_WORK * total) / left,
     };
   }
+
+  private expectedOutcomeOf(
+    workflow: Workflow,
+    occurrence: Occurrence,
+    terms: QueueTerms,
+    wallNow: number,
+  ): ExpectedOutcome {
+    if (workflow.spec.steps.some(step => step.lasting))
+      return ExpectedOutcome.ON_TIME;
+    const age = wallNow - occurrence.dueAtMillis;
+    const end =
+      age + remainingChainMillis(workflow, occurrence, this.durations);
+    const objective = objectiveMillis(workflow, terms);
+    if (end <= objective) return ExpectedOutcome.ON_TIME;
+    const isHopeless = end > NO_VALUE_OBJECTIVE_FACTOR * objective;
+    return isHopeless ? ExpectedOutcome.NO_VALUE : ExpectedOutcome.LATE;
+  }
 }
 
 /** Negative if the left one goes first. */
@@ -76,19 +106,3 @@
     right.density - left.density
   );
 }
-
-function expectedOutcomeOf(
-  workflow: Workflow,
-  occurrence: Occurrence,
-  terms: QueueTerms,
-  wallNow: number,
-): ExpectedOutcome {
-  if (workflow.spec.steps.some(step => step.lasting))
-    return ExpectedOutcome.ON_TIME;
-  const age = wallNow - occurrence.dueAtMillis;
-  const end = age + remainingChainMillis(workflow, occurrence);
-  const objective = objectiveMillis(workflow, terms);
-  if (end <= objective) return ExpectedOutcome.ON_TIME;
-  const isHopeless = end > NO_VALUE_OBJECTIVE_FACTOR * objective;
-  return isHopeless ? ExpectedOutcome.NO_VALUE : ExpectedOutcome.LATE;
-}
--- a/src/decisions/workflows/workflow_timing.ts
+++ b/src/decisions/workflows/workflow_timing.ts
@@ -1,4 +1,5 @@
 /** Expected durations of workflows and the times by which they are late. */
+import type {DurationSource} from './durations/duration_source.js';
 import type {QueueConfiguration, StepSpec} from './workflow_types.js';
 import type {Occurrence, Workflow} from './workflow.js';
 
@@ -9,10 +10,11 @@
 export function remainingChainMillis(
   workflow: Workflow,
   occurrence: Occurrence,
+  durations: DurationSource,
 ): number {
-  return longestChain(workflow.spec.steps, (step, index) => {
+  return longestChain(workflow.spec.steps, (_step, index) => {
     const isDone = occurrence.tasks[index].every(task => task.done);
-    return isDone ? 0 : step.estimateMillis;
+    return isDone ? 0 : expectedMillis(workflow, occurrence, index, durations);
   });
 }
 
@@ -45,11 +47,13 @@
 export function remainingWork(
   workflow: Workflow,
   occurrence: Occurrence,
+  durations: DurationSource,
 ): number {
   let sum = 0;
   for (const [index, step] of workflow.spec.steps.entries()) {
     const left = occurrence.tasks[index].filter(task => !task.done).length;
-    sum += left * workOfTask(step);
+    const millis = expectedMillis(workflow, occurrence, index, durations);
+    sum += left * workOfTask(step, millis);
   }
   return sum;
 }
@@ -57,10 +61,28 @@
 /** Returns the work of all tasks, in core-milliseconds. */
 export function totalWork(workflow: Workflow): number {
   let sum = 0;
-  for (const step of workflow.spec.steps) sum += step.count * workOfTask(step);
+  for (const step of workflow.spec.steps) {
+    sum += step.count * workOfTask(step, step.estimateMillis);
+  }
   return sum;
 }
 
-function workOfTask(step: StepSpec): number {
-  return (step.estimateMillis * step.size.milliprocessors) / 1_000;
+/**
+ * Returns the median duration of a task of the step. A step without an estimate
+ * has no share in the objective; it counts as 0, so that it does not make its
+ * workflow late.
+ */
+function expectedMillis(
+  workflow: Workflow,
+  {number}: Occurrence,
+  step: number,
+  durations: DurationSource,
+): number {
+  const {estimateMillis} = workflow.spec.steps[step];
+  if (estimateMillis <= 0) return estimateMillis;
+  return durations.estimate(workflow, number, step).medianMillis;
+}
+
+function workOfTask({size}: StepSpec, millis: number): number {
+  return (millis * size.milliprocessors) / 1_000;
 }
--- a/src/entry/workflows/pool_owner.ts
+++ b/src/entry/workflows/pool_owner.ts
@@ -134,6 +134,8 @@
     this.supervisor = new RunSupervisor({
       clock,
       logger,
+      metrics,
+      features: options.features,
       workflowRegistry: this.workflowRegistry,
       retries: this.retries,
       termsOf: workflow => this.termsOf(workflow),
--- a/src/entry/workflows/run_supervisor.ts
+++ b/src/entry/workflows/run_supervisor.ts
@@ -10,6 +10,7 @@
   ProgressMonitor,
   Stall,
 } from '../../decisions/workflows/progress_monitor.js';
+import type {SchedulingFeatures} from '../../decisions/workflows/scheduling_features.js';
 import {SlowedRunFinder} from '../../decisions/workflows/slowed_run_finder.js';
 import {runKey} from '../../decisions/workflows/task_name.js';
 import {taskNameOf} from '../../decisions/workflows/workflow.js';
@@ -25,8 +26,10 @@
 import type {WorkerView} from '../../decisions/workflows/worker_view.js';
 import {Events} from '../../observability/events.js';
 import type {Logger} from '../../observability/logger.js';
+import type {Metrics} from '../../observability/metrics.js';
 import type {RunEnd} from '../../protocol/generated/burdockmoor.js';
 import type {Clock} from '../../utilities/clock.js';
+import {DurationLearner} from './duration_learner.js';
 import type {RetryHistory} from './retry_history.js';
 import type {WorkflowRegistry} from './workflow_registry.js';
 
@@ -34,6 +37,8 @@
 export interface RunSupervisorOptions {
   readonly clock: Clock;
   readonly logger: Logger;
+  readonly metrics: Metrics;
+  readonly features: SchedulingFeatures;
   readonly workflowRegistry: WorkflowRegistry;
   readonly retries: RetryHistory;
   readonly termsOf: (workflow: Workflow) => QueueTerms | undefined;
@@ -60,9 +65,11 @@
 export class RunSupervisor {
   readonly health = new WorkerHealth();
   readonly interference = new ImageInterference();
-  readonly order = new WorkflowOrder();
+  readonly order: WorkflowOrder;
   readonly idle = new IdleWorkflows();
-  readonly durations: DurationSource = new SubmittedDurations();
+  readonly durations: DurationSource;
+  /** Undefined if the feature `learnedDurations` is off. */
+  private readonly durationLearner: DurationLearner | undefined;
   private readonly stalledBestEffortRuns = new SlowedRunFinder();
   private readonly progressMonitor = new ProgressMonitor();
   private readonly pacer = new BestEffortPacer(
@@ -70,11 +77,19 @@
     (left, right) => compareRanks(this.rankOf(left), this.rankOf(right)),
   );
 
-  constructor(private readonly options: RunSupervisorOptions) {}
+  constructor(private readonly options: RunSupervisorOptions) {
+    const {clock, metrics, features} = options;
+    const {health} = this;
+    if (features.learnedDurations)
+      this.durationLearner = new DurationLearner({clock, metrics, health});
+    this.durations = this.durationLearner?.table ?? new SubmittedDurations();
+    this.order = new WorkflowOrder(this.durations);
+  }
 
   /** Called when a run has ended, even if the end changes no state. */
   handleEnd(view: WorkerView, workflow: string, end: RunEnd): void {
     this.progressMonitor.forget(runKey(end.task, end.run));
+    this.durationLearner?.handleEnd(view, end);
     if (end.outcome === RunOutcome.DONE) this.health.recordSuccess(view.key);
     if (end.outcome !== RunOutcome.FAILED) return;
     const {clock, retries} = this.options;
@@ -90,6 +105,7 @@
   /** Called when a workflow has ended. */
   forgetWorkflow(id: string): void {
     this.progressMonitor.forgetWorkflow(id);
+    this.durationLearner?.table.forgetWorkflow(id);
     this.idle.forget(id);
     this.options.retries.forgetWorkflow(id);
   }
@@ -103,6 +119,7 @@
   /** Called when a worker's run list was updated. */
   handleRunList(view: WorkerView): void {
     this.paceBestEffortRuns(view);
+    this.durationLearner?.handleRunList(view);
     this.stopStalledRuns(view);
   }
 
@@ -169,6 +186,7 @@
     const {clock, retries} = this.options;
     const now = clock.now();
     const stalled = this.progressMonitor.observe(view, now);
+    for (const {placed} of stalled) this.durationLearner?.table.exclude(placed);
     if (stalled.length === 0 || !this.hasOtherWorker(view, now)) return;
     for (const {placed, stall} of stalled) {
       retries.recordFailure(taskNameOf(placed.reference), view.key);
