Start copies of slow tasks of speculative steps

A step ends with its slowest task, and a few tasks in a hundred take seven times as long as the others. Nothing overlapped the runs of a task, although callers may mark a step as speculative.

CopyPolicy proposes a second run for a task whose run has lasted longer than twice the median of the step's ended tasks and the high expected duration, or that ProgressMonitor finds slow. CopyPlanner places it after all waiting tasks, on another worker and if possible another rack, with a tenth of the unused processors. It goes through the same commit and start as any run. The first success ends the task; the other run is stopped and counted as waste. The switch is features.copies.

WorkflowRegistry.workflows returned a one-time iterator, which a second pass in a round of placement found empty; it can now be iterated several times.

--- a/src/decisions/workflows/leaving_workers.ts
+++ b/src/decisions/workflows/leaving_workers.ts
@@ -1,3 +1,4 @@
+import type {Placement} from './task_state.js';
 import type {PlacedRun} from './workflow.js';
 import type {WorkerView} from './worker_view.js';
 
@@ -11,7 +12,8 @@
  * Load pattern: workers are drained and removed while the rest of the pool has
  * free capacity. A long-running task would be down until its worker is
  * guaranteed to have ended, and a task with checkpoints loses nothing by
- * moving; all others stay, as they may still finish.
+ * moving; all others stay, as they may still finish. So does a run of a task
+ * that has another run elsewhere.
  */
 export function findRunsToMove(
   view: WorkerView,
@@ -23,6 +25,7 @@
     const {reference, placement} = placed;
     const {lasting, checkpoints, gang, estimateMillis} = reference.step;
     if (placement.stopping || gang || (!lasting && !checkpoints)) continue;
+    if (reference.task.placements.some(isOtherRun(placement))) continue;
     const percent = view.running.get(name)?.percent ?? 0;
     const left = estimateMillis * (1 - percent / FULL_PERCENT);
     const endsInTime = left * ESTIMATE_MARGIN < view.traits.remainingMillis;
@@ -31,3 +34,8 @@
   }
   return found;
 }
+
+/** Returns a test for runs that go on beside the one of the placement. */
+function isOtherRun(placement: Placement): (other: Placement) => boolean {
+  return other => other !== placement && !other.stopping;
+}
--- a/src/decisions/workflows/placement_planner.ts
+++ b/src/decisions/workflows/placement_planner.ts
@@ -1,4 +1,6 @@
 import {BlockedShapes} from './blocked_shapes.js';
+import {CopyPlanner} from './copies/copy_planner.js';
+import type {CopyRound} from './copies/copy_planner.js';
 import type {ImageInterference} from './image_interference.js';
 import {PlacementCandidate} from './placement_candidate.js';
 import {findWaitingSteps} from './waiting_steps.js';
@@ -39,6 +41,8 @@
   readonly idleMillis: (workflow: Workflow) => number;
   /** Monotonic time in milliseconds. */
   readonly now: number;
+  /** Absent if no task gets a second run. */
+  readonly copies?: CopyRound;
 }
 
 /**
@@ -80,7 +84,10 @@
       if (step.gang) planned.push(...this.placeGang(waiting));
       else planned.push(...this.placeStep(waiting, step));
     }
-    return planned;
+    const {copies} = this.round;
+    if (!copies) return planned;
+    const copyPlanner = new CopyPlanner(this.round, copies, this.candidates);
+    return [...planned, ...copyPlanner.plan()];
   }
 
   /** Places all tasks that fit, unless equal ones did not fit before. */
--- a/src/decisions/workflows/workflow.ts
+++ b/src/decisions/workflows/workflow.ts
@@ -30,6 +30,8 @@
   readonly run: number;
   readonly outcome: RunOutcome;
   readonly checkpoint: string;
+  /** The first success of a speculative task counts, whichever run it is of. */
+  readonly allowsCopies?: boolean;
 }
 
 /** The occurrence of a workflow that has no schedule. */
@@ -146,7 +148,11 @@
     if (!placement) return this.closeLate(found, closing, now);
     task.close(closing.run);
     if (task.done) return true;
-    if (closing.checkpoint !== '') task.checkpoint = closing.checkpoint;
+    // Another run of the task may be ahead of the one that has ended.
+    const isOnlyRun = task.placements.length === 0;
+    if (isOnlyRun && closing.checkpoint !== '') {
+      task.checkpoint = closing.checkpoint;
+    }
     if (closing.outcome === RunOutcome.DONE) this.finish(found, now);
     if (closing.outcome === RunOutcome.FAILED) {
       this.countFailure(found, maximumFailures, now);
@@ -180,7 +186,7 @@
 
   /**
    * Applies the success of a run that was closed as lost, if it is the last run
-   * and no other one is placed.
+   * and no other one is placed, or if the task may have several runs.
    */
   private closeLate(
     found: TaskReference,
@@ -188,9 +194,13 @@
     now: number,
   ): boolean {
     const {task} = found;
-    if (task.done || task.placements.length > 0 || !this.isOpen) return false;
+    if (task.done || !this.isOpen) return false;
     if (closing.outcome !== RunOutcome.DONE || found.step.gang) return false;
-    if (closing.run !== task.lastRun) return false;
+    const isLastRun = closing.run === task.lastRun;
+    const {speculative, lasting} = found.step;
+    const mayBeCopy = closing.allowsCopies && speculative && !lasting;
+    if (mayBeCopy ? closing.run > task.lastRun : !isLastRun) return false;
+    if (!mayBeCopy && task.placements.length > 0) return false;
     this.finish(found, now);
     return true;
   }
--- a/src/entry/workflows/pool_owner.ts
+++ b/src/entry/workflows/pool_owner.ts
@@ -1,3 +1,4 @@
+import type {WorkerRun} from '../../backends/leased_worker.js';
 import type {TransactionalStore} from '../../backends/transactional_store.js';
 import type {SchedulingFeatures} from '../../decisions/workflows/scheduling_features.js';
 import {planPlacements} from '../../decisions/workflows/placement_planner.js';
@@ -45,6 +46,7 @@
 import {RetryHistory} from './retry_history.js';
 import {RunSupervisor} from './run_supervisor.js';
 import {lastKeySegment, specKey, StoreKeys} from '../../protocol/store_keys.js';
+import {TaskCopies} from './task_copies.js';
 import {
   isCausedByWorker,
   isRunOutcome,
@@ -97,6 +99,8 @@
   private readonly supervisor: RunSupervisor;
   private readonly retries: RetryHistory;
   private readonly attachments: PoolAttachments;
+  /** Undefined if no task gets a second run. */
+  private readonly copies: TaskCopies | undefined;
   private readonly lastTerms = new Map<string, QueueTerms>();
   private readonly ownedSince: number;
   private readonly timers = new Set<Timer>();
@@ -105,7 +109,7 @@
   private closedReason: string | undefined;
 
   constructor(private readonly options: PoolOwnerOptions) {
-    const {clock, store, logger, metrics, owner, epoch} = options;
+    const {clock, store, logger, metrics, owner, epoch, features} = options;
     this.ownedSince = clock.now();
     this.planningAction = new CoalescedAction({
       clock,
@@ -137,6 +141,7 @@
       workflowRegistry: this.workflowRegistry,
       retries: this.retries,
       termsOf: workflow => this.termsOf(workflow),
+      copies: features.copies,
       attachedWorkers: () => this.attachedWorkers(),
       usableWorkers: () => this.usableWorkers(clock.now()),
       sendStop: (worker, task, run) =>
@@ -144,6 +149,11 @@
       sendPace: (worker, task, run, percent) =>
         this.attachments.find(worker)?.pace(task, run, percent),
     });
+    const {workerRegistry} = this;
+    const {durations, slowRuns} = this.supervisor;
+    this.copies = features.copies
+      ? new TaskCopies({...options, workerRegistry, durations, slowRuns})
+      : undefined;
   }
 
   get epoch(): number {
@@ -368,12 +378,20 @@
     this.supervisor.handleEnd(view, name.workflow, end);
     const workflow = this.workflowRegistry.get(name.workflow);
     const wasOpen = workflow?.isOpen ?? false;
-    const closing = {name, run: end.run, outcome, checkpoint: end.checkpoint};
+    const closing = {
+      name,
+      run: end.run,
+      outcome,
+      checkpoint: end.checkpoint,
+      allowsCopies: this.options.features.copies,
+    };
+    const ending = this.copies?.prepareEnd(workflow, closing);
     const changed = this.workflowRegistry.closeRun(
       closing,
       clock.wallTime(),
       effect,
     );
+    if (ending) this.copies?.handleEnd(ending, closing);
     logger.event(Events.RUN_ENDED, {
       task: end.task,
       run: end.run,
@@ -436,11 +454,23 @@
     for (const [name, {reference}] of view.placed) {
       const run = view.running.get(name);
       if (!run || run.checkpoint === '') continue;
-      if (!reference.task.done) reference.task.checkpoint = run.checkpoint;
+      if (reference.task.done || !this.isAhead(reference, run)) continue;
+      reference.task.checkpoint = run.checkpoint;
     }
     this.supervisor.handleRunList(view);
   }
 
+  /** False if another run of the task is known to have done more. */
+  private isAhead(
+    {task}: TaskReference,
+    {task: name, percent}: WorkerRun,
+  ): boolean {
+    return task.placements.every(({worker, run}) => {
+      const view = this.workerRegistry.get(worker);
+      return percent >= (view?.running.get(runKey(name, run))?.percent ?? 0);
+    });
+  }
+
   /** Closes all runs on a worker; they must be guaranteed to have ended. */
   private closeLostRuns(key: string, reason: string): void {
     for (const {reference, placement} of this.workerRegistry.placedAt(key)) {
@@ -452,6 +482,7 @@
         reason,
       });
       this.workflowRegistry.closeUnfinishedRun(reference.name, placement.run);
+      this.copies?.recordLoss(reference, placement);
     }
     this.planningAction.schedule();
   }
@@ -541,6 +572,7 @@
       idleMillis: workflow => idle.idleMillis(workflow, now),
       now,
       wallNow: clock.wallTime(),
+      copies: this.copies?.round(),
     });
     for (const {reference, worker, run} of planned) {
       const task = taskNameOf(reference);
@@ -548,7 +580,10 @@
         reference,
         worker,
         run,
-        durable => this.attachments.find(worker.key)?.start(durable),
+        durable => {
+          this.copies?.recordStart(durable);
+          this.attachments.find(worker.key)?.start(durable);
+        },
       );
       logger.event(Events.RUN_PLACED, {
         task,
@@ -559,6 +594,7 @@
           clock.wallTime() - reference.occurrence.dueAtMillis,
         ),
       });
+      this.copies?.recordPlacement(placed);
     }
   }
 
--- a/src/entry/workflows/run_supervisor.ts
+++ b/src/entry/workflows/run_supervisor.ts
@@ -1,4 +1,6 @@
 import {RunOutcome} from '../../backends/leased_worker.js';
+import {allowsCopy} from '../../decisions/workflows/copies/copy_policy.js';
+import {SlowRuns} from '../../decisions/workflows/copies/slow_runs.js';
 import {ImageInterference} from '../../decisions/workflows/image_interference.js';
 import type {DurationSource} from '../../decisions/workflows/durations/duration_source.js';
 import {SubmittedDurations} from '../../decisions/workflows/durations/submitted_durations.js';
@@ -10,6 +12,7 @@
   ProgressMonitor,
   Stall,
 } from '../../decisions/workflows/progress_monitor.js';
+import type {StalledRun} from '../../decisions/workflows/progress_monitor.js';
 import {SlowedRunFinder} from '../../decisions/workflows/slowed_run_finder.js';
 import {runKey} from '../../decisions/workflows/task_name.js';
 import {taskNameOf} from '../../decisions/workflows/workflow.js';
@@ -37,6 +40,8 @@
   readonly workflowRegistry: WorkflowRegistry;
   readonly retries: RetryHistory;
   readonly termsOf: (workflow: Workflow) => QueueTerms | undefined;
+  /** True if slow tasks of speculative steps get a second run. */
+  readonly copies: boolean;
   /** Workers whose agents are attached. */
   readonly attachedWorkers: () => WorkerView[];
   /** Workers on which tasks may be placed. */
@@ -64,6 +69,7 @@
   readonly idle = new IdleWorkflows();
   readonly durations: DurationSource = new SubmittedDurations();
   private readonly stalledBestEffortRuns = new SlowedRunFinder();
+  readonly slowRuns = new SlowRuns();
   private readonly progressMonitor = new ProgressMonitor();
   private readonly pacer = new BestEffortPacer(
     this.interference,
@@ -168,7 +174,9 @@
   private stopStalledRuns(view: WorkerView): void {
     const {clock, retries} = this.options;
     const now = clock.now();
-    const stalled = this.progressMonitor.observe(view, now);
+    const stalled = this.progressMonitor
+      .observe(view, now)
+      .filter(each => !this.getsCopy(each, now));
     if (stalled.length === 0 || !this.hasOtherWorker(view, now)) return;
     for (const {placed, stall} of stalled) {
       retries.recordFailure(taskNameOf(placed.reference), view.key);
@@ -201,6 +209,17 @@
     sendStop(worker, task, run);
   }
 
+  /** True if the run is slow but goes on, as another run is to overtake it. */
+  private getsCopy({placed, stall}: StalledRun, now: number): boolean {
+    const {copies, termsOf} = this.options;
+    if (!copies || stall !== Stall.SLOW) return false;
+    const {reference, placement} = placed;
+    const {workflow} = reference;
+    const terms = termsOf(workflow) ?? workflow.spec.terms;
+    if (!allowsCopy(reference, terms)) return false;
+    return this.slowRuns.record(reference, placement, now);
+  }
+
   private rankOf({reference}: PlacedRun): WorkflowRank {
     const {workflow, occurrence} = reference;
     const {clock, termsOf} = this.options;
--- a/src/entry/workflows/workflow_registry.ts
+++ b/src/entry/workflows/workflow_registry.ts
@@ -48,9 +48,9 @@
 
   constructor(private readonly options: WorkflowRegistryOptions) {}
 
-  /** Workflows that may still have runs. */
-  get workflows(): IterableIterator<Workflow> {
-    return this.openWorkflows.values();
+  /** Workflows that may still have runs; may be iterated several times. */
+  get workflows(): Iterable<Workflow> {
+    return {[Symbol.iterator]: () => this.openWorkflows.values()};
   }
 
   get(id: string): Workflow | undefined {
--- a/src/observability/events.ts
+++ b/src/observability/events.ts
@@ -467,4 +467,19 @@
     'warn',
     'The command to start a run arrived too late and was ignored.',
   ),
+  COPY_STARTED: eventType(
+    6080,
+    'info',
+    'A second run of a slow task was assigned to another worker.',
+  ),
+  COPY_WON: eventType(
+    6081,
+    'info',
+    'The second run of a slow task was done first; the first run is stopped.',
+  ),
+  COPY_LOST: eventType(
+    6082,
+    'info',
+    'The first run of a slow task was done first; the second run is stopped.',
+  ),
 } as const;
