Test copies of slow tasks under random faults

The random schedules run with copies on: every second workflow is speculative and the first run of its first task is slow. FleetHistory takes the workflows whose tasks may have two runs, on different workers; such a task may be started until the end of its other run is acknowledged, as the order may be under way. Its checks of all other tasks are unchanged.

--- a/tests/workflows/random_schedules.test.ts
+++ b/tests/workflows/random_schedules.test.ts
@@ -1,6 +1,7 @@
 import test from 'ava';
 import type {ExecutionContext} from 'ava';
 import {Random} from '../../src/utilities/random.js';
+import type {ObservedRun} from './fixtures/fleet_history.js';
 import {VirtualPool} from './fixtures/virtual_pool.js';
 
 const FIRST_SEED = 1;
@@ -20,6 +21,10 @@
 const FIRST_DRAINING_SEED = 301;
 const DRAINING_SEED_COUNT = 12;
 const DRAIN_MILLIS = 2_500;
+/** Seeds of schedules in which slow tasks get copies. */
+const FIRST_COPY_SEED = 401;
+const COPY_SEED_COUNT = 12;
+const SLOW_FACTOR = 7;
 const STEPS = 30;
 const MAXIMUM_STEP_MILLIS = 1_200;
 /** Time for leases to expire, a new owner to be found and work to be redone. */
@@ -119,24 +124,27 @@
   });
 }
 
-/** Submits a random workflow through a random entry; cancels some of them. */
+/**
+ * Submits a random workflow through a random entry; cancels some of them. If it
+ * is speculative, the first run of its first task is slow.
+ */
 async function submit(
   pool: VirtualPool,
   random: Random,
   number: number,
+  isSpeculative: boolean,
 ): Promise<void> {
   const entries = pool.entryNames;
   if (entries.length === 0) return;
   const entry = entries[random.below(entries.length)];
   const id = number.toString(16).padStart(16, '0');
-  const step = {Count: 1 + random.below(4), Cpu: 500, MemMb: 100};
+  const usual = {Count: 1 + random.below(4), Cpu: 500, MemMb: 100};
+  const step = isSpeculative ? {...usual, Speculative: true} : usual;
   const steps = random.unit() < 0.4 ? [step, {...step, After: [0]}] : [step];
-  const status = await pool.submit(
-    id,
-    steps,
-    {millis: 100 + random.below(2_000)},
-    entry,
-  );
+  const millis = 100 + random.below(2_000);
+  const slow = {[`${id}.0.0.0#1`]: {millis: SLOW_FACTOR * millis}};
+  const runs = isSpeculative ? slow : {};
+  const status = await pool.submit(id, steps, {millis, runs}, entry);
   if (status === 200 && random.unit() < 0.15) await pool.cancel(id, entry);
 }
 
@@ -144,23 +152,41 @@
   t: ExecutionContext,
   seed: number,
   faultInjectors: ReadonlyArray<(pool: VirtualPool, random: Random) => void>,
-): Promise<void> {
-  const pool = new VirtualPool({seed, entries: 3, workers: 4});
+  copies = false,
+): Promise<VirtualPool> {
+  const features = {copies};
+  const pool = new VirtualPool({seed, entries: 3, workers: 4, features});
   const random = new Random(seed + 1_000);
+  // Every second workflow is speculative.
+  const speculative = new Set<string>();
   await pool.run(3_000);
   for (let number = 1; number <= STEPS; number++) {
-    await submit(pool, random, number);
+    const isSpeculative = copies && number % 2 === 0;
+    if (isSpeculative) speculative.add(number.toString(16).padStart(16, '0'));
+    await submit(pool, random, number, isSpeculative);
     for (const inject of faultInjectors) {
       if (random.unit() < 0.5) inject(pool, random);
     }
     await pool.run(random.below(MAXIMUM_STEP_MILLIS));
   }
   await pool.run(RECOVERY_MILLIS);
-  t.deepEqual(pool.history.violations(), []);
+  t.deepEqual(pool.history.violations(speculative), []);
   for (const id of pool.history.acceptedWorkflows) {
     const state = await pool.state(id);
     t.true(state === 'done' || state === 'cancelled', `${id} is ${state}`);
   }
+  return pool;
+}
+
+function countOverlaps({history}: VirtualPool): number {
+  const isOverlapped = ({task, run, startedAt}: ObservedRun): boolean =>
+    history.runs.some(
+      each =>
+        each.task === task &&
+        each.run < run &&
+        startedAt < (each.endedAt ?? Infinity),
+    );
+  return history.runs.filter(isOverlapped).length;
 }
 
 const seeds = Array.from(
@@ -169,12 +195,23 @@
 );
 
 for (const seed of [...seeds, ...REGRESSION_SEEDS, DELAYED_START_SEED]) {
-  test(`should run each task in one place and lose nothing, seed ${seed}`, t =>
-    runSchedule(t, seed, [injectFault]));
+  test(`should run each task in one place and lose nothing, seed ${seed}`, async t => {
+    await runSchedule(t, seed, [injectFault]);
+  });
 }
 
 for (let index = 0; index < DRAINING_SEED_COUNT; index++) {
   const seed = FIRST_DRAINING_SEED + index;
-  test(`should lose nothing while workers are drained and removed, seed ${seed}`, t =>
-    runSchedule(t, seed, [injectFault, drainWorker]));
+  test(`should lose nothing while workers are drained and removed, seed ${seed}`, async t => {
+    await runSchedule(t, seed, [injectFault, drainWorker]);
+  });
+}
+
+for (let index = 0; index < COPY_SEED_COUNT; index++) {
+  const seed = FIRST_COPY_SEED + index;
+  test(`should run at most one copy of a slow task, seed ${seed}`, async t => {
+    const faults = [injectFault, drainWorker];
+    const pool = await runSchedule(t, seed, faults, true);
+    t.true(countOverlaps(pool) > 0);
+  });
 }
