--- a/src/decisions/workflows/placement_planner.ts
+++ b/src/decisions/workflows/placement_planner.ts
@@ -1,4 +1,6 @@
 import {BlockedShapes} from './blocked_shapes.js';
+import {CopyPlanner} from './copies/copy_planner.js';
+import type {CopyRound} from './copies/copy_planner.js';
 import type {ImageInterference} from './image_interference.js';
 import {PlacementCandidate} from './placement_candidate.js';
 import {findWaitingSteps} from './waiting_steps.js';
@@ -44,6 +46,8 @@
   readonly now: number;
   /** Absent in live rounds. */
   readonly observer?: PlacementObserver;
+  /** Absent if no task gets a second run. */
+  readonly copies?: CopyRound;
 }
 
 /** Receives what a round decides by, without an effect on the round. */
@@ -99,7 +103,10 @@
       else planned.push(...this.placeStep(waiting, step));
     }
     observer?.onEnd(waiting => this.assess(waiting));
-    return planned;
+    const {copies} = this.round;
+    if (!copies) return planned;
+    const copyPlanner = new CopyPlanner(this.round, copies, this.candidates);
+    return [...planned, ...copyPlanner.plan()];
   }
 
   private assess(waiting: WaitingStep): WorkerAssessment[] {
