--- a/src/decisions/workflows/workflow_codec.ts
+++ b/src/decisions/workflows/workflow_codec.ts
@@ -34,6 +34,19 @@
   readonly endedAtMillis: number;
 }
 
+/** Begins every record of a refused workflow, and no other record. */
+const REFUSAL_START = '{"refused":true,';
+
+/** Kept in place of the specification of a workflow that was refused. */
+export interface RefusedWorkflow {
+  /** Calendar time of the Retry-After, in milliseconds since 1970. */
+  readonly retryAtMillis: number;
+}
+
+export function encodeRefusal({retryAtMillis}: RefusedWorkflow): string {
+  return JSON.stringify({refused: true, retryAtMillis});
+}
+
 export function encodeSpec(spec: WorkflowSpec): string {
   return JSON.stringify(spec);
 }
@@ -43,6 +56,16 @@
   return JSON.stringify({state, endedAtMillis});
 }
 
+/** True for the record of a refused workflow, which is not known otherwise. */
+export function isRefusal(text: string): boolean {
+  return text.startsWith(REFUSAL_START);
+}
+
+/** @throws WorkflowRecordError */
+export function decodeRefusal(text: string): RefusedWorkflow {
+  return parse<RefusedWorkflow>(text);
+}
+
 /** @throws WorkflowRecordError */
 export function decodeSpec(text: string): WorkflowSpec {
   const spec = parse<WorkflowSpec>(text);
--- a/src/decisions/workflows/workflow_timing.ts
+++ b/src/decisions/workflows/workflow_timing.ts
@@ -17,7 +17,7 @@
 }
 
 /** Returns the longest chain of all steps, in milliseconds. */
-export function totalChainMillis(workflow: Workflow): number {
+export function totalChainMillis(workflow: Pick<Workflow, 'spec'>): number {
   return longestChain(workflow.spec.steps, step => step.estimateMillis);
 }
 
@@ -35,7 +35,7 @@
 
 /** Returns the maximum time from acceptance to an end that is on time. */
 export function objectiveMillis(
-  workflow: Workflow,
+  workflow: Pick<Workflow, 'spec'>,
   terms: Pick<QueueConfiguration, 'stretch' | 'latencyTargetMillis'>,
 ): number {
   return terms.stretch * totalChainMillis(workflow) + terms.latencyTargetMillis;
@@ -55,12 +55,13 @@
 }
 
 /** Returns the work of all tasks, in core-milliseconds. */
-export function totalWork(workflow: Workflow): number {
+export function totalWork(workflow: Pick<Workflow, 'spec'>): number {
   let sum = 0;
   for (const step of workflow.spec.steps) sum += step.count * workOfTask(step);
   return sum;
 }
 
-function workOfTask(step: StepSpec): number {
+/** Returns the work of one task, in core-milliseconds. */
+export function workOfTask(step: StepSpec): number {
   return (step.estimateMillis * step.size.milliprocessors) / 1_000;
 }
--- a/src/protocol/store_keys.ts
+++ b/src/protocol/store_keys.ts
@@ -5,6 +5,7 @@
 const PROGRESS_PREFIX = `${ROOT}progress/`;
 const NEW_PREFIX = `${ROOT}inbox/new/`;
 const CANCEL_PREFIX = `${ROOT}inbox/cancel/`;
+const REFUSED_PREFIX = `${ROOT}refused/`;
 
 export const StoreKeys = {
   /** Owner of the pool, attached to its lease; written at the claim. */
@@ -17,6 +18,7 @@
   INBOX_PREFIX: `${ROOT}inbox/`,
   NEW_PREFIX,
   CANCEL_PREFIX,
+  REFUSED_PREFIX,
   ENTRY_PREFIX: `${ROOT}entries/`,
 } as const;
 
@@ -38,6 +40,15 @@
   return CANCEL_PREFIX + workflow;
 }
 
+/**
+ * Key that lists a refused workflow, for the removal of its record. It is
+ * written and removed in the same transactions as the record at `specKey`, so
+ * both have the same revision.
+ */
+export function refusedKey(workflow: string): string {
+  return REFUSED_PREFIX + workflow;
+}
+
 export function entryKey(processName: string): string {
   return StoreKeys.ENTRY_PREFIX + processName;
 }
