Refuse best-effort workflows that a full pool can't finish in time

Cause: an entry accepts every workflow that it can store, also in a burst that the pool can't finish, so that most of them end without value. Change: with features.admission the owner sends its outlook with each reply to a note, and entries answer 429 with a Retry-After once the refusal is stored in place of the workflow. A retry replaces the refusal on the condition of its revision; the owner removes old ones.

--- a/src/entry/workflows/owner_client.ts
+++ b/src/entry/workflows/owner_client.ts
@@ -1,15 +1,20 @@
+import type {AdmissionOutlook} from '../../decisions/workflows/admission/admission_outlook.js';
 import type {WorkflowState} from '../../decisions/workflows/workflow_types.js';
 import type {WorkflowSpec} from '../../decisions/workflows/workflow_types.js';
 import {encodeSpec} from '../../decisions/workflows/workflow_codec.js';
 import {Events} from '../../observability/events.js';
 import type {Logger} from '../../observability/logger.js';
+import type {NoteWorkflowReply} from '../../protocol/generated/burdockmoor.js';
 import type {PoolLink, PoolLinkFactory} from '../../protocol/pool_links.js';
 import {messageOf} from '../../utilities/base_error.js';
+import type {Clock} from '../../utilities/clock.js';
+import type {ReceivedOutlook} from './admission_control.js';
 import type {PoolOwnership} from './pool_ownership.js';
 
 export interface OwnerClientOptions {
   readonly ownership: PoolOwnership;
   readonly links: PoolLinkFactory;
+  readonly clock: Clock;
   readonly logger: Logger;
 }
 
@@ -23,9 +28,22 @@
 export class OwnerClient {
   private link: PoolLink | undefined;
   private address = '';
+  private received:
+    {readonly outlook: AdmissionOutlook; readonly askedAt: number} | undefined;
 
   constructor(private readonly options: OwnerClientOptions) {}
 
+  /** The owner's latest outlook; undefined if it has sent none. */
+  get lastOutlook(): ReceivedOutlook | undefined {
+    const {owner} = this.options.ownership;
+    const outlook = owner?.outlook;
+    if (outlook) return {outlook, ageMillis: 0};
+    if (!this.received) return undefined;
+    const {askedAt} = this.received;
+    const ageMillis = this.options.clock.now() - askedAt;
+    return {outlook: this.received.outlook, ageMillis};
+  }
+
   /** Notifies the owner, which would otherwise read it from the store later. */
   notifyAccepted(spec: WorkflowSpec): void {
     const {owner} = this.options.ownership;
@@ -71,9 +89,12 @@
 
   private notifyOwner(
     id: string,
-    call: (link: PoolLink) => Promise<unknown>,
+    call: (link: PoolLink) => Promise<NoteWorkflowReply>,
   ): void {
+    const askedAt = this.options.clock.now();
     void this.request(call).then(reply => {
+      const outlook = reply?.outlook;
+      if (outlook) this.received = {outlook, askedAt};
       if (reply !== undefined) return;
       // No retry: the owner reads its inbox once a second.
       this.options.logger.event(Events.AGENT_CALL_FAILED, {
--- a/src/entry/workflows/pool_entry.ts
+++ b/src/entry/workflows/pool_entry.ts
@@ -25,6 +25,7 @@
 import type {Clock} from '../../utilities/clock.js';
 import {pause} from '../../utilities/pause.js';
 import type {ApiResponse, ApiCall} from '../http/api_types.js';
+import {AdmissionControl} from './admission_control.js';
 import {ConfigurationFollower} from './configuration_follower.js';
 import type {OperatorDocuments} from './configuration_follower.js';
 import {OwnerClient} from './owner_client.js';
@@ -108,12 +109,14 @@
     this.ownerClient = new OwnerClient({
       ownership: this.ownership,
       links: options.links,
+      clock,
       logger,
     });
     const acceptor = new WorkflowAcceptor({
       store,
       health: this.health,
       owner: this.ownerClient,
+      admission: this.createAdmissionControl(),
       clock,
       logger,
     });
@@ -192,7 +195,8 @@
     if (!owner) return {noted: false};
     if (request.cancelled) owner.cancel(request.workflow);
     else owner.addWorkflow(decodeSpec(request.record));
-    return {noted: true};
+    const {outlook} = owner;
+    return outlook ? {noted: true, outlook} : {noted: true};
   }
 
   async showWorkflow(request: ShowWorkflowRequest): Promise<ShowWorkflowReply> {
@@ -207,6 +211,17 @@
     return {owned: true, waiting: owner.countQueued(request.queue)};
   }
 
+  private createAdmissionControl(): AdmissionControl | undefined {
+    const {features, clock, logger, metrics} = this.options;
+    if (!features.admission) return undefined;
+    return new AdmissionControl({
+      lastOutlook: () => this.ownerClient.lastOutlook,
+      clock,
+      logger,
+      metrics,
+    });
+  }
+
   private handleConfigurationChange(): void {
     this.ownership.notifyEligible();
     this.ownership.owner?.handleConfigurationChange();
--- a/src/entry/workflows/pool_owner.ts
+++ b/src/entry/workflows/pool_owner.ts
@@ -1,4 +1,5 @@
 import type {TransactionalStore} from '../../backends/transactional_store.js';
+import type {AdmissionOutlook} from '../../decisions/workflows/admission/admission_outlook.js';
 import type {SchedulingFeatures} from '../../decisions/workflows/scheduling_features.js';
 import {planPlacements} from '../../decisions/workflows/placement_planner.js';
 import {parseTaskName, runKey} from '../../decisions/workflows/task_name.js';
@@ -11,6 +12,7 @@
   decodeEnded,
   decodeSpec,
   decodeWorkflow,
+  isRefusal,
 } from '../../decisions/workflows/workflow_codec.js';
 import type {
   QueueTerms,
@@ -41,7 +43,9 @@
 import {CommitLog} from './commit_log.js';
 import type {LeaseValidity} from './lease_validity.js';
 import type {OwnerRecord} from '../../protocol/owner_record.js';
+import {OwnerAdmission} from './owner_admission.js';
 import {PoolAttachments} from './pool_attachments.js';
+import {RefusalRemoval} from './refusal_removal.js';
 import {RetryHistory} from './retry_history.js';
 import {RunSupervisor} from './run_supervisor.js';
 import {lastKeySegment, specKey, StoreKeys} from '../../protocol/store_keys.js';
@@ -57,6 +61,8 @@
 /** Well below the time within which a cancellation must take effect. */
 const INBOX_POLL_INTERVAL_MILLIS = 1_000;
 const EXPIRY_INTERVAL_MILLIS = 5_000;
+/** Well below the retention time; each time reads the keys of all records. */
+const REFUSAL_REMOVAL_INTERVAL_MILLIS = 15_000;
 /** Ended workflows are kept for this multiple of the promised time. */
 const RETENTION_FACTOR = 1.2;
 /** No run is placed if the worker's agent sent no message for this long. */
@@ -97,6 +103,8 @@
   private readonly supervisor: RunSupervisor;
   private readonly retries: RetryHistory;
   private readonly attachments: PoolAttachments;
+  /** Undefined if admission control is off. */
+  private readonly admission: OwnerAdmission | undefined;
   private readonly lastTerms = new Map<string, QueueTerms>();
   private readonly ownedSince: number;
   private readonly timers = new Set<Timer>();
@@ -144,6 +152,18 @@
       sendPace: (worker, task, run, percent) =>
         this.attachments.find(worker)?.pace(task, run, percent),
     });
+    if (!options.features.admission) return;
+    this.admission = new OwnerAdmission({
+      clock,
+      workflows: () => this.workflowRegistry.workflows,
+      order: this.supervisor.order,
+      termsOf: workflow => this.termsOf(workflow),
+    });
+  }
+
+  /** What entries decide by; undefined if admission control is off. */
+  get outlook(): AdmissionOutlook | undefined {
+    return this.loaded ? this.admission?.outlook : undefined;
   }
 
   get epoch(): number {
@@ -183,6 +203,7 @@
     this.scheduleEvery(TICK_INTERVAL_MILLIS, () => this.tick());
     this.scheduleEvery(INBOX_POLL_INTERVAL_MILLIS, () => void this.readInbox());
     this.scheduleEvery(EXPIRY_INTERVAL_MILLIS, () => this.expire());
+    this.scheduleRefusalRemoval();
     for (const {key} of inbox.values) {
       if (key.startsWith(StoreKeys.CANCEL_PREFIX))
         this.cancel(lastKeySegment(key));
@@ -221,6 +242,7 @@
     if (!this.loaded || !this.workflowRegistry.add(spec)) return;
     const workflow = this.workflowRegistry.get(spec.id);
     if (workflow) this.supervisor.order.record(workflow);
+    if (workflow) this.admission?.recordWorkflow(workflow);
     workflow?.openDue(this.options.clock.wallTime());
     this.planningAction.schedule();
   }
@@ -299,6 +321,7 @@
     inboxKeys: readonly string[],
   ): void {
     try {
+      if (isRefusal(specText)) return;
       const ended = decodeEnded(specText);
       if (ended)
         return this.workflowRegistry.restoreEnded(id, ended, inboxKeys);
@@ -382,6 +405,7 @@
       number: end.number,
       changed,
     });
+    if (workflow && changed) this.admission?.recordEnd(workflow, end);
     if (workflow) this.handleRunClosed(workflow, wasOpen);
     this.planningAction.schedule();
   }
@@ -468,6 +492,7 @@
     this.closeExpiredRuns();
     this.supervisor.moveStalledBestEffortRuns();
     this.supervisor.moveFromDrainingWorkers();
+    this.admission?.observe();
     this.workflowRegistry.openDueOccurrences(this.options.clock.wallTime());
     this.planningAction.schedule();
   }
@@ -510,11 +535,24 @@
     text: string,
     inboxKey: string,
   ): void {
+    if (isRefusal(text)) return;
     const ended = decodeEnded(text);
     if (ended) this.workflowRegistry.restoreEnded(id, ended, [inboxKey]);
     else this.addWorkflow(decodeSpec(text));
   }
 
+  private scheduleRefusalRemoval(): void {
+    const {features, store, clock, logger, retentionMillis} = this.options;
+    if (!features.admission) return;
+    const removal = new RefusalRemoval({
+      store,
+      clock,
+      logger,
+      retentionMillis: RETENTION_FACTOR * retentionMillis,
+    });
+    this.scheduleEvery(REFUSAL_REMOVAL_INTERVAL_MILLIS, () => removal.run());
+  }
+
   private expire(): void {
     const {clock, retentionMillis} = this.options;
     this.workflowRegistry.expire(
--- a/src/entry/workflows/workflow_acceptor.ts
+++ b/src/entry/workflows/workflow_acceptor.ts
@@ -1,14 +1,29 @@
 import {StoreRefusedError} from '../../backends/platform_errors.js';
-import type {TransactionalStore} from '../../backends/transactional_store.js';
-import {encodeSpec} from '../../decisions/workflows/workflow_codec.js';
+import type {StoredValue} from '../../backends/store.js';
+import type {
+  TransactionalStore,
+  TransactionResult,
+} from '../../backends/transactional_store.js';
+import type {AdmissionRefusal} from '../../decisions/workflows/admission/admission_policy.js';
+import {
+  decodeRefusal,
+  encodeSpec,
+  isRefusal,
+} from '../../decisions/workflows/workflow_codec.js';
 import type {WorkflowSpec} from '../../decisions/workflows/workflow_types.js';
 import {Events} from '../../observability/events.js';
 import type {Logger} from '../../observability/logger.js';
 import {messageOf} from '../../utilities/base_error.js';
 import type {Clock} from '../../utilities/clock.js';
 import {withDeadline} from '../../utilities/deadline.js';
+import type {AdmissionControl} from './admission_control.js';
 import type {OwnerClient} from './owner_client.js';
-import {cancelKey, newWorkflowKey, specKey} from '../../protocol/store_keys.js';
+import {
+  cancelKey,
+  newWorkflowKey,
+  refusedKey,
+  specKey,
+} from '../../protocol/store_keys.js';
 import type {StoreHealth} from './store_health.js';
 
 /** Result of a submission or a cancellation. */
@@ -16,6 +31,8 @@
   STORED: 'stored',
   /** It is guaranteed not to be stored, now or later. */
   REFUSED: 'refused',
+  /** It has no value now; guaranteed not to be stored unless sent again. */
+  DEFERRED: 'deferred',
   /** It may be stored, now or a little later. */
   UNKNOWN: 'unknown',
   /** There is no such workflow. */
@@ -23,10 +40,19 @@
 } as const;
 export type Acceptance = (typeof Acceptance)[keyof typeof Acceptance];
 
+/** Result of a submission. */
+export interface SubmissionResult {
+  readonly acceptance: Acceptance;
+  /** Present if the workflow was refused because the pool is too full. */
+  readonly retryAfterSeconds?: number;
+}
+
 export interface WorkflowAcceptorOptions {
   readonly store: TransactionalStore;
   readonly health: StoreHealth;
   readonly owner: OwnerClient;
+  /** Undefined if admission control is off. */
+  readonly admission?: AdmissionControl;
   readonly clock: Clock;
   readonly logger: Logger;
 }
@@ -37,6 +63,19 @@
  */
 const STORE_TIMEOUT_MILLIS = 900;
 
+/** A submission whose caller may still wait for the response. */
+interface OpenCall {
+  isAnswered: boolean;
+}
+
+/** A refusal that counts once it is stored. */
+interface DecidedRefusal {
+  readonly spec: WorkflowSpec;
+  readonly refusal: AdmissionRefusal;
+  readonly admission: AdmissionControl;
+  readonly call: OpenCall;
+}
+
 /**
  * Stores workflows and cancellations. Any entry may do so: the key of a
  * workflow can be created only once, whichever entry receives a repeated request.
@@ -45,11 +84,22 @@
   constructor(private readonly options: WorkflowAcceptorOptions) {}
 
   /** Resolves at the latest a second after the call. */
-  async submit(spec: WorkflowSpec): Promise<Acceptance> {
+  async submit(spec: WorkflowSpec): Promise<SubmissionResult> {
     const {id} = spec;
     if (this.options.health.isUnavailable)
-      return this.refuse(id, 'the store is unavailable');
-    return this.withTimeout(id, this.store(spec));
+      return {acceptance: this.refuse(id, 'the store is unavailable')};
+    const call: OpenCall = {isAnswered: false};
+    const {admission} = this.options;
+    const refusal = admission?.findRefusal(spec);
+    const stored =
+      admission && refusal
+        ? this.storeRefusal({spec, refusal, admission, call})
+        : this.store(spec, call);
+    const acceptance = await this.withTimeout(id, stored);
+    call.isAnswered = true;
+    return refusal && acceptance === Acceptance.DEFERRED
+      ? {acceptance, retryAfterSeconds: refusal.retryAfterSeconds}
+      : {acceptance};
   }
 
   /** Resolves at the latest a second after the call. */
@@ -72,32 +122,15 @@
    * Continues after the deadline of the caller's response, so that the owner is
    * still notified.
    */
-  private async store(spec: WorkflowSpec): Promise<Acceptance> {
-    const {store, health, clock, logger, owner} = this.options;
-    const {id, queue} = spec;
+  private async store(spec: WorkflowSpec, call: OpenCall): Promise<Acceptance> {
+    const {clock} = this.options;
+    const {id} = spec;
     const sentAt = clock.now();
     try {
-      const call = store.transact({
-        conditions: [{key: specKey(id), revision: 0}],
-        puts: [
-          {key: specKey(id), value: encodeSpec(spec)},
-          {key: newWorkflowKey(id), value: ''},
-        ],
-      });
-      const result = await health.track(call);
-      logger.event(Events.WORKFLOW_ACCEPTED, {
-        workflow: id,
-        queue,
-        isRepeated: !result.succeeded,
-        tasks: spec.steps.reduce((sum, step) => sum + step.count, 0),
-        milliprocessors: spec.steps.reduce(
-          (sum, {count, size}) => sum + count * size.milliprocessors,
-          0,
-        ),
-        tookMillis: Math.round(clock.now() - sentAt),
-      });
-      if (result.succeeded) owner.notifyAccepted(spec);
-      return Acceptance.STORED;
+      const result = await this.writeSpec(spec, 0);
+      const refused = storedRefusal(result);
+      if (refused) return await this.replaceRefusal(spec, refused, call);
+      return this.recordStored(spec, result.succeeded, sentAt);
     } catch (error) {
       const reason = messageOf(error);
       if (error instanceof StoreRefusedError) return this.refuse(id, reason);
@@ -105,11 +138,135 @@
     }
   }
 
+  /**
+   * Stores the workflow in place of its refusal. A caller that was told that the
+   * result is unknown may meanwhile have been refused by another entry, so this
+   * is done only while the caller waits, and not for a refusal that has changed.
+   */
+  private async replaceRefusal(
+    spec: WorkflowSpec,
+    refused: StoredValue,
+    call: OpenCall,
+  ): Promise<Acceptance> {
+    const {id} = spec;
+    if (call.isAnswered) return Acceptance.UNKNOWN;
+    const sentAt = this.options.clock.now();
+    const result = await this.writeSpec(spec, refused.revision);
+    if (result.succeeded) this.options.admission?.recordReturn(id);
+    const isStored = result.succeeded || result.current.length > 0;
+    if (!isStored || storedRefusal(result))
+      return this.refuse(id, 'another entry refuses it at the same time');
+    return this.recordStored(spec, result.succeeded, sentAt);
+  }
+
+  /** Writes the workflow if its key has the revision. */
+  private writeSpec(
+    spec: WorkflowSpec,
+    revision: number,
+  ): Promise<TransactionResult> {
+    const {store, health} = this.options;
+    const {id} = spec;
+    const write = store.transact({
+      conditions: [{key: specKey(id), revision}],
+      puts: [
+        {key: specKey(id), value: encodeSpec(spec)},
+        {key: newWorkflowKey(id), value: ''},
+      ],
+      ...(revision > 0 && {removals: [refusedKey(id)]}),
+    });
+    return health.track(write);
+  }
+
+  private recordStored(
+    spec: WorkflowSpec,
+    isNew: boolean,
+    sentAt: number,
+  ): Acceptance {
+    const {clock, logger, owner, admission} = this.options;
+    const {id, queue, steps} = spec;
+    logger.event(Events.WORKFLOW_ACCEPTED, {
+      workflow: id,
+      queue,
+      isRepeated: !isNew,
+      tasks: steps.reduce((sum, step) => sum + step.count, 0),
+      milliprocessors: steps.reduce(
+        (sum, {count, size}) => sum + count * size.milliprocessors,
+        0,
+      ),
+      tookMillis: Math.round(clock.now() - sentAt),
+    });
+    if (isNew) owner.notifyAccepted(spec);
+    admission?.forget(id);
+    return Acceptance.STORED;
+  }
+
+  /**
+   * Stores a refusal in place of the workflow, so that a write of the workflow
+   * that arrives later fails on its condition.
+   */
+  private async storeRefusal(decided: DecidedRefusal): Promise<Acceptance> {
+    const {spec, admission, call} = decided;
+    const {id} = spec;
+    try {
+      const acceptance = await this.tryStoreRefusal(decided);
+      if (acceptance !== undefined) return acceptance;
+      admission.recordUnstored(id, 'another entry decides about it');
+    } catch (error) {
+      const reason = messageOf(error);
+      admission.recordUnstored(id, reason);
+      if (!(error instanceof StoreRefusedError))
+        return this.reportUnknown(id, reason);
+    }
+    return call.isAnswered ? Acceptance.UNKNOWN : this.store(spec, call);
+  }
+
+  /** Resolves to undefined if the key has changed meanwhile. */
+  private async tryStoreRefusal(
+    decided: DecidedRefusal,
+  ): Promise<Acceptance | undefined> {
+    const {spec, refusal, admission, call} = decided;
+    const sentAt = this.options.clock.now();
+    const record = admission.recordOf(refusal);
+    let result = await this.writeRefusal(spec.id, record, 0);
+    const earlier = storedRefusal(result);
+    if (earlier) {
+      if (admission.acceptsReturn(spec, decodeRefusal(earlier.value)))
+        return this.replaceRefusal(spec, earlier, call);
+      // The write of an accepted retry may be on its way, on the condition that
+      // the earlier refusal is unchanged.
+      result = await this.writeRefusal(spec.id, record, earlier.revision);
+    }
+    if (call.isAnswered) return Acceptance.UNKNOWN;
+    if (result.succeeded) {
+      admission.recordRefusal(spec, refusal);
+      return Acceptance.DEFERRED;
+    }
+    const isStored = result.current.length > 0 && !storedRefusal(result);
+    return isStored ? this.recordStored(spec, false, sentAt) : undefined;
+  }
+
+  /** Writes a refusal if the key of the workflow has the revision. */
+  private writeRefusal(
+    id: string,
+    record: string,
+    revision: number,
+  ): Promise<TransactionResult> {
+    const {store, health} = this.options;
+    const write = store.transact({
+      conditions: [{key: specKey(id), revision}],
+      puts: [
+        {key: specKey(id), value: record},
+        {key: refusedKey(id), value: ''},
+      ],
+    });
+    return health.track(write);
+  }
+
   private async storeCancellation(id: string): Promise<Acceptance> {
     const {store, health, logger, owner} = this.options;
     try {
       const spec = await health.track(store.get(specKey(id)));
-      if (!spec) return Acceptance.ABSENT;
+      if (!spec || isRefusal(spec.value)) return Acceptance.ABSENT;
       const puts = [{key: cancelKey(id), value: ''}];
       await health.track(store.transact({conditions: [], puts}));
       logger.event(Events.WORKFLOW_CANCELLED, {workflow: id});
@@ -140,7 +297,8 @@
     const {id} = spec;
     try {
       const storedSpec = await health.track(store.get(specKey(id)));
-      if (!storedSpec) return this.reportUnknown(id, reason);
+      if (!storedSpec || isRefusal(storedSpec.value))
+        return this.reportUnknown(id, reason);
       owner.notifyAccepted(spec);
       return Acceptance.STORED;
     } catch (error) {
@@ -148,3 +306,12 @@
     }
   }
 }
+
+/** Returns the refusal for which a condition on a workflow's key failed. */
+function storedRefusal({
+  succeeded,
+  current,
+}: TransactionResult): StoredValue | undefined {
+  if (succeeded) return undefined;
+  return current.find(({value}) => isRefusal(value));
+}
--- a/src/entry/workflows/workflow_api.ts
+++ b/src/entry/workflows/workflow_api.ts
@@ -1,6 +1,9 @@
 import type {TransactionalStore} from '../../backends/transactional_store.js';
 import {retryAfterSeconds} from '../../decisions/workflows/retry_after.js';
-import {decodeEnded} from '../../decisions/workflows/workflow_codec.js';
+import {
+  decodeEnded,
+  isRefusal,
+} from '../../decisions/workflows/workflow_codec.js';
 import {WorkflowState} from '../../decisions/workflows/workflow_types.js';
 import type {
   QueueConfiguration,
@@ -114,7 +117,8 @@
       },
       acceptedAtMillis: clock.wallTime(),
     };
-    const acceptance = await acceptor.submit(spec);
+    const {acceptance, retryAfterSeconds: wait} = await acceptor.submit(spec);
+    if (wait !== undefined) return createRetryResponse(429, wait);
     if (acceptance === Acceptance.STORED) return createResponse(200);
     // The result is unknown: the caller has to retry with the same id.
     return acceptance === Acceptance.UNKNOWN
@@ -150,6 +154,7 @@
       if (!stored) return this.retryLater();
       const [progress, spec] = stored;
       if (!progress && !spec) return createResponse(410);
+      if (spec && isRefusal(spec.value)) return createResponse(410);
       const openState = progress ? WorkflowState.RUNNING : WorkflowState.QUEUED;
       const ended = spec && decodeEnded(spec.value);
       return createResponse(
@@ -177,12 +182,15 @@
   /** Returns 503 with a Retry-After header: the request was not carried out. */
   private retryLater(): ApiResponse {
     const {unansweredMillis} = this.options.health;
-    const seconds = retryAfterSeconds(unansweredMillis);
-    const headers = [['retry-after', String(seconds)]] as const;
-    return {status: 503, headers, body: Buffer.alloc(0)};
+    return createRetryResponse(503, retryAfterSeconds(unansweredMillis));
   }
 }
 
+function createRetryResponse(status: number, seconds: number): ApiResponse {
+  const headers = [['retry-after', String(seconds)]] as const;
+  return {status, headers, body: Buffer.alloc(0)};
+}
+
 function createResponse(status: number, body = ''): ApiResponse {
   const headers: Array<readonly [string, string]> =
     body === '' ? [] : [['content-type', 'application/json']];
--- a/src/observability/events.ts
+++ b/src/observability/events.ts
@@ -467,4 +467,29 @@
     'warn',
     'The command to start a run arrived too late and was ignored.',
   ),
+  WORKFLOW_DEFERRED: eventType(
+    6100,
+    'info',
+    'A workflow was refused with a Retry-After, as it would end without value.',
+  ),
+  DEFERRED_ACCEPTED: eventType(
+    6101,
+    'info',
+    'A workflow that was refused with a Retry-After before is stored.',
+  ),
+  REFUSAL_NOT_STORED: eventType(
+    6102,
+    'info',
+    'A refusal could not be stored, so the workflow was not refused.',
+  ),
+  OUTLOOK_INVALID: eventType(
+    6103,
+    'info',
+    "The owner's outlook has a value out of range and is not used.",
+  ),
+  REFUSAL_REMOVAL_FAILED: eventType(
+    6104,
+    'info',
+    'Records of refused workflows could not be removed; it is tried again.',
+  ),
 } as const;
