Test the rate and the work ahead that the owner derives

Cause: no test showed that the outlook is absent for a pool that is not full, or that its rate falls if workers are slow. Change: a test of BestEffortLoad over observations of one workflow.

--- a/tests/workflows/admission.test.ts
+++ b/tests/workflows/admission.test.ts
@@ -1,11 +1,14 @@
 import test from 'ava';
 import fc from 'fast-check';
 import {demandOf} from '../../src/decisions/workflows/admission/admission_demand.js';
+import {BestEffortLoad} from '../../src/decisions/workflows/admission/best_effort_load.js';
 import {
   findRefusal,
   retryAfterSeconds,
 } from '../../src/decisions/workflows/admission/admission_policy.js';
 import {decodeSubmission} from '../../src/platform/submissions.js';
+import {Workflow} from '../../src/decisions/workflows/workflow.js';
+import {WorkflowOrder} from '../../src/decisions/workflows/workflow_order.js';
 import type {WorkflowSpec} from '../../src/decisions/workflows/workflow_types.js';
 import {AdmissionControl} from '../../src/entry/workflows/admission_control.js';
 import type {ReceivedOutlook} from '../../src/entry/workflows/admission_control.js';
@@ -211,6 +214,37 @@
   t.is(findRefusal({...request, outlook: {backlogs: worse}}), undefined);
 });
 
+test('should have an outlook only of a full pool, with a rate that falls', t => {
+  const load = new BestEffortLoad();
+  const workflow = new Workflow(specOf());
+  const observe = (now: number, endedWork: number): number | undefined => {
+    load.recordDone('service', endedWork, now);
+    load.observe({
+      workflows: [workflow],
+      order: new WorkflowOrder(),
+      termsOf: ({spec}) => spec.terms,
+      now,
+      wallNow: 0,
+    });
+    return load.outlook(now).backlogs[0]?.rate;
+  };
+  t.is(observe(0, 0), undefined);
+  // Nothing has run: the wait is unknown.
+  t.is(observe(1_000, 0), undefined);
+  const [occurrence] = workflow.occurrences.values();
+  workflow.place(workflow.reference(occurrence, 0, 0), 'worker');
+  t.is(observe(1_500, 0), 1.8);
+  t.is(observe(6_000, 100_000), 20);
+  t.is(observe(11_500, 5_000), 1);
+  for (const task of occurrence.tasks[0]) task.done = true;
+  for (const task of occurrence.tasks[1]) task.placements = [];
+  t.is(load.outlook(11_500).backlogs[0].work, 14_400);
+  t.is(observe(12_000, 0), 1);
+  t.is(load.outlook(12_000).backlogs[0].work, 7_200);
+  workflow.cancel(0);
+  t.is(observe(13_000, 0), undefined);
+});
+
 test('should spread the callers of one refusal, within 1 to 30 s', t => {
   const waits = Array.from({length: 200}, (_, index) =>
     retryAfterSeconds(60_000, idOf(index)),
