--- a/src/decisions/workflows/workflow_timing.ts
+++ b/src/decisions/workflows/workflow_timing.ts
@@ -19,7 +19,7 @@
 }
 
 /** Returns the longest chain of all steps, in milliseconds. */
-export function totalChainMillis(workflow: Workflow): number {
+export function totalChainMillis(workflow: Pick<Workflow, 'spec'>): number {
   return longestChain(workflow.spec.steps, step => step.estimateMillis);
 }
 
@@ -37,7 +37,7 @@
 
 /** Returns the maximum time from acceptance to an end that is on time. */
 export function objectiveMillis(
-  workflow: Workflow,
+  workflow: Pick<Workflow, 'spec'>,
   terms: Pick<QueueConfiguration, 'stretch' | 'latencyTargetMillis'>,
 ): number {
   return terms.stretch * totalChainMillis(workflow) + terms.latencyTargetMillis;
@@ -59,7 +59,7 @@
 }
 
 /** Returns the work of all tasks, in core-milliseconds. */
-export function totalWork(workflow: Workflow): number {
+export function totalWork(workflow: Pick<Workflow, 'spec'>): number {
   let sum = 0;
   for (const step of workflow.spec.steps) {
     sum += step.count * workOfTask(step, step.estimateMillis);
@@ -83,6 +83,7 @@
   return durations.estimate(workflow, number, step).medianMillis;
 }
 
-function workOfTask({size}: StepSpec, millis: number): number {
+/** Returns the work of one task of this duration, in core-milliseconds. */
+export function workOfTask({size}: StepSpec, millis: number): number {
   return (millis * size.milliprocessors) / 1_000;
 }
--- a/src/entry/workflows/pool_entry.ts
+++ b/src/entry/workflows/pool_entry.ts
@@ -27,6 +27,7 @@
 import type {Clock} from '../../utilities/clock.js';
 import {pause} from '../../utilities/pause.js';
 import type {ApiResponse, ApiCall} from '../http/api_types.js';
+import {AdmissionControl} from './admission_control.js';
 import {ConfigurationFollower} from './configuration_follower.js';
 import type {OperatorDocuments} from './configuration_follower.js';
 import {ExplanationClient} from './explanation_client.js';
@@ -117,6 +118,7 @@
     this.ownerClient = new OwnerClient({
       ownership: this.ownership,
       links: options.links,
+      clock,
       logger,
     });
     this.explanations = new ExplanationClient({
@@ -128,6 +130,7 @@
       store,
       health: this.health,
       owner: this.ownerClient,
+      admission: this.createAdmissionControl(),
       clock,
       logger,
     });
@@ -211,7 +214,8 @@
     if (!owner) return {noted: false};
     if (request.cancelled) owner.cancel(request.workflow);
     else owner.addWorkflow(decodeSpec(request.record));
-    return {noted: true};
+    const {outlook} = owner;
+    return outlook ? {noted: true, outlook} : {noted: true};
   }
 
   async showWorkflow(request: ShowWorkflowRequest): Promise<ShowWorkflowReply> {
@@ -235,6 +239,17 @@
     return {owned: status !== ExplanationStatus.NO_OWNER, explanation};
   }
 
+  private createAdmissionControl(): AdmissionControl | undefined {
+    const {features, clock, logger, metrics} = this.options;
+    if (!features.admission) return undefined;
+    return new AdmissionControl({
+      lastOutlook: () => this.ownerClient.lastOutlook,
+      clock,
+      logger,
+      metrics,
+    });
+  }
+
   private handleConfigurationChange(): void {
     this.ownership.notifyEligible();
     this.ownership.owner?.handleConfigurationChange();
--- a/src/entry/workflows/pool_owner.ts
+++ b/src/entry/workflows/pool_owner.ts
@@ -1,5 +1,6 @@
 import type {WorkerRun} from '../../backends/leased_worker.js';
 import type {TransactionalStore} from '../../backends/transactional_store.js';
+import type {AdmissionOutlook} from '../../decisions/workflows/admission/admission_outlook.js';
 import type {SchedulingFeatures} from '../../decisions/workflows/scheduling_features.js';
 import {explainPlacement} from '../../decisions/workflows/explaining/placement_explainer.js';
 import type {UnusableWorker} from '../../decisions/workflows/explaining/placement_explainer.js';
@@ -16,6 +17,7 @@
   decodeEnded,
   decodeSpec,
   decodeWorkflow,
+  isRefusal,
 } from '../../decisions/workflows/workflow_codec.js';
 import type {
   QueueTerms,
@@ -50,7 +52,9 @@
 import type {ExplanationResult} from './explanation_result.js';
 import type {LeaseValidity} from './lease_validity.js';
 import type {OwnerRecord} from '../../protocol/owner_record.js';
+import {OwnerAdmission} from './owner_admission.js';
 import {PoolAttachments} from './pool_attachments.js';
+import {RefusalRemoval} from './refusal_removal.js';
 import {RetryHistory} from './retry_history.js';
 import {RunSupervisor} from './run_supervisor.js';
 import {lastKeySegment, specKey, StoreKeys} from '../../protocol/store_keys.js';
@@ -69,6 +73,8 @@
 const EXPIRY_INTERVAL_MILLIS = 5_000;
 /** A new owner lacks what was learned in this time. */
 const LEARNED_SAVE_INTERVAL_MILLIS = 2_000;
+/** Well below the retention time; each time reads the keys of all records. */
+const REFUSAL_REMOVAL_INTERVAL_MILLIS = 15_000;
 /** Ended workflows are kept for this multiple of the promised time. */
 const RETENTION_FACTOR = 1.2;
 /** No run is placed if the worker's agent sent no message for this long. */
@@ -114,6 +120,8 @@
   private readonly learnedInterference: LearnedInterference;
   /** Undefined if no task gets a second run. */
   private readonly copies: TaskCopies | undefined;
+  /** Undefined if admission control is off. */
+  private readonly admission: OwnerAdmission | undefined;
   private readonly lastTerms = new Map<string, QueueTerms>();
   private readonly ownedSince: number;
   private readonly timers = new Set<Timer>();
@@ -177,6 +185,18 @@
     this.copies = features.copies
       ? new TaskCopies({...options, workerRegistry, durations, slowRuns})
       : undefined;
+    if (!options.features.admission) return;
+    this.admission = new OwnerAdmission({
+      clock,
+      workflows: () => this.workflowRegistry.workflows,
+      order: this.supervisor.order,
+      termsOf: workflow => this.termsOf(workflow),
+    });
+  }
+
+  /** What entries decide by; undefined if admission control is off. */
+  get outlook(): AdmissionOutlook | undefined {
+    return this.loaded ? this.admission?.outlook : undefined;
   }
 
   get epoch(): number {
@@ -222,6 +242,7 @@
         this.learnedInterference.save(),
       );
     }
+    this.scheduleRefusalRemoval();
     for (const {key} of inbox.values) {
       if (key.startsWith(StoreKeys.CANCEL_PREFIX))
         this.cancel(lastKeySegment(key));
@@ -260,6 +281,7 @@
     if (!this.loaded || !this.workflowRegistry.add(spec)) return;
     const workflow = this.workflowRegistry.get(spec.id);
     if (workflow) this.supervisor.order.record(workflow);
+    if (workflow) this.admission?.recordWorkflow(workflow);
     workflow?.openDue(this.options.clock.wallTime());
     this.planningAction.schedule();
   }
@@ -350,6 +372,7 @@
     inboxKeys: readonly string[],
   ): void {
     try {
+      if (isRefusal(specText)) return;
       const ended = decodeEnded(specText);
       if (ended)
         return this.workflowRegistry.restoreEnded(id, ended, inboxKeys);
@@ -441,6 +464,7 @@
       number: end.number,
       changed,
     });
+    if (workflow && changed) this.admission?.recordEnd(workflow, end);
     if (workflow) this.handleRunClosed(workflow, wasOpen);
     this.planningAction.schedule();
   }
@@ -540,6 +564,7 @@
     this.closeExpiredRuns();
     this.supervisor.moveStalledBestEffortRuns();
     this.supervisor.moveFromDrainingWorkers();
+    this.admission?.observe();
     this.workflowRegistry.openDueOccurrences(this.options.clock.wallTime());
     this.planningAction.schedule();
   }
@@ -582,11 +607,24 @@
     text: string,
     inboxKey: string,
   ): void {
+    if (isRefusal(text)) return;
     const ended = decodeEnded(text);
     if (ended) this.workflowRegistry.restoreEnded(id, ended, [inboxKey]);
     else this.addWorkflow(decodeSpec(text));
   }
 
+  private scheduleRefusalRemoval(): void {
+    const {features, store, clock, logger, retentionMillis} = this.options;
+    if (!features.admission) return;
+    const removal = new RefusalRemoval({
+      store,
+      clock,
+      logger,
+      retentionMillis: RETENTION_FACTOR * retentionMillis,
+    });
+    this.scheduleEvery(REFUSAL_REMOVAL_INTERVAL_MILLIS, () => removal.run());
+  }
+
   private expire(): void {
     const {clock, retentionMillis} = this.options;
     this.workflowRegistry.expire(
