Turn reservations of workers on by a switch

Cause: the reservations need an owner that keeps them between rounds, and operators need to see them.

--- a/src/entry/workflows/pool_owner.ts
+++ b/src/entry/workflows/pool_owner.ts
@@ -1,4 +1,8 @@
 import type {TransactionalStore} from '../../backends/transactional_store.js';
+import {
+  GapReservations,
+  ReservationEnd,
+} from '../../decisions/workflows/gaps/gap_reservations.js';
 import type {SchedulingFeatures} from '../../decisions/workflows/scheduling_features.js';
 import {planPlacements} from '../../decisions/workflows/placement_planner.js';
 import {parseTaskName, runKey} from '../../decisions/workflows/task_name.js';
@@ -42,6 +46,7 @@
 import type {LeaseValidity} from './lease_validity.js';
 import type {OwnerRecord} from '../../protocol/owner_record.js';
 import {PoolAttachments} from './pool_attachments.js';
+import {ReservationReporter} from './reservation_reporter.js';
 import {RetryHistory} from './retry_history.js';
 import {RunSupervisor} from './run_supervisor.js';
 import {lastKeySegment, specKey, StoreKeys} from '../../protocol/store_keys.js';
@@ -95,6 +100,8 @@
   private readonly workflowRegistry: WorkflowRegistry;
   private readonly workerRegistry = new WorkerRegistry();
   private readonly supervisor: RunSupervisor;
+  /** Undefined if the feature is off. */
+  private readonly reservations: GapReservations | undefined;
   private readonly retries: RetryHistory;
   private readonly attachments: PoolAttachments;
   private readonly lastTerms = new Map<string, QueueTerms>();
@@ -144,6 +151,12 @@
       sendPace: (worker, task, run, percent) =>
         this.attachments.find(worker)?.pace(task, run, percent),
     });
+    this.reservations = options.features.reservations
+      ? new GapReservations(
+          this.supervisor.durations,
+          new ReservationReporter(options),
+        )
+      : undefined;
   }
 
   get epoch(): number {
@@ -275,6 +288,12 @@
           queue: spec.queue,
         }),
       ),
+      reservations: this.reservations?.held.map(reservation => ({
+        worker: reservation.worker,
+        workflow: reservation.holder.workflow.id,
+        step: reservation.holder.step,
+        expectedInMillis: Math.round(reservation.expectedAt - now),
+      })),
     };
   }
 
@@ -288,6 +307,7 @@
     this.closedReason = reason;
     for (const timer of this.timers) timer.cancel();
     this.planningAction.close();
+    this.reservations?.endAll(ReservationEnd.OWNER_CLOSED);
     this.commits.close(reason);
     this.attachments.close(reason);
   }
@@ -541,6 +561,7 @@
       idleMillis: workflow => idle.idleMillis(workflow, now),
       now,
       wallNow: clock.wallTime(),
+      reservations: this.reservations,
     });
     for (const {reference, worker, run} of planned) {
       const task = taskNameOf(reference);
--- a/src/observability/events.ts
+++ b/src/observability/events.ts
@@ -467,4 +467,14 @@
     'warn',
     'The command to start a run arrived too late and was ignored.',
   ),
+  RESERVATION_MADE: eventType(
+    6090,
+    'info',
+    'A worker is reserved for tasks of a step that found no worker.',
+  ),
+  RESERVATION_ENDED: eventType(
+    6091,
+    'info',
+    'The reservation of a worker has ended.',
+  ),
 } as const;
