--- a/src/decisions/workflows/placement_planner.ts
+++ b/src/decisions/workflows/placement_planner.ts
@@ -1,6 +1,9 @@
 import {BlockedShapes} from './blocked_shapes.js';
 import {CopyPlanner} from './copies/copy_planner.js';
 import type {CopyRound} from './copies/copy_planner.js';
+import type {Backfill} from './gaps/backfill.js';
+import type {GapReservations} from './gaps/gap_reservations.js';
+import {ReservationRound} from './gaps/reservation_round.js';
 import type {ImageInterference} from './image_interference.js';
 import {PlacementCandidate} from './placement_candidate.js';
 import {findWaitingSteps} from './waiting_steps.js';
@@ -48,6 +51,8 @@
   readonly observer?: PlacementObserver;
   /** Absent if no task gets a second run. */
   readonly copies?: CopyRound;
+  /** Absent if no workers are reserved for large tasks. */
+  readonly reservations?: GapReservations;
 }
 
 /** Receives what a round decides by, without an effect on the round. */
@@ -78,10 +83,12 @@
 class PlacementPlanner {
   private readonly candidates: readonly PlacementCandidate[];
   private readonly blocked = new BlockedShapes();
+  private readonly reservations: ReservationRound | undefined;
   private cachedIsPoolIdle: boolean | undefined;
 
   constructor(private readonly round: PlacementRound) {
     const {workers, health, interference, limitsProbes, now} = round;
+    const {reservations} = round;
     this.candidates = workers.map(
       view =>
         new PlacementCandidate(
@@ -91,6 +98,9 @@
           limitsProbes ? new ProbeLimit(view, interference) : undefined,
         ),
     );
+    if (!reservations) return;
+    const {candidates} = this;
+    this.reservations = new ReservationRound({reservations, candidates, now});
   }
 
   plan(): PlannedRun[] {
@@ -99,10 +109,14 @@
     for (const waiting of findWaitingSteps(this.round)) {
       observer?.onStep(waiting, () => this.assess(waiting));
       const step = waiting.workflow.spec.steps[waiting.step];
-      if (step.gang) planned.push(...this.placeGang(waiting));
-      else planned.push(...this.placeStep(waiting, step));
+      const ofStep = step.gang
+        ? this.placeGang(waiting)
+        : this.placeStep(waiting, step);
+      this.reservations?.record(waiting, ofStep);
+      planned.push(...ofStep);
     }
     observer?.onEnd(waiting => this.assess(waiting));
+    this.reservations?.finish(planned, this.round.interference);
     const {copies} = this.round;
     if (!copies) return planned;
     const copyPlanner = new CopyPlanner(this.round, copies, this.candidates);
@@ -111,7 +125,8 @@
 
   private assess(waiting: WaitingStep): WorkerAssessment[] {
     const mayInterfere = this.mayInterfere(waiting);
-    return this.scoresFor(waiting, {mayInterfere}).assessments();
+    const backfill = this.reservations?.backfillOf(waiting);
+    return this.scoresFor(waiting, {mayInterfere, backfill}).assessments();
   }
 
   /** Places all tasks that fit, unless equal ones did not fit before. */
@@ -121,19 +136,23 @@
   ): PlannedRun[] {
     const {service} = waiting.terms;
     const mayInterfere = step.fills && this.mayInterfere(waiting);
-    if (!this.blocked.isBlocked(service, step, mayInterfere)) {
-      const planned = this.placeTasks(waiting, {mayInterfere});
+    const backfill = this.reservations?.backfillOf(waiting);
+    const highMillis = backfill?.highMillis;
+    if (!this.blocked.isBlocked(service, step, mayInterfere, highMillis)) {
+      const planned = this.placeTasks(waiting, {mayInterfere, backfill});
       if (planned.length === waiting.tasks.length) return planned;
-      this.blocked.record(service, step, mayInterfere);
+      const heldMillis = backfill?.hasHeldBack ? highMillis : 0;
+      this.blocked.record(service, step, mayInterfere, heldMillis);
       if (planned.length > 0) return planned;
     }
-    return this.placeStarved(waiting, mayInterfere);
+    return this.placeStarved(waiting, mayInterfere, backfill);
   }
 
   /** Lets one task of a starved workflow share processors that others use. */
   private placeStarved(
     waiting: WaitingStep,
     mayInterfere: boolean,
+    backfill: Backfill | undefined,
   ): PlannedRun[] {
     const {workflow, tasks} = waiting;
     if (!mayInterfere || this.round.idleMillis(workflow) < STARVED_MILLIS) {
@@ -143,12 +162,16 @@
     return this.placeTasks(first, {
       mayInterfere,
       sharesProcessors: true,
+      backfill,
     });
   }
 
   private placeTasks(
     waiting: WaitingStep,
-    allowed: Pick<WorkerScoresOptions, 'mayInterfere' | 'sharesProcessors'>,
+    allowed: Pick<
+      WorkerScoresOptions,
+      'mayInterfere' | 'sharesProcessors' | 'backfill'
+    >,
     run?: number,
   ): PlannedRun[] {
     const scores = this.scoresFor(waiting, allowed);
@@ -167,7 +190,10 @@
 
   private scoresFor(
     waiting: WaitingStep,
-    allowed: Pick<WorkerScoresOptions, 'mayInterfere' | 'sharesProcessors'>,
+    allowed: Pick<
+      WorkerScoresOptions,
+      'mayInterfere' | 'sharesProcessors' | 'backfill'
+    >,
   ): WorkerScores {
     const {interference, workersThatFailed} = this.round;
     const {candidates} = this;
@@ -188,7 +214,9 @@
     const run = 1 + Math.max(...members.map(member => member.lastRun));
     const restores = this.candidates.map(candidate => candidate.save());
     const mayInterfere = this.mayInterfere(waiting);
-    const planned = this.placeTasks(waiting, {mayInterfere}, run);
+    const backfill = this.reservations?.backfillOf(waiting);
+    const allowed = {mayInterfere, backfill};
+    const planned = this.placeTasks(waiting, allowed, run);
     if (planned.length === tasks.length) return planned;
     for (const restore of restores) restore();
     return [];
--- a/src/decisions/workflows/worker_scores.ts
+++ b/src/decisions/workflows/worker_scores.ts
@@ -1,4 +1,5 @@
 import type {ReservationNote} from './explaining/explanation.js';
+import type {Backfill} from './gaps/backfill.js';
 import type {ImageInterference} from './image_interference.js';
 import type {PlacementCandidate} from './placement_candidate.js';
 import {PlacementObstacle} from './placement_obstacle.js';
@@ -43,6 +44,8 @@
    * True if best-effort tasks may go where others use all unused processors.
    */
   readonly sharesProcessors?: boolean;
+  /** Undefined if no reservation restricts the tasks. */
+  readonly backfill?: Backfill;
   /** Workers on which the task has failed. */
   readonly workersThatFailed: (reference: TaskReference) => ReadonlySet<string>;
 }
@@ -102,9 +105,10 @@
       const {rack} = view.traits;
       const isOnOtherRack =
         this.isAwayFromData(rack) || this.isAwayFromTasks(rack);
+      const reservation = this.options.backfill?.noteOf(candidate);
       return typeof result === 'number'
         ? {view, score: result, isOnOtherRack}
-        : {view, obstacle: result, isOnOtherRack};
+        : {view, obstacle: result, isOnOtherRack, reservation};
     });
   }
 
@@ -150,9 +154,10 @@
     if (service !== this.options.waiting.terms.service)
       return PlacementObstacle.SERVICE;
     const tasksHere = this.tasksOfStep.get(view.key) ?? 0;
-    const {sharesProcessors = false} = this.options;
+    const {sharesProcessors = false, backfill} = this.options;
     const obstacle = candidate.obstacleFor(step, tasksHere, sharesProcessors);
     if (obstacle) return obstacle;
+    if (backfill?.isHeldBack(candidate)) return PlacementObstacle.RESERVATION;
     const left =
       candidate.expectedUnusedMilliprocessors - step.size.milliprocessors;
     let score = left / Math.max(1, capacity.milliprocessors);
--- a/src/entry/workflows/pool_owner.ts
+++ b/src/entry/workflows/pool_owner.ts
@@ -1,6 +1,10 @@
 import type {WorkerRun} from '../../backends/leased_worker.js';
 import type {TransactionalStore} from '../../backends/transactional_store.js';
 import type {AdmissionOutlook} from '../../decisions/workflows/admission/admission_outlook.js';
+import {
+  GapReservations,
+  ReservationEnd,
+} from '../../decisions/workflows/gaps/gap_reservations.js';
 import type {SchedulingFeatures} from '../../decisions/workflows/scheduling_features.js';
 import {explainPlacement} from '../../decisions/workflows/explaining/placement_explainer.js';
 import type {UnusableWorker} from '../../decisions/workflows/explaining/placement_explainer.js';
@@ -55,6 +59,7 @@
 import {OwnerAdmission} from './owner_admission.js';
 import {PoolAttachments} from './pool_attachments.js';
 import {RefusalRemoval} from './refusal_removal.js';
+import {ReservationReporter} from './reservation_reporter.js';
 import {RetryHistory} from './retry_history.js';
 import {RunSupervisor} from './run_supervisor.js';
 import {lastKeySegment, specKey, StoreKeys} from '../../protocol/store_keys.js';
@@ -115,6 +120,8 @@
   private readonly workflowRegistry: WorkflowRegistry;
   private readonly workerRegistry = new WorkerRegistry();
   private readonly supervisor: RunSupervisor;
+  /** Undefined if the feature is off. */
+  private readonly reservations: GapReservations | undefined;
   private readonly retries: RetryHistory;
   private readonly attachments: PoolAttachments;
   private readonly learnedInterference: LearnedInterference;
@@ -174,6 +181,12 @@
       sendPace: (worker, task, run, percent) =>
         this.attachments.find(worker)?.pace(task, run, percent),
     });
+    this.reservations = options.features.reservations
+      ? new GapReservations(
+          this.supervisor.durations,
+          new ReservationReporter(options),
+        )
+      : undefined;
     this.learnedInterference = new LearnedInterference({
       store,
       commits: this.commits,
@@ -348,6 +361,12 @@
           queue: spec.queue,
         }),
       ),
+      reservations: this.reservations?.held.map(reservation => ({
+        worker: reservation.worker,
+        workflow: reservation.holder.workflow.id,
+        step: reservation.holder.step,
+        expectedInMillis: Math.round(reservation.expectedAt - now),
+      })),
     };
   }
 
@@ -361,6 +380,7 @@
     this.closedReason = reason;
     for (const timer of this.timers) timer.cancel();
     this.planningAction.close();
+    this.reservations?.endAll(ReservationEnd.OWNER_CLOSED);
     this.commits.close(reason);
     this.attachments.close(reason);
   }
@@ -670,6 +690,7 @@
     const explanation = explainPlacement({
       round: {
         ...round,
+        reservations: this.reservations?.copy(),
         // A workflow may have been placed since its last observation.
         idleMillis: workflow =>
           workflow.hasPlacements ? 0 : round.idleMillis(workflow),
@@ -705,6 +726,7 @@
         this.retries.workersThatFailed(taskNameOf(reference)),
       idleMillis: workflow => idle.idleMillis(workflow, now),
       limitsProbes: this.options.features.probes,
+      reservations: this.reservations,
       copies: this.copies?.round(),
       now,
       wallNow: this.options.clock.wallTime(),
--- a/src/observability/events.ts
+++ b/src/observability/events.ts
@@ -477,12 +477,6 @@
     'warn',
     'The stored interference of images is not usable; the owner learns it anew.',
   ),
-  // 611x: explanations of placement.
-  PLACEMENT_EXPLAINED: eventType(
-    6110,
-    'info',
-    'The owner explained to an operator where a workflow would be placed.',
-  ),
   COPY_STARTED: eventType(
     6080,
     'info',
@@ -498,6 +492,16 @@
     'info',
     'The first run of a slow task was done first; the second run is stopped.',
   ),
+  RESERVATION_MADE: eventType(
+    6090,
+    'info',
+    'A worker is reserved for tasks of a step that found no worker.',
+  ),
+  RESERVATION_ENDED: eventType(
+    6091,
+    'info',
+    'The reservation of a worker has ended.',
+  ),
   WORKFLOW_DEFERRED: eventType(
     6100,
     'info',
@@ -523,4 +527,10 @@
     'info',
     'Records of refused workflows could not be removed; it is tried again.',
   ),
+  // 611x: explanations of placement.
+  PLACEMENT_EXPLAINED: eventType(
+    6110,
+    'info',
+    'The owner explained to an operator where a workflow would be placed.',
+  ),
 } as const;
