Share the builders of workflow tests, and explain reservations

Change: one set of builders; an explanation works on a copy of the reservations and names the holder of the one that rules a worker out.

--- a/tests/workflows/copies.test.ts
+++ b/tests/workflows/copies.test.ts
@@ -26,6 +26,7 @@
 import {agentKey, progressKey} from '../../src/protocol/store_keys.js';
 import {RecordingLogger} from './fixtures/recording_logger.js';
 import {VirtualPool} from './fixtures/virtual_pool.js';
+import {stepOf} from './fixtures/workflow_builders.js';
 
 const ID = '00000000000000a1';
 const SPECULATIVE = new Set([ID]);
@@ -382,24 +383,7 @@
 const DURATIONS = new SubmittedDurations();
 
 function workflowOf(step: Partial<StepSpec>): Workflow {
-  const usual: StepSpec = {
-    count: 4,
-    size: {milliprocessors: 1_000, memoryMegabytes: 100, accelerators: 0},
-    estimateMillis: 1_000,
-    after: [],
-    checkpoints: false,
-    gang: false,
-    rackLocal: false,
-    requiredLabel: '',
-    dataRack: '',
-    spreadLimit: 0,
-    speculative: true,
-    lasting: false,
-    image: '',
-    tailTargetMillis: 0,
-    fills: false,
-    mayMiss: 0,
-  };
+  const usual = stepOf({count: 4, speculative: true});
   return new Workflow({
     id: ID,
     queue: 'queue',
--- a/tests/workflows/durations.test.ts
+++ b/tests/workflows/durations.test.ts
@@ -23,6 +23,7 @@
 import {Metrics} from '../../src/observability/metrics.js';
 import {Random} from '../../src/utilities/random.js';
 import {VirtualPool} from './fixtures/virtual_pool.js';
+import {stepOf} from './fixtures/workflow_builders.js';
 
 const DAY_MILLIS = 86_400_000;
 const TERMS = {
@@ -38,25 +39,9 @@
   changes: Array<Partial<StepSpec>>,
   acceptedAtMillis = 0,
 ): Workflow {
-  const steps = changes.map(change => ({
-    count: 20,
-    size: {milliprocessors: 1_000, memoryMegabytes: 100, accelerators: 0},
-    estimateMillis: 1_000,
-    after: [],
-    checkpoints: false,
-    gang: false,
-    rackLocal: false,
-    requiredLabel: '',
-    dataRack: '',
-    spreadLimit: 0,
-    speculative: false,
-    lasting: false,
-    image: 'image',
-    tailTargetMillis: 0,
-    fills: false,
-    mayMiss: 0,
-    ...change,
-  }));
+  const steps = changes.map(change =>
+    stepOf({count: 20, image: 'image', ...change}),
+  );
   const queue = 'queue';
   const payload = '';
   return new Workflow({
--- a/tests/workflows/gaps.test.ts
+++ b/tests/workflows/gaps.test.ts
@@ -3,13 +3,16 @@
 import type {DurationSource} from '../../src/decisions/workflows/durations/duration_source.js';
 import {ReservationEnd} from '../../src/decisions/workflows/gaps/gap_reservations.js';
 import type {Reservation} from '../../src/decisions/workflows/gaps/gap_reservations.js';
+import {explainPlacement} from '../../src/decisions/workflows/explaining/placement_explainer.js';
+import {PlacementObstacle} from '../../src/decisions/workflows/placement_obstacle.js';
 import type {StepSpec} from '../../src/decisions/workflows/workflow_types.js';
 import {Events} from '../../src/observability/events.js';
 import {Random} from '../../src/utilities/random.js';
-import {PlannedPool, sizeOf, stepOf} from './fixtures/planned_pool.js';
+import {PlannedPool, sizeOf} from './fixtures/planned_pool.js';
 import type {PlannedPoolOptions} from './fixtures/planned_pool.js';
 import {RecordingLogger} from './fixtures/recording_logger.js';
 import {VirtualPool} from './fixtures/virtual_pool.js';
+import {stepOf, workflowOf} from './fixtures/workflow_builders.js';
 
 const SEEDS = 100;
 const SMALL_ID = '00000000000000a1';
@@ -135,6 +138,26 @@
   );
 });
 
+test('should explain which reservation keeps a worker from a task', t => {
+  const {pool, reservation} = poolWithReservation();
+  const held = pool.reservations!.held;
+  const explained = workflowOf('explained', [
+    stepOf({size: sizeOf(4), estimateMillis: 60_000}),
+  ]);
+  const {steps} = explainPlacement({
+    round: {...pool.input, reservations: pool.reservations!.copy()},
+    spec: explained.spec,
+    unusableWorkers: [],
+  });
+  const worker = steps[0].ranked.find(
+    each => each.worker === reservation.worker,
+  );
+  t.is(worker?.obstacle, PlacementObstacle.RESERVATION);
+  t.is(worker?.reservation?.holder, 'large.0');
+  t.deepEqual(pool.reservations!.held, held);
+  t.deepEqual(pool.endReasons, []);
+});
+
 test('should never hold back urgent or long-running tasks', t => {
   for (const change of [{priority: 0}, {lasting: true}]) {
     const {pool} = poolWithReservation();
