Move the availability of workers out of the pool's owner

Change: WorkerAvailability tells which workers take tasks, and what keeps the others; the code is unchanged otherwise. Result: tests of pool, ownership and explaining pass.

--- a/src/entry/workflows/pool_owner.ts
+++ b/src/entry/workflows/pool_owner.ts
@@ -7,8 +7,6 @@
 } from '../../decisions/workflows/gaps/gap_reservations.js';
 import type {SchedulingFeatures} from '../../decisions/workflows/scheduling_features.js';
 import {explainPlacement} from '../../decisions/workflows/explaining/placement_explainer.js';
-import type {UnusableWorker} from '../../decisions/workflows/explaining/placement_explainer.js';
-import {PlacementObstacle} from '../../decisions/workflows/placement_obstacle.js';
 import {planPlacements} from '../../decisions/workflows/placement_planner.js';
 import type {PlacementRound} from '../../decisions/workflows/placement_planner.js';
 import {parseTaskName, runKey} from '../../decisions/workflows/task_name.js';
@@ -69,6 +67,7 @@
   isRunOutcome,
   WorkerAttachment,
 } from './worker_attachment.js';
+import {WorkerAvailability} from './worker_availability.js';
 import {agentOf, workerKey, WorkerRegistry} from './worker_registry.js';
 import {WorkflowRegistry} from './workflow_registry.js';
 
@@ -82,14 +81,10 @@
 const REFUSAL_REMOVAL_INTERVAL_MILLIS = 15_000;
 /** Ended workflows are kept for this multiple of the promised time. */
 const RETENTION_FACTOR = 1.2;
-/** No run is placed if the worker's agent sent no message for this long. */
-const MAXIMUM_MESSAGE_AGE_MILLIS = 1_200;
 /** Leaves most of the processor time to commits and streams. */
 const MAXIMUM_PLANNING_SHARE = 0.3;
 /** Explanations must not delay placement noticeably. */
 const MAXIMUM_EXPLAINING_SHARE = 0.05;
-/** No run is placed on a worker whose last response is older than this. */
-const MAXIMUM_RESPONSE_AGE_MILLIS = 900;
 
 export interface PoolOwnerOptions {
   readonly store: TransactionalStore;
@@ -124,6 +119,7 @@
   private readonly reservations: GapReservations | undefined;
   private readonly retries: RetryHistory;
   private readonly attachments: PoolAttachments;
+  private readonly availability: WorkerAvailability;
   private readonly learnedInterference: LearnedInterference;
   /** Undefined if no task gets a second run. */
   private readonly copies: TaskCopies | undefined;
@@ -147,6 +143,11 @@
     });
     this.explainingLimit = new ShareLimit(clock, MAXIMUM_EXPLAINING_SHARE);
     this.attachments = new PoolAttachments(options);
+    this.availability = new WorkerAvailability({
+      workerRegistry: this.workerRegistry,
+      attachments: this.attachments,
+      configuration: options.configuration,
+    });
     this.retries = new RetryHistory(
       clock,
       id => this.workflowRegistry.get(id)?.isOpen ?? false,
@@ -174,8 +175,8 @@
       retries: this.retries,
       termsOf: workflow => this.termsOf(workflow),
       copies: features.copies,
-      attachedWorkers: () => this.attachedWorkers(),
-      usableWorkers: () => this.usableWorkers(clock.now()),
+      attachedWorkers: () => this.availability.attached,
+      usableWorkers: () => this.availability.usable(clock.now()),
       sendStop: (worker, task, run) =>
         this.attachments.find(worker)?.stop(task, run),
       sendPace: (worker, task, run, percent) =>
@@ -696,7 +697,7 @@
           workflow.hasPlacements ? 0 : round.idleMillis(workflow),
       },
       spec: {...spec, acceptedAtMillis: clock.wallTime()},
-      unusableWorkers: this.unusableWorkers(now),
+      unusableWorkers: this.availability.unusable(now),
     });
     const text = JSON.stringify(explanation);
     logger.event(Events.PLACEMENT_EXPLAINED, {
@@ -716,7 +717,7 @@
     const {health, interference, order, idle} = this.supervisor;
     return {
       workflows: this.workflowRegistry.workflows,
-      workers: this.usableWorkers(now),
+      workers: this.availability.usable(now),
       health,
       interference,
       order,
@@ -733,44 +734,6 @@
     };
   }
 
-  private attachedWorkers(): WorkerView[] {
-    return this.workerRegistry.all.filter(view =>
-      this.attachments.isCurrent(view),
-    );
-  }
-
-  private usableWorkers(now: number): WorkerView[] {
-    return this.workerRegistry.all.filter(
-      view => this.obstacleTo(view, now) === undefined,
-    );
-  }
-
-  private unusableWorkers(now: number): UnusableWorker[] {
-    const unusable: UnusableWorker[] = [];
-    for (const view of this.workerRegistry.all) {
-      const obstacle = this.obstacleTo(view, now);
-      if (obstacle) unusable.push({view, obstacle});
-    }
-    return unusable;
-  }
-
-  /** Returns why no task at all is placed on the worker now. */
-  private obstacleTo(
-    view: WorkerView,
-    now: number,
-  ): PlacementObstacle | undefined {
-    const {traits, lastMessageAt, silentMillis, hasRunList} = view;
-    if (!this.attachments.isCurrent(view)) return PlacementObstacle.DETACHED;
-    if (!hasRunList || now - lastMessageAt > MAXIMUM_MESSAGE_AGE_MILLIS)
-      return PlacementObstacle.SILENCE;
-    if (silentMillis > MAXIMUM_RESPONSE_AGE_MILLIS)
-      return PlacementObstacle.SILENCE;
-    if (traits.draining) return PlacementObstacle.DRAIN;
-    return this.options.configuration.isEvacuated(traits.failureDomain)
-      ? PlacementObstacle.EVACUATION
-      : undefined;
-  }
-
   /** Returns the queue's terms; for a removed queue, the last known ones. */
   private termsOf(workflow: Workflow): QueueTerms | undefined {
     const {queue} = workflow.spec;
