Remove a start time that no agent reports, and a repeated switch

Cause: agents send a result only for a refused start, so the owner's branch for an accepted one never ran; WorkerAttachment records the start. The supervisor got the switch copies beside the features that hold it.

--- a/src/entry/workflows/pool_owner.ts
+++ b/src/entry/workflows/pool_owner.ts
@@ -170,11 +170,10 @@
       clock,
       logger,
       metrics,
-      features: options.features,
+      features,
       workflowRegistry: this.workflowRegistry,
       retries: this.retries,
       termsOf: workflow => this.termsOf(workflow),
-      copies: features.copies,
       attachedWorkers: () => this.availability.attached,
       usableWorkers: () => this.availability.usable(clock.now()),
       sendStop: (worker, task, run) =>
@@ -514,12 +513,8 @@
   }
 
   private handleStartResult(view: WorkerView, result: RunStartResult): void {
+    if (result.refusal === '') return;
     const {clock, logger} = this.options;
-    if (result.refusal === '') {
-      const started = view.placed.get(runKey(result.task, result.run));
-      if (started) started.startedAt ??= clock.now();
-      return;
-    }
     const name = parseTaskName(result.task);
     if (!name) return;
     logger.event(Events.RUN_REFUSED, {
--- a/src/entry/workflows/run_supervisor.ts
+++ b/src/entry/workflows/run_supervisor.ts
@@ -45,8 +45,6 @@
   readonly workflowRegistry: WorkflowRegistry;
   readonly retries: RetryHistory;
   readonly termsOf: (workflow: Workflow) => QueueTerms | undefined;
-  /** True if slow tasks of speculative steps get a second run. */
-  readonly copies: boolean;
   /** Workers whose agents are attached. */
   readonly attachedWorkers: () => WorkerView[];
   /** Workers on which tasks may be placed. */
@@ -230,8 +228,8 @@
 
   /** True if the run is slow but goes on, as another run is to overtake it. */
   private getsCopy({placed, stall}: StalledRun, now: number): boolean {
-    const {copies, termsOf} = this.options;
-    if (!copies || stall !== Stall.SLOW) return false;
+    const {features, termsOf} = this.options;
+    if (!features.copies || stall !== Stall.SLOW) return false;
     const {reference, placement} = placed;
     const {workflow} = reference;
     const terms = termsOf(workflow) ?? workflow.spec.terms;
