--- a/review/3/case.mjs
+++ b/review/3/case.mjs
@@ -1,13 +1,12 @@
 /**
- * An executor crashes and starts again under the id that it had. Its first
- * status report comes one heartbeat interval after its start.
+ * An executor crashes just after a status report and starts again under the id
+ * that it had. Its next report comes one heartbeat interval after the last.
  */
 import {fileURLToPath} from 'node:url';
 import {
   CannotRunError,
   createJob,
   Deployment,
-  HEARTBEAT_MILLIS,
   pause,
   runCase,
   waitFor,
@@ -15,15 +14,18 @@
 import {Recorder} from '../stand_ins/recorder.mjs';
 
 const JOB = '00000000000000a1';
-const TASKS = 8;
+/** One of them is lost or crashes: a share of 0.125. */
+const EXECUTORS = 8;
+const TASKS = 16;
 const WORK_MILLIS = 8_000;
-const DOWN_MILLIS = 300;
+const REPORT_AGE_MILLIS = 100;
+const DOWN_MILLIS = 200;
 const OBSERVED_MILLIS = 14_000;
 
 const recorder = new Recorder(
   fileURLToPath(new URL('record.txt', import.meta.url)),
 );
-const deployment = new Deployment({recorder, entries: 1, agents: 2});
+const deployment = new Deployment({recorder, entries: 1, agents: EXECUTORS});
 
 await runCase({
   recorder,
@@ -41,9 +43,10 @@
       throw new CannotRunError('no tasks run beside the first agent');
     await pause(3_000);
     if (process.env.TROUBLE !== '0') {
+      await waitFor(() => executor.reportAgeMillis < REPORT_AGE_MILLIS, 5_000);
       executor.crash();
       await pause(DOWN_MILLIS);
-      await executor.start(HEARTBEAT_MILLIS);
+      await executor.start();
       recorder.announce('the executor has started again under its id');
     }
     await pause(OBSERVED_MILLIS);
--- a/review/stand_ins/deployment.mjs
+++ b/review/stand_ins/deployment.mjs
@@ -20,6 +20,8 @@
 const REPOSITORY = fileURLToPath(new URL('../../', import.meta.url));
 const STORE_HOST = '127.0.0.1';
 const RESTART_MILLIS = 500;
+/** Until agents have found the owner and executors have reported. */
+const SETTLING_MILLIS = 4_000;
 const REQUEST_TIMEOUT_MILLIS = 3_000;
 const SUBMISSION_MILLIS = 15_000;
 const SERVICE = 'service-1';
@@ -42,7 +44,7 @@
   status_s: 120,
 };
 /** How often executors report. */
-export const HEARTBEAT_MILLIS = 1_500;
+const HEARTBEAT_MILLIS = 1_500;
 
 /** One program on one machine; it is started again when it has ended. */
 class SystemProcess {
@@ -110,7 +112,7 @@
     mkdirSync(this.folder, {recursive: true});
   }
 
-  /** Starts everything; resolves when an entry serves callers. */
+  /** Starts everything; resolves when the executors can be given work. */
   async start() {
     const {recorder, entries, agents, answerMillis} = this.options;
     const base = await findFreePorts();
@@ -130,6 +132,7 @@
     for (const each of this.processes.values()) each.start();
     for (const executor of this.executors.values()) await executor.start();
     await this.#untilReady();
+    await pause(SETTLING_MILLIS);
   }
 
   close() {
@@ -282,12 +285,18 @@
   return false;
 }
 
-/** Returns a step of a job with the fields that the cases need. */
-export function createJob({count, workMillis, isLasting = false}) {
-  const step = {Count: count, Cpu: 1_000, MemMb: 100, EstimateMs: workMillis};
+/** Returns a job of one step; its tasks take the time that `Spec` says. */
+export function createJob({count, workMillis, milliprocessors = 1_000}) {
   return {
-    Spec: JSON.stringify({workMillis: isLasting ? 0 : workMillis}),
-    Steps: [isLasting ? {...step, LongRunning: true} : step],
+    Spec: JSON.stringify({workMillis}),
+    Steps: [
+      {
+        Count: count,
+        Cpu: milliprocessors,
+        MemMb: 50,
+        EstimateMs: workMillis,
+      },
+    ],
   };
 }
 
--- a/review/stand_ins/executor_stand_in.mjs
+++ b/review/stand_ins/executor_stand_in.mjs
@@ -5,6 +5,8 @@
 const LEASE_CHECK_MILLIS = 20;
 const REPORT_TIMEOUT_MILLIS = 1_000;
 const MAXIMUM_WAIT_MILLIS = 2_000;
+/** Ends that one answer lists. */
+const LISTED_ENDS = 500;
 
 /** What runs on an executor that is up; lost with it. */
 class Boot {
@@ -29,6 +31,7 @@
   #boot;
   #server;
   #timers = [];
+  #reportedAt = -Infinity;
 
   /**
    * @param {object} options
@@ -55,11 +58,10 @@
   }
 
   /**
-   * Starts a boot under the executor's id.
-   *
-   * @param {number} firstReportMillis When the first status report is sent.
+   * Starts a boot under the executor's id. Its reports keep the pace of those
+   * of the boot before: the first comes HeartbeatMs after the last of that boot.
    */
-  async start(firstReportMillis = 0) {
+  async start() {
     const {host, port, recorder, name, id, heartbeatMillis} = this.options;
     const boot = new Boot();
     this.#boot = boot;
@@ -70,7 +72,14 @@
     );
     await new Promise(resolve => this.#server.listen(port, host, resolve));
     recorder.record('executor-up', {name, id, born: boot.born});
-    const report = () => void this.#report(boot);
+    const report = () => {
+      this.#reportedAt = performance.now();
+      void this.#report(boot);
+    };
+    const firstReportMillis = Math.max(
+      0,
+      this.#reportedAt + heartbeatMillis - performance.now(),
+    );
     this.#timers = [
       setTimeout(() => {
         report();
@@ -80,6 +89,11 @@
     ];
   }
 
+  /** Milliseconds since the last status report. */
+  get reportAgeMillis() {
+    return performance.now() - this.#reportedAt;
+  }
+
   /** Ends at once, with all that runs. */
   crash() {
     const {recorder, name} = this.options;
@@ -240,7 +254,8 @@
         this.#percentOf(boot, run),
         0,
       ]);
-      const {clock: ClockMs, born, ended: Ended} = boot;
+      const {clock: ClockMs, born} = boot;
+      const Ended = boot.ended.slice(0, LISTED_ENDS);
       send(response, 200, {ClockMs, born, Running, Ended});
     };
     const wait = Math.min(WaitMs, MAXIMUM_WAIT_MILLIS);
--- a/review/stand_ins/store_stand_in.mjs
+++ b/review/stand_ins/store_stand_in.mjs
@@ -13,6 +13,7 @@
   #watches = new Set();
   #revision = 100;
   #nextLease = 1;
+  #delayed;
 
   /**
    * @param {object} options
@@ -45,6 +46,14 @@
     this.#apply([{Key: key, Value: Buffer.from(text).toString('base64')}], []);
   }
 
+  /**
+   * The next transaction that writes the key gets no answer and is carried out
+   * after the delay, if its condition still holds.
+   */
+  delayWrite(key, delayMillis) {
+    this.#delayed = {key, delayMillis};
+  }
+
   keys(prefix) {
     return [...this.#items.keys()].filter(key => key.startsWith(prefix));
   }
@@ -113,26 +122,44 @@
   }
 
   #transact(body, response) {
-    const {Precondition = [], Puts = [], Remove = []} = body;
+    const {Puts = []} = body;
+    if (Puts.some(({Key}) => Key === this.#delayed?.key)) {
+      const {key, delayMillis} = this.#delayed;
+      this.#delayed = undefined;
+      this.recorder.record('store-loses-answer', {key, delayMillis});
+      response.destroy();
+      setTimeout(() => {
+        const isDone = this.#carryOut(body).status === 200;
+        this.recorder.record('store-carries-out-late', {key, isDone});
+      }, delayMillis);
+      return undefined;
+    }
+    const {status, answer} = this.#carryOut(body);
+    return send(response, status, answer);
+  }
+
+  /** Carries out a transaction, and returns its answer. */
+  #carryOut({Precondition = [], Puts = [], Remove = []}) {
     const count = Precondition.length + Puts.length + Remove.length;
     if (count > MAXIMUM_ENTRIES) {
       this.recorder.record('store-rejected-transaction', {entries: count});
-      return send(response, 400, {});
+      return {status: 400, answer: {}};
     }
-    const isReserved = key => key.startsWith('op/') || key.startsWith('servers/');
+    const isReserved = key =>
+      key.startsWith('op/') || key.startsWith('servers/');
     if ([...Puts.map(put => put.Key), ...Remove].some(isReserved))
-      return send(response, 403, {});
+      return {status: 403, answer: {}};
     const revisionOf = key => this.#items.get(key)?.Revision ?? 0;
     if (Precondition.some(({Key, Revision}) => revisionOf(Key) !== Revision)) {
       const items = Precondition.map(
         ({Key}) => this.#items.get(Key) ?? {Key, Revision: 0},
       );
-      return send(response, 412, {items, CurrentRev: this.#revision});
+      return {status: 412, answer: {items, CurrentRev: this.#revision}};
     }
     if (Puts.some(({Lease = 0}) => Lease !== 0 && !this.#leases.has(Lease)))
-      return send(response, 404, {});
+      return {status: 404, answer: {}};
     if (Puts.length + Remove.length > 0) this.#apply(Puts, Remove);
-    return send(response, 200, {Revision: this.#revision});
+    return {status: 200, answer: {Revision: this.#revision}};
   }
 
   #apply(puts, removals) {
