Grant leases to an incarnation of a worker, not to its agent

Cause: the owner recorded each reply to an agent as a grant, by the agent's name. An agent that has restarted beside a lost worker attaches without a worker and gets replies, so the lease of the lost worker never expired.

A reply to an agent without a worker now grants nothing, grants are recorded by incarnation, and an agent takes a grant only for the incarnation that the owner names. A worker that joins counts as granted at that moment, so that its lease is not taken for expired before its first reply.

Evidence: before the change two of the three new tests in worker_lives.test.ts failed ('running' in place of 'done'); the third guards the opposite, a live worker whose agent restarts.

--- a/src/agent/workflows/workflow_agent.ts
+++ b/src/agent/workflows/workflow_agent.ts
@@ -214,13 +214,17 @@
     }
   }
 
-  /** The lease is counted from when the answered update was sent. */
+  /**
+   * The lease is counted from when the answered update was sent, and holds for
+   * the incarnation that the owner names.
+   */
   private extendLease(session: WorkerSession, commands: WorkerCommands): void {
     const sent = this.openUpdates.get(commands.sequence);
     for (const sequence of this.openUpdates.keys()) {
       if (sequence < commands.sequence) this.openUpdates.delete(sequence);
     }
     if (sent?.workerNow === undefined || commands.leaseMillis === 0) return;
+    if (commands.incarnation !== session.incarnation) return;
     session.lease.grant(sent.workerNow + commands.leaseMillis);
   }
 
--- a/src/entry/workflows/pool_attachments.ts
+++ b/src/entry/workflows/pool_attachments.ts
@@ -20,6 +20,7 @@
  */
 export class PoolAttachments {
   private readonly attachments = new Map<string, WorkerAttachment>();
+  /** Time of the last lease granted to each incarnation of a worker. */
   private readonly lastGrants = new Map<string, number>();
   private readonly ownedSince: number;
 
@@ -37,8 +38,7 @@
   }
 
   remove(attachment: WorkerAttachment, reason: string): void {
-    const {agent, view, grantedAt} = attachment;
-    this.noteGrant(agent, grantedAt);
+    const {agent, view} = attachment;
     if (this.attachments.get(agent) !== attachment) return;
     this.attachments.delete(agent);
     this.options.logger.event(Events.WORKER_GONE, {
@@ -62,17 +62,23 @@
     return this.attachments.has(agent);
   }
 
-  /** Records the time of the last lease granted to each attached agent. */
-  recordGrants(): void {
-    for (const {agent, grantedAt} of this.attachments.values()) {
-      this.noteGrant(agent, grantedAt);
+  /** Records that the worker may hold a lease granted at the given time. */
+  recordGrant(worker: string, grantedAt: number): void {
+    const last = this.lastGrants.get(worker) ?? -Infinity;
+    this.lastGrants.set(worker, Math.max(last, grantedAt));
+  }
+
+  /** Discards the grants of workers whose leases have expired. */
+  discardExpiredGrants(): void {
+    for (const worker of this.lastGrants.keys()) {
+      if (this.hasExpired(worker)) this.lastGrants.delete(worker);
     }
   }
 
   /** True if the worker's lease has expired: nobody can have renewed it. */
   hasExpired(worker: string): boolean {
     const {clock, ownerTtlMillis, runLeaseMillis} = this.options;
-    const granted = this.lastGrants.get(agentOf(worker)) ?? -Infinity;
+    const granted = this.lastGrants.get(worker) ?? -Infinity;
     // The previous owner may have granted leases until its own lease expired.
     const last = Math.max(granted, this.ownedSince + ownerTtlMillis);
     return clock.now() > last + guaranteedExpiryMillis(runLeaseMillis);
@@ -83,9 +89,4 @@
       attachment.close(reason);
     }
   }
-
-  private noteGrant(agent: string, grantedAt: number): void {
-    const last = this.lastGrants.get(agent) ?? -Infinity;
-    this.lastGrants.set(agent, Math.max(last, grantedAt));
-  }
 }
--- a/src/entry/workflows/pool_owner.ts
+++ b/src/entry/workflows/pool_owner.ts
@@ -282,6 +282,8 @@
         onRunList: view => this.handleRunList(view),
         onLeaseExpired: view =>
           this.closeLostRuns(view.key, 'the lease has expired'),
+        onLeaseGranted: (view, startsAt) =>
+          this.attachments.recordGrant(view.key, startsAt),
         onDetached: (workerAttachment, reason) =>
           this.attachments.remove(workerAttachment, reason),
         findStep: task => this.stepOf(task),
@@ -429,6 +431,8 @@
     const isKnown = this.workerRegistry.get(key) !== undefined;
     const view = this.workerRegistry.report(agent, traits);
     if (isKnown) return view;
+    // An earlier owner may have granted it a lease up to now.
+    this.attachments.recordGrant(key, this.options.clock.now());
     logger.event(Events.WORKER_JOINED, {
       worker: view.key,
       failureDomain: traits.failureDomain,
@@ -576,7 +580,6 @@
   }
 
   private tick(): void {
-    this.attachments.recordGrants();
     this.closeExpiredRuns();
     this.supervisor.moveStalledBestEffortRuns();
     this.supervisor.moveFromDrainingWorkers();
@@ -643,6 +646,7 @@
 
   private expire(): void {
     const {clock, retentionMillis} = this.options;
+    this.attachments.discardExpiredGrants();
     this.workflowRegistry.expire(
       clock.wallTime() - RETENTION_FACTOR * retentionMillis,
     );
--- a/src/entry/workflows/worker_attachment.ts
+++ b/src/entry/workflows/worker_attachment.ts
@@ -50,6 +50,8 @@
   /** Called when the worker's run list was updated. */
   onRunList(view: WorkerView): void;
   onLeaseExpired(view: WorkerView): void;
+  /** Called before a lease is granted that starts at the given time at most. */
+  onLeaseGranted(view: WorkerView, startsAt: number): void;
   onDetached(attachment: WorkerAttachment, reason: string): void;
   /** Returns the step of a task; undefined for an unknown task. */
   findStep(task: string): PlacedRun['reference']['step'] | undefined;
@@ -69,8 +71,6 @@
 export class WorkerAttachment implements AttachmentListener<WorkerUpdate> {
   agent = '';
   view: WorkerView | undefined;
-  /** Latest start time of the granted lease, on this clock. */
-  grantedAt = -Infinity;
   /** Time of the last update. */
   private lastMessageAt = -Infinity;
   /** Time of the last message to the agent. */
@@ -282,17 +282,22 @@
     );
   }
 
-  /** Sends the batch; it also grants a lease that starts at the last update. */
+  /**
+   * Sends the batch; it also grants the worker a lease that starts at the last
+   * update. Nothing is granted to an agent that has named no worker.
+   */
   private send(): void {
     if (this.ended) return;
-    const leaseMillis = this.options.leaseMillis();
-    if (leaseMillis > 0) this.grantedAt = this.lastMessageAt;
-    const {attachment, epoch} = this.options;
+    const {view} = this;
+    const leaseMillis = view ? this.options.leaseMillis() : 0;
+    const {attachment, epoch, listener} = this.options;
+    if (view && leaseMillis > 0)
+      listener.onLeaseGranted(view, this.lastMessageAt);
     const sent = attachment.send({
       epoch,
       sequence: this.lastSequence,
       leaseMillis,
-      incarnation: this.view?.traits.incarnation ?? '',
+      incarnation: view?.traits.incarnation ?? '',
       durableEnd: this.ends.durableEnd,
       starts: this.starts,
       stops: this.stops,
--- /dev/null
+++ b/tests/workflows/worker_lives.test.ts
@@ -0,0 +1,69 @@
+import test from 'ava';
+import {VirtualPool} from './fixtures/virtual_pool.js';
+
+const ID = '00000000000000c1';
+const LASTING_ID = '00000000000000c2';
+const STEP = {Count: 6, Cpu: 500, MemMb: 100, EstimateMs: 3_000};
+const LASTING_STEP = {...STEP, LongRunning: true};
+
+/** Starts an ordinary and a long-running workflow on all workers. */
+async function startWorkflows(pool: VirtualPool): Promise<void> {
+  await pool.run(3_000);
+  await pool.submit(ID, [STEP], {millis: 3_000});
+  await pool.submit(LASTING_ID, [LASTING_STEP], {
+    millis: 600_000,
+    lasting: true,
+  });
+  await pool.run(500);
+}
+
+/** Returns the names of the workers on which the workflow runs now. */
+function workersRunning(pool: VirtualPool, id: string): string[] {
+  return pool.history.runs
+    .filter(({task, endedAt}) => task.startsWith(id) && endedAt === undefined)
+    .map(({worker}) => worker);
+}
+
+// Guards against runs that stay placed on a lost worker because the replies to
+// its agent, which has no worker any more, count as grants of its lease.
+test('should restart the runs of a lost worker whose agent has restarted', async t => {
+  const pool = new VirtualPool({seed: 61});
+  await startWorkflows(pool);
+  t.true(workersRunning(pool, ID).includes('worker-0'));
+  pool.workers[0].crash();
+  await pool.run(1_000);
+  pool.restartAgent(0);
+  await pool.run(15_000);
+  t.is(await pool.state(ID), 'done');
+  t.is(workersRunning(pool, LASTING_ID).length, LASTING_STEP.Count);
+  t.deepEqual(pool.history.violations(), []);
+});
+
+// The same, where the owner that has granted the lease is gone as well.
+test('should restart the runs of a lost worker after agent and owner have restarted', async t => {
+  const pool = new VirtualPool({seed: 62});
+  await startWorkflows(pool);
+  pool.workers[0].crash();
+  await pool.run(500);
+  pool.restartAgent(0);
+  const owner = pool.ownerName!;
+  pool.killEntry(owner);
+  await pool.run(500);
+  pool.restartEntry(owner);
+  await pool.run(20_000);
+  t.is(await pool.state(ID), 'done');
+  t.is(workersRunning(pool, LASTING_ID).length, LASTING_STEP.Count);
+  t.deepEqual(pool.history.violations(), []);
+});
+
+// Guards against the opposite: runs of a live worker given up while its agent
+// has not heard from it since its restart.
+test('should keep the runs of a live worker whose agent has restarted', async t => {
+  const pool = new VirtualPool({seed: 63});
+  await startWorkflows(pool);
+  const started = pool.history.runs.length;
+  pool.restartAgent(0);
+  await pool.run(15_000);
+  t.is(await pool.state(ID), 'done');
+  t.is(pool.history.runs.length, started);
+});
