Let the worker itself confirm which incarnation it is

Cause: a report alone decided who the worker is, at the agent and at the owner, which closed the runs of the former incarnation when a new one was described.

- While an agent has a session, another incarnation replaces it only once the worker has answered as that incarnation.
- The owner closes the runs of earlier incarnations when the new one has listed its runs.
An agent that has just restarted, and so believes the first report, thereby gives up nothing.

On a related path, a worker whose start time is lower than before, as the time of day went back, was ignored for good; it is used now once it answers.

--- a/src/agent/workflows/report_server.ts
+++ b/src/agent/workflows/report_server.ts
@@ -1,8 +1,6 @@
 import {createServer} from 'node:http';
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import type {WorkerReport} from '../../backends/leased_worker.js';
-import {Events} from '../../observability/events.js';
-import type {Logger} from '../../observability/logger.js';
 
 /** Larger reports are rejected. */
 const MAXIMUM_BODY_BYTES = 4 * 1024 * 1024;
@@ -10,17 +8,16 @@
 export interface ReportServerOptions {
   /** Path prefix of reports, followed by the id of the worker. */
   readonly prefix: string;
-  readonly decode: (id: string, text: string) => WorkerReport | undefined;
+  /** Returns undefined for a report that is refused. */
+  readonly read: (id: string, text: string) => WorkerReport | undefined;
   readonly onReport: (report: WorkerReport) => void;
   /** Called when the worker with this id announces its end. */
   readonly onLeaving: (id: string) => void;
-  readonly logger: Logger;
 }
 
 /** HTTP server that receives the reports of the worker on this machine. */
 export class ReportServer {
   private readonly server: Server;
-  private lastUnreadable = '';
 
   constructor(private readonly options: ReportServerOptions) {
     this.server = createServer((request, response) =>
@@ -75,16 +72,8 @@
       response.writeHead(200).end();
       return;
     }
-    const report = this.options.decode(id, text);
+    const report = this.options.read(id, text);
     if (report) this.options.onReport(report);
-    else this.logUnreadable(id, text);
     response.writeHead(200, {'content-type': 'application/json'}).end('{}');
   }
-
-  /** Logs an unreadable report, but not again while the worker repeats it. */
-  private logUnreadable(id: string, text: string): void {
-    if (text === this.lastUnreadable) return;
-    this.lastUnreadable = text;
-    this.options.logger.event(Events.REPORT_UNREADABLE, {id});
-  }
 }
--- a/src/agent/workflows/worker_session.ts
+++ b/src/agent/workflows/worker_session.ts
@@ -79,6 +79,7 @@
   private results: RunStartResult[] = [];
   private acknowledged = 0;
   private lastResponseAt: number;
+  private isLastPollAnswered = false;
   private readonly createdAt: number;
   private silent = false;
   /** When the worker announced its end. */
@@ -143,6 +144,11 @@
     return this.options.clock.now() - since > LEAVING_RESPONSE_MILLIS;
   }
 
+  /** True if the worker, as this incarnation, has answered the last poll. */
+  get isResponding(): boolean {
+    return this.isLastPollAnswered;
+  }
+
   /** The number of polls that the worker has answered. */
   get answeredPollCount(): number {
     return this.answeredPolls;
@@ -378,9 +384,11 @@
         leaseEnd,
         waitMillis: isWaiting ? POLL_MILLIS : 0,
       });
+      this.isLastPollAnswered = true;
       this.applyRunList(listing);
       return true;
     } catch (error) {
+      this.isLastPollAnswered = false;
       this.recordPollFailure(error);
       return false;
     }
--- a/src/agent/workflows/workflow_agent.ts
+++ b/src/agent/workflows/workflow_agent.ts
@@ -7,6 +7,7 @@
 import {messageOf} from '../../utilities/base_error.js';
 import type {Clock} from '../../utilities/clock.js';
 import {FencingToken} from './fencing_token.js';
+import {IncarnationProbe} from './incarnation_probe.js';
 import {OwnerConnection} from './owner_connection.js';
 import type {OwnerConnectionOptions} from './owner_connection.js';
 import {UpdateComposer} from './update_composer.js';
@@ -25,6 +26,8 @@
 const RUN_LIST_MILLIS = 300;
 /** Maximum of updates awaiting a reply; older ones no longer grant a lease. */
 const MAXIMUM_OPEN_UPDATES = 50;
+/** Reports of further incarnations are ignored; workers repeat theirs. */
+const MAXIMUM_PROBES = 4;
 
 export interface WorkflowAgentOptions {
   readonly processName: string;
@@ -41,6 +44,8 @@
     'ownerKey' | 'entryPrefix' | 'decodeOwner' | 'decodeEntry'
   >;
   readonly openWorker: (report: WorkerReport) => LeasedWorker;
+  /** Called with the worker's id and the reason when a report is refused. */
+  readonly onReportRefused: (id: string, reason: string) => void;
 }
 
 /** When an update was sent, on the clocks of the worker and of the agent. */
@@ -58,6 +63,8 @@
   private token: FencingToken | undefined;
   private report: WorkerReport | undefined;
   private session: WorkerSession | undefined;
+  /** Probes of reported incarnations, by their names. */
+  private readonly probes = new Map<string, IncarnationProbe>();
   private sequence = 0;
   private lastUpdateAt = -Infinity;
   /** Updates whose reply may still extend the lease, by sequence. */
@@ -96,6 +103,7 @@
     this.closed = true;
     this.connection.close(reason);
     this.session?.close(reason);
+    for (const probe of this.probes.values()) probe.close(reason);
   }
 
   /** Returns the state of this agent for operators. */
@@ -117,13 +125,23 @@
     };
   }
 
-  /** Applies a report of the worker unless it is outdated. */
+  /**
+   * Applies a report unless it is outdated. While there is a session with
+   * another incarnation, the worker has to confirm the report first.
+   */
   applyReport(report: WorkerReport): void {
     const before = this.report;
+    const isOtherWorker = before && before.incarnation !== report.incarnation;
+    if (isOtherWorker && this.session) return void this.probe(report);
     if (before && !isNewer(report, before)) return;
+    this.acceptReport(report);
+  }
+
+  private acceptReport(report: WorkerReport, worker?: LeasedWorker): void {
+    const before = this.report;
     const wasDraining = before?.draining ?? false;
     this.report = report;
-    if (before?.incarnation !== report.incarnation) this.openSession();
+    if (before?.incarnation !== report.incarnation) this.openSession(worker);
     else if (this.session) this.session.report = report;
     if (report.draining !== wasDraining) {
       this.options.logger.event(Events.WORKER_CHANGED, {
@@ -148,7 +166,34 @@
     });
   }
 
-  private openSession(): void {
+  /** Replaces the session by one with the incarnation, if the worker is it. */
+  private async probe(report: WorkerReport): Promise<void> {
+    const {probes, token} = this;
+    const {incarnation} = report;
+    if (!token || probes.has(incarnation) || probes.size >= MAXIMUM_PROBES)
+      return;
+    const {openWorker, clock, onReportRefused} = this.options;
+    const worker = openWorker(report);
+    const fencingToken = token.value;
+    const probe = new IncarnationProbe({report, worker, fencingToken, clock});
+    probes.set(incarnation, probe);
+    const isConfirmed = await probe.run();
+    probes.delete(incarnation);
+    if (isConfirmed && this.isSuccessor(report))
+      return this.acceptReport(report, worker);
+    probe.close('the reported incarnation does not replace the present one');
+    if (!this.closed) onReportRefused(report.id, 'the worker is another one');
+  }
+
+  /** The start times don't decide alone: the time of day may have gone back. */
+  private isSuccessor({incarnation, startedAt}: WorkerReport): boolean {
+    const {report, session} = this;
+    if (!report || incarnation === report.incarnation) return false;
+    return startedAt >= report.startedAt || !session?.isResponding;
+  }
+
+  /** The worker is passed if calls to it are open already. */
+  private openSession(worker?: LeasedWorker): void {
     const {report, token} = this;
     if (!report || !token || this.closed) return;
     const {openWorker, clock, logger, maximumLeaseMillis} = this.options;
@@ -161,7 +206,7 @@
     });
     this.session = new WorkerSession({
       report,
-      worker: openWorker(report),
+      worker: worker ?? openWorker(report),
       token,
       clock,
       logger,
--- a/src/daemon/fleet_agent_role.ts
+++ b/src/daemon/fleet_agent_role.ts
@@ -1,4 +1,5 @@
 import type {Server} from 'node:http';
+import {RefusedReports} from '../agent/workflows/refused_reports.js';
 import {ReportServer} from '../agent/workflows/report_server.js';
 import {WorkflowAgent} from '../agent/workflows/workflow_agent.js';
 import {agentKey, StoreKeys} from '../protocol/store_keys.js';
@@ -6,11 +7,12 @@
 import {Events} from '../observability/events.js';
 import type {Logger} from '../observability/logger.js';
 import type {Metrics} from '../observability/metrics.js';
+import {readPlatformSettings} from '../platform/platform_settings.js';
 import type {FleetProcessSettings} from '../platform/platform_settings.js';
 import {WORKER_REPORT_PREFIX} from '../platform/platform_paths.js';
 import {PlatformStore} from '../platform/platform_store.js';
 import {PlatformWorker} from '../platform/platform_worker.js';
-import {decodeWorkerReport} from '../platform/worker_reports.js';
+import {WorkerReportReader} from '../platform/worker_reports.js';
 import {GrpcPoolLinkFactory} from '../protocol/grpc_pool_links.js';
 import {SystemClock} from '../utilities/clock.js';
 import {
@@ -35,12 +37,16 @@
     metrics: Metrics,
   ) {
     const {processName, processPort, seedHosts} = settings;
+    const clock = new SystemClock();
+    const refusedReports = new RefusedReports({clock, logger, metrics});
+    const onReportRefused = (id: string, reason: string): void =>
+      refusedReports.record(id, reason);
     this.store = new PlatformStore({address: settings.storeAddress});
     this.agent = new WorkflowAgent({
       processName,
       store: this.store,
       links: new GrpcPoolLinkFactory(),
-      clock: new SystemClock(),
+      clock,
       logger,
       maximumLeaseMillis: runLeaseMillis(settings),
       seeds: seedHosts.map(host => `${host}:${processPort}`),
@@ -53,17 +59,21 @@
       },
       openWorker: report =>
         new PlatformWorker({address: report.address, id: report.id}),
+      onReportRefused,
     });
     this.metricsServer = createStateServer({
       metrics,
       dumpState: async () => JSON.stringify(this.agent.dumpState()),
     });
+    const reportReader = new WorkerReportReader({
+      service: () => this.workerService(),
+      onRefused: onReportRefused,
+    });
     this.reportServer = new ReportServer({
       prefix: WORKER_REPORT_PREFIX,
-      decode: decodeWorkerReport,
+      read: (id, text) => reportReader.read(id, text),
       onReport: report => this.agent.applyReport(report),
       onLeaving: id => this.agent.applyLeaving(id),
-      logger,
     });
   }
 
@@ -86,6 +96,16 @@
     this.store.close(reason);
   }
 
+  /** The settings may have changed since the start, without a signal. */
+  private workerService(): string | undefined {
+    try {
+      return readPlatformSettings().workerService;
+    } catch {
+      // A reload reports unreadable settings; until then the former ones hold.
+      return this.settings.workerService;
+    }
+  }
+
   changedSettings(): string[] {
     return changedSettings(this.settings);
   }
--- a/src/entry/workflows/pool_owner.ts
+++ b/src/entry/workflows/pool_owner.ts
@@ -125,6 +125,8 @@
   private readonly copies: TaskCopies | undefined;
   /** Undefined if admission control is off. */
   private readonly admission: OwnerAdmission | undefined;
+  /** Keys of workers that have joined but not listed their runs yet. */
+  private readonly unlistedWorkers = new Set<string>();
   private readonly lastTerms = new Map<string, QueueTerms>();
   private readonly ownedSince: number;
   private readonly timers = new Set<Timer>();
@@ -439,12 +441,16 @@
       milliprocessors: traits.room.milliprocessors,
       memoryMegabytes: traits.room.memoryMegabytes,
     });
-    this.dropEarlierIncarnations(view);
+    this.unlistedWorkers.add(view.key);
     this.planningAction.schedule();
     return view;
   }
 
-  /** A restarted worker no longer has the runs of its earlier incarnations. */
+  /**
+   * A restarted worker no longer has the runs of its earlier incarnations. Its
+   * description does not prove the restart, as a report may be of another
+   * writer; its run list does.
+   */
   private dropEarlierIncarnations(view: WorkerView): void {
     for (const key of this.workerRegistry.occupiedKeys) {
       if (key === view.key || agentOf(key) !== view.agent) continue;
@@ -453,6 +459,7 @@
     for (const other of this.workerRegistry.all) {
       if (other === view || other.agent !== view.agent) continue;
       this.workerRegistry.forget(other.key);
+      this.unlistedWorkers.delete(other.key);
       this.supervisor.forgetWorker(other.key);
     }
   }
@@ -536,6 +543,8 @@
   }
 
   private handleRunList(view: WorkerView): void {
+    if (this.unlistedWorkers.delete(view.key))
+      this.dropEarlierIncarnations(view);
     for (const [name, {reference}] of view.placed) {
       const run = view.running.get(name);
       if (!run || run.checkpoint === '') continue;
--- a/src/observability/events.ts
+++ b/src/observability/events.ts
@@ -434,7 +434,7 @@
   REPORT_UNREADABLE: eventType(
     6052,
     'warn',
-    'A worker report cannot be decoded.',
+    'Worker reports were refused: they cannot be decoded, or are not of the worker.',
   ),
   INCARNATION_FOUND: eventType(
     6053,
--- a/src/platform/platform_settings.ts
+++ b/src/platform/platform_settings.ts
@@ -28,6 +28,8 @@
   NodeName: string(),
   Ip: string(),
   Zone: string(),
+  /** The service whose worker is on this machine. */
+  Service: fallback(optional(string()), undefined),
   PortRange: array(number()),
   Seeds: fallback(array(string()), []),
   Listen: object({
@@ -73,6 +75,8 @@
   readonly processName: string;
   readonly ip: string;
   readonly failureDomain: string;
+  /** Service of the worker on this machine; undefined without one. */
+  readonly workerService?: string;
   /** First port available for calls between processes. */
   readonly processPort: number;
   /** Hosts of processes to contact first; some may no longer exist. */
@@ -129,6 +133,7 @@
     processName: settings.NodeName,
     ip: settings.Ip,
     failureDomain: settings.Zone,
+    workerService: settings.Service,
     processPort: settings.PortRange[0],
     seedHosts: settings.Seeds.map(seed => seed.replace(/:\d+$/, '')),
     callerAddress: listen.Front,
--- a/src/platform/worker_reports.ts
+++ b/src/platform/worker_reports.ts
@@ -32,6 +32,28 @@
   RemainingMs: optional(number(), 0),
 });
 
+export interface WorkerReportReaderOptions {
+  /** Returns the service of the worker on this machine, if it is known. */
+  readonly service: () => string | undefined;
+  /** Called with the id and the reason for each report that is refused. */
+  readonly onRefused: (id: string, reason: string) => void;
+}
+
+/** Reads the reports that reach an agent, and refuses those of other writers. */
+export class WorkerReportReader {
+  constructor(private readonly options: WorkerReportReaderOptions) {}
+
+  /** Returns undefined for a report that is refused. */
+  read(id: string, text: string): WorkerReport | undefined {
+    const {onRefused} = this.options;
+    const report = decodeWorkerReport(id, text);
+    if (!report) return void onRefused(id, 'it cannot be decoded');
+    const service = this.options.service();
+    if (service === undefined || report.service === service) return report;
+    return void onRefused(id, 'it names another service');
+  }
+}
+
 /** Returns undefined if the report is invalid or the id is empty. */
 export function decodeWorkerReport(
   id: string,
--- a/tests/workflows/worker_lives.test.ts
+++ b/tests/workflows/worker_lives.test.ts
@@ -1,4 +1,5 @@
 import test from 'ava';
+import type {WorkerReport} from '../../src/backends/leased_worker.js';
 import {VirtualPool} from './fixtures/virtual_pool.js';
 
 const ID = '00000000000000c1';
@@ -6,6 +7,18 @@
 const STEP = {Count: 6, Cpu: 500, MemMb: 100, EstimateMs: 3_000};
 const LASTING_STEP = {...STEP, LongRunning: true};
 
+/** Returns a readable report that names a worker which does not exist. */
+function foreignReport(pool: VirtualPool): WorkerReport {
+  const startedAt = pool.clock.now();
+  return {
+    ...pool.workers[0].report(),
+    id: 'foreign',
+    incarnation: `foreign@${startedAt}`,
+    startedAt,
+    address: 'foreign',
+  };
+}
+
 /** Starts an ordinary and a long-running workflow on all workers. */
 async function startWorkflows(pool: VirtualPool): Promise<void> {
   await pool.run(3_000);
@@ -67,3 +80,46 @@
   t.is(await pool.state(ID), 'done');
   t.is(pool.history.runs.length, started);
 });
+
+// Guards against a report of another writer that replaces the real worker: its
+// runs were started again elsewhere while they went on.
+test('should keep the runs of a worker while a report names another one', async t => {
+  const pool = new VirtualPool({seed: 64});
+  await startWorkflows(pool);
+  const started = pool.history.runs.length;
+  for (let reports = 0; reports < 5; reports++) {
+    pool.sendReport(0, foreignReport(pool));
+    await pool.run(700);
+  }
+  await pool.run(8_000);
+  t.is(await pool.state(ID), 'done');
+  t.is(pool.history.runs.length, started);
+  t.deepEqual(pool.history.violations(), []);
+});
+
+// The same while the agent knows no worker, and so believes the first report.
+test('should keep the runs of a worker when its restarted agent first gets a report of another one', async t => {
+  const pool = new VirtualPool({seed: 65});
+  await startWorkflows(pool);
+  const started = pool.history.runs.length;
+  pool.restartAgent(0, foreignReport(pool));
+  await pool.run(8_000);
+  t.is(await pool.state(ID), 'done');
+  t.is(pool.history.runs.length, started);
+  t.deepEqual(pool.history.violations(), []);
+});
+
+// Guards against the opposite: a real worker ignored, as its time of day went
+// back while it restarted.
+test('should use a restarted worker whose start time is lower than before', async t => {
+  const pool = new VirtualPool({seed: 66, workers: 1});
+  await pool.run(3_000);
+  pool.workers[0].restart();
+  await pool.run(3_000);
+  pool.workers[0].restart({startedAt: 5});
+  await pool.run(3_000);
+  await pool.submit(ID, [STEP], {millis: 500});
+  await pool.run(4_000);
+  t.is(await pool.state(ID), 'done');
+  t.deepEqual(pool.history.violations(), []);
+});
