Tell incarnations of a worker with the same id apart by their run lists

Cause: calls name a worker by its id only, and the start time in the answers was not read. Lists of the new incarnation counted as lists of the former one, whose lease ends and acknowledged numbers were sent to it.

- A session ends all calls once a list is of another incarnation, and the agent awaits the report of that one.
- After a connection has ended, no lease, acknowledgement or start is sent until a list has confirmed the incarnation.
- A session that follows another raises the fencing token, so that its first list shows all that calls for the former incarnation have started.
- The owner closes the runs of an earlier incarnation only if the new one does not list them; one that is listed is stopped first.

--- a/src/agent/workflows/incarnation_probe.ts
+++ b/src/agent/workflows/incarnation_probe.ts
@@ -1,3 +1,4 @@
+import {isListOf} from '../../backends/leased_worker.js';
 import type {LeasedWorker, WorkerReport} from '../../backends/leased_worker.js';
 import {WorkerRefusedError} from '../../backends/platform_errors.js';
 import type {Clock} from '../../utilities/clock.js';
@@ -45,8 +46,7 @@
     const {report, worker, fencingToken} = this.options;
     try {
       const listing = await worker.pollRuns({fencingToken, acknowledgedEnd: 0});
-      const {workerStartedAt = report.startedAt} = listing;
-      return workerStartedAt === report.startedAt;
+      return isListOf(listing, report);
     } catch (error) {
       return error instanceof WorkerRefusedError ? false : undefined;
     }
--- a/src/agent/workflows/worker_session.ts
+++ b/src/agent/workflows/worker_session.ts
@@ -1,4 +1,4 @@
-import {StartRefusal} from '../../backends/leased_worker.js';
+import {isListOf, StartRefusal} from '../../backends/leased_worker.js';
 import type {
   LeasedWorker,
   WorkerRunList,
@@ -31,6 +31,8 @@
 /** Pauses while ends await acknowledgement, and after a failed poll. */
 const PENDING_PAUSE_MILLIS = 100;
 const FAILED_PAUSE_MILLIS = 150;
+/** No worker restarts within this time. */
+const MINIMUM_RESTART_MILLIS = 50;
 /** A worker without a response for this long gets no lease extension. */
 const SILENT_MILLIS = 1_500;
 /** A worker that announced its end but still runs responds within this time. */
@@ -82,6 +84,10 @@
   private isLastPollAnswered = false;
   private readonly createdAt: number;
   private silent = false;
+  /** When another incarnation was found to respond in place of this one. */
+  private replacedAt = Infinity;
+  /** Count of ended connections when the worker last proved who it is. */
+  private confirmedConnections = -1;
   /** When the worker announced its end. */
   private leavingAt = Infinity;
   /** How often an expired lease was reported to the owner. */
@@ -98,6 +104,8 @@
   /** Ends the pause between two polls. */
   private endPause: (() => void) | undefined;
   private readonly awaitedPolls = new Set<AwaitedPoll>();
+  /** Called when the present poll has ended, with a response or without. */
+  private readonly pollWaiters: Array<() => void> = [];
 
   constructor(private readonly options: WorkerSessionOptions) {
     const {clock, report} = options;
@@ -123,8 +131,10 @@
    */
   reportExpiration(): boolean {
     const {maximumLeaseMillis} = this.options;
+    // A new incarnation may have carried out starts that were for this one.
+    const startedAt = this.isReplaced ? this.replacedAt : this.createdAt;
     const hasExpired =
-      this.silent && this.lease.isExpired(maximumLeaseMillis, this.createdAt);
+      this.silent && this.lease.isExpired(maximumLeaseMillis, startedAt);
     if (!hasExpired && !this.hasLeft) return false;
     this.reportedExpirations++;
     return true;
@@ -144,6 +154,22 @@
     return this.options.clock.now() - since > LEAVING_RESPONSE_MILLIS;
   }
 
+  /** True once another incarnation responds in place of this one. */
+  get isReplaced(): boolean {
+    return this.replacedAt !== Infinity;
+  }
+
+  /**
+   * True if no other incarnation can respond to the calls sent now: a restart
+   * ends all connections, but a worker may also close them after each response.
+   */
+  private get isIdentityConfirmed(): boolean {
+    const {worker, clock} = this.options;
+    if (worker.endedConnections === this.confirmedConnections) return true;
+    if (!this.hasRunList) return false;
+    return clock.now() - this.lastResponseAt < MINIMUM_RESTART_MILLIS;
+  }
+
   /** True if the worker, as this incarnation, has answered the last poll. */
   get isResponding(): boolean {
     return this.isLastPollAnswered;
@@ -186,9 +212,13 @@
   close(reason: string): void {
     this.closed = true;
     this.endPause?.();
+    this.abandonAwaitedPolls();
+    this.options.worker.close(reason);
+  }
+
+  private abandonAwaitedPolls(): void {
     for (const awaited of this.awaitedPolls) awaited.resolve(false);
     this.awaitedPolls.clear();
-    this.options.worker.close(reason);
   }
 
   /** Drops ends up to the number, which the owner has made durable. */
@@ -224,7 +254,7 @@
 
   stop({task, run}: StopCommand): void {
     const name = runKey(task, run);
-    if (this.stopping.has(name) || this.closed) return;
+    if (this.stopping.has(name) || this.closed || this.isReplaced) return;
     this.stopping.add(name);
     void this.executeStop(name, task, run);
   }
@@ -236,6 +266,8 @@
     const refusal = await this.tryStart(name, command);
     this.starting.delete(name);
     if (this.closed) return;
+    // Whether a start that was sent took effect shows at the new incarnation.
+    if (this.isReplaced && this.sentStarts.has(name)) return;
     const {task, run} = command;
     this.options.logger.event(Events.START_SETTLED, {
       task,
@@ -255,6 +287,8 @@
       if (!(await this.awaitPoll())) return StartRefusal.REPLACED;
       if (this.isListed(name)) return '';
     }
+    await this.confirmIdentity();
+    if (this.closed || this.isReplaced) return StartRefusal.REPLACED;
     const leaseEnd = this.silent ? undefined : this.lease.end;
     // The owner counts runs as ended once the expired lease was reported.
     const isOutdated = expirations !== this.reportedExpirations;
@@ -308,6 +342,16 @@
     return this.isListed(name) ? '' : StartRefusal.FENCED;
   }
 
+  /** Resolves once the identity is confirmed, or the worker is silent. */
+  private async confirmIdentity(): Promise<void> {
+    while (!this.isIdentityConfirmed && !this.silent && !this.closed) {
+      await new Promise<void>(resolve => {
+        this.pollWaiters.push(resolve);
+        this.endPause?.();
+      });
+    }
+  }
+
   private isListed(name: string): boolean {
     const isNamed = (each: {task: string; run: number}): boolean =>
       runKey(each.task, each.run) === name;
@@ -342,10 +386,10 @@
 
   /**
    * Resolves to true when a poll that began after this call was answered, and
-   * to false when the session was closed before.
+   * to false when the session was closed or the worker replaced before.
    */
   private awaitPoll(): Promise<boolean> {
-    if (this.closed) return Promise.resolve(false);
+    if (this.closed || this.isReplaced) return Promise.resolve(false);
     return new Promise(resolve => {
       // The next response may belong to a poll that began before this call.
       this.awaitedPolls.add({target: this.answeredPolls + 2, resolve});
@@ -363,7 +407,7 @@
 
   /** Polls the worker until closed, extending its lease. */
   private async pollUntilClosed(): Promise<void> {
-    while (!this.closed) {
+    while (!this.closed && !this.isReplaced) {
       const answered = await this.pollOnce();
       if (this.closed) return;
       if (!answered) await this.pause(FAILED_PAUSE_MILLIS);
@@ -371,29 +415,61 @@
     }
   }
 
+  /**
+   * Until the incarnation is confirmed, a poll carries neither a lease nor
+   * acknowledgements: another incarnation under the same id has its own clock
+   * and numbers of ends.
+   */
   private async pollOnce(): Promise<boolean> {
     const {worker, token} = this.options;
-    const leaseEnd = this.silent ? undefined : this.lease.end;
+    const {isIdentityConfirmed} = this;
+    const {endedConnections} = worker;
+    const isExtending = isIdentityConfirmed && !this.silent;
+    const leaseEnd = isExtending ? this.lease.end : undefined;
     if (leaseEnd !== undefined) this.lease.recordSentEnd(leaseEnd);
     const isAwaited = this.awaitedPolls.size > 0;
-    const isWaiting = this.ends.size === 0 && this.hasRunList && !isAwaited;
+    const isWaiting = this.ends.size === 0 && isIdentityConfirmed && !isAwaited;
     try {
       const listing = await worker.pollRuns({
         fencingToken: token.value,
-        acknowledgedEnd: this.acknowledged,
+        acknowledgedEnd: isIdentityConfirmed ? this.acknowledged : 0,
         leaseEnd,
         waitMillis: isWaiting ? POLL_MILLIS : 0,
       });
+      if (!isListOf(listing, this.report)) {
+        this.recordReplacement(listing);
+        return false;
+      }
       this.isLastPollAnswered = true;
+      this.confirmedConnections = endedConnections;
       this.applyRunList(listing);
       return true;
     } catch (error) {
       this.isLastPollAnswered = false;
       this.recordPollFailure(error);
       return false;
+    } finally {
+      for (const resolve of this.pollWaiters.splice(0)) resolve();
     }
   }
 
+  /**
+   * Ends all calls: the worker has restarted under its id. The owner hears of
+   * the new incarnation once it reports, since it may be of another kind.
+   */
+  private recordReplacement({workerStartedAt}: WorkerRunList): void {
+    const {clock, logger, observer} = this.options;
+    this.isLastPollAnswered = false;
+    this.replacedAt = clock.now();
+    this.silent = true;
+    logger.event(Events.WORKER_REPLACED, {
+      incarnation: this.incarnation,
+      startedAt: workerStartedAt,
+    });
+    this.abandonAwaitedPolls();
+    observer.onChange();
+  }
+
   private applyRunList(listing: WorkerRunList): void {
     const {clock, logger, observer} = this.options;
     this.answeredPolls++;
@@ -460,7 +536,8 @@
   pace({task, run, percent}: Omit<PaceCommand, 'incarnation'>): void {
     const name = runKey(task, run);
     // An unknown pace is always sent: a previous agent may have set another.
-    if (this.closed || this.paced.get(name) === percent) return;
+    if (this.closed || this.isReplaced) return;
+    if (this.paced.get(name) === percent) return;
     this.paced.set(name, percent);
     void this.executePace(name, task, run, percent);
   }
--- a/src/agent/workflows/workflow_agent.ts
+++ b/src/agent/workflows/workflow_agent.ts
@@ -126,13 +126,13 @@
   }
 
   /**
-   * Applies a report unless it is outdated. While there is a session with
-   * another incarnation, the worker has to confirm the report first.
+   * Applies a report unless it is outdated. One that would replace the session
+   * has to be confirmed by the worker first.
    */
   applyReport(report: WorkerReport): void {
     const before = this.report;
-    const isOtherWorker = before && before.incarnation !== report.incarnation;
-    if (isOtherWorker && this.session) return void this.probe(report);
+    if (this.session && this.wouldReplace(report))
+      return void this.probe(report);
     if (before && !isNewer(report, before)) return;
     this.acceptReport(report);
   }
@@ -141,7 +141,8 @@
     const before = this.report;
     const wasDraining = before?.draining ?? false;
     this.report = report;
-    if (before?.incarnation !== report.incarnation) this.openSession(worker);
+    if (worker || before?.incarnation !== report.incarnation)
+      this.openSession(worker);
     else if (this.session) this.session.report = report;
     if (report.draining !== wasDraining) {
       this.options.logger.event(Events.WORKER_CHANGED, {
@@ -185,11 +186,16 @@
     if (!this.closed) onReportRefused(report.id, 'the worker is another one');
   }
 
-  /** The start times don't decide alone: the time of day may have gone back. */
-  private isSuccessor({incarnation, startedAt}: WorkerReport): boolean {
+  private wouldReplace({incarnation}: WorkerReport): boolean {
     const {report, session} = this;
-    if (!report || incarnation === report.incarnation) return false;
-    return startedAt >= report.startedAt || !session?.isResponding;
+    return report?.incarnation !== incarnation || !!session?.isReplaced;
+  }
+
+  /** The start times don't decide alone: the time of day may have gone back. */
+  private isSuccessor(report: WorkerReport): boolean {
+    const {report: before, session} = this;
+    if (!before || !this.wouldReplace(report)) return false;
+    return report.startedAt >= before.startedAt || !session?.isResponding;
   }
 
   /** The worker is passed if calls to it are open already. */
@@ -197,7 +203,12 @@
     const {report, token} = this;
     if (!report || !token || this.closed) return;
     const {openWorker, clock, logger, maximumLeaseMillis} = this.options;
-    this.session?.close('another incarnation has reported');
+    if (this.session) {
+      this.session.close('another incarnation has reported');
+      // Starts for the former incarnation are void at the new one from its first
+      // run list on.
+      token.raise();
+    }
     this.openUpdates.clear();
     logger.event(Events.INCARNATION_FOUND, {
       incarnation: report.incarnation,
--- a/src/backends/http_connections.ts
+++ b/src/backends/http_connections.ts
@@ -60,6 +60,7 @@
   private readonly clock: Clock;
   private readonly silenceMillis: number;
   private pool: Pool;
+  private disconnects = 0;
   private closedReason?: string;
 
   constructor(private readonly options: HttpConnectionsOptions) {
@@ -68,6 +69,11 @@
     this.pool = this.openPool();
   }
 
+  /** Number of connections that have ended, for whatever reason. */
+  get endedConnections(): number {
+    return this.disconnects;
+  }
+
   /** Resolves to the complete response or rejects with an HttpCallError. */
   call(call: HttpCall): Promise<HttpResponse> {
     const pool = this.pool;
@@ -135,7 +141,7 @@
   }
 
   private openPool(): Pool {
-    return new Pool(toOrigin(this.options.address), {
+    const pool = new Pool(toOrigin(this.options.address), {
       connections: this.options.connections ?? DEFAULT_CONNECTIONS,
       pipelining: 1,
       headersTimeout: 0,
@@ -146,6 +152,7 @@
           this.options.connectTimeoutMillis ?? DEFAULT_CONNECT_TIMEOUT_MILLIS,
       },
     });
+    return pool.on('disconnect', () => this.disconnects++);
   }
 
   private dispatch(pool: Pool, call: HttpCall, exchange: HttpExchange): void {
--- a/src/backends/leased_worker.ts
+++ b/src/backends/leased_worker.ts
@@ -1,5 +1,8 @@
 /** A worker whose runs continue while one lease for all of them is renewed. */
 
+/** Start time of an incarnation whose worker does not report it. */
+export const UNKNOWN_START = 0;
+
 /** The way a run ended on its worker. */
 export const RunOutcome = {
   DONE: 'done',
@@ -50,6 +53,18 @@
   readonly ends: readonly WorkerRunEnd[];
 }
 
+/**
+ * True if the run list is of the incarnation that the report names, as far as
+ * both tell: a worker may restart under its id.
+ */
+export function isListOf(
+  {workerStartedAt}: WorkerRunList,
+  {startedAt}: WorkerReport,
+): boolean {
+  if (workerStartedAt === undefined || startedAt === UNKNOWN_START) return true;
+  return workerStartedAt === startedAt;
+}
+
 /** The reason for which a worker is guaranteed not to have started a run. */
 export const StartRefusal = {
   /** A later agent, or the same one with a higher token, has called since. */
@@ -107,6 +122,11 @@
  * worker did nothing.
  */
 export interface LeasedWorker {
+  /**
+   * Number of connections to the worker that have ended. It rises before a new
+   * incarnation can respond, as a restart ends all connections.
+   */
+  readonly endedConnections: number;
   /** Resolves to undefined if the worker accepted the run. */
   start(start: WorkerStart): Promise<StartRefusal | undefined>;
   stop(stop: WorkerStop): Promise<void>;
--- a/src/entry/workflows/pool_owner.ts
+++ b/src/entry/workflows/pool_owner.ts
@@ -12,6 +12,7 @@
 import {parseTaskName, runKey} from '../../decisions/workflows/task_name.js';
 import {taskNameOf} from '../../decisions/workflows/workflow.js';
 import type {
+  PlacedRun,
   TaskReference,
   Workflow,
 } from '../../decisions/workflows/workflow.js';
@@ -125,8 +126,8 @@
   private readonly copies: TaskCopies | undefined;
   /** Undefined if admission control is off. */
   private readonly admission: OwnerAdmission | undefined;
-  /** Keys of workers that have joined but not listed their runs yet. */
-  private readonly unlistedWorkers = new Set<string>();
+  /** Keys of workers whose earlier incarnations may still have runs placed. */
+  private readonly joiningWorkers = new Set<string>();
   private readonly lastTerms = new Map<string, QueueTerms>();
   private readonly ownedSince: number;
   private readonly timers = new Set<Timer>();
@@ -441,25 +442,33 @@
       milliprocessors: traits.room.milliprocessors,
       memoryMegabytes: traits.room.memoryMegabytes,
     });
-    this.unlistedWorkers.add(view.key);
+    this.joiningWorkers.add(view.key);
     this.planningAction.schedule();
     return view;
   }
 
   /**
-   * A restarted worker no longer has the runs of its earlier incarnations. Its
+   * Closes the runs of earlier incarnations of a restarted worker. Its
    * description does not prove the restart, as a report may be of another
-   * writer; its run list does.
+   * writer; its run list does. A listed run was started by a command for an
+   * earlier incarnation under the same id: it is stopped as an unexpected one,
+   * and closed once it is no longer listed.
    */
-  private dropEarlierIncarnations(view: WorkerView): void {
+  private closeEarlierIncarnations(view: WorkerView): void {
+    const hasEnded = ({reference, placement}: PlacedRun): boolean =>
+      !view.running.has(runKey(taskNameOf(reference), placement.run));
+    let haveAllEnded = true;
     for (const key of this.workerRegistry.occupiedKeys) {
       if (key === view.key || agentOf(key) !== view.agent) continue;
-      this.closeLostRuns(key, 'the worker has restarted');
+      this.closeLostRuns(key, 'the worker has restarted', hasEnded);
+      haveAllEnded &&= this.workerRegistry.placedAt(key).length === 0;
     }
+    if (!haveAllEnded) return;
+    this.joiningWorkers.delete(view.key);
     for (const other of this.workerRegistry.all) {
       if (other === view || other.agent !== view.agent) continue;
       this.workerRegistry.forget(other.key);
-      this.unlistedWorkers.delete(other.key);
+      this.joiningWorkers.delete(other.key);
       this.supervisor.forgetWorker(other.key);
     }
   }
@@ -543,8 +552,7 @@
   }
 
   private handleRunList(view: WorkerView): void {
-    if (this.unlistedWorkers.delete(view.key))
-      this.dropEarlierIncarnations(view);
+    if (this.joiningWorkers.has(view.key)) this.closeEarlierIncarnations(view);
     for (const [name, {reference}] of view.placed) {
       const run = view.running.get(name);
       if (!run || run.checkpoint === '') continue;
@@ -565,9 +573,14 @@
     });
   }
 
-  /** Closes all runs on a worker; they must be guaranteed to have ended. */
-  private closeLostRuns(key: string, reason: string): void {
-    for (const {reference, placement} of this.workerRegistry.placedAt(key)) {
+  /** Closes runs on a worker; they must be guaranteed to have ended. */
+  private closeLostRuns(
+    key: string,
+    reason: string,
+    hasEnded: (placed: PlacedRun) => boolean = () => true,
+  ): void {
+    const lost = this.workerRegistry.placedAt(key).filter(hasEnded);
+    for (const {reference, placement} of lost) {
       const task = taskNameOf(reference);
       this.options.logger.event(Events.RUN_LOST, {
         task,
--- a/src/observability/events.ts
+++ b/src/observability/events.ts
@@ -467,6 +467,11 @@
     'warn',
     'The command to start a run arrived too late and was ignored.',
   ),
+  WORKER_REPLACED: eventType(
+    6060,
+    'warn',
+    'The worker has restarted under its id; the agent awaits its report.',
+  ),
   INTERFERENCE_RESTORED: eventType(
     6070,
     'info',
--- a/src/platform/platform_worker.ts
+++ b/src/platform/platform_worker.ts
@@ -33,7 +33,7 @@
   /** Reading of the worker's monotonic clock. */
   readonly ClockMs: number;
   /** Wall-clock time at which this incarnation of the worker started. */
-  readonly born?: number;
+  readonly born?: unknown;
   /** Rows of task, run, checkpoint, percent and measure. */
   readonly Running?: unknown[];
   /** Rows of number, task, run, outcome and checkpoint. */
@@ -59,6 +59,10 @@
     });
   }
 
+  get endedConnections(): number {
+    return this.connections.endedConnections;
+  }
+
   async start(start: WorkerStart): Promise<StartRefusal | undefined> {
     const response = await this.call('/-/run-start', {
       Task: start.task,
@@ -102,7 +106,8 @@
     const content = decode<WireHoldResponse>(response);
     return {
       workerClock: content.ClockMs,
-      workerStartedAt: content.born,
+      workerStartedAt:
+        typeof content.born === 'number' ? content.born : undefined,
       running: (content.Running ?? []).flatMap(toRun),
       ends: (content.Ended ?? []).flatMap(toRunEnd),
     };
--- a/src/platform/worker_reports.ts
+++ b/src/platform/worker_reports.ts
@@ -8,6 +8,7 @@
   string,
   union,
 } from 'valibot';
+import {UNKNOWN_START} from '../backends/leased_worker.js';
 import type {WorkerReport} from '../backends/leased_worker.js';
 import {parseJsonOrUndefined} from './json_parsing.js';
 
@@ -25,7 +26,7 @@
   State: union([literal('ready'), literal('draining')]),
   Sequence: number(),
   /** Wall-clock time at which this incarnation of the worker started. */
-  born: optional(number(), 0),
+  born: optional(number(), UNKNOWN_START),
   FreeCapacity: capacitySchema,
   /** The kind of machine, followed by its rack. */
   Labels: optional(array(string()), []),
--- a/tests/workflows/random_schedules.test.ts
+++ b/tests/workflows/random_schedules.test.ts
@@ -24,6 +24,12 @@
 /** Seeds of schedules in which slow tasks get copies. */
 const FIRST_COPY_SEED = 401;
 const COPY_SEED_COUNT = 12;
+/** Seeds of schedules in which workers restart under their ids. */
+const FIRST_SAME_ID_SEED = 501;
+const SAME_ID_SEED_COUNT = 16;
+/** Interval between reports on the platform: a restart shows late in them. */
+const SLOW_REPORT_MILLIS = 1_500;
+const MINIMUM_RESTART_MILLIS = 50;
 const SLOW_FACTOR = 7;
 const STEPS = 30;
 const MAXIMUM_STEP_MILLIS = 1_200;
@@ -124,6 +130,16 @@
   });
 }
 
+/** Restarts a worker under its id; the agent learns it from its answers. */
+function restartWorkerUnderItsId(pool: VirtualPool, random: Random): void {
+  const worker = pool.workers[random.below(pool.workers.length)];
+  if (!worker.isUp) return;
+  worker.crash();
+  pool.clock.schedule(MINIMUM_RESTART_MILLIS + random.below(500), () => {
+    if (!worker.isUp) worker.restart({keepsId: true});
+  });
+}
+
 /**
  * Submits a random workflow through a random entry; cancels some of them. If it
  * is speculative, the first run of its first task is slow.
@@ -148,14 +164,24 @@
   if (status === 200 && random.unit() < 0.15) await pool.cancel(id, entry);
 }
 
+interface ScheduleOptions {
+  readonly copies?: boolean;
+  readonly reportMillis?: number;
+}
+
 async function runSchedule(
   t: ExecutionContext,
   seed: number,
   faultInjectors: ReadonlyArray<(pool: VirtualPool, random: Random) => void>,
-  copies = false,
+  {copies = false, reportMillis}: ScheduleOptions = {},
 ): Promise<VirtualPool> {
-  const features = {copies};
-  const pool = new VirtualPool({seed, entries: 3, workers: 4, features});
+  const pool = new VirtualPool({
+    seed,
+    entries: 3,
+    workers: 4,
+    features: {copies},
+    reportMillis,
+  });
   const random = new Random(seed + 1_000);
   // Every second workflow is speculative.
   const speculative = new Set<string>();
@@ -211,7 +237,16 @@
   const seed = FIRST_COPY_SEED + index;
   test(`should run at most one copy of a slow task, seed ${seed}`, async t => {
     const faults = [injectFault, drainWorker];
-    const pool = await runSchedule(t, seed, faults, true);
+    const pool = await runSchedule(t, seed, faults, {copies: true});
     t.true(countOverlaps(pool) > 0);
   });
 }
+
+for (let index = 0; index < SAME_ID_SEED_COUNT; index++) {
+  const seed = FIRST_SAME_ID_SEED + index;
+  test(`should run no task twice while workers restart under their ids, seed ${seed}`, async t => {
+    await runSchedule(t, seed, [injectFault, restartWorkerUnderItsId], {
+      reportMillis: SLOW_REPORT_MILLIS,
+    });
+  });
+}
--- a/tests/workflows/worker_lives.test.ts
+++ b/tests/workflows/worker_lives.test.ts
@@ -123,3 +123,92 @@
   t.is(await pool.state(ID), 'done');
   t.deepEqual(pool.history.violations(), []);
 });
+
+// Guards against a restart under the same id that nobody notices until the next
+// report: starts of the former incarnation were carried out by the new one, and
+// its runs were then given up while they went on.
+for (let seed = 70; seed < 76; seed++) {
+  test(`should run no task twice when a worker restarts under its id, seed ${seed}`, async t => {
+    const pool = new VirtualPool({seed, reportMillis: 1_500});
+    await startWorkflows(pool);
+    await pool.run(250 * (seed - 70));
+    pool.workers[0].crash();
+    await pool.run(50);
+    pool.workers[0].restart({keepsId: true});
+    await pool.run(12_000);
+    t.is(await pool.state(ID), 'done');
+    t.is(workersRunning(pool, LASTING_ID).length, LASTING_STEP.Count);
+    t.deepEqual(pool.history.violations(), []);
+  });
+}
+
+// A start for the former incarnation may arrive before the agent knows the new
+// one, which then runs the task, and ends it or not before it is stopped.
+for (const millis of [10, 30_000]) {
+  test(`should not start a task again while a restarted worker runs it for ${millis} ms`, async t => {
+    const pool = new VirtualPool({seed: 76});
+    await startWorkflows(pool);
+    const worker = pool.workers[0];
+    const [lost] = pool.history.runs.filter(
+      run => run.worker === worker.name && run.task.startsWith(ID),
+    );
+    worker.crash();
+    await pool.run(50);
+    worker.restart({keepsId: true});
+    void worker.connect(worker.id).start({
+      task: lost.task,
+      run: lost.run,
+      payload: JSON.stringify({millis}),
+      checkpoint: '',
+      ticket: '',
+      leaseEnd: 60_000,
+      fencingToken: 1,
+    });
+    await pool.run(15_000);
+    t.is(await pool.state(ID), 'done');
+    t.deepEqual(pool.history.violations(), []);
+  });
+}
+
+// Guards against a late report of the former incarnation that takes the place
+// of the new one under the same id.
+test('should ignore a late report of a former incarnation with the same id', async t => {
+  const pool = new VirtualPool({seed: 77, workers: 1});
+  await startWorkflows(pool);
+  const late = {...pool.workers[0].report(), sequence: 1_000};
+  pool.workers[0].crash();
+  await pool.run(50);
+  pool.workers[0].restart({keepsId: true});
+  await pool.run(1_500);
+  pool.sendReport(0, late);
+  await pool.run(12_000);
+  t.is(await pool.state(ID), 'done');
+  t.is(workersRunning(pool, LASTING_ID).length, LASTING_STEP.Count);
+  t.deepEqual(pool.history.violations(), []);
+});
+
+// Guards against the opposite: a worker ignored for good after odd run lists.
+test('should use a worker again whose run lists named another start time', async t => {
+  const pool = new VirtualPool({seed: 78, workers: 1});
+  await pool.run(3_000);
+  pool.workers[0].faults.misreportsStart = true;
+  await pool.run(2_000);
+  pool.workers[0].faults.misreportsStart = false;
+  await pool.run(2_000);
+  await pool.submit(ID, [STEP], {millis: 500});
+  await pool.run(4_000);
+  t.is(await pool.state(ID), 'done');
+  t.deepEqual(pool.history.violations(), []);
+});
+
+// The same for a worker that closes each connection after one response.
+test('should use a worker that keeps no connections open', async t => {
+  const pool = new VirtualPool({seed: 79});
+  for (const worker of pool.workers) worker.faults.closesConnections = true;
+  await startWorkflows(pool);
+  const started = pool.history.runs.length;
+  await pool.run(15_000);
+  t.is(await pool.state(ID), 'done');
+  t.is(pool.history.runs.length, started);
+  t.deepEqual(pool.history.violations(), []);
+});
