Count only runs on trial against the allowance of a worker on trial

Cause: after a cooldown a worker gets one task on trial until one succeeds, and the allowance was one less the runs placed there. A long-running task counts as placed and never succeeds.

Only runs placed since the cooldown began count now, a long-running one until it is at work. A trial in which nothing has failed for 12 s ends, since what waits may need more than one place there at once (a gang); the worker stays suspect, so others are preferred.

--- a/src/decisions/workflows/placement_planner.ts
+++ b/src/decisions/workflows/placement_planner.ts
@@ -93,7 +93,7 @@
       view =>
         new PlacementCandidate(
           view,
-          health.allowance(view.key, view.placed.size, now),
+          health.allowanceOf(view, now),
           health.suspicion(view.key),
           limitsProbes ? new ProbeLimit(view, interference) : undefined,
         ),
--- a/src/decisions/workflows/worker_health.ts
+++ b/src/decisions/workflows/worker_health.ts
@@ -1,3 +1,5 @@
+import type {WorkerView} from './worker_view.js';
+
 /**
  * Load pattern: a worker that fails every task at once also has free capacity
  * again at once, and so attracts the work of the whole pool.
@@ -12,12 +14,20 @@
 const REFUSAL_COOLDOWN_MILLIS = 500;
 /** Concurrent tasks allowed after a cooldown, until one of them succeeds. */
 const TASKS_ON_TRIAL = 1;
+/**
+ * A trial without a failure ends after this time, as nothing that waits may be
+ * placeable on trial, such as a gang with several members on the worker.
+ */
+const MAXIMUM_TRIAL_MILLIS = 12_000;
+const ALL_PERCENT = 100;
 
 interface Record {
   failedWorkflows: Set<string>;
   cooldownUntil: number;
   cooldownMillis: number;
   onTrial: boolean;
+  /** Runs placed since then are on trial. */
+  trialSince: number;
 }
 
 /** Tracks the health of workers by the outcomes of their runs. */
@@ -25,12 +35,20 @@
   private readonly records = new Map<string, Record>();
 
   /** Returns how many more tasks may be placed on the worker now. */
-  allowance(worker: string, placedCount: number, now: number): number {
+  allowanceOf(view: WorkerView, now: number): number {
+    const record = this.records.get(view.key);
+    if (!record) return Infinity;
+    return this.allowance(view.key, countRunsOnTrial(view, record), now);
+  }
+
+  /** The same, with the number of runs there that are on trial. */
+  allowance(worker: string, runsOnTrial: number, now: number): number {
     const record = this.records.get(worker);
     if (!record) return Infinity;
     if (now < record.cooldownUntil) return 0;
-    if (record.onTrial) return Math.max(0, TASKS_ON_TRIAL - placedCount);
-    return Infinity;
+    const isOnTrial =
+      record.onTrial && now < record.cooldownUntil + MAXIMUM_TRIAL_MILLIS;
+    return isOnTrial ? Math.max(0, TASKS_ON_TRIAL - runsOnTrial) : Infinity;
   }
 
   /**
@@ -82,6 +100,7 @@
       MAXIMUM_COOLDOWN_MILLIS,
     );
     record.onTrial = true;
+    record.trialSince = now;
     record.failedWorkflows.clear();
     return true;
   }
@@ -94,8 +113,24 @@
       cooldownUntil: -Infinity,
       cooldownMillis: FIRST_COOLDOWN_MILLIS,
       onTrial: false,
+      trialSince: -Infinity,
     };
     this.records.set(worker, record);
     return record;
   }
 }
+
+/**
+ * Runs from before the cooldown say nothing about the worker now, and may go on
+ * for hours. A long-running one that is at work has passed its trial.
+ */
+function countRunsOnTrial(view: WorkerView, {trialSince}: Record): number {
+  let count = 0;
+  for (const [name, {reference, placedAt = -Infinity}] of view.placed) {
+    if (placedAt < trialSince) continue;
+    const percent = view.running.get(name)?.percent ?? 0;
+    if (reference.step.lasting && percent >= ALL_PERCENT) continue;
+    count++;
+  }
+  return count;
+}
--- a/src/decisions/workflows/workflow.ts
+++ b/src/decisions/workflows/workflow.ts
@@ -276,6 +276,11 @@
   readonly placement: Placement;
   /** True if the placement is stored, so that its start may be ordered. */
   isDurable: boolean;
+  /**
+   * Time of the placement on the owner's clock; undefined for a run that an
+   * earlier owner placed.
+   */
+  placedAt?: number;
   /**
    * Time on the owner's clock of the start command, set once the worker is
    * known to have the run; undefined for a run that an earlier owner started.
--- a/src/entry/workflows/pool_owner.ts
+++ b/src/entry/workflows/pool_owner.ts
@@ -691,6 +691,7 @@
           this.attachments.find(worker.key)?.start(durable);
         },
       );
+      placed.placedAt = now;
       logger.event(Events.RUN_PLACED, {
         task,
         run: placed.placement.run,
--- a/src/entry/workflows/run_supervisor.ts
+++ b/src/entry/workflows/run_supervisor.ts
@@ -213,7 +213,7 @@
         other =>
           other !== view &&
           other.traits.service === view.traits.service &&
-          this.health.allowance(other.key, other.placed.size, now) > 0,
+          this.health.allowanceOf(other, now) > 0,
       );
   }
 
