Refuse values of worker reports and run lists that nothing can carry

Other operators reported processes that ended, or stopped following a list, after one odd entry of another writer. Here a report was checked for types only, so one with a port out of range, an empty address, capacity too large, negative or with a fraction, or a name too long stopped the agent's updates for good, and a sequence number too large made it ignore its worker. Callers would have lost what ran there with the lease. A malformed path was never answered, and a run list without a clock reading led to leases computed from no number. Deep nesting is harmless: a million levels are parsed or refused.

src/platform/wire_values.ts holds the limits of such values. A report beyond them is refused like any unreadable one (one log line per 10 s, a counter); capacity with a fraction is rounded down, so that a real worker is not ignored. Run lists without a clock reading count as no response, odd rows are left out. Records with an empty address or an infinite capacity are ignored, and an entry to which no connection can be opened no longer ends the search for the owner.

--- a/src/agent/workflows/owner_connection.ts
+++ b/src/agent/workflows/owner_connection.ts
@@ -254,14 +254,15 @@
   private async queryEntry(
     address: string,
   ): Promise<{address: string; epoch: number} | undefined> {
-    const link = this.options.links.openPool(address);
+    let link: PoolLink | undefined;
     try {
+      link = this.options.links.openPool(address);
       return await link.findOwner();
     } catch {
       // The entry may have been removed; the others are queried too.
       return undefined;
     } finally {
-      link.close('owner query finished');
+      link?.close('owner query finished');
     }
   }
 }
--- a/src/agent/workflows/report_server.ts
+++ b/src/agent/workflows/report_server.ts
@@ -47,7 +47,11 @@
       response.writeHead(404).end();
       return;
     }
-    const id = decodeURIComponent(url.slice(prefix.length));
+    const id = decodePathSegment(url.slice(prefix.length));
+    if (id === undefined) {
+      response.writeHead(400).end();
+      return;
+    }
     const chunks: Buffer[] = [];
     let bytes = 0;
     request.on('data', (chunk: Buffer) => {
@@ -77,3 +81,12 @@
     response.writeHead(200, {'content-type': 'application/json'}).end('{}');
   }
 }
+
+/** Returns undefined for an invalid escape sequence. */
+function decodePathSegment(segment: string): string | undefined {
+  try {
+    return decodeURIComponent(segment);
+  } catch {
+    return undefined;
+  }
+}
--- a/src/agent/workflows/worker_session.ts
+++ b/src/agent/workflows/worker_session.ts
@@ -500,6 +500,7 @@
   private recordPollFailure(error: unknown): void {
     const {clock, logger, observer} = this.options;
     const refused = error instanceof WorkerRefusedError;
+    if (!refused) this.confirmedConnections = -1;
     if (this.silent || refused) return;
     if (clock.now() - this.lastResponseAt < SILENT_MILLIS) return;
     this.silent = true;
--- a/src/platform/platform_worker.ts
+++ b/src/platform/platform_worker.ts
@@ -1,3 +1,18 @@
+import {
+  array,
+  fallback,
+  finite,
+  integer,
+  is,
+  maxValue,
+  minValue,
+  number,
+  object,
+  optional,
+  pipe,
+  safeParse,
+  unknown,
+} from 'valibot';
 import {HttpConnections} from '../backends/http_connections.js';
 import type {HttpResponse} from '../backends/http_exchange.js';
 import {RunOutcome, StartRefusal} from '../backends/leased_worker.js';
@@ -17,6 +32,12 @@
 } from '../backends/platform_errors.js';
 import {messageOf} from '../utilities/base_error.js';
 import {parseResponseBody} from './json_parsing.js';
+import {
+  amountSchema,
+  countSchema,
+  nameSchema,
+  timestampSchema,
+} from './wire_values.js';
 
 /** The worker is on the same machine; even a busy one responds sooner. */
 const CALL_TIMEOUT_MILLIS = 500;
@@ -29,16 +50,24 @@
 const REFUSALS: ReadonlySet<string> = new Set(Object.values(StartRefusal));
 const OUTCOMES: ReadonlySet<string> = new Set(Object.values(RunOutcome));
 
-interface WireHoldResponse {
+/** Numbers of ends start at 1. */
+const endNumberSchema = pipe(
+  number(),
+  integer(),
+  minValue(1),
+  maxValue(Number.MAX_SAFE_INTEGER),
+);
+
+const holdResponseSchema = object({
   /** Reading of the worker's monotonic clock. */
-  readonly ClockMs: number;
+  ClockMs: pipe(number(), finite()),
   /** Wall-clock time at which this incarnation of the worker started. */
-  readonly born?: unknown;
+  born: fallback(optional(timestampSchema), undefined),
   /** Rows of task, run, checkpoint, percent and measure. */
-  readonly Running?: unknown[];
+  Running: optional(array(unknown()), []),
   /** Rows of number, task, run, outcome and checkpoint. */
-  readonly Ended?: unknown[];
-}
+  Ended: optional(array(unknown()), []),
+});
 
 export interface PlatformWorkerOptions {
   /** HOST:PORT */
@@ -103,13 +132,15 @@
     const timeout = waitMillis + HOLD_GRACE_MILLIS;
     const response = await this.call('/-/hold', body, timeout);
     expectOk(response);
-    const content = decode<WireHoldResponse>(response);
+    const parsed = safeParse(holdResponseSchema, decode<unknown>(response));
+    if (!parsed.success)
+      throw new WorkerUnavailableError("The worker's run list is unreadable.");
+    const {ClockMs, born, Running, Ended} = parsed.output;
     return {
-      workerClock: content.ClockMs,
-      workerStartedAt:
-        typeof content.born === 'number' ? content.born : undefined,
-      running: (content.Running ?? []).flatMap(toRun),
-      ends: (content.Ended ?? []).flatMap(toRunEnd),
+      workerClock: ClockMs,
+      workerStartedAt: born,
+      running: Running.flatMap(toRun),
+      ends: Ended.flatMap(toRunEnd),
     };
   }
 
@@ -173,26 +204,28 @@
   );
 }
 
+/** Leaves out a row that names no run. */
 function toRun(row: unknown): WorkerRun[] {
   if (!Array.isArray(row)) return [];
   const [task, run, checkpoint, percent, measure] = row as unknown[];
-  if (typeof task !== 'string' || typeof run !== 'number') return [];
+  if (!is(nameSchema, task) || !is(countSchema, run)) return [];
   return [
     {
       task,
       run,
       checkpoint: typeof checkpoint === 'string' ? checkpoint : '',
-      percent: typeof percent === 'number' ? percent : 0,
-      measure: typeof measure === 'number' ? measure : 0,
+      percent: is(amountSchema, percent) ? percent : 0,
+      measure: is(amountSchema, measure) ? measure : 0,
     },
   ];
 }
 
+/** Leaves out a row that names no end. */
 function toRunEnd(row: unknown): WorkerRunEnd[] {
   if (!Array.isArray(row)) return [];
   const [number, task, run, outcome, checkpoint] = row as unknown[];
-  if (typeof number !== 'number' || typeof task !== 'string') return [];
-  if (typeof run !== 'number' || !OUTCOMES.has(String(outcome))) return [];
+  if (!is(endNumberSchema, number) || !is(nameSchema, task)) return [];
+  if (!is(countSchema, run) || !OUTCOMES.has(String(outcome))) return [];
   return [
     {
       number,
--- a/src/platform/worker_reports.ts
+++ b/src/platform/worker_reports.ts
@@ -1,36 +1,47 @@
 import {
   array,
+  is,
   literal,
-  number,
+  maxLength,
   object,
   optional,
+  pipe,
   safeParse,
-  string,
   union,
 } from 'valibot';
 import {UNKNOWN_START} from '../backends/leased_worker.js';
 import type {WorkerReport} from '../backends/leased_worker.js';
 import {parseJsonOrUndefined} from './json_parsing.js';
+import {
+  addressSchema,
+  amountSchema,
+  countSchema,
+  nameSchema,
+  textSchema,
+  timestampSchema,
+} from './wire_values.js';
+
+const MAXIMUM_LABELS = 100;
 
 const capacitySchema = object({
   /** Total thousandths of a core of the worker, not only the free ones. */
-  Cpu: number(),
-  MemMb: number(),
-  Gpu: optional(number(), 0),
+  Cpu: amountSchema,
+  MemMb: amountSchema,
+  Gpu: optional(amountSchema, 0),
 });
 
 const reportSchema = object({
-  Service: string(),
-  Address: string(),
-  Zone: string(),
+  Service: nameSchema,
+  Address: addressSchema,
+  Zone: textSchema,
   State: union([literal('ready'), literal('draining')]),
-  Sequence: number(),
+  Sequence: countSchema,
   /** Wall-clock time at which this incarnation of the worker started. */
-  born: optional(number(), UNKNOWN_START),
+  born: optional(timestampSchema, UNKNOWN_START),
   FreeCapacity: capacitySchema,
   /** The kind of machine, followed by its rack. */
-  Labels: optional(array(string()), []),
-  RemainingMs: optional(number(), 0),
+  Labels: optional(pipe(array(textSchema), maxLength(MAXIMUM_LABELS)), []),
+  RemainingMs: optional(amountSchema, 0),
 });
 
 export interface WorkerReportReaderOptions {
@@ -55,13 +66,13 @@
   }
 }
 
-/** Returns undefined if the report is invalid or the id is empty. */
+/** Returns undefined if the report or the id is invalid. */
 export function decodeWorkerReport(
   id: string,
   text: string,
 ): WorkerReport | undefined {
   const parsed = safeParse(reportSchema, parseJsonOrUndefined(text));
-  if (!parsed.success || id === '') return undefined;
+  if (!parsed.success || !is(nameSchema, id)) return undefined;
   const {output: report} = parsed;
   const labels = report.Labels;
   return {
--- a/src/protocol/owner_record.ts
+++ b/src/protocol/owner_record.ts
@@ -32,7 +32,7 @@
 export function decodeOwner(text: string): OwnerRecord | undefined {
   const record = parseRecord<OwnerRecord>(text);
   const isComplete =
-    typeof record?.nonce === 'string' && typeof record.address === 'string';
+    typeof record?.nonce === 'string' && isAddress(record.address);
   return isComplete ? (record as OwnerRecord) : undefined;
 }
 
@@ -48,10 +48,15 @@
 export function decodeEntry(text: string): EntryRecord | undefined {
   const record = parseRecord<EntryRecord>(text);
   const isComplete =
-    typeof record?.address === 'string' && typeof record.capacity === 'number';
+    isAddress(record?.address) && Number.isFinite(record?.capacity);
   return isComplete ? (record as EntryRecord) : undefined;
 }
 
+/** No connection can be opened to an empty address. */
+function isAddress(address: unknown): boolean {
+  return typeof address === 'string' && address !== '';
+}
+
 export function encodeRecord(
   record: OwnerRecord | CommitRecord | EntryRecord,
 ): string {
--- a/tests/platform/platform_worker.test.ts
+++ b/tests/platform/platform_worker.test.ts
@@ -112,3 +112,71 @@
   await t.throwsAsync(call, {instanceOf: WorkerRefusedError});
   worker.close('test');
 });
+
+// Guards against a lease that is computed from no number, and runs that no
+// message to the owner can hold.
+test('should reject a run list without a clock reading', async t => {
+  const {address} = await serveResponses(t, [
+    {status: 200, body: {ClockMs: 'soon', Running: [], Ended: []}},
+    {status: 200, body: [1]},
+  ]);
+  const worker = new PlatformWorker({address, id: 'i-1'});
+  for (let calls = 0; calls < 2; calls++) {
+    await t.throwsAsync(
+      worker.pollRuns({fencingToken: 1, acknowledgedEnd: 0}),
+      {instanceOf: WorkerUnavailableError},
+    );
+  }
+  worker.close('test');
+});
+
+test('should leave out odd rows of a run list', async t => {
+  const {address} = await serveResponses(t, [
+    {
+      status: 200,
+      body: {
+        ClockMs: 5,
+        born: 'yesterday',
+        Running: [
+          ['a.0.0.0', 1e300, '', 1, 1],
+          ['a.0.0.1', 0.5, '', 1, 1],
+          ['x'.repeat(500), 1, '', 1, 1],
+          ['a.0.0.2', 1, '', -5, 1e300],
+        ],
+        Ended: [
+          [1e300, 'a.0.0.3', 1, 'done', ''],
+          [0, 'a.0.0.4', 1, 'done', ''],
+          [2, 'a.0.0.5', 1, 'done', ''],
+        ],
+      },
+    },
+  ]);
+  const worker = new PlatformWorker({address, id: 'i-1'});
+  const listing = await worker.pollRuns({fencingToken: 1, acknowledgedEnd: 0});
+  t.is(listing.workerStartedAt, undefined);
+  t.deepEqual(
+    listing.running.map(({task, percent, measure}) => [task, percent, measure]),
+    [['a.0.0.2', 0, 0]],
+  );
+  t.deepEqual(
+    listing.ends.map(({task}) => task),
+    ['a.0.0.5'],
+  );
+  worker.close('test');
+});
+
+// The agent tells a restart of the worker by the connections that it ended.
+test('should count the connections that have ended', async t => {
+  const {address, seen} = await serveResponses(t, [
+    {status: 200, body: {ClockMs: 5}},
+    undefined,
+  ]);
+  const worker = new PlatformWorker({address, id: 'i-1'});
+  await worker.pollRuns({fencingToken: 1, acknowledgedEnd: 0});
+  const before = worker.endedConnections;
+  await t.throwsAsync(worker.pollRuns({fencingToken: 1, acknowledgedEnd: 0}));
+  t.is(seen.length, 2);
+  while (worker.endedConnections === before) await new Promise(setImmediate);
+  t.pass();
+  worker.close('test');
+});
--- a/tests/platform/worker_reports.test.ts
+++ b/tests/platform/worker_reports.test.ts
@@ -63,3 +63,62 @@
   t.true(JSON.stringify(lines).length < 1_000);
   t.regex(metrics.render(), /worker_reports_refused_total 100\b/);
 });
+
+// Guards against one odd report that stops the agent: calls to an address that
+// is none, messages that can't be encoded, and names that the owner rejects.
+const NESTING = 500_000;
+const DEEPLY_NESTED = '['.repeat(NESTING) + ']'.repeat(NESTING);
+const LONG_NAME = 'x'.repeat(500);
+const ODD_REPORTS: ReadonlyArray<[name: string, text: string, id?: string]> = [
+  ['a deeply nested field', textWith('Labels', DEEPLY_NESTED)],
+  ['nothing but nesting', DEEPLY_NESTED],
+  ['a port out of range', textWith('Address', '"10.128.0.9:99999"')],
+  ['port 0', textWith('Address', '"10.128.0.9:0"')],
+  ['an address without a port', textWith('Address', '"10.128.0.9"')],
+  ['an empty address', textWith('Address', '""')],
+  ['an address with a path', textWith('Address', '"10.128.0.9:80/a"')],
+  ['an infinite sequence', textWith('Sequence', '1e999')],
+  ['a sequence too large', textWith('Sequence', '1e300')],
+  ['a negative sequence', textWith('Sequence', '-1')],
+  ['a start time too large', textWith('born', '1e300')],
+  ['a start time with a fraction', textWith('born', '0.5')],
+  ['a remaining time too large', textWith('RemainingMs', '1e12')],
+  ['capacity too large', textWith('FreeCapacity', '{"Cpu":1e300,"MemMb":1}')],
+  ['negative capacity', textWith('FreeCapacity', '{"Cpu":-1,"MemMb":1}')],
+  ['a failure domain too long', textWith('Zone', `"${LONG_NAME}"`)],
+  ['a label too long', textWith('Labels', `["${LONG_NAME}"]`)],
+  [
+    'too many labels',
+    textWith('Labels', JSON.stringify(Array(5_000).fill('a'))),
+  ],
+  ['an id too long', JSON.stringify(REPORT), LONG_NAME],
+  ['an id with control characters', JSON.stringify(REPORT), 'i\n1'],
+];
+for (const [name, text, id = ID] of ODD_REPORTS) {
+  test(`should refuse a report with ${name}`, t => {
+    const {reader, logger} = createReader();
+    t.is(reader.read(id, text), undefined);
+    t.is(reader.read(ID, JSON.stringify(REPORT))?.id, ID);
+    const lines = logger.fieldsOf(Events.REPORT_UNREADABLE);
+    t.is(lines.length, 1);
+    t.true(JSON.stringify(lines).length < 1_000);
+  });
+}
+
+test('should round capacity with a fraction down', t => {
+  const {reader} = createReader();
+  const text = textWith('FreeCapacity', '{"Cpu":1500.5,"MemMb":64.9}');
+  const room = reader.read(ID, text)?.room;
+  t.deepEqual(room, {
+    milliprocessors: 1_500,
+    memoryMegabytes: 64,
+    accelerators: 0,
+  });
+});
+
+/** Returns a report in which the field has the value, which is JSON. */
+function textWith(field: string, value: string): string {
+  const others = Object.entries(REPORT).filter(([key]) => key !== field);
+  const text = JSON.stringify(Object.fromEntries(others));
+  return text.replace(/\}$/, `,"${field}":${value}}`);
+}
--- a/tests/workflows/fleet_daemon.test.ts
+++ b/tests/workflows/fleet_daemon.test.ts
@@ -107,3 +107,49 @@
   t.is(await waitForExit(child), 2);
   t.regex(text, /Ip/);
 });
+
+/** Sends a report to an agent; resolves to the status of the response. */
+async function sendReport(
+  port: number,
+  id: string,
+  body: string,
+): Promise<number> {
+  const url = `http://${HOST}:${port}/-/instances/${id}`;
+  const response = await fetch(url, {method: 'PUT', body});
+  await response.arrayBuffer();
+  return response.status;
+}
+
+// Guards against one odd report that makes the process fail or stop responding.
+test('should go on after odd worker reports', async t => {
+  const file = join(mkdtempSync(join(tmpdir(), 'fleet-')), 'settings.json');
+  const ports = await findFreePorts(3);
+  writeFileSync(file, JSON.stringify(settingsOf(ports)));
+  const env = {...process.env, BURDOCKMOOR_CONFIG: file};
+  const child = spawn(process.execPath, [DAEMON, 'agent'], {env});
+  t.teardown(() => child.kill('SIGKILL'));
+  let text = '';
+  child.stdout.on('data', (chunk: Buffer) => {
+    text += chunk.toString('utf8');
+  });
+  await waitForEvent(child, 'PROCESS_STARTED');
+  const report = {
+    Service: 'service',
+    Address: '127.0.0.1:99999',
+    Zone: 'zone-1',
+    State: 'ready',
+    Sequence: 1,
+    born: 1,
+    FreeCapacity: {Cpu: 1_000, MemMb: 100},
+  };
+  const refused = waitForEvent(child, 'REPORT_UNREADABLE');
+  t.is(await sendReport(ports[1], 'i-1', JSON.stringify(report)), 200);
+  await refused;
+  t.is(await sendReport(ports[1], '%zz', JSON.stringify(report)), 400);
+  const nested = '['.repeat(1_000_000);
+  t.is(await sendReport(ports[1], 'i-1', nested), 200);
+  const ended = waitForExit(child);
+  child.kill('SIGTERM');
+  t.is(await ended, 0);
+  t.false(text.includes('UNEXPECTED_FAULT'), text);
+});
