Limit the rows of a commit whose first changes have no effect

Cause: the first change of a commit goes in whatever its size, and whether there was one before was told by the effects collected so far. Removals of inbox keys have no effects.

It is told by the rows now. No single change comes near the limit.

--- a/src/entry/workflows/commit_log.ts
+++ b/src/entry/workflows/commit_log.ts
@@ -164,8 +164,9 @@
       if (characters >= MAXIMUM_CHARACTERS) break;
       const rows = change.render();
       const count = rows.puts.length + rows.removals.length;
-      const total = puts.length + removals.length + count;
-      if (total > MAXIMUM_ROWS && effects.length > 0) break;
+      const before = puts.length + removals.length;
+      const total = before + count;
+      if (total > MAXIMUM_ROWS && before > 0) break;
       for (const {value} of rows.puts) characters += value.length;
       this.pending.delete(subject);
       rows.onIncluded?.();
--- a/tests/workflows/commit_log.test.ts
+++ b/tests/workflows/commit_log.test.ts
@@ -159,3 +159,22 @@
   t.is(store.read('burdockmoor/third'), 'burdockmoor/third');
   t.is(decodeCommit(store.read(StoreKeys.COMMITS)!)?.sequence, 2);
 });
+
+// Guards against a commit beyond the limit of a transaction, which the store
+// rejects for ever: changes without an effect were not counted as included.
+test('should limit the rows of a commit whose first changes have no effect', async t => {
+  const claimed = await ClaimedRegistry.open();
+  const {log, store} = claimed;
+  const removed = Array.from({length: 27}, (_, index) => `inbox/${index}`);
+  for (const key of removed) {
+    store.write(key, '');
+    log.change(key, () => ({puts: [], removals: [key]}));
+  }
+  const keys = Array.from({length: 4}, (_, index) => `burdockmoor/${index}`);
+  const puts = keys.map(key => ({key, value: key}));
+  log.change('last', () => ({puts, removals: []}));
+  await claimed.run(1_000);
+  t.true(log.isIdle);
+  for (const key of removed) t.is(store.read(key), undefined);
+  for (const key of keys) t.is(store.read(key), key);
+});
