Refuse reports of workers on other machines, and never replace a live worker

- A report is refused if its worker is not on this machine, and a refused report is not acknowledged, so that the worker goes on to its own agent.
- A worker that goes on answering is never replaced, even if another one confirms a report; start times don't count any more.

--- a/src/agent/workflows/report_server.ts
+++ b/src/agent/workflows/report_server.ts
@@ -77,7 +77,9 @@
       return;
     }
     const report = this.options.read(id, text);
-    if (report) this.options.onReport(report);
+    // Without an acknowledgement, a worker of another agent goes on to its own.
+    if (!report) return void response.writeHead(400).end();
+    this.options.onReport(report);
     response.writeHead(200, {'content-type': 'application/json'}).end('{}');
   }
 }
--- a/src/agent/workflows/worker_session.ts
+++ b/src/agent/workflows/worker_session.ts
@@ -170,9 +170,21 @@
     return clock.now() - this.lastResponseAt < MINIMUM_RESTART_MILLIS;
   }
 
-  /** True if the worker, as this incarnation, has answered the last poll. */
-  get isResponding(): boolean {
-    return this.isLastPollAnswered;
+  /**
+   * Resolves to true if the worker, as this incarnation, answers the poll that
+   * is in progress or the next one.
+   */
+  async checkResponse(): Promise<boolean> {
+    if (this.closed || this.isReplaced) return false;
+    await this.nextPollEnd();
+    return this.isLastPollAnswered && !this.closed;
+  }
+
+  private nextPollEnd(): Promise<void> {
+    return new Promise(resolve => {
+      this.pollWaiters.push(resolve);
+      this.endPause?.();
+    });
   }
 
   /** The number of polls that the worker has answered. */
@@ -213,6 +225,7 @@
     this.closed = true;
     this.endPause?.();
     this.abandonAwaitedPolls();
+    for (const resolve of this.pollWaiters.splice(0)) resolve();
     this.options.worker.close(reason);
   }
 
@@ -345,10 +358,7 @@
   /** Resolves once the identity is confirmed, or the worker is silent. */
   private async confirmIdentity(): Promise<void> {
     while (!this.isIdentityConfirmed && !this.silent && !this.closed) {
-      await new Promise<void>(resolve => {
-        this.pollWaiters.push(resolve);
-        this.endPause?.();
-      });
+      await this.nextPollEnd();
     }
   }
 
--- a/src/agent/workflows/workflow_agent.ts
+++ b/src/agent/workflows/workflow_agent.ts
@@ -178,9 +178,9 @@
     const fencingToken = token.value;
     const probe = new IncarnationProbe({report, worker, fencingToken, clock});
     probes.set(incarnation, probe);
-    const isConfirmed = await probe.run();
+    const isConfirmed = (await probe.run()) && !(await this.isWorkerAlive());
     probes.delete(incarnation);
-    if (isConfirmed && this.isSuccessor(report))
+    if (isConfirmed && !this.closed && this.wouldReplace(report))
       return this.acceptReport(report, worker);
     probe.close('the reported incarnation does not replace the present one');
     if (!this.closed)
@@ -192,11 +192,12 @@
     return report?.incarnation !== incarnation || !!session?.isReplaced;
   }
 
-  /** The start times don't decide alone: the time of day may have gone back. */
-  private isSuccessor(report: WorkerReport): boolean {
-    const {report: before, session} = this;
-    if (!before || !this.wouldReplace(report)) return false;
-    return report.startedAt >= before.startedAt || !session?.isResponding;
+  /**
+   * True if the worker goes on, so that no other incarnation succeeds it. Start
+   * times don't tell: the time of day may have gone back.
+   */
+  private async isWorkerAlive(): Promise<boolean> {
+    return (await this.session?.checkResponse()) ?? false;
   }
 
   /** The worker is passed if calls to it are open already. */
--- a/src/daemon/fleet_agent_role.ts
+++ b/src/daemon/fleet_agent_role.ts
@@ -67,6 +67,7 @@
     });
     const reportReader = new WorkerReportReader({
       service: () => this.workerService(),
+      hosts: settings.workerHosts,
       onRefused: onReportRefused,
     });
     this.reportServer = new ReportServer({
--- a/src/platform/platform_settings.ts
+++ b/src/platform/platform_settings.ts
@@ -15,6 +15,7 @@
 import type {SchedulingFeatures} from '../decisions/workflows/scheduling_features.js';
 import {BaseError} from '../utilities/base_error.js';
 import {parseJsonOrUndefined} from './json_parsing.js';
+import {hostOf} from './wire_values.js';
 
 /** Environment variable with the path of the settings file. */
 const SETTINGS_VARIABLE = 'BURDOCKMOOR_CONFIG';
@@ -30,6 +31,8 @@
   Zone: string(),
   /** The service whose worker is on this machine. */
   Service: fallback(optional(string()), undefined),
+  /** HOST:PORT at which that worker takes calls. */
+  app: fallback(optional(string()), undefined),
   PortRange: array(number()),
   Seeds: fallback(array(string()), []),
   Listen: object({
@@ -77,6 +80,8 @@
   readonly failureDomain: string;
   /** Service of the worker on this machine; undefined without one. */
   readonly workerService?: string;
+  /** Hosts of the worker on this machine. */
+  readonly workerHosts: readonly string[];
   /** First port available for calls between processes. */
   readonly processPort: number;
   /** Hosts of processes to contact first; some may no longer exist. */
@@ -134,8 +139,11 @@
     ip: settings.Ip,
     failureDomain: settings.Zone,
     workerService: settings.Service,
+    workerHosts: [
+      ...new Set([settings.Ip, hostOf(settings.app ?? settings.Ip)]),
+    ],
     processPort: settings.PortRange[0],
-    seedHosts: settings.Seeds.map(seed => seed.replace(/:\d+$/, '')),
+    seedHosts: settings.Seeds.map(hostOf),
     callerAddress: listen.Front,
     healthAddress: listen.Ready,
     reportAddress: listen.Control,
--- a/src/platform/wire_values.ts
+++ b/src/platform/wire_values.ts
@@ -63,3 +63,8 @@
     return port > 0 && port <= MAXIMUM_PORT;
   }),
 );
+
+/** Returns HOST of HOST:PORT. */
+export function hostOf(address: string): string {
+  return address.replace(/:\d+$/, '');
+}
--- a/src/platform/worker_reports.ts
+++ b/src/platform/worker_reports.ts
@@ -16,6 +16,7 @@
   addressSchema,
   amountSchema,
   countSchema,
+  hostOf,
   nameSchema,
   textSchema,
   timestampSchema,
@@ -47,6 +48,8 @@
 export interface WorkerReportReaderOptions {
   /** Returns the service of the worker on this machine, if it is known. */
   readonly service: () => string | undefined;
+  /** Hosts of the worker on this machine. */
+  readonly hosts: readonly string[];
   /** Called with the id and the reason for each report that is refused. */
   readonly onRefused: (id: string, reason: string) => void;
 }
@@ -57,12 +60,14 @@
 
   /** Returns undefined for a report that is refused. */
   read(id: string, text: string): WorkerReport | undefined {
-    const {onRefused} = this.options;
+    const {onRefused, hosts} = this.options;
     const report = decodeWorkerReport(id, text);
     if (!report) return void onRefused(id, 'it cannot be decoded');
     const service = this.options.service();
-    if (service === undefined || report.service === service) return report;
-    return void onRefused(id, 'it names another service');
+    if (service !== undefined && report.service !== service)
+      return void onRefused(id, 'it names another service');
+    if (hosts.includes(hostOf(report.address))) return report;
+    return void onRefused(id, 'its worker is on another machine');
   }
 }
 
--- a/tests/platform/documents.test.ts
+++ b/tests/platform/documents.test.ts
@@ -153,6 +153,17 @@
   t.deepEqual(features, {...NO_SCHEDULING_FEATURES, copies: true});
 });
 
+test('should name the hosts of the worker beside the process', t => {
+  const workerHostsOf = (change: object): readonly string[] =>
+    parsePlatformSettings(
+      JSON.stringify({platform: {...PLATFORM_SETTINGS, ...change}}),
+    ).workerHosts;
+  t.deepEqual(workerHostsOf({}), ['10.1.0.13']);
+  t.deepEqual(workerHostsOf({app: '10.1.0.13:8165'}), ['10.1.0.13']);
+  t.deepEqual(workerHostsOf({app: '10.9.0.1:8165'}), ['10.1.0.13', '10.9.0.1']);
+  t.deepEqual(workerHostsOf({app: 7}), ['10.1.0.13']);
+});
+
 test('should name an unknown scheduling feature', t => {
   const text = JSON.stringify({
     scheduling: {copys: true},
--- a/tests/workflows/worker_lives.test.ts
+++ b/tests/workflows/worker_lives.test.ts
@@ -248,3 +248,21 @@
   t.is(pool.history.runs.length, started);
   t.deepEqual(pool.history.violations(), []);
 });
+
+// Guards against a live worker given up for that of another VM, which sends its
+// reports elsewhere while its own agent is away: tasks ran twice in masses.
+test('should keep a live worker when that of another agent reports to its agent', async t => {
+  const pool = new VirtualPool({seed: 81});
+  await startWorkflows(pool);
+  const started = pool.history.runs.length;
+  pool.killAgent(1);
+  for (let reports = 0; reports < 4; reports++) {
+    pool.sendReport(0, pool.workers[1].report());
+    await pool.run(500);
+  }
+  pool.restartAgent(1);
+  await pool.run(8_000);
+  t.is(await pool.state(ID), 'done');
+  t.is(pool.history.runs.length, started);
+  t.deepEqual(pool.history.violations(), []);
+});
