--- a/tests/workflows/worker_lives.test.ts
+++ b/tests/workflows/worker_lives.test.ts
@@ -1,5 +1,6 @@
 import test from 'ava';
 import type {WorkerReport} from '../../src/backends/leased_worker.js';
+import type {ObservedRun} from './fixtures/fleet_history.js';
 import {VirtualPool} from './fixtures/virtual_pool.js';
 
 const ID = '00000000000000c1';
@@ -30,6 +31,38 @@
   await pool.run(500);
 }
 
+/** Restarts the first worker under its id, as fast as one can. */
+async function restartUnderItsId(pool: VirtualPool): Promise<void> {
+  pool.workers[0].crash();
+  await pool.run(50);
+  pool.workers[0].restart({keepsId: true});
+}
+
+/**
+ * Restarts the first worker under its id. It then carries out a start that was
+ * for the former incarnation. Returns the run that was lost.
+ */
+async function restartWithLateStart(
+  pool: VirtualPool,
+  millis: number,
+): Promise<ObservedRun> {
+  const [worker] = pool.workers;
+  const [lost] = pool.history.runs.filter(
+    run => run.worker === worker.name && run.task.startsWith(ID),
+  );
+  await restartUnderItsId(pool);
+  void worker.connect(worker.id).start({
+    task: lost.task,
+    run: lost.run,
+    payload: JSON.stringify({millis}),
+    checkpoint: '',
+    ticket: '',
+    leaseEnd: 60_000,
+    fencingToken: 1,
+  });
+  return lost;
+}
+
 /** Returns the names of the workers on which the workflow runs now. */
 function workersRunning(pool: VirtualPool, id: string): string[] {
   return pool.history.runs
@@ -132,9 +165,7 @@
     const pool = new VirtualPool({seed, reportMillis: 1_500});
     await startWorkflows(pool);
     await pool.run(250 * (seed - 70));
-    pool.workers[0].crash();
-    await pool.run(50);
-    pool.workers[0].restart({keepsId: true});
+    await restartUnderItsId(pool);
     await pool.run(12_000);
     t.is(await pool.state(ID), 'done');
     t.is(workersRunning(pool, LASTING_ID).length, LASTING_STEP.Count);
@@ -148,22 +179,7 @@
   test(`should not start a task again while a restarted worker runs it for ${millis} ms`, async t => {
     const pool = new VirtualPool({seed: 76});
     await startWorkflows(pool);
-    const worker = pool.workers[0];
-    const [lost] = pool.history.runs.filter(
-      run => run.worker === worker.name && run.task.startsWith(ID),
-    );
-    worker.crash();
-    await pool.run(50);
-    worker.restart({keepsId: true});
-    void worker.connect(worker.id).start({
-      task: lost.task,
-      run: lost.run,
-      payload: JSON.stringify({millis}),
-      checkpoint: '',
-      ticket: '',
-      leaseEnd: 60_000,
-      fencingToken: 1,
-    });
+    await restartWithLateStart(pool, millis);
     await pool.run(15_000);
     t.is(await pool.state(ID), 'done');
     t.deepEqual(pool.history.violations(), []);
@@ -177,22 +193,7 @@
   await pool.run(3_000);
   await pool.submit('00000000000000c0', [STEP], {millis: 200});
   await startWorkflows(pool);
-  const worker = pool.workers[0];
-  const [lost] = pool.history.runs.filter(
-    run => run.worker === worker.name && run.task.startsWith(ID),
-  );
-  worker.crash();
-  await pool.run(50);
-  worker.restart({keepsId: true});
-  void worker.connect(worker.id).start({
-    task: lost.task,
-    run: lost.run,
-    payload: JSON.stringify({millis: 10}),
-    checkpoint: '',
-    ticket: '',
-    leaseEnd: 60_000,
-    fencingToken: 1,
-  });
+  const lost = await restartWithLateStart(pool, 10);
   await pool.run(15_000);
   const runs = pool.history.runs.filter(({task}) => task === lost.task);
   t.deepEqual(
@@ -212,9 +213,7 @@
   const pool = new VirtualPool({seed: 77, workers: 1});
   await startWorkflows(pool);
   const late = {...pool.workers[0].report(), sequence: 1_000};
-  pool.workers[0].crash();
-  await pool.run(50);
-  pool.workers[0].restart({keepsId: true});
+  await restartUnderItsId(pool);
   await pool.run(1_500);
   pool.sendReport(0, late);
   await pool.run(12_000);
