--- a/src/daemon/fleet_agent_role.ts
+++ b/src/daemon/fleet_agent_role.ts
@@ -2,6 +2,7 @@
 import {RefusedReports} from '../agent/workflows/refused_reports.js';
 import {ReportServer} from '../agent/workflows/report_server.js';
 import {WorkflowAgent} from '../agent/workflows/workflow_agent.js';
+import {runLeaseMillis} from '../decisions/workflows/lease_duration.js';
 import {agentKey, StoreKeys} from '../protocol/store_keys.js';
 import {decodeEntry, decodeOwner} from '../protocol/owner_record.js';
 import {Events} from '../observability/events.js';
@@ -19,7 +20,6 @@
   changedSettings,
   hostAndPort,
   listenForMetrics,
-  runLeaseMillis,
 } from './fleet_role_settings.js';
 import type {RunningRole} from './process_runner.js';
 import {createStateServer} from './state_server.js';
@@ -48,7 +48,7 @@
       links: new GrpcPoolLinkFactory(),
       clock,
       logger,
-      maximumLeaseMillis: runLeaseMillis(settings),
+      maximumLeaseMillis: runLeaseMillis(settings.maximumLeaseMillis),
       seeds: seedHosts.map(host => `${host}:${processPort}`),
       agentKey: agentKey(processName),
       owner: {
--- a/src/daemon/fleet_entry_role.ts
+++ b/src/daemon/fleet_entry_role.ts
@@ -1,6 +1,7 @@
 import {randomUUID} from 'node:crypto';
 import {createServer} from 'node:http';
 import type {Server} from 'node:http';
+import {runLeaseMillis} from '../decisions/workflows/lease_duration.js';
 import {PoolEntry} from '../entry/workflows/pool_entry.js';
 import {ApiServer} from '../entry/http/api_server.js';
 import {Events} from '../observability/events.js';
@@ -31,7 +32,6 @@
   hostAndPort,
   listenForMetrics,
   ownerCapacity,
-  runLeaseMillis,
 } from './fleet_role_settings.js';
 import {createProcessServer} from './process_components.js';
 import type {RunningRole} from './process_runner.js';
@@ -75,7 +75,7 @@
         encodeState,
         encodeWaiting,
       },
-      runLeaseMillis: runLeaseMillis(settings),
+      runLeaseMillis: runLeaseMillis(settings.maximumLeaseMillis),
       retentionMillis: settings.keptMillis,
       features: settings.features,
       clock: new SystemClock(),
--- a/src/daemon/fleet_role_settings.ts
+++ b/src/daemon/fleet_role_settings.ts
@@ -4,9 +4,6 @@
 import {readPlatformSettings} from '../platform/platform_settings.js';
 import type {FleetProcessSettings} from '../platform/platform_settings.js';
 
-/** Share of the worker's maximum lease; leaves a margin for clock drift. */
-const RUN_LEASE_SHARE = 0.95;
-
 /**
  * Resources that the owner of a pool of 300 workers needs, with a margin;
  * docs/design/scale.md has the calculation.
@@ -31,11 +28,6 @@
   server.listen(METRICS_PORT, host);
 }
 
-/** Returns how long runs continue without a message from the owner. */
-export function runLeaseMillis(settings: FleetProcessSettings): number {
-  return Math.floor(settings.maximumLeaseMillis * RUN_LEASE_SHARE);
-}
-
 /** Returns the share of an owner's load that the machine can carry, 0 to 1. */
 export function ownerCapacity(settings: FleetProcessSettings): number {
   const {processors, linkMegabits} = settings;
--- /dev/null
+++ b/tests/workflows/lost_workers.test.ts
@@ -0,0 +1,87 @@
+import test from 'ava';
+import {VirtualPool} from './fixtures/virtual_pool.js';
+
+const ID = '00000000000000d1';
+const STEP = {
+  Count: 6,
+  Cpu: 500,
+  MemMb: 100,
+  EstimateMs: 3_000,
+  LongRunning: true,
+};
+const BEHAVIOR = {millis: 600_000, lasting: true};
+
+/**
+ * Time in which a long-running task has to run again after the last of several
+ * disturbances: the platform's 3 s of contact, 4 s of calm, and 3 s more.
+ */
+const MAXIMUM_ABSENCE_MILLIS = 10_000;
+/** The longest lease that the workers of any deployment allow. */
+const LONGEST_LEASE_MILLIS = 10_000;
+/** How long the tick, a commit and a start take. */
+const RESTART_MILLIS = 400;
+
+async function startWorkflow(pool: VirtualPool): Promise<void> {
+  await pool.run(3_000);
+  await pool.submit(ID, [STEP], BEHAVIOR);
+  await pool.run(500);
+}
+
+/** Restarts the owner of the pool and the agent of the first worker. */
+async function restartOwnerAndAgent(pool: VirtualPool): Promise<void> {
+  const owner = pool.ownerName!;
+  pool.killAgent(0);
+  pool.killEntry(owner);
+  await pool.run(500);
+  pool.restartAgent(0);
+  pool.restartEntry(owner);
+}
+
+function countRunning(pool: VirtualPool): number {
+  return pool.history.runs.filter(({endedAt}) => endedAt === undefined).length;
+}
+
+// Guards against a lease that a new owner counts from its own claim, although
+// the agent that passes it on had ended before.
+test('should count the lease of a lost worker from the restart of its agent', async t => {
+  const pool = new VirtualPool({seed: 91});
+  await startWorkflow(pool);
+  pool.workers[0].crash();
+  await restartOwnerAndAgent(pool);
+  await pool.run(5_700 * 1.02 + 300 + RESTART_MILLIS);
+  t.is(countRunning(pool), STEP.Count);
+  t.deepEqual(pool.history.violations(), []);
+});
+
+// Guards against a long-running task that is away for longer than callers bear,
+// as the lease of its lost worker is long and counted from the last restart.
+test('should restart a long-running task in time after its worker is lost and agent and owner restart', async t => {
+  const pool = new VirtualPool({
+    seed: 92,
+    maximumLeaseMillis: LONGEST_LEASE_MILLIS,
+  });
+  await startWorkflow(pool);
+  pool.workers[0].crash();
+  await restartOwnerAndAgent(pool);
+  await pool.run(MAXIMUM_ABSENCE_MILLIS);
+  t.is(countRunning(pool), STEP.Count);
+  t.deepEqual(pool.history.violations(), []);
+});
+
+// Guards against the opposite: runs given up while they go on, on a worker that
+// lives and that its restarted agent can't reach.
+for (const cutAfterMillis of [0, 200, 400, 700, 1_200, 2_000, 3_000]) {
+  test(`should run no task twice when a live worker is cut off ${cutAfterMillis} ms after agent and owner restart`, async t => {
+    const pool = new VirtualPool({
+      seed: 93,
+      maximumLeaseMillis: LONGEST_LEASE_MILLIS,
+    });
+    await startWorkflow(pool);
+    await restartOwnerAndAgent(pool);
+    await pool.run(cutAfterMillis);
+    pool.workers[0].faults.silent = true;
+    await pool.run(15_000);
+    t.is(countRunning(pool), STEP.Count);
+    t.deepEqual(pool.history.violations(), []);
+  });
+}
