Count a lost worker's lease from the restart of its agent

Cause: which lease was granted last is known only to the owner and the agent, in memory. After both had restarted, the new owner took the longest wait that could be right: its own claim, the time for which an earlier owner may have acted, and a whole lease.

Fix: leases reach a worker only through its agent, so no lease is younger than the agent's present run, except one for the worker that this run names. The first update of a stream says for how long that holds, and the owner counts from there. It does so only for an agent that was heard after every earlier owner's lease had ended: then no other run of the agent can have passed on a lease that this owner doesn't know. Without the statement (0, an older agent) the wait is as before. A session that adopts a worker uses the same time in place of its own creation. The event LEASE_EXPIRED says from when a lease was counted and why.

--- a/src/agent/workflows/update_composer.ts
+++ b/src/agent/workflows/update_composer.ts
@@ -13,6 +13,9 @@
  */
 const REPEAT_END_MILLIS = 3_000;
 
+/** Longer than any lease; a shorter time than the actual one is safe. */
+const MAXIMUM_EXCLUSIVE_MILLIS = 3_600_000;
+
 /** An update for the owner that is ready to send. */
 export interface PreparedUpdate {
   readonly update: WorkerUpdate;
@@ -25,6 +28,8 @@
 export interface UpdateComposerOptions {
   readonly processName: string;
   readonly clock: Clock;
+  /** For how long no lease but that of the present session was extended. */
+  readonly exclusiveMillis: () => number;
 }
 
 /**
@@ -65,6 +70,7 @@
       silentMillis: session?.silentMillis ?? 0,
       lapsed: session?.reportExpiration() ?? false,
       starting: listing && session ? session.startingNames : [],
+      exclusiveMillis: this.hasNamedAgent ? 0 : this.exclusiveMillis,
     };
     const pollCount = session?.answeredPollCount ?? 0;
     return {
@@ -81,6 +87,11 @@
     };
   }
 
+  private get exclusiveMillis(): number {
+    const millis = Math.floor(this.options.exclusiveMillis());
+    return Math.min(millis, MAXIMUM_EXCLUSIVE_MILLIS);
+  }
+
   private beginIncarnation(incarnation: string): void {
     this.incarnation = incarnation;
     this.listing = new RunListSender();
--- a/src/agent/workflows/worker_lease.ts
+++ b/src/agent/workflows/worker_lease.ts
@@ -52,11 +52,11 @@
   }
 
   /** True if the worker's lease is guaranteed to have expired. */
-  isExpired(longestLeaseMillis: number, startedAt: number): boolean {
+  isExpired(longestLeaseMillis: number, exclusiveSince: number): boolean {
     const now = this.clock.now();
     const {reading} = this;
-    // A previous agent may have extended the lease just before the start.
-    if (now < startedAt + guaranteedExpiryMillis(longestLeaseMillis))
+    // Somebody else may have extended the lease until then.
+    if (now < exclusiveSince + guaranteedExpiryMillis(longestLeaseMillis))
       return false;
     if (!reading || this.sentEnd === -Infinity) return true;
     const left = Math.max(0, this.sentEnd - reading.workerClock);
--- a/src/agent/workflows/worker_session.ts
+++ b/src/agent/workflows/worker_session.ts
@@ -63,6 +63,8 @@
   readonly clock: Clock;
   readonly logger: Logger;
   readonly maximumLeaseMillis: number;
+  /** Since then nobody but this session has extended the worker's lease. */
+  readonly exclusiveSince: number;
   readonly observer: WorkerSessionObserver;
 }
 
@@ -82,7 +84,6 @@
   private acknowledged = 0;
   private lastResponseAt: number;
   private isLastPollAnswered = false;
-  private readonly createdAt: number;
   private silent = false;
   /** When another incarnation was found to respond in place of this one. */
   private replacedAt = Infinity;
@@ -112,7 +113,6 @@
     this.report = report;
     this.lease = new WorkerLease(clock);
     this.lastResponseAt = clock.now();
-    this.createdAt = clock.now();
   }
 
   get incarnation(): string {
@@ -130,11 +130,11 @@
    * abandons starts in progress.
    */
   reportExpiration(): boolean {
-    const {maximumLeaseMillis} = this.options;
+    const {maximumLeaseMillis, exclusiveSince} = this.options;
     // A new incarnation may have carried out starts that were for this one.
-    const startedAt = this.isReplaced ? this.replacedAt : this.createdAt;
+    const since = this.isReplaced ? this.replacedAt : exclusiveSince;
     const hasExpired =
-      this.silent && this.lease.isExpired(maximumLeaseMillis, startedAt);
+      this.silent && this.lease.isExpired(maximumLeaseMillis, since);
     if (!hasExpired && !this.hasLeft) return false;
     this.reportedExpirations++;
     return true;
--- a/src/agent/workflows/workflow_agent.ts
+++ b/src/agent/workflows/workflow_agent.ts
@@ -72,10 +72,16 @@
   private updateScheduled = false;
   private closed = false;
   private composer: UpdateComposer;
+  /**
+   * Since then only the present session has extended a lease: earlier runs of
+   * this process have ended, and so have earlier sessions.
+   */
+  private exclusiveSince: number;
 
   constructor(private readonly options: WorkflowAgentOptions) {
     const {store, links, clock, logger, seeds, owner} = options;
-    this.composer = new UpdateComposer(options);
+    this.exclusiveSince = clock.now();
+    this.composer = this.createComposer();
     this.connection = new OwnerConnection({
       store,
       links,
@@ -86,13 +92,19 @@
       onAttached: () => {
         this.sequence = 0;
         this.openUpdates.clear();
-        this.composer = new UpdateComposer(options);
+        this.composer = this.createComposer();
         this.sendUpdate();
       },
       onCommands: commands => this.applyCommands(commands),
     });
   }
 
+  private createComposer(): UpdateComposer {
+    const {processName, clock} = this.options;
+    const exclusiveMillis = (): number => clock.now() - this.exclusiveSince;
+    return new UpdateComposer({processName, clock, exclusiveMillis});
+  }
+
   start(): void {
     this.connection.start();
     void this.fetchToken();
@@ -210,6 +222,7 @@
       // Starts for the former incarnation are void at the new one from its first
       // run list on.
       token.raise();
+      this.exclusiveSince = clock.now();
     }
     this.openUpdates.clear();
     logger.event(Events.INCARNATION_FOUND, {
@@ -224,6 +237,7 @@
       clock,
       logger,
       maximumLeaseMillis,
+      exclusiveSince: this.exclusiveSince,
       observer: {
         onChange: () => this.scheduleUpdate(),
         onRunsListed: () => this.handleRunList(),
--- a/src/entry/workflows/pool_attachments.ts
+++ b/src/entry/workflows/pool_attachments.ts
@@ -14,6 +14,23 @@
   readonly ownerTtlMillis: number;
 }
 
+/** What bounds the time of the last lease that a worker may hold. */
+export const LeaseBasis = {
+  /** This owner granted it. */
+  GRANT: 'grant',
+  /** An earlier owner may have granted it until its own lease expired. */
+  HAND_OVER: 'hand_over',
+  /** The agent has extended no lease of this worker since then. */
+  AGENT: 'agent',
+} as const;
+export type LeaseBasis = (typeof LeaseBasis)[keyof typeof LeaseBasis];
+
+/** The latest time at which a worker's lease may have been granted. */
+export interface LastGrant {
+  readonly at: number;
+  readonly basis: LeaseBasis;
+}
+
 /**
  * The agents attached to the owner of a pool. For workers of other agents,
  * tells whether their leases have expired, so that they can't run anything any more.
@@ -77,11 +94,37 @@
 
   /** True if the worker's lease has expired: nobody can have renewed it. */
   hasExpired(worker: string): boolean {
-    const {clock, ownerTtlMillis, runLeaseMillis} = this.options;
+    return this.leaseLeftMillis(worker) < 0;
+  }
+
+  /** Returns the time until the worker's lease has expired for sure. */
+  leaseLeftMillis(worker: string): number {
+    const {clock, runLeaseMillis} = this.options;
+    const {at} = this.lastGrantOf(worker);
+    return at + guaranteedExpiryMillis(runLeaseMillis) - clock.now();
+  }
+
+  lastGrantOf(worker: string): LastGrant {
     const granted = this.lastGrants.get(worker) ?? -Infinity;
-    // The previous owner may have granted leases until its own lease expired.
-    const last = Math.max(granted, this.ownedSince + ownerTtlMillis);
-    return clock.now() > last + guaranteedExpiryMillis(runLeaseMillis);
+    const earlier = this.lastGrantOfEarlierOwners(worker);
+    if (granted < earlier.at) return earlier;
+    return {at: granted, basis: LeaseBasis.GRANT};
+  }
+
+  /**
+   * Leases of an earlier owner went through the worker's agent. An agent that
+   * was heard once no earlier owner could act any more knows until when.
+   */
+  private lastGrantOfEarlierOwners(worker: string): LastGrant {
+    const handOver = this.ownedSince + this.options.ownerTtlMillis;
+    const attachment = this.attachments.get(agentOf(worker));
+    const isNamed = attachment?.view?.key === worker;
+    if (attachment && !isNamed && attachment.lastMessageAt >= handOver) {
+      const {exclusiveSince} = attachment;
+      if (exclusiveSince < handOver)
+        return {at: exclusiveSince, basis: LeaseBasis.AGENT};
+    }
+    return {at: handOver, basis: LeaseBasis.HAND_OVER};
   }
 
   close(reason: string): void {
--- a/src/entry/workflows/pool_owner.ts
+++ b/src/entry/workflows/pool_owner.ts
@@ -612,8 +612,15 @@
 
   /** Closes the runs on workers whose leases have expired. */
   private closeExpiredRuns(): void {
+    const {attachments} = this;
     for (const key of this.workerRegistry.occupiedKeys) {
-      if (!this.attachments.hasExpired(key)) continue;
+      if (!attachments.hasExpired(key)) continue;
+      const {at, basis} = attachments.lastGrantOf(key);
+      this.options.logger.event(Events.LEASE_EXPIRED, {
+        worker: key,
+        basis,
+        grantedMillisAgo: Math.round(this.options.clock.now() - at),
+      });
       this.closeLostRuns(
         key,
         'no message from the agent until the lease expired',
--- a/src/entry/workflows/worker_attachment.ts
+++ b/src/entry/workflows/worker_attachment.ts
@@ -72,7 +72,12 @@
   agent = '';
   view: WorkerView | undefined;
   /** Time of the last update. */
-  private lastMessageAt = -Infinity;
+  lastMessageAt = -Infinity;
+  /**
+   * Since then the agent, in this run and earlier ones, has extended no lease
+   * but those of the workers that it named on this stream.
+   */
+  exclusiveSince = Infinity;
   /** Time of the last message to the agent. */
   private lastSentAt = -Infinity;
   private ends = new EndAcknowledgements();
@@ -95,9 +100,12 @@
       const reason = `update ${update.sequence} follows ${this.lastSequence}`;
       return this.close(reason);
     }
-    if (update.agent !== '') this.agent = update.agent;
     this.lastSequence = update.sequence;
     this.lastMessageAt = clock.now();
+    if (update.agent !== '') {
+      this.agent = update.agent;
+      this.exclusiveSince = this.lastMessageAt - update.exclusiveMillis;
+    }
     listener.onAttached(this);
     if (update.worker) this.identifyWorker(this.agent, update.worker);
     const {view} = this;
--- a/src/observability/events.ts
+++ b/src/observability/events.ts
@@ -405,6 +405,11 @@
     'warn',
     'A worker with failing or stalled runs gets no tasks during a cooldown.',
   ),
+  LEASE_EXPIRED: eventType(
+    6034,
+    'warn',
+    "A worker's lease has expired without a message; shows from when it counted.",
+  ),
   CONFIGURATION_APPLIED: eventType(
     6040,
     'info',
