Limit the lease of runs, so that lost long-running tasks are back within 10 s

Where they allow 6 s the same wait is 4 s shorter and was within bounds.

Cause: the lease was 95% of what workers allow, whatever that is. A worker that is lost while its agent and the owner restart keeps its runs for 1.02 x lease + 0.3 s from the restart of the agent, and then a commit and a start follow: 9.99 s and more of the 10 s that callers bear.

Fix: the lease is 8.04 s at most, which leaves 1.5 s for processes to load, the commit and the start. Leases of up to 6 s are as before.

--- a/src/decisions/workflows/lease_duration.ts
+++ b/src/decisions/workflows/lease_duration.ts
@@ -5,9 +5,26 @@
 /** Time to end the runs under the lease, and for the calls that report it. */
 const EXPIRY_MARGIN_MILLIS = 300;
 
-/** Returns how long runs continue without a message from the owner. */
+/**
+ * A long-running task whose worker is lost while agent and owner restart runs
+ * again elsewhere within this time after the restarts.
+ */
+const MAXIMUM_ABSENCE_MILLIS = 10_000;
+/** For processes to load, and for the commit and the start of the new run. */
+const RESTART_MILLIS = 1_500;
+
+/**
+ * Returns how long runs continue without a message from the owner. Work that is
+ * cut off for less goes on; lost work waits for as long, since nobody knows
+ * whether it goes on.
+ */
 export function runLeaseMillis(maximumLeaseMillis: number): number {
-  return Math.floor(maximumLeaseMillis * MAXIMUM_LEASE_SHARE);
+  const longest =
+    (MAXIMUM_ABSENCE_MILLIS - RESTART_MILLIS - EXPIRY_MARGIN_MILLIS) /
+    CLOCK_DRIFT;
+  return Math.floor(
+    Math.min(maximumLeaseMillis * MAXIMUM_LEASE_SHARE, longest),
+  );
 }
 
 /**
