Report long-running tasks that are not at work

When a long-running task does not run, nothing says what it waits for: the end of a lost worker's lease, a start, or a worker with room.

The owner now looks at the long-running tasks twice a second and logs TASK_ABSENT (6026) for each one that has not been at work for 2 s, with the reason, its age, the worker, and the number of workers by obstacle if it is not placed. Events and assessments are limited to five tasks a check, and to one in 5 s for each task. /state lists the absent tasks and the metric lasting_tasks_absent counts them. Decisions and messages are unchanged.

leaseLeftMillis is an option that nothing passes yet: the time until a lease counts as expired isn't known outside of PoolAttachments.

--- a/src/decisions/workflows/explaining/worker_ranking.ts
+++ b/src/decisions/workflows/explaining/worker_ranking.ts
@@ -38,7 +38,7 @@
 
 /** Returns the numbers of workers by obstacle. */
 export function countByObstacle(
-  assessments: readonly WorkerAssessment[],
+  assessments: ReadonlyArray<Pick<WorkerAssessment, 'obstacle'>>,
 ): WorkerCounts {
   const counts: Record<string, number> = {};
   for (const {obstacle = SUITABLE} of assessments) {
--- a/src/decisions/workflows/placement_planner.ts
+++ b/src/decisions/workflows/placement_planner.ts
@@ -79,6 +79,15 @@
   return new PlacementPlanner(round).plan();
 }
 
+/** Assesses the workers for the tasks of a step before any task is placed. */
+export function assessWorkers(
+  round: PlacementRound,
+  waiting: WaitingStep,
+): WorkerAssessment[] {
+  const planner = new PlacementPlanner({...round, reservations: undefined});
+  return planner.assess(waiting);
+}
+
 /** One round of placement, with the capacity that it has left free. */
 class PlacementPlanner {
   private readonly candidates: readonly PlacementCandidate[];
@@ -123,7 +132,7 @@
     return [...planned, ...copyPlanner.plan()];
   }
 
-  private assess(waiting: WaitingStep): WorkerAssessment[] {
+  assess(waiting: WaitingStep): WorkerAssessment[] {
     const mayInterfere = this.mayInterfere(waiting);
     const backfill = this.reservations?.backfillOf(waiting);
     return this.scoresFor(waiting, {mayInterfere, backfill}).assessments();
--- a/src/entry/workflows/pool_owner.ts
+++ b/src/entry/workflows/pool_owner.ts
@@ -6,6 +6,7 @@
   ReservationEnd,
 } from '../../decisions/workflows/gaps/gap_reservations.js';
 import type {SchedulingFeatures} from '../../decisions/workflows/scheduling_features.js';
+import {countObstacles} from '../../decisions/workflows/explaining/obstacle_count.js';
 import {explainPlacement} from '../../decisions/workflows/explaining/placement_explainer.js';
 import {planPlacements} from '../../decisions/workflows/placement_planner.js';
 import type {PlacementRound} from '../../decisions/workflows/placement_planner.js';
@@ -48,6 +49,7 @@
 import type {Clock, Timer} from '../../utilities/clock.js';
 import {CoalescedAction} from '../../utilities/coalesced_action.js';
 import {ShareLimit} from '../../utilities/share_limit.js';
+import {AbsentTaskReporter} from './absent_task_reporter.js';
 import type {ConfigurationFollower} from './configuration_follower.js';
 import {CommitLog} from './commit_log.js';
 import {LearnedInterference} from './learned_interference.js';
@@ -76,6 +78,7 @@
 /** Well below the time within which a cancellation must take effect. */
 const INBOX_POLL_INTERVAL_MILLIS = 1_000;
 const EXPIRY_INTERVAL_MILLIS = 5_000;
+const ABSENCE_INTERVAL_MILLIS = 500;
 /** A new owner lacks what was learned in this time. */
 const LEARNED_SAVE_INTERVAL_MILLIS = 2_000;
 /** Well below the retention time; each time reads the keys of all records. */
@@ -122,6 +125,7 @@
   private readonly attachments: PoolAttachments;
   private readonly availability: WorkerAvailability;
   private readonly learnedInterference: LearnedInterference;
+  private readonly absentTasks: AbsentTaskReporter;
   /** Undefined if no task gets a second run. */
   private readonly copies: TaskCopies | undefined;
   /** Undefined if admission control is off. */
@@ -197,6 +201,22 @@
       interference: this.supervisor.interference,
     });
     const {workerRegistry} = this;
+    this.absentTasks = new AbsentTaskReporter({
+      clock,
+      logger,
+      metrics,
+      workflows: () => this.workflowRegistry.workflows,
+      canPlace: () => this.canPlace,
+      mayPlace: reference => this.retries.mayPlace(taskNameOf(reference)),
+      absenceOf: (worker, now) => this.availability.absenceOf(worker, now),
+      viewOf: worker => workerRegistry.get(worker),
+      countWorkers: (reference, now) =>
+        countObstacles({
+          round: this.placementRound(now),
+          reference,
+          unusableWorkers: this.availability.unusable(now),
+        }),
+    });
     const {durations, slowRuns} = this.supervisor;
     this.copies = features.copies
       ? new TaskCopies({...options, workerRegistry, durations, slowRuns})
@@ -253,6 +273,7 @@
     this.scheduleEvery(TICK_INTERVAL_MILLIS, () => this.tick());
     this.scheduleEvery(INBOX_POLL_INTERVAL_MILLIS, () => void this.readInbox());
     this.scheduleEvery(EXPIRY_INTERVAL_MILLIS, () => this.expire());
+    this.scheduleEvery(ABSENCE_INTERVAL_MILLIS, () => this.absentTasks.check());
     if (features.sharedInterference) {
       this.scheduleEvery(LEARNED_SAVE_INTERVAL_MILLIS, () =>
         this.learnedInterference.save(),
@@ -347,6 +368,8 @@
     const now = this.options.clock.now();
     return {
       epoch: this.epoch,
+      canPlace: this.canPlace,
+      absentTasks: this.absentTasks.dump(),
       workflowsWithNotes: this.retries.size,
       workers: this.workerRegistry.all.map(view => ({
         worker: view.key,
@@ -385,6 +408,7 @@
     this.closedReason = reason;
     for (const timer of this.timers) timer.cancel();
     this.planningAction.close();
+    this.absentTasks.close();
     this.reservations?.endAll(ReservationEnd.OWNER_CLOSED);
     this.commits.close(reason);
     this.attachments.close(reason);
--- a/src/entry/workflows/worker_availability.ts
+++ b/src/entry/workflows/worker_availability.ts
@@ -1,8 +1,10 @@
+import {AbsenceReason} from '../../decisions/workflows/absent_tasks.js';
 import type {UnusableWorker} from '../../decisions/workflows/explaining/placement_explainer.js';
 import {PlacementObstacle} from '../../decisions/workflows/placement_obstacle.js';
 import type {WorkerView} from '../../decisions/workflows/worker_view.js';
 import type {ConfigurationFollower} from './configuration_follower.js';
 import type {PoolAttachments} from './pool_attachments.js';
+import {agentOf} from './worker_registry.js';
 import type {WorkerRegistry} from './worker_registry.js';
 
 /** No run is placed if the worker's agent sent no message for this long. */
@@ -42,6 +44,21 @@
     return unusable;
   }
 
+  /** Returns why the worker does not list its runs; undefined if it does. */
+  absenceOf(worker: string, now: number): AbsenceReason | undefined {
+    const {attachments, workerRegistry} = this.options;
+    const agent = agentOf(worker);
+    if (!attachments.hasAgent(agent)) return AbsenceReason.AGENT_DETACHED;
+    const view = workerRegistry.get(worker);
+    if (view && attachments.isCurrent(view)) {
+      const isSilent = this.obstacleTo(view, now) === PlacementObstacle.SILENCE;
+      return isSilent ? AbsenceReason.WORKER_SILENT : undefined;
+    }
+    return this.attached.some(other => other.agent === agent)
+      ? AbsenceReason.WORKER_REPLACED
+      : AbsenceReason.WORKER_UNREPORTED;
+  }
+
   /** Returns why no task at all is placed on the worker now. */
   private obstacleTo(
     view: WorkerView,
--- a/src/observability/events.ts
+++ b/src/observability/events.ts
@@ -389,6 +389,11 @@
     'warn',
     'A worker has a run that was not placed there; the run is stopped.',
   ),
+  TASK_ABSENT: eventType(
+    6026,
+    'warn',
+    'A long-running task is not at work; the event says why and for how long.',
+  ),
   WORKER_JOINED: eventType(6030, 'info', 'A worker is available for tasks.'),
   WORKER_CHANGED: eventType(
     6031,
