Deliver a reply that a paused process finds past the deadline

A client that is stopped for 2 s during a call with a deadline of 1 s, and whose peer answers 100 ms after the stop, fails the call with "no reply before the deadline" although the reply waits in its socket.

Cause: Node runs the timers that are due before it polls the sockets again. After a pause the deadline of a call thus always fires before replies that arrived during it are read. The caller is told that the outcome is unknown, and the connection, which is sound, is replaced.

Change: at the deadline of a sent call, the outcome is decided by an immediate, which runs after the sockets were polled once more. A call that still waits to be sent expires at once as before: it has no reply, and must not be sent past its deadline. A reply past the deadline could reach the caller before this change too, when the poll came first.

Nor is the second deadline that an agent sets around its heartbeats.

--- a/src/protocol/call_stream.ts
+++ b/src/protocol/call_stream.ts
@@ -90,7 +90,9 @@
     const refusal = this.findRefusal(call);
     if (refusal) return call.fail(refusal.reason, refusal.resultCode);
     const {clock} = this.options;
-    call.deadline = clock.schedule(deadlineMillis, () => this.expire(call));
+    call.deadline = clock.schedule(deadlineMillis, () =>
+      this.handleDeadline(call),
+    );
     this.waitingCalls.add(call);
     this.scheduleFlush();
   }
@@ -145,9 +147,18 @@
     session.send(this.waitingCalls.takeBatch());
   }
 
+  /**
+   * Reads the socket once more before a sent call expires: after a pause of the
+   * process, timers run before the replies that arrived meanwhile are read.
+   */
+  private handleDeadline(call: PendingCall): void {
+    if (this.waitingCalls.remove(call)) return this.expire(call);
+    setImmediate(() => {
+      if (call.session?.forget(call)) this.expire(call);
+    });
+  }
+
   private expire(call: PendingCall): void {
-    this.waitingCalls.remove(call);
-    call.session?.forget(call);
     call.fail('no reply before the deadline');
     const {session} = this;
     if (!session || session.lastMessageAt > call.startedAt) return;
--- a/src/protocol/stream_session.ts
+++ b/src/protocol/stream_session.ts
@@ -78,10 +78,14 @@
     });
   }
 
-  /** Stops waiting for the reply to the call; a late reply is dropped. */
-  forget(call: PendingCall): void {
-    this.sentCalls.delete(call.number);
-    this.cancelWhenUnused();
+  /**
+   * Stops waiting for the reply to the call; a late reply is dropped. Returns
+   * false if the call already has an outcome.
+   */
+  forget(call: PendingCall): boolean {
+    const wasUnanswered = this.sentCalls.delete(call.number);
+    if (wasUnanswered) this.cancelWhenUnused();
+    return wasUnanswered;
   }
 
   /** Sends no further calls and ends once those sent have an outcome. */
--- a/tests/protocol/call_stream.test.ts
+++ b/tests/protocol/call_stream.test.ts
@@ -28,6 +28,8 @@
 };
 const EMPTY_REPLY = HeartbeatReply.decode(new Uint8Array());
 const TOO_LARGE = 'x'.repeat(17_000_000);
+/** Time for the kernel to deliver what was written to a local socket. */
+const PAUSE_MILLIS = 50;
 
 function createReport(agentId: string, reason = ''): ReportAttemptsRequest {
   const none = ReportAttemptsRequest.decode(new Uint8Array());
@@ -39,6 +41,11 @@
   return {...none, agentId, incarnation: 'run-1', reports: [item]};
 }
 
+/** Blocks the event loop. */
+function pauseProcess(millis: number): void {
+  Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, millis);
+}
+
 async function linkToPeer(t: ExecutionContext) {
   const peer = new ScriptedPeer();
   const clock = new VirtualClock();
@@ -150,6 +157,24 @@
   await until(() => unanswered.stream.cancelled);
 });
 
+// Guards against a call that fails although its reply waits in the socket: after
+// a pause of the process, due timers run before the socket is read.
+test('should deliver a reply that arrived during a pause past the deadline', async t => {
+  const {peer, clock, sendHeartbeat} = await linkToPeer(t);
+  const call = sendHeartbeat();
+  let isSettled = false;
+  const settle = () => (isSettled = true);
+  call.then(settle, settle);
+  peer.answer(await peer.waitForCall(1), 'in the socket');
+  // The peer's HTTP/2 session writes to its socket in the next turn.
+  await new Promise(resolve => setImmediate(resolve));
+  pauseProcess(PAUSE_MILLIS);
+  t.false(isSettled, 'the reply was read before the deadline');
+  clock.runUntil(HEARTBEAT_MILLIS);
+  t.is((await call).entryId, 'in the socket');
+  t.is(peer.streams.length, 1);
+});
+
 test('should keep a stream that answers other calls during a slow call', async t => {
   const {peer, clock, sendHeartbeat, link} = await linkToPeer(t);
   const slow = link.reportAttempts(createReport('vm-1'));
