Keep real time out of the tests of streamed calls

Beside load, three tests of streamed calls fail with "no reply before the deadline".

Cause: the deadlines of the links (700 ms, 1 s, 3 s) and the grace period of the server (2 s) pass in real time, while all tests of a file, and both ends of their calls, share one process that gets too little of a core. Deadlines of 1 s fired up to 2.6 s after the call. None of the tests is about a deadline.

Change: these tests use the virtual clock, as the tests of deadlines in the same file do, so no deadline passes unless a test lets it. The server takes a clock for its grace period, and the factory of pool links takes options, as that of entry links does. The tests assert the same as before. They are stricter in one way: a server that doesn't close by itself is no longer closed by force, so `close` never resolves and the test runs into AVA's timeout. The same timeout replaces the 5 s after which pool_stream's own `until` gave up; a condition that never holds still fails the test.

The unary call of "should keep serving after bytes that are not a message" keeps its 700 ms of real time: gRPC counts that deadline.

--- a/src/protocol/grpc_pool_links.ts
+++ b/src/protocol/grpc_pool_links.ts
@@ -33,7 +33,6 @@
 interface LinkOptions {
   readonly credentials: ChannelCredentials;
   readonly clock: Clock;
-  /** Source of jitter for reopening streams. */
   readonly random: Random;
 }
 
@@ -123,16 +122,24 @@
   }
 }
 
+export interface GrpcPoolLinkFactoryOptions {
+  readonly security?: TransportSecurityFiles;
+  readonly clock?: Clock;
+  /** Source of jitter for reopening streams. */
+  readonly random?: Random;
+}
+
 /** Opens links to the PoolService of entries, over TLS if given its files. */
 export class GrpcPoolLinkFactory implements PoolLinkFactory {
   private readonly options: LinkOptions;
 
-  constructor(security?: TransportSecurityFiles) {
-    this.options = {
-      credentials: channelCredentials(security),
-      clock: new SystemClock(),
-      random: new Random(Date.now()),
-    };
+  constructor(options: GrpcPoolLinkFactoryOptions = {}) {
+    const {
+      security,
+      clock = new SystemClock(),
+      random = new Random(Date.now()),
+    } = options;
+    this.options = {credentials: channelCredentials(security), clock, random};
   }
 
   openPool(address: string): PoolLink {
--- a/src/protocol/grpc_server.ts
+++ b/src/protocol/grpc_server.ts
@@ -1,6 +1,8 @@
 import {Server, status} from '@grpc/grpc-js';
 import type {handleUnaryCall, ServerDuplexStream} from '@grpc/grpc-js';
 import {messageOf} from '../utilities/base_error.js';
+import {SystemClock} from '../utilities/clock.js';
+import type {Clock} from '../utilities/clock.js';
 import {AgentMethods, EntryMethods, PoolMethods} from './call_methods.js';
 import {CallStreamResponder} from './call_stream_responder.js';
 import type {ServerBatchStream} from './call_stream_responder.js';
@@ -56,6 +58,11 @@
   };
 }
 
+export interface GrpcServerOptions {
+  readonly security?: TransportSecurityFiles;
+  readonly clock?: Clock;
+}
+
 /** Serves one role's handlers to other processes. */
 export class GrpcServer {
   private readonly server = new Server({
@@ -69,7 +76,7 @@
 
   constructor(
     private readonly observer: GrpcServerObserver,
-    private readonly options: {security?: TransportSecurityFiles} = {},
+    private readonly options: GrpcServerOptions = {},
   ) {}
 
   /** Adds the service of an entry; call before `listen`. */
@@ -176,13 +183,14 @@
   close(reason: string): Promise<void> {
     this.isClosing = true;
     for (const stream of this.streams) stream.close(reason);
+    const {clock = new SystemClock()} = this.options;
     return new Promise(resolve => {
-      const forceTimer = setTimeout(() => {
+      const forceTimer = clock.schedule(SHUTDOWN_GRACE_MILLIS, () => {
         this.server.forceShutdown();
         resolve();
-      }, SHUTDOWN_GRACE_MILLIS);
+      });
       this.server.tryShutdown(() => {
-        clearTimeout(forceTimer);
+        forceTimer.cancel();
         resolve();
       });
     });
--- a/tests/protocol/call_stream.test.ts
+++ b/tests/protocol/call_stream.test.ts
@@ -62,14 +62,17 @@
   };
 }
 
+// The virtual clock keeps deadlines and the server's grace period from passing
+// while the test's process waits for a processor.
 async function linkToServer(
   t: ExecutionContext,
   handlers: Partial<EntryHandlers>,
 ) {
-  const server = new GrpcServer({onHandlerError: () => {}});
+  const clock = new VirtualClock();
+  const server = new GrpcServer({onHandlerError: () => {}}, {clock});
   server.serveEntry(handlers as EntryHandlers);
   const port = await server.listen('127.0.0.1:0');
-  const link = new GrpcLinkFactory().openEntry(`127.0.0.1:${port}`);
+  const link = new GrpcLinkFactory({clock}).openEntry(`127.0.0.1:${port}`);
   t.teardown(() => {
     link.close('the test ends');
     return server.close('the test ends');
--- a/tests/protocol/pool_stream.test.ts
+++ b/tests/protocol/pool_stream.test.ts
@@ -11,9 +11,14 @@
   AttachmentListener,
   PoolHandlers,
 } from '../../src/protocol/pool_links.js';
+import {VirtualClock} from '../../src/utilities/virtual_clock.js';
+import {until} from '../stand_ins/until.js';
 import {credentials} from '@grpc/grpc-js';
 
-const DEADLINE_MILLIS = 5_000;
+// The virtual clock keeps deadlines from passing while the test's process waits
+// for a processor.
+const clock = new VirtualClock();
+const links = new GrpcPoolLinkFactory({clock});
 const EMPTY_UPDATE = WorkerUpdate.decode(new Uint8Array());
 
 /** An owner that answers each update and records why streams ended. */
@@ -59,20 +64,12 @@
 async function startServer(
   owner: EchoingOwner,
 ): Promise<{server: GrpcServer; address: string}> {
-  const server = new GrpcServer({onHandlerError: () => {}});
+  const server = new GrpcServer({onHandlerError: () => {}}, {clock});
   server.servePool(owner);
   const port = await server.listen('127.0.0.1:0');
   return {server, address: `127.0.0.1:${port}`};
 }
 
-async function until(condition: () => boolean): Promise<void> {
-  const deadline = Date.now() + DEADLINE_MILLIS;
-  while (!condition()) {
-    if (Date.now() > deadline) throw new Error('timed out waiting');
-    await new Promise(resolve => setTimeout(resolve, 5));
-  }
-}
-
 /** Correctly encoded updates, each with one invalid field. */
 const MALFORMED: ReadonlyArray<[string, Partial<WorkerUpdate>]> = [
   ['a name that is too long', {agent: 'a'.repeat(10_000)}],
@@ -99,7 +96,6 @@
   test(`should end a stream with ${title} and serve other calls`, async t => {
     const owner = new EchoingOwner();
     const {server, address} = await startServer(owner);
-    const links = new GrpcPoolLinkFactory();
     const link = links.openPool(address);
     const ends: string[] = [];
     const attachment = link.attach({
@@ -130,7 +126,7 @@
   raw.on('data', () => {});
   raw.write(Buffer.from([0xff, 0xff, 0xff, 0xff, 0xff]));
   await until(() => errors.length > 0);
-  const link = new GrpcPoolLinkFactory().openPool(address);
+  const link = links.openPool(address);
   t.is((await link.countWaiting({queue: 'queue'})).waiting, 3);
   const explained = await link.explainPlacement({record: '{}'});
   t.deepEqual(explained, {owned: true, explanation: '{}'});
@@ -143,7 +139,7 @@
 test('should send the calls of entries through one stream', async t => {
   const owner = new EchoingOwner();
   const {server, address} = await startServer(owner);
-  const link = new GrpcPoolLinkFactory().openPool(address);
+  const link = links.openPool(address);
   const ids = Array.from({length: 50}, (_, index) => `workflow-${index}`);
   const replies = await Promise.all(
     ids.map(workflow => link.showWorkflow({workflow})),
