--- a/src/entry/workflows/pool_owner.ts
+++ b/src/entry/workflows/pool_owner.ts
@@ -216,6 +216,7 @@
           reference,
           unusableWorkers: this.availability.unusable(now),
         }),
+      leaseLeftMillis: worker => this.attachments.leaseLeftMillis(worker),
     });
     const {durations, slowRuns} = this.supervisor;
     this.copies = features.copies
