Grant no lease to a worker that does not respond to its agent

The agent stops extending the lease of a worker without a response, but the owner went on to record a grant with each reply. When the agent was lost too, the end that it knew was replaced by the owner's last grant: 4 s later, and a whole lease from there.

Fix: after 1.5 s of silence, when an agent stops extending, the owner grants nothing. A worker that responds again is granted a lease at once, and its agent polls without waiting until then, so that a lease that is nearly over is extended as early as before.

--- a/src/agent/workflows/worker_session.ts
+++ b/src/agent/workflows/worker_session.ts
@@ -28,7 +28,7 @@
  * the owner sees. A worker measures over half a second.
  */
 const POLL_MILLIS = 450;
-/** Pauses while ends await acknowledgement, and after a failed poll. */
+/** Pauses while ends or a lease are awaited, and after a failed poll. */
 const PENDING_PAUSE_MILLIS = 100;
 const FAILED_PAUSE_MILLIS = 150;
 /** No worker restarts within this time. */
@@ -85,6 +85,8 @@
   private lastResponseAt: number;
   private isLastPollAnswered = false;
   private silent = false;
+  /** True after a silence, for which the owner grants no lease. */
+  private isLeaseAwaited = false;
   /** When another incarnation was found to respond in place of this one. */
   private replacedAt = Infinity;
   /** Count of ended connections when the worker last proved who it is. */
@@ -244,6 +246,14 @@
     this.endPause?.();
   }
 
+  /** Extends the lease that the owner has granted, on the worker's clock. */
+  extendLease(end: number): void {
+    this.lease.grant(end);
+    if (!this.isLeaseAwaited) return;
+    this.isLeaseAwaited = false;
+    this.endPause?.();
+  }
+
   /** Records that the owner sent a message. */
   recordOwnerMessage(): void {
     this.lastOwnerMessageAt = this.options.clock.now();
@@ -421,10 +431,15 @@
       const answered = await this.pollOnce();
       if (this.closed) return;
       if (!answered) await this.pause(FAILED_PAUSE_MILLIS);
-      else if (this.ends.size > 0) await this.pause(PENDING_PAUSE_MILLIS);
+      else if (this.isPollUrgent) await this.pause(PENDING_PAUSE_MILLIS);
     }
   }
 
+  /** True if the next poll must not wait for a run to end. */
+  private get isPollUrgent(): boolean {
+    return this.ends.size > 0 || this.isLeaseAwaited;
+  }
+
   /**
    * Until the incarnation is confirmed, a poll carries neither a lease nor
    * acknowledgements: another incarnation under the same id has its own clock
@@ -438,7 +453,7 @@
     const leaseEnd = isExtending ? this.lease.end : undefined;
     if (leaseEnd !== undefined) this.lease.recordSentEnd(leaseEnd);
     const isAwaited = this.awaitedPolls.size > 0;
-    const isWaiting = this.ends.size === 0 && isIdentityConfirmed && !isAwaited;
+    const isWaiting = isIdentityConfirmed && !isAwaited && !this.isPollUrgent;
     try {
       const listing = await worker.pollRuns({
         fencingToken: token.value,
@@ -486,7 +501,10 @@
     this.lastResponseAt = clock.now();
     this.lease.recordClockReading(listing.workerClock);
     const hasChanged = this.silent || !this.hasRunList;
-    if (this.silent) logger.event(Events.WORKER_ANSWERS);
+    if (this.silent) {
+      logger.event(Events.WORKER_ANSWERS);
+      this.isLeaseAwaited = true;
+    }
     this.silent = false;
     this.hasRunList = true;
     this.running = listing.running;
--- a/src/agent/workflows/workflow_agent.ts
+++ b/src/agent/workflows/workflow_agent.ts
@@ -297,7 +297,7 @@
     }
     if (sent?.workerNow === undefined || commands.leaseMillis === 0) return;
     if (commands.incarnation !== session.incarnation) return;
-    session.lease.grant(sent.workerNow + commands.leaseMillis);
+    session.extendLease(sent.workerNow + commands.leaseMillis);
   }
 
   /**
--- a/src/entry/workflows/worker_attachment.ts
+++ b/src/entry/workflows/worker_attachment.ts
@@ -40,6 +40,12 @@
  */
 const MINIMUM_REPLY_INTERVAL_MILLIS = 300;
 
+/**
+ * A worker that has not responded to its agent for this long is granted nothing:
+ * the agent does not extend its lease, and may be lost before it can say so.
+ */
+const MAXIMUM_SILENCE_MILLIS = 1_500;
+
 /** The owner's callbacks for messages from its workers. */
 export interface WorkerListener {
   onAttached(attachment: WorkerAttachment): void;
@@ -111,6 +117,9 @@
     const {view} = this;
     if (view) {
       view.lastMessageAt = clock.now();
+      // Its lease may be about to end, as it was not extended meanwhile.
+      if (isSilent(view) && update.silentMillis < MAXIMUM_SILENCE_MILLIS)
+        this.scheduleFlush();
       view.silentMillis = update.silentMillis;
       for (const end of update.ends) this.acceptEnd(view, end);
       for (const result of update.results) listener.onStartResult(view, result);
@@ -292,12 +301,14 @@
 
   /**
    * Sends the batch; it also grants the worker a lease that starts at the last
-   * update. Nothing is granted to an agent that has named no worker.
+   * update. Nothing is granted to an agent that has named no worker, or whose
+   * worker is silent.
    */
   private send(): void {
     if (this.ended) return;
     const {view} = this;
-    const leaseMillis = view ? this.options.leaseMillis() : 0;
+    const isGranting = view !== undefined && !isSilent(view);
+    const leaseMillis = isGranting ? this.options.leaseMillis() : 0;
     const {attachment, epoch, listener} = this.options;
     if (view && leaseMillis > 0)
       listener.onLeaseGranted(view, this.lastMessageAt);
@@ -322,6 +333,10 @@
   }
 }
 
+function isSilent({silentMillis}: WorkerView): boolean {
+  return silentMillis >= MAXIMUM_SILENCE_MILLIS;
+}
+
 /** True for an outcome known to this version. */
 export function isRunOutcome(text: string): text is RunOutcome {
   return (Object.values(RunOutcome) as string[]).includes(text);
--- a/tests/workflows/lost_workers.test.ts
+++ b/tests/workflows/lost_workers.test.ts
@@ -68,6 +68,38 @@
   t.deepEqual(pool.history.violations(), []);
 });
 
+// Guards against a lease that is granted to a lost worker for as long as its
+// agent lives: the agent, which knows better, was then lost with what it knew.
+test('should count the lease of a lost worker from its silence when its agent is lost later', async t => {
+  const pool = new VirtualPool({seed: 94});
+  await startWorkflow(pool);
+  pool.workers[0].crash();
+  await pool.run(5_000);
+  pool.killAgent(0);
+  const silenceMillis = 1_500 + 450;
+  const leaseMillis = 5_700 * 1.02 + 300;
+  await pool.run(silenceMillis + leaseMillis + RESTART_MILLIS - 5_000);
+  t.is(countRunning(pool), STEP.Count);
+  t.deepEqual(pool.history.violations(), []);
+});
+
+// Guards against the opposite: a worker that was silent for a while gets no lease
+// any more, and its runs end.
+test('should keep the runs of a worker that responds again after its silence', async t => {
+  const pool = new VirtualPool({seed: 95});
+  await startWorkflow(pool);
+  const started = pool.history.runs.length;
+  for (let times = 0; times < 3; times++) {
+    pool.workers[0].faults.silent = true;
+    await pool.run(4_000);
+    pool.workers[0].faults.silent = false;
+    await pool.run(1_000);
+  }
+  await pool.run(8_000);
+  t.is(countRunning(pool), STEP.Count);
+  t.is(pool.history.runs.length, started);
+});
+
 // Guards against the opposite: runs given up while they go on, on a worker that
 // lives and that its restarted agent can't reach.
 for (const cutAfterMillis of [0, 200, 400, 700, 1_200, 2_000, 3_000]) {
