Try long-running tasks on workers early in a long cooldown

Cause: workers that fail tasks are left out for up to 12 s, and then take one task on trial. All workers with capacity were in such a cooldown, which began shortly before the failures ended. The wait was set without regard to the 10 s in which a long-running task has to be back.

Fix: 3 s after the last failure a worker in a cooldown takes long-running tasks, one at a time until it is at work. They may fail any number of times, so a try costs little, and workers without failures are still preferred. Ordinary tasks wait as before.

Evidence: 'should restart a lost long-running task in time after all workers have failed' fails without the change (4 of 6 run); a worker that fails all gets at most one try in 3 s ('should try a long-running task at most once in three seconds…').

--- a/src/decisions/workflows/placement_candidate.ts
+++ b/src/decisions/workflows/placement_candidate.ts
@@ -17,6 +17,7 @@
   free: Resources;
   expectedUnusedMilliprocessors: number;
   allowance: number;
+  longRunningAllowance: number;
   /** Tail ratios, including the effect of placements of this round. */
   private tails: readonly Tail[];
   private readonly measuredTails: readonly Tail[];
@@ -26,6 +27,7 @@
     allowance: number,
     readonly suspicion: number,
     private readonly probeLimit?: ProbeLimit,
+    longRunningAllowance = allowance,
   ) {
     const {room: capacity} = view.traits;
     this.free = subtractResources(capacity, view.reserved);
@@ -34,6 +36,7 @@
       (1 - LATENCY_CRITICAL_USE_SHARE) * view.latencyCriticalMilliprocessors -
       view.bestEffortDemandMilliprocessors;
     this.allowance = allowance;
+    this.longRunningAllowance = longRunningAllowance;
     this.measuredTails = view.tails;
     this.tails = probeLimit?.expectedTails(view.tails) ?? view.tails;
   }
@@ -92,7 +95,8 @@
     tasksOfStep: number,
     sharesProcessors = false,
   ): PlacementObstacle | undefined {
-    if (this.allowance < 1) return PlacementObstacle.COOLDOWN;
+    const allowance = step.lasting ? this.longRunningAllowance : this.allowance;
+    if (allowance < 1) return PlacementObstacle.COOLDOWN;
     const {requiredLabel, spreadLimit, fills, size} = step;
     const {labels} = this.view.traits;
     if (requiredLabel !== '' && !labels.includes(requiredLabel))
@@ -112,13 +116,15 @@
 
   /** Saves the free capacity and returns a function that restores it. */
   save(): () => void {
-    const {free, expectedUnusedMilliprocessors, allowance, tails} = this;
+    const {free, expectedUnusedMilliprocessors, tails} = this;
+    const {allowance, longRunningAllowance} = this;
     const restoreProbes = this.probeLimit?.save();
     return () => {
       restoreProbes?.();
       this.free = free;
       this.expectedUnusedMilliprocessors = expectedUnusedMilliprocessors;
       this.allowance = allowance;
+      this.longRunningAllowance = longRunningAllowance;
       this.tails = tails;
     };
   }
@@ -136,6 +142,7 @@
     this.free = subtractResources(this.free, size);
     this.expectedUnusedMilliprocessors -= step.size.milliprocessors;
     this.allowance--;
+    this.longRunningAllowance--;
   }
 
   private addInterference(
--- a/src/decisions/workflows/placement_planner.ts
+++ b/src/decisions/workflows/placement_planner.ts
@@ -105,6 +105,7 @@
           health.allowanceOf(view, now),
           health.suspicion(view.key),
           limitsProbes ? new ProbeLimit(view, interference) : undefined,
+          health.longRunningAllowanceOf(view, now),
         ),
     );
     if (!reservations) return;
--- a/src/decisions/workflows/worker_health.ts
+++ b/src/decisions/workflows/worker_health.ts
@@ -28,6 +28,8 @@
   onTrial: boolean;
   /** Runs placed since then are on trial. */
   trialSince: number;
+  /** From then on a long-running task may be tried, even in a cooldown. */
+  longRunningFrom: number;
 }
 
 /** Tracks the health of workers by the outcomes of their runs. */
@@ -41,6 +43,18 @@
     return this.allowance(view.key, countRunsOnTrial(view, record), now);
   }
 
+  /**
+   * The same for long-running tasks. They are due at once and may fail any number
+   * of times, so that one is tried long before a long cooldown ends.
+   */
+  longRunningAllowanceOf(view: WorkerView, now: number): number {
+    const record = this.records.get(view.key);
+    if (!record || now >= record.cooldownUntil)
+      return this.allowanceOf(view, now);
+    if (now < record.longRunningFrom) return 0;
+    return Math.max(0, TASKS_ON_TRIAL - countRunsOnTrial(view, record));
+  }
+
   /** The same, with the number of runs there that are on trial. */
   allowance(worker: string, runsOnTrial: number, now: number): number {
     const record = this.records.get(worker);
@@ -69,6 +83,8 @@
   recordFailure(worker: string, workflow: string, now: number): boolean {
     const record = this.recordOf(worker);
     record.failedWorkflows.add(workflow);
+    if (now < record.cooldownUntil)
+      record.longRunningFrom = now + FIRST_COOLDOWN_MILLIS;
     const tooMany = record.failedWorkflows.size >= FAILURES_BEFORE_COOLDOWN;
     if (!tooMany && !record.onTrial) return false;
     return this.startCooldown(record, now);
@@ -86,6 +102,7 @@
     const record = this.recordOf(worker);
     const until = now + REFUSAL_COOLDOWN_MILLIS;
     record.cooldownUntil = Math.max(record.cooldownUntil, until);
+    record.longRunningFrom = Math.max(record.longRunningFrom, until);
   }
 
   forget(worker: string): void {
@@ -95,6 +112,7 @@
   private startCooldown(record: Record, now: number): boolean {
     if (now < record.cooldownUntil) return false;
     record.cooldownUntil = now + record.cooldownMillis;
+    record.longRunningFrom = now + FIRST_COOLDOWN_MILLIS;
     record.cooldownMillis = Math.min(
       2 * record.cooldownMillis,
       MAXIMUM_COOLDOWN_MILLIS,
@@ -114,6 +132,7 @@
       cooldownMillis: FIRST_COOLDOWN_MILLIS,
       onTrial: false,
       trialSince: -Infinity,
+      longRunningFrom: -Infinity,
     };
     this.records.set(worker, record);
     return record;
--- a/tests/workflows/lost_workers.test.ts
+++ b/tests/workflows/lost_workers.test.ts
@@ -9,6 +9,7 @@
   EstimateMs: 3_000,
   LongRunning: true,
 };
+const ORDINARY_STEP = {...STEP, Count: 4, LongRunning: false};
 const BEHAVIOR = {millis: 600_000, lasting: true};
 
 /**
@@ -100,6 +101,44 @@
   t.is(pool.history.runs.length, started);
 });
 
+// Guards against a long-running task that waits for the longest cooldowns of all
+// workers, although what made their tasks fail has ended long before.
+test('should restart a lost long-running task in time after all workers have failed', async t => {
+  const pool = new VirtualPool({seed: 96});
+  await startWorkflow(pool);
+  for (const worker of pool.workers) worker.faults.failing = true;
+  pool.workers[0].crash();
+  for (let number = 10; number < 32; number++) {
+    await pool.submit(`00000000000000${number}`, [ORDINARY_STEP], {millis: 50});
+    await pool.run(500);
+  }
+  for (const worker of pool.workers) worker.faults.failing = false;
+  await pool.run(MAXIMUM_ABSENCE_MILLIS);
+  const running = pool.history.runs.filter(
+    ({task, endedAt}) => task.startsWith(ID) && endedAt === undefined,
+  );
+  t.is(running.length, STEP.Count);
+});
+
+// Guards against the opposite: tasks started again and again on workers that
+// fail them, as long-running ones don't wait for the end of a cooldown.
+test('should try a long-running task at most once in three seconds on a worker that fails all', async t => {
+  const pool = new VirtualPool({seed: 97, workers: 2});
+  await startWorkflow(pool);
+  for (const worker of pool.workers) worker.faults.failing = true;
+  pool.workers[0].crash();
+  for (let number = 10; number < 30; number++) {
+    await pool.submit(`00000000000000${number}`, [ORDINARY_STEP], {millis: 50});
+    await pool.run(500);
+  }
+  const from = pool.clock.now();
+  await pool.run(12_000);
+  const tried = pool.history.runs.filter(
+    ({task, startedAt}) => task.startsWith(ID) && startedAt >= from,
+  );
+  t.true(tried.length <= 5, `${tried.length} starts`);
+});
+
 // Guards against the opposite: runs given up while they go on, on a worker that
 // lives and that its restarted agent can't reach.
 for (const cutAfterMillis of [0, 200, 400, 700, 1_200, 2_000, 3_000]) {
