Give the pool up when the key of its owner is removed

Callers would see: tasks that run twice. An owner whose key is taken away while its lease goes on noticed only with its next commit. With long-running tasks alone it commits nothing, and went on granting leases beside the next owner, which closes and replaces runs by its own view.

Fix: the key is watched and read every 0.8 s already; an owner that has seen its own value there and then another or none gives up. A value from before the claim, which may arrive late, is not taken for a removal.

Evidence: the test of that name fails without the change and passes with it. The wait of a new owner for its predecessors relies on this.

--- a/src/entry/workflows/pool_ownership.ts
+++ b/src/entry/workflows/pool_ownership.ts
@@ -87,6 +87,8 @@
   private claimCount = 0;
   private currentOwner: PoolOwner | undefined;
   private claim: OwnershipClaim | undefined;
+  /** Epoch of the last claim of this entry that the store was seen to hold. */
+  private seenEpoch = -Infinity;
   private lastKnownOwner: KnownOwner | undefined;
   /** The value of the owner's key, as read last. */
   private ownerValue: StoredValue | undefined;
@@ -152,10 +154,23 @@
         epoch: ownerValue.revision,
       };
     }
+    this.deposeIfRemoved(ownerValue);
     if (!this.isClaimable) return;
     if (!this.isClaiming) void this.claimUntilOwned();
   }
 
+  /**
+   * The key may be removed while its lease goes on. Another entry then owns the
+   * pool, and an owner with nothing to commit would not notice.
+   */
+  private deposeIfRemoved(ownerValue: StoredValue | undefined): void {
+    const epoch = this.claim?.epoch;
+    if (epoch === undefined) return;
+    if (ownerValue?.revision === epoch) this.seenEpoch = epoch;
+    // A value that was read before the claim may arrive after it.
+    else if (this.seenEpoch === epoch) this.depose('its key was removed');
+  }
+
   /** True if there is no owner, or it is an earlier run of this process. */
   private get isClaimable(): boolean {
     if (this.claim || this.closedReason !== undefined) return false;
--- a/tests/workflows/ownership.test.ts
+++ b/tests/workflows/ownership.test.ts
@@ -132,3 +132,15 @@
   await pool.run(2_000);
   t.not(pool.ownerName, before);
 });
+
+// Guards against two owners at once: one with nothing to commit didn't notice that
+// its key was removed while its lease went on, and both granted leases.
+test('should give the pool up when the key of an idle owner is removed', async t => {
+  const logger = new RecordingLogger();
+  const pool = new VirtualPool({seed: 41, logger});
+  await pool.run(4_000);
+  pool.store.revoke(StoreKeys.OWNER);
+  await pool.run(1_500);
+  const lost = logger.fieldsOf(Events.POOL_LOST);
+  t.is(lost.length, 1);
+});
