Wait for the hand-over of agents that make no statement on leases

The first update of an agent of an earlier version carries 0, which counted as a statement from the moment it arrived: a new owner closed runs up to 2 s earlier than before while versions are mixed. 0 is no statement now. Workers that an agent has named earlier on the same stream are excluded too, as the comment said.

--- a/src/entry/workflows/pool_attachments.ts
+++ b/src/entry/workflows/pool_attachments.ts
@@ -118,13 +118,12 @@
   private lastGrantOfEarlierOwners(worker: string): LastGrant {
     const handOver = this.ownedSince + this.options.ownerTtlMillis;
     const attachment = this.attachments.get(agentOf(worker));
-    const isNamed = attachment?.view?.key === worker;
-    if (attachment && !isNamed && attachment.lastMessageAt >= handOver) {
-      const {exclusiveSince} = attachment;
-      if (exclusiveSince < handOver)
-        return {at: exclusiveSince, basis: LeaseBasis.AGENT};
-    }
-    return {at: handOver, basis: LeaseBasis.HAND_OVER};
+    const byHandOver = {at: handOver, basis: LeaseBasis.HAND_OVER};
+    if (!attachment || attachment.hasNamed(worker)) return byHandOver;
+    const {exclusiveSince, lastMessageAt} = attachment;
+    if (lastMessageAt < handOver || exclusiveSince >= handOver)
+      return byHandOver;
+    return {at: exclusiveSince, basis: LeaseBasis.AGENT};
   }
 
   close(reason: string): void {
--- a/src/entry/workflows/worker_attachment.ts
+++ b/src/entry/workflows/worker_attachment.ts
@@ -81,9 +81,12 @@
   lastMessageAt = -Infinity;
   /**
    * Since then the agent, in this run and earlier ones, has extended no lease
-   * but those of the workers that it named on this stream.
+   * but those of the workers that it named on this stream. Infinite for an agent
+   * of an earlier version, which doesn't say.
    */
   exclusiveSince = Infinity;
+  /** Keys of the workers that the agent named on this stream. */
+  private readonly namedWorkers = new Set<string>();
   /** Time of the last message to the agent. */
   private lastSentAt = -Infinity;
   private ends = new EndAcknowledgements();
@@ -108,8 +111,8 @@
     }
     this.lastSequence = update.sequence;
     this.lastMessageAt = clock.now();
-    if (update.agent !== '') {
-      this.agent = update.agent;
+    if (update.agent !== '') this.agent = update.agent;
+    if (update.exclusiveMillis > 0) {
       this.exclusiveSince = this.lastMessageAt - update.exclusiveMillis;
     }
     listener.onAttached(this);
@@ -160,6 +163,10 @@
     this.scheduleFlush();
   }
 
+  hasNamed(worker: string): boolean {
+    return this.namedWorkers.has(worker);
+  }
+
   close(reason: string): void {
     if (this.ended) return;
     this.options.attachment.close(reason);
@@ -169,6 +176,7 @@
   private identifyWorker(agent: string, description: WorkerDescription): void {
     const previous = this.view;
     this.view = this.options.listener.onWorker(agent, toTraits(description));
+    this.namedWorkers.add(this.view.key);
     if (previous === this.view) return;
     this.ends = new EndAcknowledgements();
     this.runListReceiver = new RunListReceiver();
--- a/tests/workflows/lost_workers.test.ts
+++ b/tests/workflows/lost_workers.test.ts
@@ -1,4 +1,8 @@
 import test from 'ava';
+import {
+  guaranteedExpiryMillis,
+  runLeaseMillis,
+} from '../../src/decisions/workflows/lease_duration.js';
 import {VirtualPool} from './fixtures/virtual_pool.js';
 
 const ID = '00000000000000d1';
@@ -20,7 +24,9 @@
 /** The longest lease that the workers of any deployment allow. */
 const LONGEST_LEASE_MILLIS = 10_000;
 /** How long the tick, a commit and a start take. */
-const RESTART_MILLIS = 400;
+const PLACEMENT_MILLIS = 400;
+/** When a lease of the pool's workers has ended for sure. */
+const EXPIRY_MILLIS = guaranteedExpiryMillis(runLeaseMillis(6_000));
 
 async function startWorkflow(pool: VirtualPool): Promise<void> {
   await pool.run(3_000);
@@ -49,7 +55,7 @@
   await startWorkflow(pool);
   pool.workers[0].crash();
   await restartOwnerAndAgent(pool);
-  await pool.run(5_700 * 1.02 + 300 + RESTART_MILLIS);
+  await pool.run(EXPIRY_MILLIS + PLACEMENT_MILLIS);
   t.is(countRunning(pool), STEP.Count);
   t.deepEqual(pool.history.violations(), []);
 });
@@ -78,8 +84,7 @@
   await pool.run(5_000);
   pool.killAgent(0);
   const silenceMillis = 1_500 + 450;
-  const leaseMillis = 5_700 * 1.02 + 300;
-  await pool.run(silenceMillis + leaseMillis + RESTART_MILLIS - 5_000);
+  await pool.run(silenceMillis + EXPIRY_MILLIS + PLACEMENT_MILLIS - 5_000);
   t.is(countRunning(pool), STEP.Count);
   t.deepEqual(pool.history.violations(), []);
 });
@@ -156,3 +161,22 @@
     t.deepEqual(pool.history.violations(), []);
   });
 }
+
+// The same where the restarted agent never hears of the worker, so that the
+// owner alone decides when its lease has ended.
+for (const cutBeforeMillis of [0, 50, 150, 250, 350, 450]) {
+  test(`should run no task twice when a live worker is cut off ${cutBeforeMillis} ms before agent and owner restart`, async t => {
+    const pool = new VirtualPool({
+      seed: 98,
+      maximumLeaseMillis: LONGEST_LEASE_MILLIS,
+    });
+    await startWorkflow(pool);
+    pool.workers[0].faults.unreported = true;
+    pool.workers[0].faults.silent = true;
+    await pool.run(cutBeforeMillis);
+    await restartOwnerAndAgent(pool);
+    await pool.run(15_000);
+    t.is(countRunning(pool), STEP.Count);
+    t.deepEqual(pool.history.violations(), []);
+  });
+}
