Start tasks only under the lease of the owner that sends the start

A watcher ran on two VMs at once: its agent was paused, the owner of its shard took it for lost and started it elsewhere, and the first worker ran it for up to 2 s more.

Cause: a shard was handed over just before the watcher was submitted, and the task lease was shortened meanwhile from 15 s to 5 s. The new owner's start reached the agent before the new owner's first answer to a heartbeat. The agent had only the former owner's lease, of 15 s, and gave its end to the worker. The new owner counts 5 s and the margin from its own last answer. Any later, shorter lease left the worker's end as it was. Load matters only since it brings hand-over, settings and submission together. A start that waited for fresh settings went on after the first reply of any entry, which need not be the owner.

The agent now takes a start only under a lease of the newest owner that it has seen. If it has none, it asks all entries at once and waits until a reply brings fresh settings and that lease, until all replied, or for 1 s, as it did for settings; else it refuses with NO_LEASE, a true "not run". The owner's count covers every lease of its own epoch, so the task ends before the owner gives it up. Attempts that run are untouched: they keep the end that they had, and an owner that inherits them counts that already.

--- a/src/agent/commands/heartbeat_replies.ts
+++ b/src/agent/commands/heartbeat_replies.ts
@@ -26,7 +26,7 @@
     const endsAt = sentAt + reply.leaseMillis;
     const leases = reply.leases.map(lease => ({...lease, entryId, endsAt}));
     this.leaseKeeper.applyLeases(leases, now);
-    this.heartbeats.notifyConfirmation();
+    this.heartbeats.notifyReply();
   }
 
   private apply(document: SettingsDocument): void {
--- a/src/agent/commands/start_attempts.ts
+++ b/src/agent/commands/start_attempts.ts
@@ -23,7 +23,7 @@
 } from '../start_checks.js';
 import type {Refusal} from '../start_checks.js';
 
-/** How long a start waits for the settings to be confirmed. */
+/** How long a start waits for fresh settings and the owner's lease. */
 const CONFIRMATION_DEADLINE_MILLIS = 1_000;
 
 /** A start with its name and size present. */
@@ -43,13 +43,13 @@
   ) {}
 
   async execute(request: StartAttemptsRequest): Promise<StartAttemptsReply> {
-    const {settingsRevision} = request;
     const starts = request.starts.filter(isComplete);
-    if (
-      !checkSender(this.context, request) &&
-      !areSettingsFresh(this.context, settingsRevision)
-    ) {
-      await this.heartbeats.awaitConfirmation(CONFIRMATION_DEADLINE_MILLIS);
+    const isConfirmed = () => this.isConfirmed(request);
+    if (!checkSender(this.context, request) && !isConfirmed()) {
+      await this.heartbeats.awaitReplies(
+        isConfirmed,
+        CONFIRMATION_DEADLINE_MILLIS,
+      );
     }
     const results = await Promise.all(
       starts.map(start => this.startOne(request, start)),
@@ -57,6 +57,15 @@
     return {results};
   }
 
+  /** True if replies confirmed the settings and granted the owner's lease. */
+  private isConfirmed({settingsRevision, shard}: StartAttemptsRequest) {
+    const {context} = this;
+    return (
+      areSettingsFresh(context, settingsRevision) &&
+      context.leases.isFromNewestOwner(shard)
+    );
+  }
+
   private async startOne(
     request: StartAttemptsRequest,
     start: CheckedStart,
--- a/src/agent/heartbeat_sender.ts
+++ b/src/agent/heartbeat_sender.ts
@@ -13,10 +13,15 @@
  */
 const CONFIRM_AGAIN_SHARE = 0.5;
 
+interface ReplyWaiter {
+  readonly isMet: () => boolean;
+  readonly resume: () => void;
+}
+
 /** Sends heartbeats to every entry that the agent knows. */
 export class HeartbeatSender {
   private readonly deltas = new HeartbeatDeltaEncoder();
-  private waiters: Array<() => void> = [];
+  private readonly waiters = new Set<ReplyWaiter>();
 
   constructor(
     private readonly context: AgentContext,
@@ -39,24 +44,39 @@
     await Promise.all(channels.map(channel => this.sendTo(channel)));
   }
 
-  /** Resolves when a reply confirms the settings, or after the deadline. */
-  awaitConfirmation(deadlineMillis: number): Promise<void> {
+  /**
+   * Requests replies from all entries. Resolves when one makes the condition
+   * true, once each entry replied, or after the deadline.
+   */
+  awaitReplies(isMet: () => boolean, deadlineMillis: number): Promise<void> {
     return new Promise(resolve => {
-      const isFirst = this.waiters.length === 0;
-      const timer = this.context.clock.schedule(deadlineMillis, resolve);
-      this.waiters.push(() => {
+      const isFirst = this.waiters.size === 0;
+      const resume = () => {
         timer.cancel();
+        this.waiters.delete(waiter);
         resolve();
-      });
-      if (isFirst) void this.sendToAll();
+      };
+      const waiter = {isMet, resume};
+      const timer = this.context.clock.schedule(deadlineMillis, resume);
+      this.waiters.add(waiter);
+      if (isFirst) void this.sendToWaiters();
     });
   }
 
-  /** Resolves the pending calls of `awaitConfirmation`. */
-  notifyConfirmation(): void {
-    const waiters = this.waiters;
-    this.waiters = [];
-    for (const resume of waiters) resume();
+  /** Resolves the calls of `awaitReplies` whose condition is now true. */
+  notifyReply(): void {
+    for (const waiter of [...this.waiters]) {
+      if (waiter.isMet()) waiter.resume();
+    }
+  }
+
+  /** Sends again for those that began to wait after the last heartbeats. */
+  private async sendToWaiters(): Promise<void> {
+    while (this.waiters.size > 0) {
+      const waiters = [...this.waiters];
+      await this.sendToAll();
+      for (const waiter of waiters) waiter.resume();
+    }
   }
 
   /**
--- a/src/agent/shard_leases.ts
+++ b/src/agent/shard_leases.ts
@@ -42,6 +42,14 @@
     return true;
   }
 
+  /**
+   * True if the shard's lease is from the newest owner seen. That owner doesn't
+   * know the end of a lease from an earlier one.
+   */
+  isFromNewestOwner(shard: number): boolean {
+    return this.leases.get(shard)?.epoch === this.highestEpoch(shard);
+  }
+
   /** Returns when the shard's lease ends; -Infinity without one. */
   endsAt(shard: number): number {
     return this.leases.get(shard)?.endsAt ?? -Infinity;
--- a/src/agent/start_checks.ts
+++ b/src/agent/start_checks.ts
@@ -102,13 +102,24 @@
   return checkLease(context, request.shard) ?? checkWorker(context);
 }
 
-/** Refuses a start if too little of the shard's lease remains. */
+/**
+ * Refuses a start if too little of the shard's lease remains. The lease of an
+ * earlier owner doesn't count: the new owner would place the task again while
+ * that lease may still last.
+ */
 export function checkLease(
   context: AgentContext,
   shard: number,
 ): Refusal | undefined {
-  const leftMillis = context.leases.endsAt(shard) - context.clock.now();
-  const {taskLeaseMillis} = context.settings.fleet;
+  const {clock, leases, settings} = context;
+  if (!leases.isFromNewestOwner(shard)) {
+    return createRefusal(
+      ResultCodes.NO_LEASE,
+      `no lease from the owner of shard ${shard}`,
+    );
+  }
+  const leftMillis = leases.endsAt(shard) - clock.now();
+  const {taskLeaseMillis} = settings.fleet;
   if (leftMillis >= MINIMUM_LEASE_SHARE * taskLeaseMillis) return undefined;
   return createRefusal(
     ResultCodes.NO_LEASE,
--- a/tests/agent/leases.test.ts
+++ b/tests/agent/leases.test.ts
@@ -7,7 +7,7 @@
   TASK_SIZE,
   VM_SIZE,
 } from './fixtures/agent_fixture.js';
-import {LEASE_MILLIS} from './fixtures/fake_entry.js';
+import {FakeEntry, LEASE_MILLIS} from './fixtures/fake_entry.js';
 
 test('should renew the lease of a task for as long as its owner replies', async t => {
   const fixture = await AgentFixture.createStarted();
@@ -54,6 +54,46 @@
   t.true(fixture.clock.now() <= startedAt + LEASE_MILLIS + 2_000);
 });
 
+test('should end a task by the lease of the owner that started it, not by a longer one of the owner before', async t => {
+  const fixture = await AgentFixture.createStarted();
+  // The new owner's start overtakes its first reply to a heartbeat.
+  fixture.entry.epoch = 6;
+  fixture.entry.leaseMillis = 5_000;
+  t.true((await fixture.startTask(1)).accepted);
+  fixture.agent.kill();
+  await fixture.advance(fixture.entry.leaseMillis);
+  t.deepEqual(fixture.worker.runningIds(), []);
+});
+
+test('should await the lease of the owner although another entry replies first', async t => {
+  const otherAddress = '127.0.0.1:3';
+  const fixture = new AgentFixture(() => ({
+    entryAddresses: ['127.0.0.1:2', otherAddress],
+  }));
+  const other = new FakeEntry(fixture.clock, 'entry-2');
+  fixture.links.otherEntries.set(otherAddress, other);
+  fixture.entry.ownsShard = false;
+  await fixture.startAgent();
+  other.ownsShard = false;
+  fixture.entry.ownsShard = true;
+  fixture.entry.epoch = 6;
+  fixture.entry.leaseMillis = 5_000;
+  fixture.entry.replyDelayMillis = 200;
+  t.true((await fixture.startTask(1)).accepted);
+  fixture.agent.kill();
+  await fixture.advance(fixture.entry.leaseMillis);
+  t.deepEqual(fixture.worker.runningIds(), []);
+});
+
+test('should start nothing under the lease of an earlier owner', async t => {
+  const fixture = await AgentFixture.createStarted();
+  fixture.entry.epoch = 6;
+  fixture.entry.silent = true;
+  const result = await fixture.startTask(1);
+  t.is(result.resultCode, ResultCodes.NO_LEASE.number);
+  t.deepEqual(fixture.worker.startCalls, []);
+});
+
 test('should adopt running tasks after a restart, under a new lease', async t => {
   const fixture = await AgentFixture.createStarted();
   await fixture.startTask(1, {size: VM_SIZE});
