--- a/tests/workflows/lost_workers.test.ts
+++ b/tests/workflows/lost_workers.test.ts
@@ -144,6 +144,25 @@
   t.true(tried.length <= 5, `${tried.length} starts`);
 });
 
+// The same where the agent is lost for good, so that nobody knows when it last
+// extended the lease.
+test('should restart a long-running task in time after its worker and agent are lost and the owner restarts', async t => {
+  const pool = new VirtualPool({
+    seed: 99,
+    maximumLeaseMillis: LONGEST_LEASE_MILLIS,
+  });
+  await startWorkflow(pool);
+  pool.workers[0].crash();
+  const owner = pool.ownerName!;
+  pool.killAgent(0);
+  pool.killEntry(owner);
+  await pool.run(500);
+  pool.restartEntry(owner);
+  await pool.run(MAXIMUM_ABSENCE_MILLIS);
+  t.is(countRunning(pool), STEP.Count);
+  t.deepEqual(pool.history.violations(), []);
+});
+
 // Guards against the opposite: runs given up while they go on, on a worker that
 // lives and that its restarted agent can't reach.
 for (const cutAfterMillis of [0, 200, 400, 700, 1_200, 2_000, 3_000]) {
