Share the time of silence after which a worker gets no lease

The owner grants nothing to a worker that its agent extends no lease of; both had a constant of their own for the same 1.5 s, and the owner's safety relies on the agent's. No change of behaviour.

--- a/src/agent/workflows/worker_session.ts
+++ b/src/agent/workflows/worker_session.ts
@@ -7,6 +7,7 @@
   WorkerRunEnd,
 } from '../../backends/leased_worker.js';
 import {WorkerRefusedError} from '../../backends/platform_errors.js';
+import {MAXIMUM_SILENCE_MILLIS} from '../../decisions/workflows/lease_duration.js';
 import {runKey} from '../../decisions/workflows/task_name.js';
 import {TailThrottle} from '../../decisions/workflows/tail_throttle.js';
 import {Events} from '../../observability/events.js';
@@ -33,8 +34,6 @@
 const FAILED_PAUSE_MILLIS = 150;
 /** No worker restarts within this time. */
 const MINIMUM_RESTART_MILLIS = 50;
-/** A worker without a response for this long gets no lease extension. */
-const SILENT_MILLIS = 1_500;
 /** A worker that announced its end but still runs responds within this time. */
 const LEAVING_RESPONSE_MILLIS = POLL_MILLIS + 100;
 /** Without an owner for this long, the agent protects tail latencies itself. */
@@ -530,7 +529,7 @@
     const refused = error instanceof WorkerRefusedError;
     if (!refused) this.confirmedConnections = -1;
     if (this.silent || refused) return;
-    if (clock.now() - this.lastResponseAt < SILENT_MILLIS) return;
+    if (clock.now() - this.lastResponseAt < MAXIMUM_SILENCE_MILLIS) return;
     this.silent = true;
     const reason = messageOf(error);
     logger.event(Events.WORKER_SILENT, {
--- a/src/decisions/workflows/lease_duration.ts
+++ b/src/decisions/workflows/lease_duration.ts
@@ -1,5 +1,10 @@
 /** Share of the longest lease that workers allow; leaves a margin for drift. */
 const MAXIMUM_LEASE_SHARE = 0.95;
+/**
+ * A worker without a response for this long gets no lease: its agent extends none
+ * and the owner grants none, so that the agent may be lost before it can say so.
+ */
+export const MAXIMUM_SILENCE_MILLIS = 1_500;
 /** Maximum factor by which the clock of a worker may be slow. */
 const CLOCK_DRIFT = 1.02;
 /** Time to end the runs under the lease, and for the calls that report it. */
--- a/src/entry/workflows/worker_attachment.ts
+++ b/src/entry/workflows/worker_attachment.ts
@@ -1,4 +1,5 @@
 import {RunOutcome, StartRefusal} from '../../backends/leased_worker.js';
+import {MAXIMUM_SILENCE_MILLIS} from '../../decisions/workflows/lease_duration.js';
 import {runKey} from '../../decisions/workflows/task_name.js';
 import {taskNameOf} from '../../decisions/workflows/workflow.js';
 import type {PlacedRun} from '../../decisions/workflows/workflow.js';
@@ -40,12 +41,6 @@
  */
 const MINIMUM_REPLY_INTERVAL_MILLIS = 300;
 
-/**
- * A worker that has not responded to its agent for this long is granted nothing:
- * the agent does not extend its lease, and may be lost before it can say so.
- */
-const MAXIMUM_SILENCE_MILLIS = 1_500;
-
 /** The owner's callbacks for messages from its workers. */
 export interface WorkerListener {
   onAttached(attachment: WorkerAttachment): void;
