--- a/src/decisions/workflows/worker_health.ts
+++ b/src/decisions/workflows/worker_health.ts
@@ -44,8 +44,9 @@
   }
 
   /**
-   * The same for long-running tasks. They are due at once and may fail any number
-   * of times, so that one is tried long before a long cooldown ends.
+   * Returns how many more long-running tasks may be placed on the worker now.
+   * They are due at once and may fail any number of times, so that one is tried
+   * long before a long cooldown ends.
    */
   longRunningAllowanceOf(view: WorkerView, now: number): number {
     const record = this.records.get(view.key);
@@ -55,7 +56,7 @@
     return Math.max(0, TASKS_ON_TRIAL - countRunsOnTrial(view, record));
   }
 
-  /** The same, with the number of runs there that are on trial. */
+  /** As `allowanceOf`, with the number of runs there that are on trial. */
   allowance(worker: string, runsOnTrial: number, now: number): number {
     const record = this.records.get(worker);
     if (!record) return Infinity;
