--- a/review/10/case.mjs
+++ b/review/10/case.mjs
@@ -1,61 +1,52 @@
 /**
- * One of twelve executors is unhealthy and answers 503 to starts. Ten jobs need
- * its kind, so none of them begins.
+ * Two of forty jobs can never be done. They fail on three idle executors, and
+ * then the other 38 are accepted.
  */
 import {BOUNDS, jobId, pause, runCase} from '../stand_ins_2/deployment.mjs';
 
 const QUEUES = [
-  {Name: 'checks', Prefix: '/checks/', Priority: 0, MaxAttempts: 4, Stretch: 1.5, TargetLatencyMs: 250},
+  {Name: 'builds', Prefix: '/builds/', Priority: 2, MaxAttempts: 3, Stretch: 2, TargetLatencyMs: 1000},
 ];
-const JOBS = 10;
-/** Jobs that were accepted this long ago are counted. */
-const COUNTED_MILLIS = BOUNDS.visible_ms + 2_000;
-/** The largest duration of the disturbance is 6.5 s. */
-const UNHEALTHY_MILLIS = 6_400;
+const JOBS = 40;
+const HOPELESS_JOBS = 2;
+/** How long a job may have nothing running. */
+const NOTHING_RUNNING_MILLIS = 3_000;
+
+const jobOf = spec => ({
+  Spec: spec,
+  Steps: [{Count: 4, Cpu: 240, MemMb: 480, EstimateMs: 3100}],
+});
 
 await runCase(import.meta.url, async deployment => {
-  await deployment.start({
-    entries: 1, executors: 12, queues: QUEUES,
-    behave: () => ({workMillis: 900}),
-  });
+  const behave = (task, spec) =>
+    spec === 'hopeless' ? {workMillis: 200, fails: true} : {workMillis: 3_100};
+  await deployment.start({entries: 1, executors: 3, queues: QUEUES, behave});
   const begun = new Set();
   for (const executor of deployment.executors) {
     executor.onStart = task => begun.add(task.split('.')[0]);
   }
-  const special = deployment.executors[3];
-  special.kind = 'b';
-  await special.report();
-  await pause(2_000);
-  const unhealthyAt = deployment.now;
-  if (deployment.isTroubled) {
-    deployment.record(`${special.id} is unhealthy: it answers 503 to starts and does nothing`);
-    special.refuse = () => ({status: 503, body: {}});
-  }
   const accepted = [];
   for (let number = 0; number < JOBS; number++) {
+    const isHopeless = deployment.isTroubled && number < HOPELESS_JOBS;
     const id = jobId(number);
-    const {status} = await deployment.request('POST', `/checks/${id}`, {
-      body: {
-        Spec: 'check',
-        Steps: [{Count: 2, Cpu: 300, MemMb: 500, EstimateMs: 900, Requires: 'b'}],
-      },
-    });
+    const body = jobOf(isHopeless ? 'hopeless' : 'build');
+    const {status} = await deployment.request('POST', `/builds/${id}`, {body});
     if (status !== 200) throw new Error('a job was not accepted');
-    accepted.push({id, at: deployment.now});
+    if (!isHopeless) accepted.push({id, at: deployment.now});
+    // The first jobs fail before the others come; all come within 3 s.
+    await pause(number === HOPELESS_JOBS - 1 ? 600 : 50);
   }
-  await pause(COUNTED_MILLIS + 200);
-  const {body} = await deployment.request('GET', '/checks/');
-  const waiting = accepted.filter(
-    ({id, at}) => !begun.has(id) && deployment.now - at > COUNTED_MILLIS,
-  ).length;
-  const shown = JSON.parse(body).Waiting;
-  await deployment.request('GET', `/checks/${accepted[0].id}`);
-  const broken = shown < waiting / 2
-    ? [`Waiting is ${shown} while ${waiting} jobs that were accepted over ${COUNTED_MILLIS} ms before have not begun`]
-    : [];
-  await pause(Math.max(0, unhealthyAt + UNHEALTHY_MILLIS - deployment.now));
-  special.refuse = () => undefined;
-  deployment.record(`${special.id} is healthy`);
-  await pause(4_000);
-  await deployment.finish('MIXED', broken);
+  deployment.record('the traffic ends');
+  await pause(BOUNDS.finish_s * 1_000);
+  const waiting = accepted.filter(({id}) => !begun.has(id));
+  deployment.record(`${waiting.length} jobs have not begun ${BOUNDS.finish_s} s after the end of the traffic; ` +
+    `${deployment.executors.reduce((sum, {runs}) => sum + runs.size, 0)} tasks run on the executors`);
+  if (waiting.length > 0) await deployment.request('GET', `/builds/${waiting[0].id}`);
+  await pause(NOTHING_RUNNING_MILLIS);
+  const broken = waiting
+    .filter(({id}) => !begun.has(id))
+    .map(({id, at}) => `job ${id} has run nothing in the ${Math.round(deployment.now - at)} ms since it was accepted`);
+  // Shows when the jobs begin at last.
+  if (broken.length > 0) await pause(8_000);
+  await deployment.finish('LOST', broken);
 });
--- a/review/7/case.mjs
+++ b/review/7/case.mjs
@@ -1,60 +1,55 @@
 /**
- * The store's answer to the write of a job is lost and the write is done 5 s
- * later. The requester gives the job up: it is told 504, cancels the job and is
- * told 410.
+ * A job whose tasks last has a target for their tail of 62.5 ms. Beside it, tasks
+ * of another job are at work on the same executors.
  */
-import {BOUNDS, jobId, pause, runCase} from '../stand_ins_2/deployment.mjs';
+import {jobId, pause, runCase} from '../stand_ins_2/deployment.mjs';
 
 const QUEUES = [
-  {Name: 'builds', Prefix: '/builds/', Priority: 2, MaxAttempts: 3, Stretch: 2, TargetLatencyMs: 1000},
+  {Name: 'watch', Prefix: '/watch/', Priority: 0, MaxAttempts: 3, Stretch: 2.2, TargetLatencyMs: 2500},
 ];
-const LATE_MILLIS = 5_000;
-const JOB = {
-  Spec: 'build',
-  Steps: [{Count: 2, Cpu: 1800, MemMb: 3200, EstimateMs: 3000}],
-};
+const watchOf = targetMillis => ({
+  Spec: 'watch',
+  Steps: [{
+    Count: 2, Cpu: 3200, MemMb: 6400, LongRunning: true, MayMiss: 1, AntiAffinity: 1,
+    Image: 'watcher', TargetMs: targetMillis,
+  }],
+});
+/** A task that lasts has to run again 6 s after its last run, within 3 s. */
+const ABSENCE_MILLIS = 9_000;
 
 await runCase(import.meta.url, async deployment => {
-  const {store} = deployment;
-  await deployment.start({entries: 2, executors: 2, queues: QUEUES, behave: () => ({workMillis: 3_000})});
-  const id = jobId(1);
-  let writes = 0;
-  let lost = 0;
-  store.fault = ({Puts = [], Remove = []}) => {
-    if (Puts.length + Remove.length > 0) writes++;
-    if (!deployment.isTroubled || lost > 0) return undefined;
-    if (!Puts.some(({Key}) => Key.includes(id))) return undefined;
-    lost++;
-    deployment.record(`store: the answer to the write of job ${id} is lost; it is done ${LATE_MILLIS} ms later`);
-    return {lateMillis: LATE_MILLIS};
-  };
-  const starts = [];
-  for (const executor of deployment.executors) {
-    executor.onStart = task => {
-      if (task.startsWith(id)) starts.push({task, at: deployment.now});
-    };
+  const {executors} = deployment;
+  await deployment.start({
+    entries: 1, executors: 2, queues: QUEUES,
+    behave: () => ({lasting: true, startMillis: 500, tail: 10}),
+  });
+  const first = jobId(1);
+  await deployment.request('POST', `/watch/${first}`, {body: watchOf(62)});
+  await pause(5_000);
+  const second = jobId(2);
+  const body = watchOf(deployment.isTroubled ? 62.5 : 62);
+  deployment.record(`the target of job ${second} is ${body.Steps[0].TargetMs} ms`);
+  const {status} = await deployment.request('POST', `/watch/${second}`, {body});
+  if (status !== 200) throw new Error('the job was not accepted');
+  const acceptedAt = deployment.now;
+  const endedAt = new Map();
+  for (const executor of executors) {
+    executor.onEnd = (task, run, how) => endedAt.set(task, {how, at: deployment.now});
   }
-  // Other jobs of the same seconds, whose writes are answered.
-  const submitOthers = async () => {
-    for (let number = 10; number < 18; number++) {
-      await deployment.request('POST', `/builds/${jobId(number)}`, {body: JOB, entry: number % 2, quiet: true});
-      await pause(250);
-    }
-  };
-  const others = submitOthers();
-  await deployment.request('POST', `/builds/${id}`, {body: JOB});
-  const {status} = await deployment.request('DELETE', `/builds/${id}`, {entry: 1});
-  const acknowledgedAt = deployment.now;
-  await others;
-  deployment.record(`store: ${lost} of ${writes} writes of this time got no answer`);
+  await pause(22_000);
+  await deployment.request('GET', `/watch/${second}`);
   const broken = [];
-  if (![200, 410].includes(status)) throw new Error('the cancelling was not acknowledged');
-  await pause(12_000);
-  await deployment.request('GET', `/builds/${id}`);
-  for (const {task, at} of starts) {
-    const millis = Math.round(at - acknowledgedAt);
-    if (millis <= BOUNDS.cancel_ms) continue;
-    broken.push(`${task} starts ${millis} ms after the cancelling of its job was acknowledged with ${status}`);
+  for (const id of [first, second]) {
+    for (const index of [0, 1]) {
+      const task = `${id}.0.0.${index}`;
+      if (executors.some(executor => executor.runs.has(task))) continue;
+      const {at = acceptedAt, how} = endedAt.get(task) ?? {};
+      const millis = Math.round(deployment.now - at);
+      if (millis < ABSENCE_MILLIS) continue;
+      broken.push(how === undefined
+        ? `${task} has not run in the ${millis} ms since its job was accepted`
+        : `${task} ended ${how} and has not run for ${millis} ms`);
+    }
   }
-  await deployment.finish('UNASKED', broken);
+  await deployment.finish('LOST', broken);
 });
--- a/review/8/case.mjs
+++ b/review/8/case.mjs
@@ -1,54 +1,60 @@
 /**
- * Two executors each serve a task that lasts, whose tail stays at 84% of its
- * target. A job whose tasks fill is accepted.
+ * The store's answer to the write of a job is lost and the write is done 5 s
+ * later. The requester gives the job up: it is told 504, cancels the job and is
+ * told 410.
  */
 import {BOUNDS, jobId, pause, runCase} from '../stand_ins_2/deployment.mjs';
 
 const QUEUES = [
-  {Name: 'watch', Prefix: '/watch/', Priority: 0, MaxAttempts: 3, Stretch: 2.2, TargetLatencyMs: 2500},
   {Name: 'builds', Prefix: '/builds/', Priority: 2, MaxAttempts: 3, Stretch: 2, TargetLatencyMs: 1000},
 ];
-const TARGET_MILLIS = 50;
-const WATCH = {
-  Spec: 'watch',
-  Steps: [{
-    Count: 2, Cpu: 3200, MemMb: 6400, LongRunning: true, MayMiss: 1, AntiAffinity: 1,
-    Image: 'watcher', TargetMs: TARGET_MILLIS,
-  }],
-};
-const BUILD = {
+const LATE_MILLIS = 5_000;
+const JOB = {
   Spec: 'build',
-  Steps: [{Count: 2, Cpu: 1800, MemMb: 3200, EstimateMs: 3000, Fills: true, Image: 'builder'}],
+  Steps: [{Count: 2, Cpu: 1800, MemMb: 3200, EstimateMs: 3000}],
 };
-/** How long a job may have nothing running. */
-const NOTHING_RUNNING_MILLIS = 3_000;
 
 await runCase(import.meta.url, async deployment => {
-  const tail = deployment.isTroubled ? 42 : 15;
-  deployment.record(`executors: the tails of serving tasks are ${tail} ms with a target of ${TARGET_MILLIS} ms`);
-  const behave = (task, spec) =>
-    spec === 'watch' ? {lasting: true, startMillis: 500, tail} : {workMillis: 3_000, uses: 1800};
-  await deployment.start({entries: 1, executors: 2, queues: QUEUES, behave});
-  await deployment.request('POST', `/watch/${jobId(1)}`, {body: WATCH});
-  await pause(4_000);
-  const build = jobId(2);
-  let hasBegun = false;
+  const {store} = deployment;
+  await deployment.start({entries: 2, executors: 2, queues: QUEUES, behave: () => ({workMillis: 3_000})});
+  const id = jobId(1);
+  let writes = 0;
+  let lost = 0;
+  store.fault = ({Puts = [], Remove = []}) => {
+    if (Puts.length + Remove.length > 0) writes++;
+    if (!deployment.isTroubled || lost > 0) return undefined;
+    if (!Puts.some(({Key}) => Key.includes(id))) return undefined;
+    lost++;
+    deployment.record(`store: the answer to the write of job ${id} is lost; it is done ${LATE_MILLIS} ms later`);
+    return {lateMillis: LATE_MILLIS};
+  };
+  const starts = [];
   for (const executor of deployment.executors) {
     executor.onStart = task => {
-      hasBegun ||= task.startsWith(build);
+      if (task.startsWith(id)) starts.push({task, at: deployment.now});
     };
   }
-  const {status} = await deployment.request('POST', `/builds/${build}`, {body: BUILD});
-  if (status !== 200) throw new Error('the job was not accepted');
-  const acceptedAt = deployment.now;
-  deployment.record('the traffic ends');
-  await pause(BOUNDS.finish_s * 1_000);
-  await deployment.request('GET', `/builds/${build}`);
-  await pause(NOTHING_RUNNING_MILLIS);
-  await deployment.request('GET', `/builds/${build}`);
-  const waited = Math.round(deployment.now - acceptedAt);
-  const broken = hasBegun
-    ? []
-    : [`job ${build} has run nothing in ${waited} ms; 6400 of 32000 thousandths of a core are in use`];
-  await deployment.finish('LOST', broken);
+  // Other jobs of the same seconds, whose writes are answered.
+  const submitOthers = async () => {
+    for (let number = 10; number < 18; number++) {
+      await deployment.request('POST', `/builds/${jobId(number)}`, {body: JOB, entry: number % 2, quiet: true});
+      await pause(250);
+    }
+  };
+  const others = submitOthers();
+  await deployment.request('POST', `/builds/${id}`, {body: JOB});
+  const {status} = await deployment.request('DELETE', `/builds/${id}`, {entry: 1});
+  const acknowledgedAt = deployment.now;
+  await others;
+  deployment.record(`store: ${lost} of ${writes} writes of this time got no answer`);
+  const broken = [];
+  if (![200, 410].includes(status)) throw new Error('the cancelling was not acknowledged');
+  await pause(12_000);
+  await deployment.request('GET', `/builds/${id}`);
+  for (const {task, at} of starts) {
+    const millis = Math.round(at - acknowledgedAt);
+    if (millis <= BOUNDS.cancel_ms) continue;
+    broken.push(`${task} starts ${millis} ms after the cancelling of its job was acknowledged with ${status}`);
+  }
+  await deployment.finish('UNASKED', broken);
 });
