--- a/review/stand_ins_2/executor.mjs
+++ b/review/stand_ins_2/executor.mjs
@@ -190,7 +190,7 @@
       const share = behavior.lasting
         ? Math.min(1, age / behavior.startMillis)
         : (run.doneMillis + run.resumedMillis) / behavior.workMillis;
-      const measure = behavior.lasting ? behavior.tail ?? 0 : behavior.uses ?? 500;
+      const measure = behavior.lasting ? behavior.tail ?? 0 : Math.round(((behavior.uses ?? 500) * run.percent) / 100);
       return [run.task, run.run, run.checkpoint, Math.floor(100 * Math.min(1, share)), measure];
     });
   }
