--- a/review/10/case.mjs
+++ b/review/10/case.mjs
@@ -34,7 +34,7 @@
     if (status !== 200) throw new Error('a job was not accepted');
     if (!isHopeless) accepted.push({id, at: deployment.now});
     // The first jobs fail before the others come; all come within 3 s.
-    await pause(number === HOPELESS_JOBS - 1 ? 600 : 50);
+    await pause(number === HOPELESS_JOBS - 1 ? 800 : 35);
   }
   deployment.record('the traffic ends');
   await pause(BOUNDS.finish_s * 1_000);
