Agent: fencing tokens that rise at any revision of the store

Cause: the token was the revision times 100,000 plus a count of raises. Beyond 2^53 the sum is equal to the product, so raising the token voided nothing, and the owner was told that the run could never begin. From the 100,000th raise on it was the same at any revision.

Evidence: the case at revisions of 2 x 10^11 on broken, with revisions of 10 and the same schedule sound (tests below).

Why this works: a claim rewrites the agent's key on condition of the claim before, so the revisions in between belong to it alone and are its tokens. They are as large as the store's own numbers and rise with each raise; when they are used up the agent claims again, and the start stays undecided until then. Tokens of earlier versions keep their factor, so that no worker sees a lower token after an upgrade or after the key was removed.

On related paths: a stop is repeated although the start of its run is undecided; a process run whose key was claimed by another one gets no more tokens.

Tests: fencing_token.test.ts; of the three pools "should void an unanswered start", those at 2 x 10^11 and 9 x 10^15 failed before. Upgrades, removed keys, lost answers and a store that is away are the opposite faults. In admission_off the number of writes rises by two, one more for each agent; starts and what was read are as before.

--- a/src/agent/workflows/worker_session.ts
+++ b/src/agent/workflows/worker_session.ts
@@ -64,6 +64,12 @@
   readonly maximumLeaseMillis: number;
   /** Since then nobody but this session has extended the worker's lease. */
   readonly exclusiveSince: number;
+  /**
+   * Highest token of starts for an earlier incarnation. The worker is not polled
+   * before the token is raised above it, so that a run list of this incarnation
+   * shows that these starts are void.
+   */
+  readonly formerToken?: number;
   readonly observer: WorkerSessionObserver;
 }
 
@@ -77,8 +83,11 @@
   private readonly ends = new Map<number, WorkerRunEnd>();
   private readonly starting = new Map<string, StartCommand>();
   private readonly stopping = new Set<string>();
-  /** Runs whose start was sent; only the worker knows if they began. */
-  private readonly sentStarts = new Set<string>();
+  /**
+   * The highest token of each start that was sent, by run key; only the worker
+   * knows if such a run began.
+   */
+  private readonly sentStarts = new Map<string, number>();
   private results: RunStartResult[] = [];
   private acknowledged = 0;
   private lastResponseAt: number;
@@ -219,7 +228,12 @@
   }
 
   open(): void {
-    void this.pollUntilClosed();
+    void this.raiseTokenAndPoll();
+  }
+
+  private async raiseTokenAndPoll(): Promise<void> {
+    const {token, formerToken = 0} = this.options;
+    if (await token.raiseAbove(formerToken)) await this.pollUntilClosed();
   }
 
   close(reason: string): void {
@@ -286,6 +300,8 @@
     command: StartCommand,
   ): Promise<void> {
     const refusal = await this.tryStart(name, command);
+    // The start remains listed as in progress while it is undecided.
+    if (refusal === undefined) return;
     this.starting.delete(name);
     if (this.closed) return;
     // Whether a start that was sent took effect shows at the new incarnation.
@@ -302,8 +318,14 @@
     this.options.observer.onChange();
   }
 
-  /** Returns "" if the worker has the run, else why the run can never begin. */
-  private async tryStart(name: string, command: StartCommand): Promise<string> {
+  /**
+   * Returns "" if the worker has the run, else why the run can never begin.
+   * Returns undefined if this agent can't find out.
+   */
+  private async tryStart(
+    name: string,
+    command: StartCommand,
+  ): Promise<string | undefined> {
     const expirations = this.reportedExpirations;
     if (this.sentStarts.has(name)) {
       if (!(await this.awaitPoll())) return StartRefusal.REPLACED;
@@ -322,19 +344,26 @@
   }
 
   /** The agent's own refusal is valid only if no start was ever sent. */
-  private async refuse(name: string, refusal: string): Promise<string> {
-    return this.sentStarts.has(name) ? this.settleStart(name) : refusal;
+  private async refuse(
+    name: string,
+    refusal: string,
+  ): Promise<string | undefined> {
+    const sentToken = this.sentStarts.get(name);
+    return sentToken === undefined
+      ? refusal
+      : this.settleStart(name, sentToken);
   }
 
   private async sendStart(
     name: string,
     command: StartCommand,
     leaseEnd: number,
-  ): Promise<string> {
+  ): Promise<string | undefined> {
     const {worker, token} = this.options;
     const {task, run, payload, checkpoint, ticket} = command;
+    const fencingToken = token.value;
     this.lease.recordSentEnd(leaseEnd);
-    this.sentStarts.add(name);
+    this.sentStarts.set(name, fencingToken);
     try {
       const refusal = await worker.start({
         task,
@@ -343,13 +372,13 @@
         checkpoint,
         ticket,
         leaseEnd,
-        fencingToken: token.value,
+        fencingToken,
       });
       // List the end of such a run before the owner gets the result.
       if (refusal === StartRefusal.CLOSED) await this.awaitPoll();
       return refusal ?? '';
     } catch {
-      return this.settleStart(name);
+      return this.settleStart(name, fencingToken);
     }
   }
 
@@ -358,8 +387,11 @@
    * the worker has seen a higher token the start is void, and the run list
    * shows whether the run began before.
    */
-  private async settleStart(name: string): Promise<string> {
-    this.options.token.raise();
+  private async settleStart(
+    name: string,
+    sentToken: number,
+  ): Promise<string | undefined> {
+    if (!(await this.options.token.raiseAbove(sentToken))) return undefined;
     if (!(await this.awaitPoll())) return StartRefusal.REPLACED;
     return this.isListed(name) ? '' : StartRefusal.FENCED;
   }
--- a/src/agent/workflows/workflow_agent.ts
+++ b/src/agent/workflows/workflow_agent.ts
@@ -4,7 +4,6 @@
 import type {Logger} from '../../observability/logger.js';
 import type {WorkerCommands} from '../../protocol/generated/burdockmoor.js';
 import type {PoolLinkFactory} from '../../protocol/pool_links.js';
-import {messageOf} from '../../utilities/base_error.js';
 import type {Clock} from '../../utilities/clock.js';
 import {FencingToken} from './fencing_token.js';
 import {IncarnationProbe} from './incarnation_probe.js';
@@ -17,9 +16,7 @@
   readClocks,
 } from '../../utilities/clock_readings.js';
 import type {ClockReadings} from '../../utilities/clock_readings.js';
-import {pause} from '../../utilities/pause.js';
 
-const TOKEN_RETRY_MILLIS = 250;
 /** Period of the updates that renew the lease. */
 const UPDATE_MILLIS = 450;
 /** A refreshed run list alone is sent once the last update is this old. */
@@ -37,8 +34,10 @@
   readonly logger: Logger;
   readonly maximumLeaseMillis: number;
   readonly seeds: readonly string[];
-  /** The store key that this agent writes to obtain its fencing token. */
+  /** The store key that this agent writes to obtain its fencing tokens. */
   readonly agentKey: string;
+  /** Unique to each process run. */
+  readonly nonce: string;
   readonly owner: Pick<
     OwnerConnectionOptions,
     'ownerKey' | 'entryPrefix' | 'decodeOwner' | 'decodeEntry'
@@ -60,7 +59,7 @@
  */
 export class WorkflowAgent {
   private readonly connection: OwnerConnection;
-  private token: FencingToken | undefined;
+  private readonly token: FencingToken;
   private report: WorkerReport | undefined;
   private session: WorkerSession | undefined;
   /** Probes of reported incarnations, by their names. */
@@ -80,6 +79,8 @@
 
   constructor(private readonly options: WorkflowAgentOptions) {
     const {store, links, clock, logger, seeds, owner} = options;
+    const {agentKey, nonce} = options;
+    this.token = new FencingToken({store, key: agentKey, nonce, clock, logger});
     this.exclusiveSince = clock.now();
     this.composer = this.createComposer();
     this.connection = new OwnerConnection({
@@ -107,12 +108,13 @@
 
   start(): void {
     this.connection.start();
-    void this.fetchToken();
+    void this.openFirstSession();
     this.tick();
   }
 
   close(reason: string): void {
     this.closed = true;
+    this.token.close();
     this.connection.close(reason);
     this.session?.close(reason);
     for (const probe of this.probes.values()) probe.close(reason);
@@ -123,7 +125,7 @@
     const {session, report} = this;
     return {
       processName: this.options.processName,
-      hasToken: this.token !== undefined,
+      fencingToken: this.token.value,
       incarnation: report?.incarnation,
       draining: report?.draining,
       silentMillis: session?.silentMillis,
@@ -183,8 +185,7 @@
   private async probe(report: WorkerReport): Promise<void> {
     const {probes, token} = this;
     const {incarnation} = report;
-    if (!token || probes.has(incarnation) || probes.size >= MAXIMUM_PROBES)
-      return;
+    if (probes.has(incarnation) || probes.size >= MAXIMUM_PROBES) return;
     const {openWorker, clock, onReportRefused} = this.options;
     const worker = openWorker(report);
     const fencingToken = token.value;
@@ -215,13 +216,11 @@
   /** The worker is passed if calls to it are open already. */
   private openSession(worker?: LeasedWorker): void {
     const {report, token} = this;
-    if (!report || !token || this.closed) return;
+    if (!report || token.value === 0 || this.closed) return;
     const {openWorker, clock, logger, maximumLeaseMillis} = this.options;
+    const formerToken = this.session ? token.value : undefined;
     if (this.session) {
       this.session.close('another incarnation has reported');
-      // Starts for the former incarnation are void at the new one from its first
-      // run list on.
-      token.raise();
       this.exclusiveSince = clock.now();
     }
     this.openUpdates.clear();
@@ -238,6 +237,7 @@
       logger,
       maximumLeaseMillis,
       exclusiveSince: this.exclusiveSince,
+      formerToken,
       observer: {
         onChange: () => this.scheduleUpdate(),
         onRunsListed: () => this.handleRunList(),
@@ -246,21 +246,9 @@
     this.session.open();
   }
 
-  /** Writes a key: its revision exceeds that of any earlier process run. */
-  private async fetchToken(): Promise<void> {
-    const {store, agentKey, processName, logger} = this.options;
-    while (!this.closed && !this.token) {
-      try {
-        const puts = [{key: agentKey, value: processName}];
-        const {revision} = await store.transact({conditions: [], puts});
-        this.token = new FencingToken(revision);
-        this.openSession();
-      } catch (error) {
-        const reason = messageOf(error);
-        logger.event(Events.TOKEN_FAILED, {reason});
-        await pause(this.options.clock, TOKEN_RETRY_MILLIS);
-      }
-    }
+  /** Nothing may be sent to the worker without a fencing token. */
+  private async openFirstSession(): Promise<void> {
+    if (await this.token.raiseAbove(0)) this.openSession();
   }
 
   private applyCommands(commands: WorkerCommands): void {
--- a/src/daemon/fleet_agent_role.ts
+++ b/src/daemon/fleet_agent_role.ts
@@ -1,3 +1,4 @@
+import {randomUUID} from 'node:crypto';
 import type {Server} from 'node:http';
 import {RefusedReports} from '../agent/workflows/refused_reports.js';
 import {ReportServer} from '../agent/workflows/report_server.js';
@@ -51,6 +52,7 @@
       maximumLeaseMillis: runLeaseMillis(settings.maximumLeaseMillis),
       seeds: seedHosts.map(host => `${host}:${processPort}`),
       agentKey: agentKey(processName),
+      nonce: randomUUID(),
       owner: {
         ownerKey: StoreKeys.OWNER,
         entryPrefix: StoreKeys.ENTRY_PREFIX,
--- a/src/entry/workflows/worker_attachment.ts
+++ b/src/entry/workflows/worker_attachment.ts
@@ -225,8 +225,9 @@
   /** Resends commands that show no effect, and stops unexpected runs. */
   private reconcile(view: WorkerView, starting: ReadonlySet<string>): void {
     for (const [name, placed] of view.placed) {
-      if (starting.has(name)) continue;
       const {reference, placement} = placed;
+      // A start may stay undecided for long; a stop must not wait for it.
+      if (starting.has(name) && !placement.stopping) continue;
       if (!placement.stopping && view.running.has(name)) {
         this.confirmStart(view, name);
       } else if (this.wasCommandedRecently(name)) {
--- a/src/observability/events.ts
+++ b/src/observability/events.ts
@@ -467,6 +467,11 @@
     'warn',
     'The agent could not get a fencing token; it retries.',
   ),
+  TOKEN_SUPERSEDED: eventType(
+    6061,
+    'warn',
+    'Another process run of the agent has claimed its key; this one gets no further fencing tokens.',
+  ),
   TASK_PACED: eventType(
     6058,
     'info',
--- a/src/protocol/store_keys.ts
+++ b/src/protocol/store_keys.ts
@@ -55,10 +55,7 @@
   return StoreKeys.ENTRY_PREFIX + processName;
 }
 
-/**
- * Key written by each process run of an agent. The revision of the write is the
- * fencing token of that process run.
- */
+/** Key written by each process run of an agent to claim fencing tokens. */
 export function agentKey(processName: string): string {
   return `${ROOT}agents/${processName}`;
 }
