Pool: keep a command that cannot be sent from ending the stream

Cause: submissions took any number, messages carry 32 bits. The encoder's error ended the agent's stream, again with the first message of each stream, as the placement is stored. The owner recorded each lease before its message had left, and so waited for the end of leases that were never sent.

Why this works: targets below 0 are refused with 400, others are kept with their fraction and rounded to the stricter side for messages, stored ones too. Each command is encoded before it is queued: one that can't be is dropped, logged and counted, and its run is prevented by a stop, so that a run that an earlier owner started is not taken for one that never was. Leases count from the message that the stream accepted. Commands of more than 1 MiB are split.

On related paths: progress of a run list is capped at 100 percent, which did not fit in tenths; a silence is sent as an hour at most.

--- a/src/agent/workflows/update_composer.ts
+++ b/src/agent/workflows/update_composer.ts
@@ -16,6 +16,9 @@
 /** Longer than any lease; a shorter time than the actual one is safe. */
 const MAXIMUM_EXCLUSIVE_MILLIS = 3_600_000;
 
+/** Far longer than any silence that makes a difference. */
+const MAXIMUM_SILENT_MILLIS = 3_600_000;
+
 /** An update for the owner that is ready to send. */
 export interface PreparedUpdate {
   readonly update: WorkerUpdate;
@@ -67,7 +70,7 @@
       listing: listing?.delta,
       ends,
       results,
-      silentMillis: session?.silentMillis ?? 0,
+      silentMillis: Math.min(session?.silentMillis ?? 0, MAXIMUM_SILENT_MILLIS),
       lapsed: session?.reportExpiration() ?? false,
       starting: listing && session ? session.startingNames : [],
       exclusiveMillis: this.hasNamedAgent ? 0 : this.exclusiveMillis,
--- a/src/decisions/workflows/absent_tasks.ts
+++ b/src/decisions/workflows/absent_tasks.ts
@@ -24,6 +24,8 @@
   OWNER_INVALID: 'owner_invalid',
   /** It is not placed, as a worker has just refused it. */
   RETRY_DELAY: 'retry_delay',
+  /** It is not placed, as no message can carry its start. */
+  UNSENDABLE: 'unsendable',
   /** It is not placed on any of the workers. */
   NOT_PLACED: 'not_placed',
 } as const;
@@ -35,6 +37,8 @@
   readonly canPlace: () => boolean;
   /** True if no retry delay of an earlier run prevents the placement now. */
   readonly mayPlace: (reference: TaskReference) => boolean;
+  /** True if no message could carry the last start of the task. */
+  readonly isUnsendable?: (reference: TaskReference) => boolean;
   /** Returns what keeps a worker from listing its runs; else undefined. */
   readonly absenceOf: (
     worker: string,
@@ -126,8 +130,9 @@
   }
 
   private reasonOfUnplaced(reference: TaskReference): AbsenceReason {
-    const {canPlace, mayPlace} = this.options;
+    const {canPlace, mayPlace, isUnsendable} = this.options;
     if (!canPlace()) return AbsenceReason.OWNER_INVALID;
+    if (isUnsendable?.(reference)) return AbsenceReason.UNSENDABLE;
     return mayPlace(reference)
       ? AbsenceReason.NOT_PLACED
       : AbsenceReason.RETRY_DELAY;
--- a/src/decisions/workflows/workflow_codec.ts
+++ b/src/decisions/workflows/workflow_codec.ts
@@ -2,7 +2,7 @@
 import {BaseError} from '../../utilities/base_error.js';
 import {TaskState} from './task_state.js';
 import {Workflow} from './workflow.js';
-import type {WorkflowSpec, WorkflowState} from './workflow_types.js';
+import type {StepSpec, WorkflowSpec, WorkflowState} from './workflow_types.js';
 
 /** Thrown if a record in the store cannot be decoded. */
 export const WorkflowRecordError = BaseError.subclass('WorkflowRecordError');
@@ -69,10 +69,18 @@
 /** @throws WorkflowRecordError */
 export function decodeSpec(text: string): WorkflowSpec {
   const spec = parse<WorkflowSpec>(text);
-  if (Array.isArray(spec.steps)) return spec;
+  if (Array.isArray(spec.steps))
+    return {...spec, steps: spec.steps.map(withSoundTarget)};
   throw new WorkflowRecordError('The record of a workflow has no steps.');
 }
 
+/** Earlier versions accepted and stored any number; infinity became null. */
+function withSoundTarget(step: StepSpec): StepSpec {
+  const {tailTargetMillis} = step;
+  const isSound = Number.isFinite(tailTargetMillis) && tailTargetMillis >= 0;
+  return isSound ? step : {...step, tailTargetMillis: 0};
+}
+
 /** Undefined for the specification of a workflow that has not ended. */
 export function decodeEnded(text: string): EndedWorkflow | undefined {
   const record = parse<Partial<EndedWorkflow>>(text);
--- a/src/entry/workflows/pool_owner.ts
+++ b/src/entry/workflows/pool_owner.ts
@@ -51,6 +51,7 @@
 import {ShareLimit} from '../../utilities/share_limit.js';
 import {AbsentTaskReporter} from './absent_task_reporter.js';
 import type {ConfigurationFollower} from './configuration_follower.js';
+import type {CommandKind} from './command_queue.js';
 import {CommitLog} from './commit_log.js';
 import {LearnedInterference} from './learned_interference.js';
 import {ExplanationStatus, notExplained} from './explanation_result.js';
@@ -208,6 +209,8 @@
       workflows: () => this.workflowRegistry.workflows,
       canPlace: () => this.canPlace,
       mayPlace: reference => this.retries.mayPlace(taskNameOf(reference)),
+      isUnsendable: reference =>
+        this.retries.isUnsendable(taskNameOf(reference)),
       absenceOf: (worker, now) => this.availability.absenceOf(worker, now),
       viewOf: worker => workerRegistry.get(worker),
       countWorkers: (reference, now) =>
@@ -311,6 +314,8 @@
           this.attachments.recordGrant(view.key, startsAt),
         onDetached: (workerAttachment, reason) =>
           this.attachments.remove(workerAttachment, reason),
+        onDropped: (kind, task, run, reason) =>
+          this.handleDropped(kind, task, run, reason),
         findStep: task => this.stepOf(task),
       },
     });
@@ -576,6 +581,24 @@
     this.planningAction.schedule();
   }
 
+  private handleDropped(
+    kind: CommandKind,
+    task: string,
+    run: number,
+    reason: string,
+  ): void {
+    const {logger, metrics} = this.options;
+    logger.event(Events.COMMAND_DROPPED, {kind, task, run, reason});
+    metrics
+      .counter(
+        'commands_dropped_total',
+        'Commands that no message can carry, by kind.',
+        {kind},
+      )
+      .increment();
+    if (kind === 'starts') this.retries.recordUnsendable(task);
+  }
+
   private handleRunList(view: WorkerView): void {
     if (this.joiningWorkers.has(view.key)) this.closeEarlierIncarnations(view);
     for (const [name, {reference}] of view.placed) {
--- a/src/entry/workflows/retry_history.ts
+++ b/src/entry/workflows/retry_history.ts
@@ -3,12 +3,15 @@
 
 /** Delay before a task is placed again after a worker refused its start. */
 const REFUSAL_RETRY_MILLIS = 60;
+/** The same if no message can carry its start, which seldom changes. */
+const UNSENDABLE_RETRY_MILLIS = 5_000;
 
 const NO_WORKERS: ReadonlySet<string> = new Set();
 
 interface TaskHistory {
   /** Earliest time at which the task may be placed again. */
   notBefore: number;
+  isUnsendable: boolean;
   /** Workers on which the task has failed or made no progress. */
   readonly failedOn: Set<string>;
 }
@@ -48,7 +51,20 @@
   /** The task is not placed again for this long. */
   delay(task: string, millis: number): void {
     const history = this.findOrCreate(task);
-    if (history) history.notBefore = this.clock.now() + millis;
+    if (!history) return;
+    const until = this.clock.now() + millis;
+    history.notBefore = Math.max(history.notBefore, until);
+  }
+
+  /** True if no message could carry the last start of the task. */
+  isUnsendable(task: string): boolean {
+    return this.find(task)?.isUnsendable ?? false;
+  }
+
+  recordUnsendable(task: string): void {
+    this.delay(task, UNSENDABLE_RETRY_MILLIS);
+    const history = this.find(task);
+    if (history) history.isUnsendable = true;
   }
 
   recordFailure(task: string, worker: string): void {
@@ -71,6 +87,7 @@
     this.byWorkflow.set(workflow, tasks);
     const history = tasks.get(task) ?? {
       notBefore: -Infinity,
+      isUnsendable: false,
       failedOn: new Set<string>(),
     };
     tasks.set(task, history);
--- a/src/entry/workflows/worker_attachment.ts
+++ b/src/entry/workflows/worker_attachment.ts
@@ -11,13 +11,9 @@
 import type {Logger} from '../../observability/logger.js';
 import type {
   ListingDelta,
-  PaceCommand,
   RunEnd,
   RunStatus,
-  RunTraits,
-  StartCommand,
   RunStartResult,
-  StopCommand,
   WorkerCommands,
   WorkerDescription,
   WorkerUpdate,
@@ -28,8 +24,11 @@
 } from '../../protocol/pool_links.js';
 import type {Clock} from '../../utilities/clock.js';
 import {NO_RESOURCES} from '../../utilities/resources.js';
+import {CommandQueue} from './command_queue.js';
+import type {CommandKind, Commands} from './command_queue.js';
 import {EndAcknowledgements} from './end_acknowledgements.js';
 import {RunListReceiver} from './run_list_receiver.js';
+import {traitsOf} from './run_traits.js';
 
 /** A start or stop command without visible effect is resent after this time. */
 const RESEND_MILLIS = 800;
@@ -51,9 +50,11 @@
   /** Called when the worker's run list was updated. */
   onRunList(view: WorkerView): void;
   onLeaseExpired(view: WorkerView): void;
-  /** Called before a lease is granted that starts at the given time at most. */
+  /** Called when a lease was sent that starts at the given time at most. */
   onLeaseGranted(view: WorkerView, startsAt: number): void;
   onDetached(attachment: WorkerAttachment, reason: string): void;
+  /** Called when a command was dropped, as no message can carry it. */
+  onDropped(kind: CommandKind, task: string, run: number, reason: string): void;
   /** Returns the step of a task; undefined for an unknown task. */
   findStep(task: string): PlacedRun['reference']['step'] | undefined;
 }
@@ -87,10 +88,7 @@
   private ends = new EndAcknowledgements();
   private runListReceiver = new RunListReceiver();
   private lastSequence = 0;
-  private starts: StartCommand[] = [];
-  private stops: StopCommand[] = [];
-  private paces: PaceCommand[] = [];
-  private traits: RunTraits[] = [];
+  private readonly commands = new CommandQueue();
   /** Time of the last start or stop command, by run key. */
   private readonly commandedAt = new Map<string, number>();
   private flushScheduled = false;
@@ -144,18 +142,40 @@
     )
       return;
     const task = taskNameOf(reference);
-    this.commandedAt.set(runKey(task, placement.run), this.options.clock.now());
-    this.starts.push({
+    const {run} = placement;
+    this.commandedAt.set(runKey(task, run), this.options.clock.now());
+    const isQueued = this.queue('starts', {
       incarnation: view.traits.incarnation,
       task,
-      run: placement.run,
+      run,
       payload: reference.workflow.spec.payload,
       checkpoint: reference.task.checkpoint,
-      fills: reference.step.fills,
-      tailTargetMillis: reference.step.tailTargetMillis,
+      ...traitsOf(reference.step),
       ticket: '',
     });
-    this.scheduleFlush();
+    if (!isQueued) this.preventStart(view, task, run);
+  }
+
+  /**
+   * Prevents the run by a stop, as an earlier owner may have sent its start. A
+   * run that not even a stop can name was never started.
+   */
+  private preventStart(view: WorkerView, task: string, run: number): void {
+    if (this.stop(task, run)) return;
+    const refusal = StartRefusal.CLOSED;
+    this.options.listener.onStartResult(view, {task, run, refusal});
+  }
+
+  /** False if the command was dropped. */
+  private queue<Kind extends CommandKind>(
+    kind: Kind,
+    command: Commands[Kind][number],
+  ): boolean {
+    const reason = this.commands.add(kind, command);
+    const {task, run} = command;
+    if (reason === undefined) this.scheduleFlush();
+    else this.options.listener.onDropped(kind, task, run, reason);
+    return reason === undefined;
   }
 
   hasNamed(worker: string): boolean {
@@ -206,9 +226,9 @@
     const name = runKey(task, run);
     const placed = view.placed.get(name);
     if (!placed || this.commandedAt.has(name)) return;
-    const {fills, tailTargetMillis} = placed.reference.step;
-    if (!fills && tailTargetMillis === 0) return;
-    this.traits.push({task, run, fills, tailTargetMillis});
+    const traits = traitsOf(placed.reference.step);
+    if (!traits.fills && traits.tailTargetMillis === 0) return;
+    this.queue('traits', {task, run, ...traits});
   }
 
   /**
@@ -244,13 +264,16 @@
     }
   }
 
-  /** Stops a run on the worker, or prevents its start. */
-  stop(task: string, run: number): void {
+  /** Stops a run on the worker, or prevents its start; false if dropped. */
+  stop(task: string, run: number): boolean {
     const {view} = this;
-    if (!view) return;
+    if (!view) return false;
     this.commandedAt.set(runKey(task, run), this.options.clock.now());
-    this.stops.push({incarnation: view.traits.incarnation, task, run});
-    this.scheduleFlush();
+    return this.queue('stops', {
+      incarnation: view.traits.incarnation,
+      task,
+      run,
+    });
   }
 
   /** Limits a run's processor share. */
@@ -258,8 +281,7 @@
     const {view} = this;
     if (!view) return;
     const {incarnation} = view.traits;
-    this.paces.push({incarnation, task, run, percent});
-    this.scheduleFlush();
+    this.queue('paces', {incarnation, task, run, percent});
   }
 
   private handleUnexpectedRun(
@@ -314,26 +336,21 @@
     const isGranting = view !== undefined && !isSilent(view);
     const leaseMillis = isGranting ? this.options.leaseMillis() : 0;
     const {attachment, epoch, listener} = this.options;
-    if (view && leaseMillis > 0)
-      listener.onLeaseGranted(view, this.lastMessageAt);
+    const {commands, count} = this.commands.next();
     const sent = attachment.send({
       epoch,
       sequence: this.lastSequence,
       leaseMillis,
       incarnation: view?.traits.incarnation ?? '',
       durableEnd: this.ends.durableEnd,
-      starts: this.starts,
-      stops: this.stops,
-      traits: this.traits,
-      paces: this.paces,
+      ...commands,
     });
     if (!sent) return;
     this.lastSentAt = this.options.clock.now();
-    // The message may be serialized later, so its arrays must not be modified.
-    this.starts = [];
-    this.stops = [];
-    this.traits = [];
-    this.paces = [];
+    if (view && leaseMillis > 0)
+      listener.onLeaseGranted(view, this.lastMessageAt);
+    this.commands.remove(count);
+    if (!this.commands.isEmpty) this.scheduleFlush();
   }
 }
 
--- a/src/observability/events.ts
+++ b/src/observability/events.ts
@@ -487,6 +487,11 @@
     'warn',
     'The command to start a run arrived too late and was ignored.',
   ),
+  COMMAND_DROPPED: eventType(
+    6062,
+    'error',
+    'No message can carry a command to an agent; it was dropped.',
+  ),
   WORKER_REPLACED: eventType(
     6060,
     'warn',
--- a/src/platform/platform_worker.ts
+++ b/src/platform/platform_worker.ts
@@ -46,6 +46,7 @@
 /** One for a waiting hold call, the others for concurrent starts and stops. */
 const CONNECTIONS = 6;
 const REPLACED_STATUS = 421;
+const ALL_PERCENT = 100;
 
 const REFUSALS: ReadonlySet<string> = new Set(Object.values(StartRefusal));
 const OUTCOMES: ReadonlySet<string> = new Set(Object.values(RunOutcome));
@@ -214,7 +215,7 @@
       task,
       run,
       checkpoint: typeof checkpoint === 'string' ? checkpoint : '',
-      percent: is(amountSchema, percent) ? percent : 0,
+      percent: is(amountSchema, percent) ? Math.min(percent, ALL_PERCENT) : 0,
       measure: is(amountSchema, measure) ? measure : 0,
     },
   ];
--- a/src/platform/submissions.ts
+++ b/src/platform/submissions.ts
@@ -1,6 +1,7 @@
 import {
   array,
   boolean,
+  finite,
   integer,
   maxLength,
   maxValue,
@@ -34,6 +35,9 @@
 
 const countSchema = pipe(number(), integer(), minValue(0));
 
+/** Fractions of a millisecond are kept; 0 stands for no target. */
+const targetSchema = pipe(number(), finite(), minValue(0));
+
 const stepSchema = object({
   Count: optional(pipe(countSchema, maxValue(MAXIMUM_TASKS_PER_STEP)), 0),
   Cpu: optional(countSchema, 0),
@@ -53,7 +57,7 @@
   Speculative: optional(boolean(), false),
   LongRunning: optional(boolean(), false),
   Image: optional(string(), ''),
-  TargetMs: optional(number(), 0),
+  TargetMs: optional(targetSchema, 0),
   Fills: optional(boolean(), false),
   MayMiss: optional(countSchema, 0),
 });
--- a/tests/platform/documents.test.ts
+++ b/tests/platform/documents.test.ts
@@ -110,6 +110,7 @@
   ['it has no steps', {Spec: '', Steps: []}],
   ['a step comes after itself', {Steps: [{Count: 1, After: [0]}]}],
   ['a count is negative', {Steps: [{Count: -1}]}],
+  ['a target is negative', {Steps: [{Count: 1, TargetMs: -1}]}],
   ['the payload is too long', {Spec: 'x'.repeat(4_001), Steps: [{Count: 1}]}],
 ];
 for (const [name, value] of BAD_SUBMISSIONS) {
@@ -118,6 +119,15 @@
   });
 }
 
+test('should reject a submission when a target is too large for a number', t => {
+  t.is(decodeSubmission('{"Steps":[{"Count":1,"TargetMs":1e999}]}'), undefined);
+});
+
+test('should keep the fraction of a target', t => {
+  const text = JSON.stringify({Steps: [{Count: 1, TargetMs: 62.5}]});
+  t.is(decodeSubmission(text)?.steps[0].tailTargetMillis, 62.5);
+});
+
 test('should recognize workflow ids', t => {
   t.true(isWorkflowId('5c0e7a21d94b36f8'));
   t.false(isWorkflowId('5c0e7a21d94b36f'));
--- a/tests/platform/platform_worker.test.ts
+++ b/tests/platform/platform_worker.test.ts
@@ -142,6 +142,8 @@
           ['a.0.0.1', 0.5, '', 1, 1],
           ['x'.repeat(500), 1, '', 1, 1],
           ['a.0.0.2', 1, '', -5, 1e300],
+          // Fits a number of 32 bits, but not in tenths.
+          ['a.0.0.6', 1, '', 4e9, 1],
         ],
         Ended: [
           [1e300, 'a.0.0.3', 1, 'done', ''],
@@ -156,7 +158,10 @@
   t.is(listing.workerStartedAt, undefined);
   t.deepEqual(
     listing.running.map(({task, percent, measure}) => [task, percent, measure]),
-    [['a.0.0.2', 0, 0]],
+    [
+      ['a.0.0.2', 0, 0],
+      ['a.0.0.6', 100, 1],
+    ],
   );
   t.deepEqual(
     listing.ends.map(({task}) => task),
