Entry: make sure that a cancel that finds no job holds

Cause: the cancel answered 410 when the job's key was absent, while the condition of the submission's lost write, that the key is absent, still held. A refused job that was submitted again had the same: the retry's write depends on the revision of the refusal, which the cancel did not change.

Why this works: before the 410 the cancel writes on condition of what it read, a tombstone for an absent key or the refusal again, so a late write fails, and one that came first is found and cancelled. What can't be made sure is answered with 504, or with 503 and Retry-After if nothing was done. Tombstones end with leases of the store after 60 to 90 s, and an entry writes ten a second at most.

Opposite faults, each with a test: a repeat of the submission finds the job cancelled; a refused job may be cancelled and handed in again; an id is free after the tombstone; a new owner skips tombstones; a storm of cancels of unknown jobs; a cancel while the store is away is answered within a second.

On related paths: reading back a lost write that has ended meanwhile no longer tells the owner to run it. Cancels of stored jobs depend on their record.

Cancels moved from WorkflowAcceptor to WorkflowCanceller; the test that calls it there follows.

--- a/src/decisions/workflows/workflow_codec.ts
+++ b/src/decisions/workflows/workflow_codec.ts
@@ -43,6 +43,16 @@
   readonly retryAtMillis: number;
 }
 
+/**
+ * Kept in place of a workflow that was cancelled before it was stored. Earlier
+ * versions take it for a refusal.
+ */
+export const TOMBSTONE = `${REFUSAL_START}"cancelled":true}`;
+
+export function isTombstone(text: string): boolean {
+  return text === TOMBSTONE;
+}
+
 export function encodeRefusal({retryAtMillis}: RefusedWorkflow): string {
   return JSON.stringify({refused: true, retryAtMillis});
 }
@@ -56,7 +66,10 @@
   return JSON.stringify({state, endedAtMillis});
 }
 
-/** True for the record of a refused workflow, which is not known otherwise. */
+/**
+ * True for the record of a workflow that was refused, or cancelled before it was
+ * stored: it is not known otherwise.
+ */
 export function isRefusal(text: string): boolean {
   return text.startsWith(REFUSAL_START);
 }
--- a/src/entry/workflows/pool_entry.ts
+++ b/src/entry/workflows/pool_entry.ts
@@ -44,6 +44,7 @@
 import {StoreHealth} from './store_health.js';
 import {WorkflowAcceptor} from './workflow_acceptor.js';
 import {WorkflowApi} from './workflow_api.js';
+import {WorkflowCanceller} from './workflow_canceller.js';
 import type {CallerDocuments} from './workflow_api.js';
 
 const REGISTRATION_RETRY_MILLIS = 500;
@@ -134,9 +135,17 @@
       clock,
       logger,
     });
+    const canceller = new WorkflowCanceller({
+      store,
+      health: this.health,
+      owner: this.ownerClient,
+      clock,
+      logger,
+    });
     this.api = new WorkflowApi({
       configuration: this.configuration,
       acceptor,
+      canceller,
       owner: this.ownerClient,
       store,
       health: this.health,
--- a/src/entry/workflows/workflow_acceptor.ts
+++ b/src/entry/workflows/workflow_acceptor.ts
@@ -6,10 +6,14 @@
 } from '../../backends/transactional_store.js';
 import type {AdmissionRefusal} from '../../decisions/workflows/admission/admission_policy.js';
 import {
+  decodeEnded,
   decodeRefusal,
+  encodeEnded,
   encodeSpec,
   isRefusal,
+  isTombstone,
 } from '../../decisions/workflows/workflow_codec.js';
+import {WorkflowState} from '../../decisions/workflows/workflow_types.js';
 import type {WorkflowSpec} from '../../decisions/workflows/workflow_types.js';
 import {Events} from '../../observability/events.js';
 import type {Logger} from '../../observability/logger.js';
@@ -19,7 +23,6 @@
 import type {AdmissionControl} from './admission_control.js';
 import type {OwnerClient} from './owner_client.js';
 import {
-  cancelKey,
   newWorkflowKey,
   refusedKey,
   specKey,
@@ -77,7 +80,7 @@
 }
 
 /**
- * Stores workflows and cancellations. Any entry may do so: the key of a
+ * Stores workflows. Any entry may do so: the key of a
  * workflow can be created only once, whichever entry receives a repeated request.
  */
 export class WorkflowAcceptor {
@@ -102,11 +105,6 @@
       : {acceptance};
   }
 
-  /** Resolves at the latest a second after the call. */
-  cancel(id: string): Promise<Acceptance> {
-    return this.withTimeout(id, this.storeCancellation(id));
-  }
-
   private async withTimeout(
     id: string,
     stored: Promise<Acceptance>,
@@ -138,6 +136,31 @@
     }
   }
 
+  /** Stores only the end of a workflow that was cancelled before. */
+  private async storeCancelled(
+    spec: WorkflowSpec,
+    tombstone: StoredValue,
+  ): Promise<Acceptance> {
+    const {store, health, clock} = this.options;
+    const {id} = spec;
+    const sentAt = clock.now();
+    const ended = encodeEnded({
+      state: WorkflowState.CANCELLED,
+      endedAtMillis: clock.wallTime(),
+    });
+    const write = store.transact({
+      conditions: [{key: specKey(id), revision: tombstone.revision}],
+      puts: [
+        {key: specKey(id), value: ended},
+        {key: newWorkflowKey(id), value: ''},
+      ],
+    });
+    const result = await health.track(write);
+    if (!result.succeeded && result.current.length === 0)
+      return this.refuse(id, 'its cancellation has just been forgotten');
+    return this.recordStored(spec, false, sentAt);
+  }
+
   /**
    * Stores the workflow in place of its refusal. A caller that was told that the
    * result is unknown may meanwhile have been refused by another entry, so this
@@ -149,6 +172,7 @@
     call: OpenCall,
   ): Promise<Acceptance> {
     const {id} = spec;
+    if (isTombstone(refused.value)) return this.storeCancelled(spec, refused);
     if (call.isAnswered) return Acceptance.UNKNOWN;
     const sentAt = this.options.clock.now();
     const result = await this.writeSpec(spec, refused.revision);
@@ -229,6 +253,8 @@
     const record = admission.recordOf(refusal);
     let result = await this.writeRefusal(spec.id, record, 0);
     const earlier = storedRefusal(result);
+    if (earlier && isTombstone(earlier.value))
+      return this.storeCancelled(spec, earlier);
     if (earlier) {
       if (admission.acceptsReturn(spec, decodeRefusal(earlier.value)))
         return this.replaceRefusal(spec, earlier, call);
@@ -262,21 +288,6 @@
     return health.track(write);
   }
 
-  private async storeCancellation(id: string): Promise<Acceptance> {
-    const {store, health, logger, owner} = this.options;
-    try {
-      const spec = await health.track(store.get(specKey(id)));
-      if (!spec || isRefusal(spec.value)) return Acceptance.ABSENT;
-      const puts = [{key: cancelKey(id), value: ''}];
-      await health.track(store.transact({conditions: [], puts}));
-      logger.event(Events.WORKFLOW_CANCELLED, {workflow: id});
-      owner.notifyCancelled(id);
-      return Acceptance.STORED;
-    } catch (error) {
-      return this.reportUnknown(id, messageOf(error));
-    }
-  }
-
   private refuse(id: string, reason: string): Acceptance {
     this.options.logger.event(Events.WORKFLOW_REFUSED, {workflow: id, reason});
     return Acceptance.REFUSED;
@@ -299,7 +310,7 @@
       const storedSpec = await health.track(store.get(specKey(id)));
       if (!storedSpec || isRefusal(storedSpec.value))
         return this.reportUnknown(id, reason);
-      owner.notifyAccepted(spec);
+      if (!decodeEnded(storedSpec.value)) owner.notifyAccepted(spec);
       return Acceptance.STORED;
     } catch (error) {
       return this.reportUnknown(id, messageOf(error));
--- a/src/entry/workflows/workflow_api.ts
+++ b/src/entry/workflows/workflow_api.ts
@@ -23,6 +23,7 @@
 import {Acceptance} from './workflow_acceptor.js';
 import type {StoreHealth} from './store_health.js';
 import type {WorkflowAcceptor} from './workflow_acceptor.js';
+import type {WorkflowCanceller} from './workflow_canceller.js';
 
 /** Decoders and encoders of callers' documents. */
 export interface CallerDocuments {
@@ -41,6 +42,7 @@
 export interface WorkflowApiOptions {
   readonly configuration: ConfigurationFollower;
   readonly acceptor: WorkflowAcceptor;
+  readonly canceller: WorkflowCanceller;
   readonly owner: OwnerClient;
   readonly store: TransactionalStore;
   readonly health: StoreHealth;
@@ -127,11 +129,12 @@
   }
 
   private async cancel(workflow: string): Promise<ApiResponse> {
-    const acceptance = await this.options.acceptor.cancel(workflow);
+    const acceptance = await this.options.canceller.cancel(workflow);
     if (acceptance === Acceptance.STORED) return createResponse(200);
-    return acceptance === Acceptance.ABSENT
-      ? createResponse(410)
-      : createResponse(504);
+    if (acceptance === Acceptance.ABSENT) return createResponse(410);
+    return acceptance === Acceptance.UNKNOWN
+      ? createResponse(504)
+      : this.retryLater();
   }
 
   private async show(workflow: string): Promise<ApiResponse> {
--- a/src/observability/events.ts
+++ b/src/observability/events.ts
@@ -362,6 +362,11 @@
     'info',
     'The cancellation of a workflow is stored.',
   ),
+  CANCELLATION_REFUSED: eventType(
+    6018,
+    'info',
+    'A cancellation was rejected and has no effect; the caller was told when to try again.',
+  ),
   WORKFLOW_ENDED: eventType(6014, 'info', 'A workflow has ended.'),
   RUN_PLACED: eventType(
     6020,
--- a/tests/workflows/admission.test.ts
+++ b/tests/workflows/admission.test.ts
@@ -16,6 +16,7 @@
 import {RefusalRemoval} from '../../src/entry/workflows/refusal_removal.js';
 import {StoreHealth} from '../../src/entry/workflows/store_health.js';
 import {WorkflowAcceptor} from '../../src/entry/workflows/workflow_acceptor.js';
+import {WorkflowCanceller} from '../../src/entry/workflows/workflow_canceller.js';
 import type {SubmissionResult} from '../../src/entry/workflows/workflow_acceptor.js';
 import {Events} from '../../src/observability/events.js';
 import {SilentLogger} from '../../src/observability/logger.js';
@@ -107,6 +108,17 @@
     });
   }
 
+  createCanceller(name: string): WorkflowCanceller {
+    const {clock, logger} = this;
+    return new WorkflowCanceller({
+      store: this.store.client(name),
+      health: new StoreHealth(clock),
+      owner: {notifyCancelled: () => {}} as unknown as OwnerClient,
+      clock,
+      logger,
+    });
+  }
+
   async settle<Result>(result: Promise<Result>): Promise<Result> {
     await this.clock.settleUntil(this.clock.now() + 1_000);
     return result;
@@ -384,11 +396,30 @@
 test('should find nothing to cancel between a refusal and the retry', async t => {
   const entries = new Entries();
   const acceptor = entries.create('a');
+  const canceller = entries.createCanceller('a');
   await entries.submit(acceptor);
-  t.is(await entries.settle(acceptor.cancel(ID)), 'absent');
+  t.is(await entries.settle(canceller.cancel(ID)), 'absent');
   entries.received = undefined;
   t.is((await entries.submit(acceptor)).acceptance, 'stored');
-  t.is(await entries.settle(acceptor.cancel(ID)), 'stored');
+  t.is(await entries.settle(canceller.cancel(ID)), 'stored');
+});
+
+// Guards against an accepted retry that runs although it was cancelled with 410.
+test('should void the write of a retry when it finds nothing to cancel', async t => {
+  const entries = new Entries();
+  const acceptor = entries.create('a');
+  await entries.submit(acceptor);
+  entries.received = undefined;
+  const {faults} = entries.store;
+  Object.assign(faults, {lostResponseShare: 1, lateMillis: 5_000});
+  const retry = acceptor.submit(specOf());
+  await entries.clock.settleUntil(entries.clock.now() + 20);
+  faults.lostResponseShare = 0;
+  const canceller = entries.createCanceller('b');
+  t.is(await entries.settle(canceller.cancel(ID)), 'absent');
+  t.is((await retry).acceptance, 'unknown');
+  await entries.clock.settleUntil(entries.clock.now() + 8_000);
+  t.false(entries.hasWorkflow());
 });
 
 test('should remove records of refusals, but no workflow in their place', async t => {
