Pool: don't wait for earlier owners that can't act any more

Cause: a new owner always assumed that an earlier one may grant leases for 2 s after the claim, and counted the lease of the lost worker from then. That can only be if the key of the last owner was removed while its lease went on.

Why this works: commits name the owner's lease, and say whether any earlier owner could still act (isSole). An owner stops before its lease ends. If the last one was sole and its lease has ended, nobody grants anything from the claim on. Otherwise, and for commits of earlier versions, the 2 s hold as before.

The opposite fault, an owner that is still granting: "should wait for an earlier owner whose lease goes on".

--- a/src/entry/workflows/commit_log.ts
+++ b/src/entry/workflows/commit_log.ts
@@ -13,6 +13,7 @@
 import {messageOf} from '../../utilities/base_error.js';
 import type {Clock} from '../../utilities/clock.js';
 import {decodeCommit, encodeRecord} from '../../protocol/owner_record.js';
+import type {OwnerRecord} from '../../protocol/owner_record.js';
 import {StoreKeys} from '../../protocol/store_keys.js';
 import {pause} from '../../utilities/pause.js';
 
@@ -56,10 +57,11 @@
   readonly clock: Clock;
   readonly logger: Logger;
   readonly metrics: Metrics;
-  /** Identifies the owner's claim. */
-  readonly nonce: string;
+  readonly owner: Pick<OwnerRecord, 'nonce' | 'leaseId'>;
   /** Revision of the owner's claim. */
   readonly epoch: number;
+  /** True if no earlier owner can act any more. */
+  readonly isSole?: () => boolean;
   /** Called when another process owns the pool, or the key was removed. */
   readonly onDeposed: (reason: string) => void;
 }
@@ -136,8 +138,14 @@
   private async commitNext(): Promise<void> {
     const {puts, removals, effects} = this.takeBatch();
     const sequence = this.sequence + 1;
-    const {nonce, clock} = this.options;
-    const value = encodeRecord({nonce, sequence});
+    const {owner, clock, isSole} = this.options;
+    const {nonce, leaseId} = owner;
+    const value = encodeRecord({
+      nonce,
+      sequence,
+      leaseId,
+      isSole: isSole?.() ?? false,
+    });
     const startedAt = clock.now();
     this.startedAt = startedAt;
     const committed = await this.commitUntilDecided(
@@ -223,7 +231,7 @@
     if (result.succeeded) return result.revision;
     const stored = result.current.find(({key}) => key === StoreKeys.COMMITS);
     const record = stored && decodeCommit(stored.value);
-    if (!stored || record?.nonce !== this.options.nonce) return undefined;
+    if (!stored || record?.nonce !== this.options.owner.nonce) return undefined;
     // An earlier attempt was written although its response was lost.
     return record.sequence === sequence ? stored.revision : undefined;
   }
--- a/src/entry/workflows/pool_attachments.ts
+++ b/src/entry/workflows/pool_attachments.ts
@@ -10,8 +10,8 @@
   readonly clock: Clock;
   readonly logger: Logger;
   readonly runLeaseMillis: number;
-  /** TTL of the owner's lease; a predecessor may have acted for that long. */
-  readonly ownerTtlMillis: number;
+  /** From then on no earlier owner can act, on the monotonic clock. */
+  readonly soleSince: number;
 }
 
 /** What bounds the time of the last lease that a worker may hold. */
@@ -39,11 +39,8 @@
   private readonly attachments = new Map<string, WorkerAttachment>();
   /** Time of the last lease granted to each incarnation of a worker. */
   private readonly lastGrants = new Map<string, number>();
-  private readonly ownedSince: number;
 
-  constructor(private readonly options: PoolAttachmentsOptions) {
-    this.ownedSince = options.clock.now();
-  }
+  constructor(private readonly options: PoolAttachmentsOptions) {}
 
   /** Called when the agent has identified itself. */
   add(attachment: WorkerAttachment): void {
@@ -116,7 +113,7 @@
    * was heard once no earlier owner could act any more knows until when.
    */
   private lastGrantOfEarlierOwners(worker: string): LastGrant {
-    const handOver = this.ownedSince + this.options.ownerTtlMillis;
+    const handOver = this.options.soleSince;
     const attachment = this.attachments.get(agentOf(worker));
     const byHandOver = {at: handOver, basis: LeaseBasis.HAND_OVER};
     if (!attachment || attachment.hasNamed(worker)) return byHandOver;
--- a/src/entry/workflows/pool_owner.ts
+++ b/src/entry/workflows/pool_owner.ts
@@ -101,6 +101,8 @@
   /** Revision of the owner's claim. */
   readonly epoch: number;
   readonly validity: LeaseValidity;
+  /** True if no earlier owner could act any more at the claim. */
+  readonly isSole: boolean;
   /** TTL of the owner's lease; a predecessor may have acted for that long. */
   readonly ownerTtlMillis: number;
   readonly runLeaseMillis: number;
@@ -150,7 +152,9 @@
       action: () => this.plan(),
     });
     this.explainingLimit = new ShareLimit(clock, MAXIMUM_EXPLAINING_SHARE);
-    this.attachments = new PoolAttachments(options);
+    const soleSince =
+      this.ownedSince + (options.isSole ? 0 : options.ownerTtlMillis);
+    this.attachments = new PoolAttachments({...options, soleSince});
     this.availability = new WorkerAvailability({
       workerRegistry: this.workerRegistry,
       attachments: this.attachments,
@@ -165,8 +169,9 @@
       clock,
       logger,
       metrics,
-      nonce: owner.nonce,
+      owner,
       epoch,
+      isSole: () => clock.now() >= soleSince,
       onDeposed: reason => options.onDeposed(reason),
     });
     this.workflowRegistry = new WorkflowRegistry({
--- a/src/entry/workflows/pool_ownership.ts
+++ b/src/entry/workflows/pool_ownership.ts
@@ -8,7 +8,11 @@
 import {Events} from '../../observability/events.js';
 import type {Logger} from '../../observability/logger.js';
 import type {LatencyHistogram, Metrics} from '../../observability/metrics.js';
-import {decodeOwner, encodeRecord} from '../../protocol/owner_record.js';
+import {
+  decodeCommit,
+  decodeOwner,
+  encodeRecord,
+} from '../../protocol/owner_record.js';
 import type {OwnerRecord} from '../../protocol/owner_record.js';
 import type {PoolLinkFactory} from '../../protocol/pool_links.js';
 import {StoreKeys} from '../../protocol/store_keys.js';
@@ -46,6 +50,8 @@
   /** Revision of the owner's key, which is written once. */
   readonly epoch: number;
   readonly validity: LeaseValidity;
+  /** True if no earlier owner could act any more at the claim. */
+  readonly isSole: boolean;
 }
 
 /** The pool's owner, as last seen by this entry. */
@@ -219,6 +225,7 @@
   private async tryClaim(expectedRevision: number): Promise<void> {
     const {store, clock, processName, address} = this.options;
     const commits = await store.get(StoreKeys.COMMITS);
+    const isSole = await this.hasPredecessorEnded(commits);
     const validity = new LeaseValidity(clock, OWNER_TTL_MILLIS);
     const sentAt = readClocks(clock);
     const lease = await store.grantLease(OWNER_TTL_MILLIS);
@@ -230,7 +237,8 @@
       leaseId: lease.id,
     };
     const value = encodeRecord(owner);
-    const firstCommit = encodeRecord({nonce: owner.nonce, sequence: 0});
+    const {nonce, leaseId} = owner;
+    const firstCommit = encodeRecord({nonce, sequence: 0, leaseId, isSole});
     const result = await store.transact({
       conditions: [
         {key: StoreKeys.OWNER, revision: expectedRevision},
@@ -246,7 +254,21 @@
       await store.revokeLease(lease.id);
       return;
     }
-    await this.becomeOwner({owner, epoch: result.revision, validity});
+    await this.becomeOwner({owner, epoch: result.revision, validity, isSole});
+  }
+
+  /**
+   * True if no earlier owner can act any more. The last one stops before its
+   * lease ends, which is revoked only by itself or by its next process run; the
+   * ones before had to be unable to act before.
+   */
+  private async hasPredecessorEnded(
+    commits: StoredValue | undefined,
+  ): Promise<boolean> {
+    if (!commits) return true;
+    const record = decodeCommit(commits.value);
+    if (!record?.isSole || record.leaseId === undefined) return false;
+    return !(await this.options.store.keepLeaseAlive(record.leaseId));
   }
 
   private async becomeOwner(claim: OwnershipClaim): Promise<void> {
--- a/src/protocol/owner_record.ts
+++ b/src/protocol/owner_record.ts
@@ -18,6 +18,10 @@
   readonly nonce: string;
   /** Number of the owner's commits so far. */
   readonly sequence: number;
+  /** Lease of the owner; absent from earlier versions. */
+  readonly leaseId?: string;
+  /** True if no earlier owner could act any more at the time of the commit. */
+  readonly isSole?: boolean;
 }
 
 /** Address and capacity of an entry; no proof that the entry is alive. */
--- a/tests/workflows/commit_log.test.ts
+++ b/tests/workflows/commit_log.test.ts
@@ -40,7 +40,7 @@
       clock,
       logger: new SilentLogger(),
       metrics: new Metrics(),
-      nonce: 'claim',
+      owner: {nonce: 'claim', leaseId: '1'},
       epoch,
       onDeposed: () => {},
     });
--- a/tests/workflows/last_grants.test.ts
+++ b/tests/workflows/last_grants.test.ts
@@ -32,7 +32,7 @@
     clock,
     logger,
     runLeaseMillis: LEASE_MILLIS,
-    ownerTtlMillis: OWNER_TTL_MILLIS,
+    soleSince: OWNER_TTL_MILLIS,
   });
   const listener = {
     onAttached: (each: WorkerAttachment) => attachments.add(each),
--- a/tests/workflows/lost_workers.test.ts
+++ b/tests/workflows/lost_workers.test.ts
@@ -3,6 +3,8 @@
   guaranteedExpiryMillis,
   runLeaseMillis,
 } from '../../src/decisions/workflows/lease_duration.js';
+import {decodeCommit} from '../../src/protocol/owner_record.js';
+import {StoreKeys} from '../../src/protocol/store_keys.js';
 import {VirtualPool} from './fixtures/virtual_pool.js';
 
 const ID = '00000000000000d1';
@@ -162,6 +164,34 @@
   t.deepEqual(pool.history.violations(), []);
 });
 
+// The opposite: an owner whose key was removed early may still grant leases.
+test('should wait for an earlier owner whose lease goes on', async t => {
+  const pool = new VirtualPool({
+    seed: 100,
+    maximumLeaseMillis: LONGEST_LEASE_MILLIS,
+  });
+  await startWorkflow(pool);
+  const owner = pool.ownerName!;
+  // Keeps the owner from noticing, and its grants from being stored.
+  pool.store.partitioned.add(owner);
+  pool.store.revoke(StoreKeys.OWNER);
+  await pool.run(1_500);
+  t.not(pool.ownerName, owner);
+  t.deepEqual(pool.history.violations(), []);
+  pool.killAgent(0);
+  pool.workers[0].crash();
+  pool.store.partitioned.delete(owner);
+  const record = decodeCommit(pool.store.read(StoreKeys.COMMITS)!);
+  t.false(record!.isSole);
+  await pool.run(3_000);
+  await pool.submit('00000000000000ff', [ORDINARY_STEP], {millis: 50});
+  await pool.run(1_000);
+  t.true(decodeCommit(pool.store.read(StoreKeys.COMMITS)!)!.isSole);
+  await pool.run(12_000);
+  t.is(countRunning(pool), STEP.Count);
+  t.deepEqual(pool.history.violations(), []);
+});
+
 // Guards against the opposite: runs given up while they go on, on a worker that
 // lives and that its restarted agent can't reach.
 for (const cutAfterMillis of [0, 200, 400, 700, 1_200, 2_000, 3_000]) {
--- a/tests/workflows/tails.test.ts
+++ b/tests/workflows/tails.test.ts
@@ -224,7 +224,7 @@
     clock,
     logger,
     metrics: new Metrics(),
-    nonce: 'claim',
+    owner: {nonce: 'claim', leaseId: '1'},
     epoch,
     onDeposed: () => {},
   });
