--- a/src/observability/events.ts
+++ b/src/observability/events.ts
@@ -362,12 +362,12 @@
     'info',
     'The cancellation of a workflow is stored.',
   ),
+  WORKFLOW_ENDED: eventType(6014, 'info', 'A workflow has ended.'),
   CANCELLATION_REFUSED: eventType(
     6018,
     'info',
     'A cancellation was rejected and has no effect; the caller was told when to try again.',
   ),
-  WORKFLOW_ENDED: eventType(6014, 'info', 'A workflow has ended.'),
   RUN_PLACED: eventType(
     6020,
     'info',
@@ -415,16 +415,16 @@
     'warn',
     'A worker with failing or stalled runs gets no tasks during a cooldown.',
   ),
-  WORKFLOW_AT_FAULT: eventType(
-    6035,
-    'info',
-    'A workflow failed or stalled on several workers and worked on none; it no longer counts against them.',
-  ),
   LEASE_EXPIRED: eventType(
     6034,
     'warn',
     "A worker's lease has expired without a message; shows from when it counted.",
   ),
+  WORKFLOW_AT_FAULT: eventType(
+    6035,
+    'info',
+    'A workflow failed or stalled on several workers and worked on none; it no longer counts against them.',
+  ),
   CONFIGURATION_APPLIED: eventType(
     6040,
     'info',
@@ -477,11 +477,6 @@
     'warn',
     'The agent could not get a fencing token; it retries.',
   ),
-  TOKEN_SUPERSEDED: eventType(
-    6061,
-    'warn',
-    'Another process run of the agent has claimed its key; this one gets no further fencing tokens.',
-  ),
   TASK_PACED: eventType(
     6058,
     'info',
@@ -492,16 +487,21 @@
     'warn',
     'The command to start a run arrived too late and was ignored.',
   ),
-  COMMAND_DROPPED: eventType(
-    6062,
-    'error',
-    'No message can carry a command to an agent; it was dropped.',
-  ),
   WORKER_REPLACED: eventType(
     6060,
     'warn',
     'The worker has restarted under its id; the agent awaits its report.',
   ),
+  TOKEN_SUPERSEDED: eventType(
+    6061,
+    'warn',
+    'Another process run of the agent has claimed its key; this one gets no further fencing tokens.',
+  ),
+  COMMAND_DROPPED: eventType(
+    6062,
+    'error',
+    'No message can carry a command to an agent; it was dropped.',
+  ),
   INTERFERENCE_RESTORED: eventType(
     6070,
     'info',
