Agent: wait for a complete list before a run counts as never begun

Cause: a worker lists 500 ends at a time. The agent took a run that neither ran nor ended in that list for one that had not begun, and told the owner so.

Why this works: what became of a start or a stop is only concluded from a list that names the run, or that has fewer ends than a worker lists at most. The others follow once the listed ends are acknowledged.

Real processes were not played with jobs of this size.

--- a/src/agent/workflows/worker_session.ts
+++ b/src/agent/workflows/worker_session.ts
@@ -1,4 +1,8 @@
-import {isListOf, StartRefusal} from '../../backends/leased_worker.js';
+import {
+  isListOf,
+  MAXIMUM_LISTED_ENDS,
+  StartRefusal,
+} from '../../backends/leased_worker.js';
 import type {
   LeasedWorker,
   WorkerRunList,
@@ -41,8 +45,10 @@
 /** Time for a decision to take effect and be measured for half a second. */
 const THROTTLE_PERIOD_MILLIS = 600;
 
-/** A caller that waits for a poll to be answered. */
+/** A caller that waits for the run list to show what became of a run. */
 interface AwaitedPoll {
+  /** Run key. */
+  readonly name: string;
   /** The number of answered polls to wait for. */
   readonly target: number;
   readonly resolve: (isAnswered: boolean) => void;
@@ -328,7 +334,7 @@
   ): Promise<string | undefined> {
     const expirations = this.reportedExpirations;
     if (this.sentStarts.has(name)) {
-      if (!(await this.awaitPoll())) return StartRefusal.REPLACED;
+      if (!(await this.awaitListing(name))) return StartRefusal.REPLACED;
       if (this.isListed(name)) return '';
     }
     await this.confirmIdentity();
@@ -375,7 +381,7 @@
         fencingToken,
       });
       // List the end of such a run before the owner gets the result.
-      if (refusal === StartRefusal.CLOSED) await this.awaitPoll();
+      if (refusal === StartRefusal.CLOSED) await this.awaitListing(name);
       return refusal ?? '';
     } catch {
       return this.settleStart(name, fencingToken);
@@ -392,7 +398,7 @@
     sentToken: number,
   ): Promise<string | undefined> {
     if (!(await this.options.token.raiseAbove(sentToken))) return undefined;
-    if (!(await this.awaitPoll())) return StartRefusal.REPLACED;
+    if (!(await this.awaitListing(name))) return StartRefusal.REPLACED;
     return this.isListed(name) ? '' : StartRefusal.FENCED;
   }
 
@@ -417,7 +423,7 @@
     const {worker, token} = this.options;
     try {
       await worker.stop({task, run, fencingToken: token.value});
-      await this.awaitPoll();
+      await this.awaitListing(name);
       this.reportStopped(name, task, run);
     } catch (error) {
       // The owner repeats the stop for as long as it is wanted.
@@ -436,21 +442,26 @@
   }
 
   /**
-   * Resolves to true when a poll that began after this call was answered, and
-   * to false when the session was closed or the worker replaced before.
+   * Resolves to true when a poll that began after this call has listed the run,
+   * or has listed all runs and ends. A list with the maximum of ends tells
+   * nothing about a run that it does not name; others follow once these are
+   * acknowledged. Resolves to false when the session was closed or the worker
+   * replaced before.
    */
-  private awaitPoll(): Promise<boolean> {
+  private awaitListing(name: string): Promise<boolean> {
     if (this.closed || this.isReplaced) return Promise.resolve(false);
     return new Promise(resolve => {
       // The next response may belong to a poll that began before this call.
-      this.awaitedPolls.add({target: this.answeredPolls + 2, resolve});
+      this.awaitedPolls.add({name, target: this.answeredPolls + 2, resolve});
       this.endPause?.();
     });
   }
 
-  private resolveAwaitedPolls(): void {
+  private resolveAwaitedPolls({ends}: WorkerRunList): void {
+    const isComplete = ends.length < MAXIMUM_LISTED_ENDS;
     for (const awaited of this.awaitedPolls) {
       if (awaited.target > this.answeredPolls) continue;
+      if (!isComplete && !this.isListed(awaited.name)) continue;
       this.awaitedPolls.delete(awaited);
       awaited.resolve(true);
     }
@@ -540,7 +551,7 @@
     this.hasRunList = true;
     this.running = listing.running;
     const hasEnded = this.addEnds(listing.ends);
-    this.resolveAwaitedPolls();
+    this.resolveAwaitedPolls(listing);
     this.removeEndedRuns();
     this.protectTailLatencies();
     if (hasChanged || hasEnded) observer.onChange();
--- a/src/backends/leased_worker.ts
+++ b/src/backends/leased_worker.ts
@@ -43,6 +43,9 @@
   readonly checkpoint: string;
 }
 
+/** A worker lists no more ends at a time; the others follow in order. */
+export const MAXIMUM_LISTED_ENDS = 500;
+
 /** A worker's list of runs, with the reading of its clock at that time. */
 export interface WorkerRunList {
   /** Milliseconds on the worker's monotonic clock. */
