Pool: skip the look at runs while nothing has failed

Each run list of a worker looked through its runs for proof that it is sound, although there was nothing to prove. Without effect on decisions.

--- a/src/decisions/workflows/failure_evidence.ts
+++ b/src/decisions/workflows/failure_evidence.ts
@@ -65,6 +65,11 @@
   private readonly byWorkflow = new Map<string, WorkflowFailures>();
   private faultsInSuccession = 0;
 
+  /** True if no open workflow has failed anywhere. */
+  get isEmpty(): boolean {
+    return this.byWorkflow.size === 0;
+  }
+
   /** The workflows that are at fault. */
   get faultyWorkflows(): Set<string> {
     const faulty = new Set<string>();
--- a/src/decisions/workflows/worker_health.ts
+++ b/src/decisions/workflows/worker_health.ts
@@ -178,6 +178,7 @@
   ): string[] {
     const unhealthy: string[] = [];
     const record = this.records.get(view.key);
+    if (!record && this.evidence.isEmpty) return unhealthy;
     for (const [name, placed] of view.placed) {
       const {percent = 0} = view.running.get(name) ?? {};
       const isAtWork = isLongRunningAtWork(placed, percent);
