Entry: refuse jobs whose progress the store can't take

Cause, by reading: the progress of a workflow is one value of at most 1 MiB, and commits keep their order, so one that the store refuses is repeated for ever. The passes over all its tasks on the owner's event loop, which the issue also names, were not measured apart.

Why this works: a job that can't be stored is refused with 400, with the field and the limit: 41,666 tasks, 15,625 with checkpoints, and a number of occurrences. Jobs of 4 steps of 10,000 tasks are accepted as before. openDue begins behind the occurrences that are open.

Partial: a round is not bounded otherwise, there is no bench of its cost, and real processes were not played.

--- a/src/daemon/fleet_entry_role.ts
+++ b/src/daemon/fleet_entry_role.ts
@@ -20,6 +20,7 @@
 import {
   decodeSubmission,
   encodeState,
+  encodeExcess,
   encodeWaiting,
   isWorkflowId,
 } from '../platform/submissions.js';
@@ -73,6 +74,7 @@
         isWorkflowId,
         decodeSubmission,
         encodeState,
+        encodeExcess,
         encodeWaiting,
       },
       runLeaseMillis: runLeaseMillis(settings.maximumLeaseMillis),
--- a/src/decisions/workflows/workflow.ts
+++ b/src/decisions/workflows/workflow.ts
@@ -96,10 +96,11 @@
     const {schedule} = this.spec;
     if (!schedule || !this.isOpen) return false;
     let opened = false;
-    for (let number = 0; number < schedule.times; number++) {
+    // Occurrences are opened in order, none is ever removed.
+    const first = this.occurrences.size;
+    for (let number = first; number < schedule.times; number++) {
       const due = schedule.firstAtMillis + number * schedule.intervalMillis;
       if (due > nowMillis) break;
-      if (this.occurrences.has(number)) continue;
       this.openOccurrence(number);
       opened = true;
     }
--- a/src/entry/workflows/workflow_api.ts
+++ b/src/entry/workflows/workflow_api.ts
@@ -4,6 +4,8 @@
   decodeEnded,
   isRefusal,
 } from '../../decisions/workflows/workflow_codec.js';
+import {findExcess} from '../../decisions/workflows/workflow_limits.js';
+import type {WorkflowExcess} from '../../decisions/workflows/workflow_limits.js';
 import {WorkflowState} from '../../decisions/workflows/workflow_types.js';
 import type {
   QueueConfiguration,
@@ -37,6 +39,7 @@
     | undefined;
   encodeState(state: WorkflowState): string;
   encodeWaiting(count: number): string;
+  encodeExcess(excess: WorkflowExcess): string;
 }
 
 export interface WorkflowApiOptions {
@@ -105,6 +108,12 @@
       logger.event(Events.WORKFLOW_REFUSED, {workflow, reason});
       return createResponse(400);
     }
+    const excess = findExcess(submission.steps, submission.schedule);
+    if (excess) {
+      const reason = 'it is beyond a limit';
+      logger.event(Events.WORKFLOW_REFUSED, {workflow, reason, ...excess});
+      return createResponse(400, documents.encodeExcess(excess));
+    }
     const spec: WorkflowSpec = {
       ...submission,
       id: workflow,
--- a/src/platform/submissions.ts
+++ b/src/platform/submissions.ts
@@ -19,6 +19,7 @@
   WorkflowSchedule,
   WorkflowState,
 } from '../decisions/workflows/workflow_types.js';
+import type {WorkflowExcess} from '../decisions/workflows/workflow_limits.js';
 import {parseJsonOrUndefined} from './json_parsing.js';
 
 /** Workflow that a caller submits; its id and queue are in the path. */
@@ -129,3 +130,9 @@
 export function encodeWaiting(count: number): string {
   return JSON.stringify({Waiting: count});
 }
+
+/** Returns the response body for a workflow that is beyond a limit. */
+export function encodeExcess({part, limit, count}: WorkflowExcess): string {
+  const field = part === 'steps' ? 'Count of all Steps' : 'Times';
+  return JSON.stringify({Field: field, Limit: limit, Value: count});
+}
