Pool: a best-effort run that stands still counts against its worker

A best-effort run stands still just because others use the processors, and the cooldown had kept further best-effort work away.

--- a/src/entry/workflows/run_supervisor.ts
+++ b/src/entry/workflows/run_supervisor.ts
@@ -223,13 +223,21 @@
     this.recordStandstill(view, standing, now);
   }
 
-  /** Other runs that go on show that the worker is not the reason. */
+  /**
+   * Other runs that go on show that the worker is not the reason. A best-effort
+   * run stands still because of them: the worker must get no more work.
+   */
   private recordStandstill(
     view: WorkerView,
     standing: readonly StalledRun[],
     now: number,
   ): void {
     if (standing.length === 0) return;
+    if (standing.some(({placed}) => placed.reference.step.fills)) {
+      if (this.health.recordStall(view.key, now))
+        this.logCooldown(view.key, 'its best-effort runs make no progress');
+      return;
+    }
     for (const name of view.placed.keys()) {
       if (this.progressMonitor.isAdvancing(name, now)) return;
     }
