--- a/ava.config.js
+++ b/ava.config.js
@@ -1,5 +1,5 @@
 export default {
-  files: ['build/tests/**/*.test.js'],
+  files: ['build/tests/**/*.test.js', '!build/tests/crowds/**'],
   workerThreads: false,
   timeout: '120s',
   concurrency: 5,
