Entry: share reads of the configuration between calls at unknown paths

Callers at paths without a route made an entry read the configuration once a call, a list and a conditional write of the store each, so that a few of them could use up the store's calls of all processes; with 64 connections the entry ran out of memory. The cause: refresh() began a read for each call, without a limit. A read that has not begun yet sees all that a later call has to know, so calls now share the next one; at most 2 a second begin, 5 at once. A 404 still follows a read that began after the call arrived.

--- a/src/entry/workflows/configuration_follower.ts
+++ b/src/entry/workflows/configuration_follower.ts
@@ -1,3 +1,4 @@
+import {TokenBucket} from '../../backends/token_bucket.js';
 import type {
   StoreChanges,
   TransactionalStore,
@@ -18,6 +19,9 @@
 const WATCH_TIMEOUT_MILLIS = 15_000;
 /** Delay before a failed watch is restarted; polling continues meanwhile. */
 const WATCH_RETRY_MILLIS = 500;
+/** Limits for reads that callers' unknown paths cause, an entry. */
+const REFRESHES_PER_SECOND = 2;
+const REFRESH_BURST = 5;
 
 /** Key names and decoders of the operators' documents in the store. */
 export interface OperatorDocuments {
@@ -54,8 +58,17 @@
   private unreadableText = '';
   private confirmedAt = -Infinity;
   private closed = false;
+  private readonly refreshBudget: TokenBucket;
+  /** A refresh that has not begun yet. */
+  private nextRefresh: Promise<boolean> | undefined;
 
-  constructor(private readonly options: ConfigurationFollowerOptions) {}
+  constructor(private readonly options: ConfigurationFollowerOptions) {
+    this.refreshBudget = new TokenBucket(
+      REFRESHES_PER_SECOND,
+      REFRESH_BURST,
+      options.clock.now(),
+    );
+  }
 
   /** The configured queues; undefined until a configuration was read. */
   get table(): QueueTable | undefined {
@@ -80,8 +93,22 @@
     this.closed = true;
   }
 
-  /** Applies all changes up to now; false if the store did not respond. */
-  async refresh(): Promise<boolean> {
+  /**
+   * Applies all changes up to now; false if the store did not respond. Calls
+   * that come while the rate of reads is used up share the next one.
+   */
+  refresh(): Promise<boolean> {
+    this.nextRefresh ??= this.refreshWithinRate();
+    return this.nextRefresh;
+  }
+
+  private async refreshWithinRate(): Promise<boolean> {
+    const {clock} = this.options;
+    const waitMillis = this.refreshBudget.millisUntil(1, clock.now());
+    this.refreshBudget.takeInAdvance(clock.now());
+    if (waitMillis > 0) await pause(clock, waitMillis);
+    // A read that has begun may miss changes made before a later call.
+    this.nextRefresh = undefined;
     return (await this.read()) !== undefined;
   }
 
