Entry: bound the store calls that callers cause

Callers that asked for states of an unknown workflow, cancelled one or submitted one made the entry call the store at whatever rate they sent, so that a crowd could use up the calls of all processes: ordinary callers got 503, or it ran out of memory (64 connections, 2 s). The cause: nothing bounded these calls. Each entry now uses at most a twentieth of the store's reads for lookups that the owner can't answer, and a quarter of its writes for submissions, 4 s of them at once; beyond that the response is a 503 with Retry-After and nothing is sent to the store. Workflows that the owner knows are shown and cancelled without a limit. If crowds reach more than ten entries at once, their lookups together can still use up the reads: an entry does not know how many others there are.

--- a/src/entry/workflows/pool_entry.ts
+++ b/src/entry/workflows/pool_entry.ts
@@ -45,9 +45,12 @@
 import {WorkflowAcceptor} from './workflow_acceptor.js';
 import {WorkflowApi} from './workflow_api.js';
 import {WorkflowCanceller} from './workflow_canceller.js';
-import type {CallerDocuments} from './workflow_api.js';
+import type {CallerDocuments, StoreRates} from './workflow_api.js';
 
 const REGISTRATION_RETRY_MILLIS = 500;
+/** Limits until a configuration was read. */
+const DEFAULT_BODY_BYTES = 1_048_576;
+const DEFAULT_HEADER_BYTES = 16_384;
 
 export interface PoolEntryOptions {
   readonly processName: string;
@@ -65,6 +68,8 @@
   /** How long the state of an ended workflow is kept. */
   readonly retentionMillis: number;
   readonly features: SchedulingFeatures;
+  /** Rates of the store for all processes together. */
+  readonly storeRates?: StoreRates;
   readonly clock: Clock;
   readonly logger: Logger;
   readonly metrics: Metrics;
@@ -150,6 +155,7 @@
       store,
       health: this.health,
       documents: options.callerDocuments,
+      storeRates: options.storeRates,
       clock,
       logger,
     });
@@ -161,6 +167,18 @@
     return isConfigured && !this.isStopping && !this.health.isUnavailable;
   }
 
+  /** Maximum size of a call's body, as operators have configured it. */
+  get maximumBodyBytes(): number {
+    const {table} = this.configuration;
+    return table?.configuration.maximumBodyBytes ?? DEFAULT_BODY_BYTES;
+  }
+
+  /** Maximum size of a call's headers, as operators have configured it. */
+  get maximumHeaderBytes(): number {
+    const {table} = this.configuration;
+    return table?.configuration.maximumHeaderBytes ?? DEFAULT_HEADER_BYTES;
+  }
+
   start(): void {
     this.configuration.start();
     this.ownership.start();
--- a/src/entry/workflows/workflow_api.ts
+++ b/src/entry/workflows/workflow_api.ts
@@ -1,3 +1,4 @@
+import {TokenBucket} from '../../backends/token_bucket.js';
 import type {TransactionalStore} from '../../backends/transactional_store.js';
 import {retryAfterSeconds} from '../../decisions/workflows/retry_after.js';
 import {
@@ -50,10 +51,29 @@
   readonly store: TransactionalStore;
   readonly health: StoreHealth;
   readonly documents: CallerDocuments;
+  /** Rates of the store for all processes together. */
+  readonly storeRates?: StoreRates;
   readonly clock: Clock;
   readonly logger: Logger;
 }
 
+/** Calls a second that the store executes. */
+export interface StoreRates {
+  readonly writesPerSecond: number;
+  readonly readsPerSecond: number;
+}
+
+const DEFAULT_STORE_RATES: StoreRates = {
+  writesPerSecond: 400,
+  readsPerSecond: 2_000,
+};
+/** Shares of these rates that the callers of one entry may use. */
+const SUBMISSION_SHARE = 1 / 4;
+/** Looking up a workflow takes two reads. */
+const LOOKUP_SHARE = 1 / 20;
+/** Seconds after which a rate that was not used is used up at once. */
+const BURST_SECONDS = 4;
+
 /** Time for the store to respond, well below callers' deadlines. */
 const STORE_TIMEOUT_MILLIS = 900;
 
@@ -66,7 +86,16 @@
 
 /** Serves callers: submits, shows, cancels and counts waiting workflows. */
 export class WorkflowApi {
-  constructor(private readonly options: WorkflowApiOptions) {}
+  private readonly lookupBudget: TokenBucket;
+  private readonly submissionBudget: TokenBucket;
+
+  constructor(private readonly options: WorkflowApiOptions) {
+    const {clock, storeRates = DEFAULT_STORE_RATES} = options;
+    const lookupRate = storeRates.readsPerSecond * LOOKUP_SHARE;
+    const submissionRate = storeRates.writesPerSecond * SUBMISSION_SHARE;
+    this.lookupBudget = createBudget(lookupRate, clock);
+    this.submissionBudget = createBudget(submissionRate, clock);
+  }
 
   async handle(call: ApiCall): Promise<ApiResponse> {
     const target = await this.findTarget(call);
@@ -128,6 +157,11 @@
       },
       acceptedAtMillis: clock.wallTime(),
     };
+    if (!this.submissionBudget.tryTake(clock.now())) {
+      const reason = 'too many at once';
+      logger.event(Events.WORKFLOW_REFUSED, {workflow, reason});
+      return this.refuseAtRate(this.submissionBudget);
+    }
     const {acceptance, retryAfterSeconds: wait} = await acceptor.submit(spec);
     if (wait !== undefined) return createRetryResponse(429, wait);
     if (acceptance === Acceptance.STORED) return createResponse(200);
@@ -138,6 +172,8 @@
   }
 
   private async cancel(workflow: string): Promise<ApiResponse> {
+    if (!(await this.mayLookUp(workflow)))
+      return this.refuseAtRate(this.lookupBudget);
     const acceptance = await this.options.canceller.cancel(workflow);
     if (acceptance === Acceptance.STORED) return createResponse(200);
     if (acceptance === Acceptance.ABSENT) return createResponse(410);
@@ -151,9 +187,19 @@
     const response = await owner.show(workflow);
     const state = response?.state;
     if (state) return createResponse(200, documents.encodeState(state));
+    if (!this.lookupBudget.tryTake(this.options.clock.now()))
+      return this.refuseAtRate(this.lookupBudget);
     return this.showStored(workflow);
   }
 
+  /** Whether the rate allows a lookup, or the owner knows the workflow. */
+  private async mayLookUp(workflow: string): Promise<boolean> {
+    const {owner, clock} = this.options;
+    if (this.lookupBudget.tryTake(clock.now())) return true;
+    const response = await owner.show(workflow);
+    return response?.state !== undefined;
+  }
+
   /** Used for a workflow unknown to the owner, or without a reachable owner. */
   private async showStored(workflow: string): Promise<ApiResponse> {
     const {store, documents, logger, clock} = this.options;
@@ -191,6 +237,11 @@
     return createResponse(200, documents.encodeWaiting(waiting));
   }
 
+  private refuseAtRate(budget: TokenBucket): ApiResponse {
+    const waitMillis = budget.millisUntil(1, this.options.clock.now());
+    return createRetryResponse(503, retryAfterSeconds(waitMillis));
+  }
+
   /** Returns 503 with a Retry-After header: the request was not carried out. */
   private retryLater(): ApiResponse {
     const {unansweredMillis} = this.options.health;
@@ -198,6 +249,11 @@
   }
 }
 
+function createBudget(ratePerSecond: number, clock: Clock): TokenBucket {
+  const burst = ratePerSecond * BURST_SECONDS;
+  return new TokenBucket(ratePerSecond, burst, clock.now());
+}
+
 function createRetryResponse(status: number, seconds: number): ApiResponse {
   const headers = [['retry-after', String(seconds)]] as const;
   return {status, headers, body: Buffer.alloc(0)};
