Listeners: take in no more calls, bodies and connections than are finished

Clients that sent many requests ahead ended an entry: out of memory within 2 s at 64 connections, without a response to anyone before that. Requests without a host, at the health path and at paths without a route are the three that were reported; refused bodies, many small headers, tiny chunks, state dumps, reports at an agent, bodies held open and silent connections are of the same class.

Cause: Node's server emits every request of a read of 64 KiB, some 3,600 of the shortest, before it regards any limit; nothing bounded the calls of a connection or of the process, the bodies together, or the connections. Health, metrics and reports used bare servers without any limit.

HttpListener is now the one server of all of them. Its PacedSocket gives Node's parser one head at a time and reads from the kernel only when all was parsed, so that TCP holds the client back; CallPacer lets connections take turns and begins a call only while all open calls are within a limit; RequestBodies bounds the bodies together and keeps them in one buffer; ConnectionTable closes the longest idle connection for a new one, and clients that take no response. Nothing that runs is given up: a connection with a call in progress is never closed for another. MaxHeaderBytes and MaxBodyBytes of the operators' configuration are obeyed; the entry had a constant.

--- a/import_rules.js
+++ b/import_rules.js
@@ -17,7 +17,11 @@
   },
   protocol: {
     folders: ['utilities', 'observability'],
-    packages: ['@grpc/grpc-js', '@bufbuild/protobuf', 'node:fs'],
+    packages: ['@grpc/grpc-js', '@bufbuild/protobuf', 'node:fs', 'node:net'],
+  },
+  http: {
+    folders: ['utilities', 'observability'],
+    packages: ['node:http', 'node:net', 'node:stream'],
   },
   platform: {
     folders: ['utilities', 'backends', 'decisions'],
@@ -34,6 +38,7 @@
   agent: {
     folders: [
       'utilities',
+      'http',
       'observability',
       'settings',
       'protocol',
@@ -45,6 +50,7 @@
   entry: {
     folders: [
       'utilities',
+      'http',
       'observability',
       'settings',
       'protocol',
@@ -65,6 +71,7 @@
   daemon: {
     folders: [
       'utilities',
+      'http',
       'observability',
       'settings',
       'protocol',
--- a/src/daemon/agent_role.ts
+++ b/src/daemon/agent_role.ts
@@ -1,6 +1,6 @@
 import {randomUUID} from 'node:crypto';
-import type {Server} from 'node:http';
 import {AgentProcess} from '../agent/agent_process.js';
+import type {HttpListener} from '../http/http_listener.js';
 import type {Logger} from '../observability/logger.js';
 import type {Metrics} from '../observability/metrics.js';
 import {HttpExecutor} from '../backends/http_executor.js';
@@ -26,7 +26,7 @@
   private readonly worker: Worker;
   private readonly executor: Executor | undefined;
   private readonly processServer: GrpcServer;
-  private readonly stateServer: Server;
+  private readonly stateListener: HttpListener;
 
   constructor(
     private readonly settings: AgentProcessSettings,
@@ -64,7 +64,7 @@
       metrics,
     });
     this.processServer = createProcessServer(logger, tls);
-    this.stateServer = createStateServer({
+    this.stateListener = createStateServer({
       metrics,
       dumpState: async () => (await this.agent.dumpState()).json,
     });
@@ -74,14 +74,14 @@
     const {processes, state} = this.settings.listen;
     this.processServer.serveAgent(this.agent);
     await this.processServer.listen(`${processes.host}:${processes.port}`);
-    if (state) this.stateServer.listen(state.port, state.host);
+    if (state) await this.stateListener.listen(state.host, state.port);
     this.agent.start();
   }
 
   async stop(reason: string): Promise<void> {
     await this.agent.stop(reason);
     await this.processServer.close(reason);
-    this.stateServer.close();
+    this.stateListener.close();
     this.executor?.close(reason);
     this.worker.close(reason);
   }
--- a/src/daemon/entry_role.ts
+++ b/src/daemon/entry_role.ts
@@ -1,6 +1,7 @@
 import {randomUUID} from 'node:crypto';
 import {EntryProcess} from '../entry/entry_process.js';
 import {ApiServer} from '../entry/http/api_server.js';
+import {ListenerMonitor} from '../http/listener_monitor.js';
 import {Events} from '../observability/events.js';
 import type {Logger} from '../observability/logger.js';
 import type {Metrics} from '../observability/metrics.js';
@@ -70,6 +71,8 @@
     this.processServer = createProcessServer(logger, tls);
     this.callerServer = new ApiServer(call => this.entry.call(call), {
       bodyLimitBytes: settings.limits.bodyBytes,
+      limits: {connections: settings.limits.callerConnections},
+      monitor: new ListenerMonitor({listener: 'callers', logger, metrics}),
     });
   }
 
--- a/src/daemon/fleet_agent_role.ts
+++ b/src/daemon/fleet_agent_role.ts
@@ -1,11 +1,11 @@
 import {randomUUID} from 'node:crypto';
-import type {Server} from 'node:http';
 import {RefusedReports} from '../agent/workflows/refused_reports.js';
 import {ReportServer} from '../agent/workflows/report_server.js';
 import {WorkflowAgent} from '../agent/workflows/workflow_agent.js';
 import {runLeaseMillis} from '../decisions/workflows/lease_duration.js';
 import {agentKey, StoreKeys} from '../protocol/store_keys.js';
 import {decodeEntry, decodeOwner} from '../protocol/owner_record.js';
+import type {HttpListener} from '../http/http_listener.js';
 import {Events} from '../observability/events.js';
 import type {Logger} from '../observability/logger.js';
 import type {Metrics} from '../observability/metrics.js';
@@ -22,6 +22,7 @@
   hostAndPort,
   listenForMetrics,
 } from './fleet_role_settings.js';
+import {ListenerOptionsFactory} from './listener_options.js';
 import type {RunningRole} from './process_runner.js';
 import {createStateServer} from './state_server.js';
 
@@ -30,7 +31,7 @@
   private readonly agent: WorkflowAgent;
   private readonly reportServer: ReportServer;
   private readonly store: PlatformStore;
-  private readonly metricsServer: Server;
+  private readonly metricsListener: HttpListener;
 
   constructor(
     private readonly settings: FleetProcessSettings,
@@ -63,10 +64,14 @@
         new PlatformWorker({address: report.address, id: report.id}),
       onReportRefused,
     });
-    this.metricsServer = createStateServer({
-      metrics,
-      dumpState: async () => JSON.stringify(this.agent.dumpState()),
-    });
+    const listeners = new ListenerOptionsFactory(settings, logger, metrics);
+    this.metricsListener = createStateServer(
+      {
+        metrics,
+        dumpState: async () => JSON.stringify(this.agent.dumpState()),
+      },
+      listeners.createStateServerOptions(),
+    );
     const reportReader = new WorkerReportReader({
       service: () => this.workerService(),
       hosts: settings.workerHosts,
@@ -77,11 +82,12 @@
       read: (id, text) => reportReader.read(id, text),
       onReport: report => this.agent.applyReport(report),
       onLeaving: id => this.agent.applyLeaving(id),
+      ...listeners.create('reports', 'reportConnections'),
     });
   }
 
   async start(): Promise<void> {
-    listenForMetrics(this.metricsServer, this.settings.ip, this.logger);
+    listenForMetrics(this.metricsListener, this.settings.ip, this.logger);
     const {reportAddress, failureDomain} = this.settings;
     if (reportAddress !== undefined) {
       const {host, port} = hostAndPort(reportAddress);
@@ -94,7 +100,7 @@
   /** Leaves runs at the worker running; the next agent process adopts them. */
   async stop(reason: string): Promise<void> {
     this.reportServer.close();
-    this.metricsServer.close();
+    this.metricsListener.close();
     this.agent.close(reason);
     this.store.close(reason);
   }
--- a/src/daemon/fleet_entry_role.ts
+++ b/src/daemon/fleet_entry_role.ts
@@ -1,9 +1,9 @@
 import {randomUUID} from 'node:crypto';
-import {createServer} from 'node:http';
-import type {Server} from 'node:http';
 import {runLeaseMillis} from '../decisions/workflows/lease_duration.js';
 import {PoolEntry} from '../entry/workflows/pool_entry.js';
 import {ApiServer} from '../entry/http/api_server.js';
+import {HttpListener} from '../http/http_listener.js';
+import {sendResponse} from '../http/send_response.js';
 import {Events} from '../observability/events.js';
 import type {Logger} from '../observability/logger.js';
 import type {Metrics} from '../observability/metrics.js';
@@ -34,12 +34,11 @@
   listenForMetrics,
   ownerCapacity,
 } from './fleet_role_settings.js';
+import {ListenerOptionsFactory} from './listener_options.js';
 import {createProcessServer} from './process_components.js';
 import type {RunningRole} from './process_runner.js';
 import {createStateServer} from './state_server.js';
 
-/** Maximum size of a request body; operators can't configure it yet. */
-const BODY_LIMIT_BYTES = 1_048_576;
 /** Lets responses finish; the balancer reacts after two failed checks. */
 const STOP_DELAY_MILLIS = 2_300;
 
@@ -48,8 +47,8 @@
   private readonly entry: PoolEntry;
   private readonly processServer: GrpcServer;
   private readonly callerServer: ApiServer;
-  private readonly healthServer: Server;
-  private readonly metricsServer: Server;
+  private readonly healthListener: HttpListener;
+  private readonly metricsListener: HttpListener;
 
   constructor(
     private readonly settings: FleetProcessSettings,
@@ -80,35 +79,46 @@
       runLeaseMillis: runLeaseMillis(settings.maximumLeaseMillis),
       retentionMillis: settings.keptMillis,
       features: settings.features,
+      storeRates: settings.storeRates,
       clock: new SystemClock(),
       logger,
       metrics,
     });
+    const listeners = new ListenerOptionsFactory(settings, logger, metrics);
     this.processServer = createProcessServer(logger, undefined);
     this.callerServer = new ApiServer(call => this.entry.call(call), {
-      bodyLimitBytes: BODY_LIMIT_BYTES,
+      bodyLimitBytes: () => this.entry.maximumBodyBytes,
+      headLimitBytes: () => this.entry.maximumHeaderBytes,
+      ...listeners.create('callers', 'callerConnections'),
     });
-    this.healthServer = createServer((request, response) => {
-      const isHealth = request.url === HEALTH_PATH;
-      const healthy = this.entry.isReady ? 200 : 503;
-      response.writeHead(isHealth ? healthy : 404).end();
-    });
-    this.metricsServer = createStateServer({
-      metrics,
-      dumpState: async () => JSON.stringify(this.entry.dumpState()),
-      explainPlacement: body => answerExplanation(this.entry, body),
+    this.healthListener = new HttpListener({
+      handle: (request, response) => {
+        const isHealth = request.url === HEALTH_PATH;
+        const healthy = this.entry.isReady ? 200 : 503;
+        const status = isHealth ? healthy : 404;
+        sendResponse(request, response, {status});
+      },
+      ...listeners.create('health', 'healthConnections'),
     });
+    this.metricsListener = createStateServer(
+      {
+        metrics,
+        dumpState: async () => JSON.stringify(this.entry.dumpState()),
+        explainPlacement: body => answerExplanation(this.entry, body),
+      },
+      listeners.createStateServerOptions(),
+    );
   }
 
   async start(): Promise<void> {
-    listenForMetrics(this.metricsServer, this.settings.ip, this.logger);
+    listenForMetrics(this.metricsListener, this.settings.ip, this.logger);
     const {ip, processPort, callerAddress, healthAddress} = this.settings;
     this.processServer.servePool(this.entry);
     await this.processServer.listen(`${ip}:${processPort}`);
     this.entry.start();
     if (healthAddress !== undefined) {
       const {host, port} = hostAndPort(healthAddress);
-      this.healthServer.listen(port, host);
+      await this.healthListener.listen(host, port);
     }
     if (callerAddress !== undefined) {
       const {host, port} = hostAndPort(callerAddress);
@@ -126,8 +136,8 @@
     await this.entry.stop(reason);
     await new Promise(resolve => setTimeout(resolve, STOP_DELAY_MILLIS));
     await this.callerServer.close();
-    this.healthServer.close();
-    this.metricsServer.close();
+    this.healthListener.close();
+    this.metricsListener.close();
     this.entry.dispose(reason);
     await this.processServer.close(reason);
   }
--- a/src/daemon/fleet_role_settings.ts
+++ b/src/daemon/fleet_role_settings.ts
@@ -1,8 +1,9 @@
-import type {Server} from 'node:http';
+import type {HttpListener} from '../http/http_listener.js';
 import {Events} from '../observability/events.js';
 import type {Logger} from '../observability/logger.js';
 import {readPlatformSettings} from '../platform/platform_settings.js';
 import type {FleetProcessSettings} from '../platform/platform_settings.js';
+import {messageOf} from '../utilities/base_error.js';
 
 /**
  * Resources that the owner of a pool of 300 workers needs, with a margin;
@@ -16,16 +17,15 @@
 
 /** Serves metrics; the process keeps running if the port is unavailable. */
 export function listenForMetrics(
-  server: Server,
+  listener: HttpListener,
   host: string,
   logger: Logger,
 ): void {
-  server.on('error', error =>
+  listener.listen(host, METRICS_PORT).catch((error: unknown) =>
     logger.event(Events.UNEXPECTED_FAULT, {
-      reason: `Metrics are not served: ${error.message}.`,
+      reason: `Metrics are not served: ${messageOf(error)}.`,
     }),
   );
-  server.listen(METRICS_PORT, host);
 }
 
 /** Returns the share of an owner's load that the machine can carry, 0 to 1. */
--- a/src/daemon/state_server.ts
+++ b/src/daemon/state_server.ts
@@ -1,7 +1,11 @@
-import {createServer} from 'node:http';
-import type {IncomingMessage, Server, ServerResponse} from 'node:http';
-import {errorResponse} from '../entry/http/api_types.js';
+import type {IncomingMessage} from 'node:http';
+import {errorResponse, responseOfError} from '../entry/http/api_types.js';
 import type {ApiResponse} from '../entry/http/api_types.js';
+import {refusalOfBody} from '../entry/http/body_refusal.js';
+import {HttpListener} from '../http/http_listener.js';
+import type {ListenerMonitor} from '../http/listener_monitor.js';
+import {sendResponse} from '../http/send_response.js';
+import type {HttpResponse} from '../http/send_response.js';
 import type {Metrics} from '../observability/metrics.js';
 import {ResultCodes} from '../observability/result_codes.js';
 
@@ -14,46 +18,65 @@
   explainPlacement?(body: string): Promise<ApiResponse>;
 }
 
+export interface StateServerOptions {
+  readonly connections?: number;
+  readonly unsentMillis?: number;
+  readonly monitor?: ListenerMonitor;
+}
+
 const EXPLAIN_PATH = '/placement/explain';
 /** Well above the largest valid request, which has 20 steps. */
 const BODY_LIMIT_BYTES = 65_536;
+const DEFAULT_CONNECTIONS = 32;
+/** A response may be megabytes in size, so that few are prepared at once. */
+const CALLS_PER_CONNECTION = 1;
+const CALL_BYTES = 4_096;
+const BODY_BYTES = 1_048_576;
 const HTTP_NOT_FOUND = 404;
-const HTTP_INTERNAL_SERVER_ERROR = 500;
 
 /** Creates a server of `/metrics` and `/state` for a process without an API. */
-export function createStateServer(source: StateSource): Server {
-  return createServer((request, response) => {
-    respond(source, request, response).catch(() => {
-      if (!response.headersSent) response.writeHead(HTTP_INTERNAL_SERVER_ERROR);
-      response.end();
-    });
+export function createStateServer(
+  source: StateSource,
+  options: StateServerOptions = {},
+): HttpListener {
+  const {connections = DEFAULT_CONNECTIONS, unsentMillis, monitor} = options;
+  const listener: HttpListener = new HttpListener({
+    handle: async (request, response) =>
+      sendResponse(request, response, await respond(source, listener, request)),
+    limits: {
+      connections,
+      callsPerConnection: CALLS_PER_CONNECTION,
+      callBytes: CALL_BYTES,
+      bodyBytes: BODY_BYTES,
+      ...(unsentMillis !== undefined && {unsentMillis}),
+    },
+    monitor,
   });
+  return listener;
 }
 
 async function respond(
   source: StateSource,
+  listener: HttpListener,
   request: IncomingMessage,
-  response: ServerResponse,
-): Promise<void> {
+): Promise<HttpResponse> {
   if (request.url === '/metrics') {
-    response.setHeader('content-type', 'text/plain; version=0.0.4');
-    response.end(source.metrics.render());
-    return;
+    const headers = [['content-type', 'text/plain; version=0.0.4']] as const;
+    return {status: 200, headers, body: source.metrics.render()};
   }
   if (request.url === '/state') {
-    response.setHeader('content-type', 'application/json');
-    response.end(await source.dumpState());
-    return;
+    const headers = [['content-type', 'application/json']] as const;
+    return {status: 200, headers, body: await source.dumpState()};
   }
   if (request.url === EXPLAIN_PATH && source.explainPlacement) {
-    send(response, await explain(source, request));
-    return;
+    return explain(source, listener, request);
   }
-  response.writeHead(HTTP_NOT_FOUND).end();
+  return {status: HTTP_NOT_FOUND};
 }
 
 async function explain(
   source: StateSource,
+  listener: HttpListener,
   request: IncomingMessage,
 ): Promise<ApiResponse> {
   if (request.method !== 'POST') {
@@ -61,33 +84,13 @@
     const refusal = errorResponse(ResultCodes.METHOD_NOT_ALLOWED, message);
     return {...refusal, headers: [...refusal.headers, ['allow', 'POST']]};
   }
-  const body = await readBody(request);
-  if (body === undefined) {
-    const message = `The body exceeds ${BODY_LIMIT_BYTES} bytes.`;
-    const refusal = errorResponse(ResultCodes.BODY_TOO_LARGE, message);
-    // The rest of the body is not read, so the connection can't be used again.
-    return {...refusal, headers: [...refusal.headers, ['connection', 'close']]};
-  }
-  return source.explainPlacement!(body);
-}
-
-/** Undefined if the body exceeds the limit. */
-async function readBody(request: IncomingMessage): Promise<string | undefined> {
-  const chunks: Buffer[] = [];
-  let size = 0;
-  const iterator = request.iterator({destroyOnReturn: false});
-  for await (const chunk of iterator as AsyncIterable<Buffer>) {
-    size += chunk.length;
-    if (size > BODY_LIMIT_BYTES) return undefined;
-    chunks.push(chunk);
+  try {
+    return await listener.bodies.use(request, BODY_LIMIT_BYTES, body =>
+      source.explainPlacement!(body.toString('utf8')),
+    );
+  } catch (error) {
+    const refusal = refusalOfBody(error);
+    if (!refusal) throw error;
+    return responseOfError(refusal);
   }
-  return Buffer.concat(chunks).toString('utf8');
-}
-
-function send(
-  response: ServerResponse,
-  {status, headers, body}: ApiResponse,
-): void {
-  response.writeHead(status, [...headers].flat());
-  response.end(body);
 }
--- a/src/entry/http/api_server.ts
+++ b/src/entry/http/api_server.ts
@@ -1,11 +1,13 @@
-import {createServer} from 'node:http';
-import type {IncomingMessage, Server, ServerResponse} from 'node:http';
-import {Server as NetServer} from 'node:net';
-import type {AddressInfo} from 'node:net';
+import type {IncomingMessage, ServerResponse} from 'node:http';
+import type {Duplex} from 'node:stream';
+import {HttpListener} from '../../http/http_listener.js';
+import type {ListenerLimits} from '../../http/listener_limits.js';
+import type {ListenerMonitor} from '../../http/listener_monitor.js';
+import {sendResponse} from '../../http/send_response.js';
 import {ResultCodes} from '../../observability/result_codes.js';
-import {responseOfError, apiError} from './api_types.js';
+import {apiError, responseOfError} from './api_types.js';
 import type {ApiResponse, ApiCall} from './api_types.js';
-import {CallerConnections} from './caller_connections.js';
+import {refusalOfBody} from './body_refusal.js';
 import {UnparsedCallResponder} from './unparsed_call_responder.js';
 
 const DEFAULT_HEADERS_TIMEOUT_MILLIS = 10_000;
@@ -17,13 +19,21 @@
 /** How often connections are checked for calls that arrive too slowly. */
 const DEFAULT_CONNECTION_CHECK_MILLIS = 1_000;
 const CLOSE_GRACE_MILLIS = 5_000;
+const DEFAULT_HEAD_BYTES = 16_384;
+/** Heads beyond this are not parsed, whatever operators have configured. */
+const MAXIMUM_HEAD_BYTES = 65_536;
+/** Two characters each between a header's name, its value and the next one. */
+const SEPARATOR_BYTES = 2;
 
 /** Handles a call; a rejection becomes a response with a result code. */
 export type ApiHandler = (call: ApiCall) => Promise<ApiResponse>;
 
 /** Limits of an ApiServer. */
 export interface ApiServerOptions {
-  readonly bodyLimitBytes: number;
+  /** Maximum size of a body; a function where it can change. */
+  readonly bodyLimitBytes: number | (() => number);
+  /** Maximum size of a head; a function where it can change. */
+  readonly headLimitBytes?: number | (() => number);
   /** Idle connections are closed after this time. */
   readonly keepAliveMillis?: number;
   /** Time for the headers of a call to arrive. */
@@ -31,12 +41,13 @@
   /** Time for a whole call to arrive. */
   readonly requestTimeoutMillis?: number;
   readonly connectionCheckMillis?: number;
+  readonly limits?: Partial<ListenerLimits>;
+  readonly monitor?: ListenerMonitor;
 }
 
 /** The HTTP/1.1 server of an entry. */
 export class ApiServer {
-  private readonly server: Server;
-  private readonly connections: CallerConnections;
+  private readonly listener: HttpListener;
   private readonly unparsedCallResponder: UnparsedCallResponder;
   private isClosing = false;
 
@@ -44,8 +55,11 @@
     private readonly handler: ApiHandler,
     private readonly options: ApiServerOptions,
   ) {
-    this.server = createServer(
-      {
+    this.listener = new HttpListener({
+      handle: (request, response) => this.respond(request, response),
+      limits: options.limits,
+      monitor: options.monitor,
+      server: {
         keepAliveTimeout: options.keepAliveMillis ?? DEFAULT_KEEP_ALIVE_MILLIS,
         headersTimeout:
           options.headersTimeoutMillis ?? DEFAULT_HEADERS_TIMEOUT_MILLIS,
@@ -53,28 +67,21 @@
           options.requestTimeoutMillis ?? DEFAULT_REQUEST_TIMEOUT_MILLIS,
         connectionsCheckingInterval:
           options.connectionCheckMillis ?? DEFAULT_CONNECTION_CHECK_MILLIS,
+        maxHeaderSize:
+          options.headLimitBytes === undefined
+            ? DEFAULT_HEAD_BYTES
+            : MAXIMUM_HEAD_BYTES,
         // Checked by checkHost(), so that the response has a result code.
         requireHostHeader: false,
       },
-      (request, response) => void this.respond(request, response),
-    );
-    this.server.on(
-      'checkExpectation',
-      (request, response) => void this.respond(request, response),
-    );
-    this.connections = new CallerConnections(this.server);
-    this.unparsedCallResponder = new UnparsedCallResponder(this.server);
+    });
+    const {server} = this.listener;
+    this.unparsedCallResponder = new UnparsedCallResponder(server);
   }
 
   /** Listens and resolves to the port; port 0 selects a free one. */
   listen(host: string, port: number): Promise<number> {
-    return new Promise((resolve, reject) => {
-      this.server.once('error', reject);
-      this.server.listen(port, host, () => {
-        this.server.off('error', reject);
-        resolve((this.server.address() as AddressInfo).port);
-      });
-    });
+    return this.listener.listen(host, port);
   }
 
   /** From now on each response closes its connection, so that callers leave. */
@@ -89,83 +96,75 @@
   async close(): Promise<void> {
     this.isClosing = true;
     await waitForPoll();
-    const closed = this.stopListening();
-    this.connections.endIdleUsed();
+    const {listener} = this;
+    const closed = listener.stopListening();
+    listener.connections.endIdleUsed();
     const timers = [
-      setTimeout(() => this.connections.endIdle(), FIRST_CALL_GRACE_MILLIS),
-      setTimeout(() => this.server.closeAllConnections(), CLOSE_GRACE_MILLIS),
+      setTimeout(() => listener.connections.endIdle(), FIRST_CALL_GRACE_MILLIS),
+      setTimeout(() => listener.closeAllConnections(), CLOSE_GRACE_MILLIS),
     ];
     await closed;
     for (const timer of timers) clearTimeout(timer);
   }
 
-  /**
-   * Resolves once all connections have ended. Calls close() of net.Server, as
-   * that of http.Server destroys idle connections.
-   */
-  private stopListening(): Promise<void> {
-    return new Promise(resolve => {
-      NetServer.prototype.close.call(this.server, () => resolve());
-    });
-  }
-
   private async respond(
     request: IncomingMessage,
     response: ServerResponse,
   ): Promise<void> {
-    if (!this.connections.beginCall(request, response)) {
-      // Reads the remaining data, so that the connection can end.
-      request.resume();
-      return;
-    }
     const apiResponse = await this.handle(request).catch(responseOfError);
-    if (response.destroyed) return;
-    response.statusCode = apiResponse.status;
-    for (const [name, value] of apiResponse.headers) {
-      response.appendHeader(name, value);
-    }
-    response.setHeader('content-length', apiResponse.body.byteLength);
-    if (this.isClosing || !request.complete) {
-      response.setHeader('connection', 'close');
-    }
-    response.end(apiResponse.body);
+    sendResponse(request, response, {
+      ...apiResponse,
+      closesConnection: this.isClosing,
+    });
   }
 
   private async handle(request: IncomingMessage): Promise<ApiResponse> {
     checkHost(request);
+    this.checkHead(request);
     const target = readTarget(request.url ?? '/');
-    const body = await this.readBody(request);
-    const {socket} = request;
+    const limit = valueOf(this.options.bodyLimitBytes);
+    try {
+      const {bodies} = this.listener;
+      return await bodies.use(request, limit, body =>
+        this.run(
+          {
+            ...target,
+            method: request.method ?? 'GET',
+            headers: readHeaders(request),
+            body,
+          },
+          request.socket,
+        ),
+      );
+    } catch (error) {
+      throw refusalOfBody(error) ?? error;
+    }
+  }
+
+  private async run(call: ApiCall, socket: Duplex): Promise<ApiResponse> {
     this.unparsedCallResponder.beginCall(socket);
     try {
-      return await this.handler({
-        ...target,
-        method: request.method ?? 'GET',
-        headers: readHeaders(request),
-        body,
-      });
+      return await this.handler(call);
     } finally {
       this.unparsedCallResponder.endCall(socket);
     }
   }
 
-  private async readBody(request: IncomingMessage): Promise<Uint8Array> {
-    const chunks: Buffer[] = [];
-    let length = 0;
-    for await (const chunk of request as AsyncIterable<Buffer>) {
-      length += chunk.byteLength;
-      if (length > this.options.bodyLimitBytes) {
-        throw apiError(
-          ResultCodes.BODY_TOO_LARGE,
-          `The body is over ${this.options.bodyLimitBytes} bytes.`,
-        );
-      }
-      chunks.push(chunk);
-    }
-    return Buffer.concat(chunks);
+  private checkHead({url = '', rawHeaders}: IncomingMessage): void {
+    const {headLimitBytes = MAXIMUM_HEAD_BYTES} = this.options;
+    const limit = valueOf(headLimitBytes);
+    let length = url.length;
+    for (const text of rawHeaders) length += text.length + SEPARATOR_BYTES;
+    if (length <= limit) return;
+    const message = `The headers are over ${limit} bytes.`;
+    throw apiError(ResultCodes.HEADERS_TOO_LARGE, message);
   }
 }
 
+function valueOf(limit: number | (() => number)): number {
+  return typeof limit === 'number' ? limit : limit();
+}
+
 /**
  * Resolves once the event loop has accepted the connections and read the data
  * that had arrived by now: a complete poll phase precedes the second immediate.
--- a/src/observability/events.ts
+++ b/src/observability/events.ts
@@ -64,6 +64,11 @@
     'info',
     'The settings were reread on a signal; a restart is needed if any setting has changed.',
   ),
+  LISTENER_OVERLOADED: eventType(
+    1013,
+    'warn',
+    'A listener refused or closed connections or bodies at its limits.',
+  ),
   // 2xxx: entries.
   ENTRY_LEASE_LOST: eventType(
     2001,
--- a/src/observability/result_codes.ts
+++ b/src/observability/result_codes.ts
@@ -46,6 +46,18 @@
     408,
     'Not run: the call was not received completely in time.',
   ),
+  HEADERS_TOO_LARGE: resultCode(
+    106,
+    'HEADERS_TOO_LARGE',
+    431,
+    'The headers exceed the size limit.',
+  ),
+  TOO_MANY_BODIES: resultCode(
+    107,
+    'TOO_MANY_BODIES',
+    503,
+    'Not run: the bodies of all calls together take too much memory.',
+  ),
   // 2xx: service requests.
   NO_UPSTREAM: resultCode(
     200,
--- a/src/platform/platform_settings.ts
+++ b/src/platform/platform_settings.ts
@@ -4,9 +4,12 @@
   boolean,
   fallback,
   flatten,
+  integer,
+  minValue,
   number,
   object,
   optional,
+  pipe,
   safeParse,
   strictObject,
   string,
@@ -20,6 +23,10 @@
 /** Environment variable with the path of the settings file. */
 const SETTINGS_VARIABLE = 'BURDOCKMOOR_CONFIG';
 
+const DEFAULT_DESCRIPTORS = 4_096;
+const DEFAULT_WRITES_PER_SECOND = 400;
+const DEFAULT_READS_PER_SECOND = 2_000;
+
 /** The settings that the platform passes to a process are unusable. */
 export const PlatformSettingsError = BaseError.subclass(
   'PlatformSettingsError',
@@ -49,13 +56,19 @@
       CpuShare: fallback(number(), 1),
       Cores: fallback(number(), 1),
       LinkMbps: fallback(number(), 1_000),
+      MaxFds: fallback(number(), DEFAULT_DESCRIPTORS),
     }),
-    {CpuShare: 1, Cores: 1, LinkMbps: 1_000},
+    {CpuShare: 1, Cores: 1, LinkMbps: 1_000, MaxFds: DEFAULT_DESCRIPTORS},
   ),
-  platform: object({Address: string()}),
+  platform: object({
+    Address: string(),
+    WritesPerS: fallback(number(), DEFAULT_WRITES_PER_SECOND),
+    ReadsPerS: fallback(number(), DEFAULT_READS_PER_SECOND),
+  }),
 });
 
 const featureSchema = optional(boolean(), false);
+const limitSchema = optional(pipe(number(), integer(), minValue(1)));
 
 /** The file that the deploy template renders. */
 const settingsSchema = object({
@@ -71,8 +84,36 @@
     }),
     NO_SCHEDULING_FEATURES,
   ),
+  /** Limits of the listeners, in place of their defaults. */
+  limits: optional(
+    strictObject({
+      callerConnections: limitSchema,
+      healthConnections: limitSchema,
+      reportConnections: limitSchema,
+      metricsConnections: limitSchema,
+      processConnections: limitSchema,
+      callsPerConnection: limitSchema,
+      callBytes: limitSchema,
+      bodyBytes: limitSchema,
+      unsentMillis: limitSchema,
+    }),
+    {},
+  ),
 });
 
+/** Limits of listeners that a deployment sets; the others have defaults. */
+export interface ListenerLimitSettings {
+  readonly callerConnections?: number;
+  readonly healthConnections?: number;
+  readonly reportConnections?: number;
+  readonly metricsConnections?: number;
+  readonly processConnections?: number;
+  readonly callsPerConnection?: number;
+  readonly callBytes?: number;
+  readonly bodyBytes?: number;
+  readonly unsentMillis?: number;
+}
+
 /** Settings that the platform passes to a process of the fleet at its start. */
 export interface FleetProcessSettings {
   readonly processName: string;
@@ -94,6 +135,11 @@
   readonly reportAddress?: string;
   /** HOST:PORT of the store. */
   readonly storeAddress: string;
+  /** Calls a second that the store executes for all processes. */
+  readonly storeRates: {
+    readonly writesPerSecond: number;
+    readonly readsPerSecond: number;
+  };
   /** Number of processors that the machine gives its processes. */
   readonly processors: number;
   /** Bandwidth of the machine's link in megabits per second. */
@@ -102,6 +148,9 @@
   readonly maximumLeaseMillis: number;
   /** Time for which the state of an ended workflow is kept. */
   readonly keptMillis: number;
+  /** Number of descriptors that the process may open. */
+  readonly descriptors: number;
+  readonly listenerLimits: ListenerLimitSettings;
   /** Optional parts of the scheduler that this deployment turns on. */
   readonly features: SchedulingFeatures;
 }
@@ -132,7 +181,11 @@
         : 'The platform settings are not a JSON object.',
     );
   }
-  const {platform: settings, scheduling: features} = parsed.output;
+  const {
+    platform: settings,
+    scheduling: features,
+    limits: listenerLimits,
+  } = parsed.output;
   const {Bounds: bounds, platform, Listen: listen, Limits: limits} = settings;
   return {
     processName: settings.NodeName,
@@ -148,10 +201,16 @@
     healthAddress: listen.Ready,
     reportAddress: listen.Control,
     storeAddress: platform.Address,
+    storeRates: {
+      writesPerSecond: platform.WritesPerS,
+      readsPerSecond: platform.ReadsPerS,
+    },
     processors: limits.CpuShare * limits.Cores,
     linkMegabits: limits.LinkMbps,
     maximumLeaseMillis: bounds.HoldMaxMs,
     keptMillis: bounds.status_s * MILLIS_PER_SECOND,
+    descriptors: limits.MaxFds,
+    listenerLimits,
     features,
   };
 }
--- a/src/settings/entry_schema.ts
+++ b/src/settings/entry_schema.ts
@@ -148,6 +148,19 @@
       MEBIBYTE,
       '1048576',
     ),
+    caller_connections: optional(
+      integerKey(
+        {
+          description:
+            'Maximum number of open connections of callers; beyond it, the one that has been idle for longest is closed.',
+          example: '1024',
+        },
+        1,
+        65_536,
+      ),
+      1_024,
+      '1024',
+    ),
     drain_milliseconds: optional(
       integerKey(
         {
--- a/src/settings/process_settings.ts
+++ b/src/settings/process_settings.ts
@@ -73,6 +73,7 @@
   readonly shards: {readonly count: number};
   readonly limits: {
     readonly bodyBytes: number;
+    readonly callerConnections: number;
     readonly drainMillis: number;
   };
   readonly tls?: TlsSettings;
@@ -154,6 +155,7 @@
     shards: checked.section(shardsSection),
     limits: {
       bodyBytes: limits.body_bytes,
+      callerConnections: limits.caller_connections,
       drainMillis: limits.drain_milliseconds,
     },
     tls: tlsSettings(checked),
--- a/tests/platform/documents.test.ts
+++ b/tests/platform/documents.test.ts
@@ -184,3 +184,16 @@
   });
   t.regex(error.message, /scheduling\.copys/);
 });
+
+test('should read limits of listeners, and name invalid ones', t => {
+  const limitsOf = (limits?: object) =>
+    parsePlatformSettings(JSON.stringify({limits, platform: PLATFORM_SETTINGS}))
+      .listenerLimits;
+  t.deepEqual(limitsOf(), {});
+  t.deepEqual(limitsOf({callBytes: 9}), {callBytes: 9});
+  for (const value of [0, 1.5, '8']) {
+    const error = t.throws(() => limitsOf({callerConnections: value}));
+    t.regex(error.message, /limits\.callerConnections/);
+  }
+  t.throws(() => limitsOf({connections: 8}), {message: /limits/});
+});
--- a/tests/workflows/explaining.test.ts
+++ b/tests/workflows/explaining.test.ts
@@ -1,4 +1,3 @@
-import type {AddressInfo} from 'node:net';
 import test from 'ava';
 import type {ExecutionContext} from 'ava';
 import {answerExplanation} from '../../src/daemon/explanation_responses.js';
@@ -410,9 +409,8 @@
     dumpState: async () => '{}',
     explainPlacement: body => answerExplanation(entry, body),
   });
-  await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve));
+  const port = await server.listen('127.0.0.1', 0);
   t.teardown(() => server.close());
-  const {port} = server.address() as AddressInfo;
   return init => fetch(`http://127.0.0.1:${port}/placement/explain`, init);
 }
 
