Process port: bound its connections, and close those that never speak

The cause: grpc-js accepts any number of connections and waits for their first bytes without a limit of time. ConnectionGate accepts them in its place, up to 1,536 and three eighths of the descriptors. A connection that has not spoken makes room for a new one or is closed after 10 s; those of other processes are never closed for a new one. Sessions without a call for 5 minutes end. Not bounded by this change: partial messages of clients that do speak HTTP/2.

--- a/src/daemon/agent_role.ts
+++ b/src/daemon/agent_role.ts
@@ -63,7 +63,7 @@
       logger,
       metrics,
     });
-    this.processServer = createProcessServer(logger, tls);
+    this.processServer = createProcessServer(logger, {security: tls});
     this.stateListener = createStateServer({
       metrics,
       dumpState: async () => (await this.agent.dumpState()).json,
--- a/src/daemon/entry_role.ts
+++ b/src/daemon/entry_role.ts
@@ -68,7 +68,7 @@
       logger,
       metrics,
     });
-    this.processServer = createProcessServer(logger, tls);
+    this.processServer = createProcessServer(logger, {security: tls});
     this.callerServer = new ApiServer(call => this.entry.call(call), {
       bodyLimitBytes: settings.limits.bodyBytes,
       limits: {connections: settings.limits.callerConnections},
--- a/src/daemon/fleet_entry_role.ts
+++ b/src/daemon/fleet_entry_role.ts
@@ -85,7 +85,10 @@
       metrics,
     });
     const listeners = new ListenerOptionsFactory(settings, logger, metrics);
-    this.processServer = createProcessServer(logger, undefined);
+    this.processServer = createProcessServer(logger, {
+      maximumConnections: listeners.connectionsOf('processConnections'),
+      monitor: listeners.createMonitor('processes'),
+    });
     this.callerServer = new ApiServer(call => this.entry.call(call), {
       bodyLimitBytes: () => this.entry.maximumBodyBytes,
       headLimitBytes: () => this.entry.maximumHeaderBytes,
--- a/src/daemon/process_components.ts
+++ b/src/daemon/process_components.ts
@@ -1,5 +1,6 @@
 /** Components that every role creates in the same way. */
 import {randomInt} from 'node:crypto';
+import type {ListenerMonitor} from '../http/listener_monitor.js';
 import {Events} from '../observability/events.js';
 import type {Logger} from '../observability/logger.js';
 import {GrpcServer} from '../protocol/grpc_server.js';
@@ -13,15 +14,22 @@
   return new Random(randomInt(RANDOM_SEED_BOUND));
 }
 
+export interface ProcessServerOptions {
+  readonly security?: TransportSecurityFiles;
+  readonly maximumConnections?: number;
+  readonly monitor?: ListenerMonitor;
+}
+
 /** Creates the gRPC server for other processes; it logs unexpected errors. */
 export function createProcessServer(
   logger: Logger,
-  security: TransportSecurityFiles | undefined,
+  {security, maximumConnections, monitor}: ProcessServerOptions,
 ): GrpcServer {
   return new GrpcServer(
     {
       onHandlerError: reason => logger.event(Events.UNEXPECTED_FAULT, {reason}),
+      onConnectionsFull: hasRoom => monitor?.recordFull(hasRoom),
     },
-    {security},
+    {security, maximumConnections},
   );
 }
--- a/src/protocol/grpc_server.ts
+++ b/src/protocol/grpc_server.ts
@@ -18,6 +18,7 @@
   WorkerCommands,
   WorkerUpdate,
 } from './generated/burdockmoor.js';
+import {ConnectionGate} from './connection_gate.js';
 import {InvalidMessageError} from './invalid_message_error.js';
 import type {AgentHandlers, EntryHandlers} from './links.js';
 import {
@@ -39,10 +40,13 @@
 import type {TransportSecurityFiles} from './transport_security.js';
 
 const SHUTDOWN_GRACE_MILLIS = 2_000;
+const DEFAULT_MAXIMUM_CONNECTIONS = 1_536;
 
 /** Receives the errors of calls that a handler failed to answer. */
 export interface GrpcServerObserver {
   onHandlerError(message: string): void;
+  /** A connection came beyond the maximum; whether a silent one made room. */
+  onConnectionsFull?(hasRoom: boolean): void;
 }
 
 type Handler<Request, Reply> = (request: Request) => Promise<Reply>;
@@ -60,6 +64,7 @@
 
 export interface GrpcServerOptions {
   readonly security?: TransportSecurityFiles;
+  readonly maximumConnections?: number;
   readonly clock?: Clock;
 }
 
@@ -70,8 +75,10 @@
     // Frees the resources of a peer whose connection no longer responds.
     'grpc.keepalive_time_ms': 60_000,
     'grpc.keepalive_timeout_ms': 10_000,
+    'grpc.max_connection_idle_ms': 300_000,
   });
   private readonly streams = new Set<CallStreamResponder>();
+  private gate: ConnectionGate | undefined;
   private isClosing = false;
 
   constructor(
@@ -170,18 +177,23 @@
 
   /** Listens on HOST:PORT and resolves to the port; 0 selects a free port. */
   listen(address: string): Promise<number> {
-    const credentials = serverCredentials(this.options.security);
-    return new Promise((resolve, reject) => {
-      this.server.bindAsync(address, credentials, (error, port) => {
-        if (error) return reject(error);
-        resolve(port);
-      });
+    const {security, maximumConnections = DEFAULT_MAXIMUM_CONNECTIONS} =
+      this.options;
+    const injector = this.server.createConnectionInjector(
+      serverCredentials(security),
+    );
+    this.gate = new ConnectionGate({
+      maximumConnections,
+      onConnection: socket => injector.injectConnection(socket),
+      onFull: hasRoom => this.observer.onConnectionsFull?.(hasRoom),
     });
+    return this.gate.listen(address);
   }
 
   /** Closes after the calls in progress; cancels them after a grace period. */
   close(reason: string): Promise<void> {
     this.isClosing = true;
+    this.gate?.close();
     for (const stream of this.streams) stream.close(reason);
     const {clock = new SystemClock()} = this.options;
     return new Promise(resolve => {
--- a/tests/protocol/transport_security.test.ts
+++ b/tests/protocol/transport_security.test.ts
@@ -79,7 +79,7 @@
   security: TransportSecurityFiles,
 ): Promise<string> {
   const entry = await startEntry();
-  const server = createProcessServer(new SilentLogger(), security);
+  const server = createProcessServer(new SilentLogger(), {security});
   server.serveEntry(entry);
   const port = await server.listen(`${HOST}:0`);
   t.teardown(async () => {
