Listeners: keep a connection whose call runs while the next one is received

At its limit of connections a listener could close one whose first call was running, as a body of the next one was incomplete; the caller would not have learned whether its first call ran. The cause: isProcessing looked at the call that is being received alone. It now counts the others. The new test fails on the code before.

--- a/src/http/paced_socket.ts
+++ b/src/http/paced_socket.ts
@@ -87,9 +87,9 @@
     return this.calls.size > 0 || this.hasInput || this.headBytes > 0;
   }
 
-  /** Whether a whole call is being processed. */
+  /** Whether a call that was received completely is open. */
   get isProcessing(): boolean {
-    return this.calls.size > 0 && !this.isReceiving;
+    return this.calls.size > (this.isReceiving ? 1 : 0);
   }
 
   get hasUnsentOutput(): boolean {
--- a/tests/http/http_listener.test.ts
+++ b/tests/http/http_listener.test.ts
@@ -273,6 +273,28 @@
   t.deepEqual(first.statuses, [200]);
 });
 
+test('should refuse a connection while a call runs and the next one is received', async t => {
+  const finish: Array<() => void> = [];
+  const {listener, port} = await openListener(t, {
+    handle: async (request, response) => {
+      await listener.bodies.use(request, MEBIBYTE, async () => {
+        await new Promise<void>(resolve => finish.push(resolve));
+      });
+      sendResponse(request, response, {status: 200});
+    },
+    limits: {connections: 1},
+  });
+  const first = await RawClient.open(t, port);
+  first.send(getText('/') + postText('/', 'body').slice(0, -1));
+  await until(() => finish.length === 1);
+  await settle();
+  const second = await RawClient.open(t, port);
+  await second.closed;
+  finish[0]();
+  await first.waitForResponses(1);
+  t.deepEqual(first.statuses, [200]);
+});
+
 test('should close a connection whose client takes no response', async t => {
   const {listener, port} = await openListener(t, {
     handle: (request, response) =>
