--- a/src/entry/http/api_server.ts
+++ b/src/entry/http/api_server.ts
@@ -1,6 +1,10 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {Duplex} from 'node:stream';
-import {HttpListener} from '../../http/http_listener.js';
+import {
+  DEFAULT_HEADERS_TIMEOUT_MILLIS,
+  DEFAULT_REQUEST_TIMEOUT_MILLIS,
+  HttpListener,
+} from '../../http/http_listener.js';
 import type {ListenerLimits} from '../../http/listener_limits.js';
 import type {ListenerMonitor} from '../../http/listener_monitor.js';
 import {sendResponse} from '../../http/send_response.js';
@@ -10,8 +14,6 @@
 import {refusalOfBody} from './body_refusal.js';
 import {UnparsedCallResponder} from './unparsed_call_responder.js';
 
-const DEFAULT_HEADERS_TIMEOUT_MILLIS = 10_000;
-const DEFAULT_REQUEST_TIMEOUT_MILLIS = 60_000;
 /** Above the idle timeout of load balancers, so that they close first. */
 const DEFAULT_KEEP_ALIVE_MILLIS = 75_000;
 /** Time for the first call of a connection opened just before the close. */
--- a/src/http/http_listener.ts
+++ b/src/http/http_listener.ts
@@ -18,8 +18,10 @@
 
 /** How often connections are checked for clients that take no response. */
 const CHECK_INTERVAL_MILLIS = 500;
-const DEFAULT_HEADERS_TIMEOUT_MILLIS = 10_000;
-const DEFAULT_REQUEST_TIMEOUT_MILLIS = 60_000;
+/** Time for the headers of a call to arrive. */
+export const DEFAULT_HEADERS_TIMEOUT_MILLIS = 10_000;
+/** Time for a whole call to arrive. */
+export const DEFAULT_REQUEST_TIMEOUT_MILLIS = 60_000;
 
 export interface HttpListenerOptions {
   /** Responds to a call; resolves when it has ended its work for the call. */
