--- a/tests/http/http_listener.test.ts
+++ b/tests/http/http_listener.test.ts
@@ -195,6 +195,27 @@
   t.regex(client.received, /<1048580>[^]*<8>/);
 });
 
+// Guards against the opposite fault: a single call of the largest size.
+test('should serve a call with the largest head and a large response', async t => {
+  const response = 'a'.repeat(8 * MEBIBYTE);
+  const {port} = await openListener(t, {
+    handle: (request, reply) =>
+      sendResponse(request, reply, {
+        status: 200,
+        headers: [['x-length', String(request.headers['x-long']?.length)]],
+        body: response,
+      }),
+  });
+  const client = await RawClient.open(t, port);
+  client.send(
+    `GET / HTTP/1.1\r\nHost: a\r\nX-Long: ${'b'.repeat(16_000)}\r\n\r\n`,
+  );
+  await client.waitForResponses(1);
+  t.regex(client.received, /x-length: 16000/i);
+  await until(() => client.received.length > response.length);
+  await until(() => client.received.endsWith(`\r\n\r\n${response}`));
+});
+
 // Guards against memory that many slow bodies hold together.
 test('should give up the largest body if all together are too large', async t => {
   const statuses: string[] = [];
