Entry: memory for two bodies of the largest size that settings allow

With body_bytes above 8 MiB in the settings of an entry, a call of that size got a 503 while another body was being received, as all bodies together were bounded by 16 MiB whatever the settings said. The bound is now at least twice body_bytes. The new test sends two bodies of 20 MiB at once; before, one of them was given up. Deployments on the users' platform set their own bound, which stays.

--- a/src/entry/http/api_server.ts
+++ b/src/entry/http/api_server.ts
@@ -5,6 +5,7 @@
   DEFAULT_REQUEST_TIMEOUT_MILLIS,
   HttpListener,
 } from '../../http/http_listener.js';
+import {DEFAULT_LISTENER_LIMITS} from '../../http/listener_limits.js';
 import type {ListenerLimits} from '../../http/listener_limits.js';
 import type {ListenerMonitor} from '../../http/listener_monitor.js';
 import {sendResponse} from '../../http/send_response.js';
@@ -24,6 +25,8 @@
 const DEFAULT_HEAD_BYTES = 16_384;
 /** Heads beyond this are not parsed, whatever operators have configured. */
 const MAXIMUM_HEAD_BYTES = 65_536;
+/** Number of bodies of the largest size that fit the memory for bodies. */
+const LARGEST_BODIES = 2;
 /** Two characters each between a header's name, its value and the next one. */
 const SEPARATOR_BYTES = 2;
 
@@ -59,7 +62,10 @@
   ) {
     this.listener = new HttpListener({
       handle: (request, response) => this.respond(request, response),
-      limits: options.limits,
+      limits: {
+        bodyBytes: bodyBudget(options.bodyLimitBytes),
+        ...options.limits,
+      },
       monitor: options.monitor,
       server: {
         keepAliveTimeout: options.keepAliveMillis ?? DEFAULT_KEEP_ALIVE_MILLIS,
@@ -163,6 +169,15 @@
   }
 }
 
+/** Lets some bodies of the largest size be received at once. */
+function bodyBudget(
+  bodyLimitBytes: ApiServerOptions['bodyLimitBytes'],
+): number {
+  const {bodyBytes} = DEFAULT_LISTENER_LIMITS;
+  if (typeof bodyLimitBytes !== 'number') return bodyBytes;
+  return Math.max(bodyBytes, LARGEST_BODIES * bodyLimitBytes);
+}
+
 function valueOf(limit: number | (() => number)): number {
   return typeof limit === 'number' ? limit : limit();
 }
--- a/tests/entry/api_server.test.ts
+++ b/tests/entry/api_server.test.ts
@@ -9,6 +9,8 @@
 const nextTick = promisify(process.nextTick);
 const CALL = 'GET /v1/health HTTP/1.1\r\nhost: entry\r\n\r\n';
 
+const MEBIBYTE = 1024 * 1024;
+
 class ServerFixture {
   calls = 0;
   private port = 0;
@@ -130,3 +132,29 @@
   t.is(await unused.countResponses(), 0);
   await closed;
 });
+
+// Guards against a body inside a large limit that is given up for a small one.
+test('should receive two bodies of the largest size at once', async t => {
+  const length = 20 * MEBIBYTE;
+  const received: number[] = [];
+  const server = new ApiServer(
+    async ({body}) => {
+      received.push(body.byteLength);
+      return jsonResponse({});
+    },
+    {bodyLimitBytes: length},
+  );
+  const port = await server.listen('127.0.0.1', 0);
+  const send = (): Promise<Response> =>
+    fetch(`http://127.0.0.1:${port}/`, {
+      method: 'POST',
+      body: Buffer.alloc(length),
+    });
+  const responses = await Promise.all([send(), send()]);
+  t.deepEqual(
+    responses.map(({status}) => status),
+    [200, 200],
+  );
+  t.deepEqual(received, [length, length]);
+  await server.close();
+});
